--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint format binary protocol
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m bench.demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 borageshelf standins bench tests
+	$(BIN)/mypy
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+
+binary: $(VENV)/.installed
+	mkdir -p dist
+	$(BIN)/shiv -q -c borageshelf -o dist/borageshelf -p "/usr/bin/env python3" .
+
+# Regenerates the committed protocol code from inner.proto.
+protocol: $(VENV)/.installed
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. borageshelf/protocol/inner.proto
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demo."""
--- /dev/null
+++ b/borageshelf/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/borageshelf/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside each target."""
--- /dev/null
+++ b/borageshelf/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/borageshelf/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Checked configuration: documents, checks and publication."""
--- /dev/null
+++ b/borageshelf/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no I/O, no clock and no global random state."""
--- /dev/null
+++ b/borageshelf/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process."""
--- /dev/null
+++ b/borageshelf/model/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data classes shared by all packages."""
--- /dev/null
+++ b/borageshelf/model/resources.py
@@ -0,0 +1,52 @@
+"""Resource vectors of VMs and tasks."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Resources:
+    """An amount of each resource.
+
+    :param processor_millicores: processor time in thousandths of a core
+    :param memory_mb: memory in megabytes
+    :param accelerators: whole accelerators
+    """
+
+    processor_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: 'Resources') -> 'Resources':
+        """Return the sum of both vectors."""
+        return Resources(
+            self.processor_millicores + other.processor_millicores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: 'Resources') -> 'Resources':
+        """Return the difference; components may be negative."""
+        return Resources(
+            self.processor_millicores - other.processor_millicores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def maximum(self, other: 'Resources') -> 'Resources':
+        """Return the larger of both vectors in each component."""
+        return Resources(
+            max(self.processor_millicores, other.processor_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
+    def fits_in(self, other: 'Resources') -> bool:
+        """Tell whether no component exceeds that of the other vector."""
+        return (
+            self.processor_millicores <= other.processor_millicores
+            and self.memory_mb <= other.memory_mb
+            and self.accelerators <= other.accelerators
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/borageshelf/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces and adapters of the platform services."""
--- /dev/null
+++ b/borageshelf/platform/worker.py
@@ -0,0 +1,126 @@
+"""Interface of the platform's worker on a target VM.
+
+The worker runs tasks under leases that it enforces itself: it stops a task
+whose lease deadline passes. Usage reports lag behind.
+"""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from borageshelf.model import resources
+
+
+class TaskState(enum.Enum):
+    """State of one attempt on the worker."""
+
+    RUNNING = 'running'
+    SUCCEEDED = 'succeeded'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerDescription:
+    """Identity and capacity of the VM; a restart changes the boot id."""
+
+    boot_id: str
+    capacity: resources.Resources
+    rack: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StartRequest:
+    """One attempt to start.
+
+    :param owner: opaque reference of the shard and epoch that granted it
+    :param lease_deadline_ms: the worker stops the task at this time
+    """
+
+    task_id: str
+    attempt: int
+    owner: str
+    family: str
+    declared: resources.Resources
+    lease_deadline_ms: int
+    checkpoint: str = ''
+    arguments: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerTask:
+    """One attempt that the worker knows."""
+
+    task_id: str
+    attempt: int
+    owner: str
+    family: str
+    declared: resources.Resources
+    state: TaskState
+    lease_deadline_ms: int
+    result: bytes = b''
+    checkpoint: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class Checkpoint:
+    """A saved state from which another VM can resume; '' if none."""
+
+    reference: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StopResult:
+    """State after a stop; a task that had finished keeps its result."""
+
+    state: TaskState
+    result: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True)
+class UsageSample:
+    """Measured use of one task, taken at ``measured_at_ms``."""
+
+    task_id: str
+    attempt: int
+    used: resources.Resources
+    measured_at_ms: int
+
+
+class Worker(Protocol):
+    """The worker of one VM.
+
+    Calls raise ``BorageshelfError`` with ``WORKER_UNAVAILABLE`` (the effect
+    is unknown) or ``WORKER_REFUSED`` (no effect).
+    """
+
+    async def describe(self) -> WorkerDescription:
+        """Return identity and capacity."""
+
+    async def list(self) -> tuple[WorkerTask, ...]:
+        """Return all attempts that run or are not released."""
+
+    async def start(self, request: StartRequest) -> None:
+        """Start an attempt; repeating the same attempt has no effect."""
+
+    async def renew(
+        self, task_id: str, attempt: int, lease_deadline_ms: int
+    ) -> None:
+        """Extend the task's lease; an earlier deadline has no effect."""
+
+    async def throttle(
+        self, task_id: str, attempt: int, fraction: float
+    ) -> None:
+        """Limit the task to a fraction of its processors, 0 to 1."""
+
+    async def checkpoint(self, task_id: str, attempt: int) -> Checkpoint:
+        """Save the state of a running task."""
+
+    async def stop(self, task_id: str, attempt: int) -> StopResult:
+        """Stop an attempt; the answer tells whether it had finished."""
+
+    async def release(self, task_id: str, attempt: int) -> None:
+        """Forget an attempt that does not run."""
+
+    async def usage(self) -> tuple[UsageSample, ...]:
+        """Return the latest measurements."""
--- /dev/null
+++ b/borageshelf/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between the processes of the system."""
--- /dev/null
+++ b/borageshelf/shards/__init__.py
@@ -0,0 +1,1 @@
+"""Batch state: records, transitions, commits and shard ownership."""
--- /dev/null
+++ b/borageshelf/shards/log.py
@@ -0,0 +1,263 @@
+"""Commit engine of one shard over the platform store.
+
+A shard is one key, its head. The owner replaces the head by compare-and-swap
+for each group of changes. A head names an immutable snapshot and holds the
+changes since; when these exceed ``DELTA_LIMIT_BYTES``, the next commit writes
+a new snapshot first. A crash between the two writes leaves an unused
+snapshot, which the next snapshot of the shard removes.
+
+An uncertain write is resolved by reading the head: it took effect if the head
+carries its commit id. Until that is known, only the same commit is tried
+again, because a delayed write may still arrive at the store.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+from typing import Final
+import uuid
+
+from borageshelf.decisions import retries
+from borageshelf import errors
+from borageshelf.platform import store as store_interface
+from borageshelf.shards import codec
+from borageshelf.shards import records
+
+# The bytes of a commit are about D/2 + S*c/D for delta bound D, snapshot
+# size S and change size c, least at D = sqrt(2*S*c). At the two-year size S
+# is 14 KB and c is 200 bytes.
+DELTA_LIMIT_BYTES: Final = 2400
+
+
+@dataclasses.dataclass(frozen=True)
+class ShardState:
+    """The committed records of a shard."""
+
+    epoch: int
+    horizons: records.Horizons
+    tasks: dict[str, records.TaskRecord]
+    claims: dict[str, records.ClaimRecord]
+
+
+def make_head_key(shard: int) -> str:
+    """Return the store key of a shard's head."""
+    return f'shards/{shard:03d}/head'
+
+
+def make_snapshot_key(shard: int, name: str) -> str:
+    """Return the store key of a snapshot."""
+    return f'shards/{shard:03d}/snapshot/{name}'
+
+
+class ShardLog:
+    """Single-writer log of one shard.
+
+    :param pause: awaited with a delay in milliseconds between tries
+    """
+
+    def __init__(
+        self,
+        store: store_interface.Store,
+        shard: int,
+        entry_id: str,
+        pause: abc.Callable[[int], abc.Awaitable[None]] | None = None,
+    ) -> None:
+        self._store = store
+        self._shard = shard
+        self._entry_id = entry_id
+        self._pause = pause or _pause
+        self._key = make_head_key(shard)
+        self._revision = store_interface.MUST_NOT_EXIST
+        self._head = records.ShardHead()
+        self._delta_bytes = 0
+
+    @property
+    def head(self) -> records.ShardHead:
+        """The newest head that is known to be committed."""
+        return self._head
+
+    async def acquire(
+        self, horizons: abc.Callable[[records.Horizons], records.Horizons]
+    ) -> ShardState:
+        """Take the shard over with the next epoch.
+
+        :param horizons: computes the new horizons from the old ones
+        :return: the records, with the horizons of the previous owner
+        :raises BorageshelfError: ``STORE_CONFLICT`` if another entry was
+            faster, ``STORE_UNAVAILABLE``
+        """
+        entry = await self._store.get(self._key)
+        previous = records.ShardHead()
+        self._revision = store_interface.MUST_NOT_EXIST
+        if entry is not None:
+            previous = codec.decode_head(entry.value)
+            self._revision = entry.revision
+        tasks, claims = await self._load(previous)
+        head = dataclasses.replace(
+            previous,
+            epoch=previous.epoch + 1,
+            owner=self._entry_id,
+            commit_id=uuid.uuid4().hex,
+            horizons=horizons(previous.horizons),
+        )
+        await self._swap(head)
+        self._delta_bytes = sum(map(codec.measure_changes, head.deltas))
+        return ShardState(head.epoch, previous.horizons, tasks, claims)
+
+    async def commit(
+        self,
+        changes: records.Changes,
+        snapshot: abc.Callable[[], records.Snapshot],
+        horizons: records.Horizons,
+    ) -> None:
+        """Commit changes.
+
+        :param snapshot: gives all records, these changes included
+        :raises BorageshelfError: ``STORE_UNAVAILABLE`` if certainly nothing
+            was written, ``STORE_CONFLICT`` if the shard has another owner
+        """
+        size_bytes = self._delta_bytes + codec.measure_changes(changes)
+        head = dataclasses.replace(
+            self._head, commit_id=uuid.uuid4().hex, horizons=horizons
+        )
+        if size_bytes <= DELTA_LIMIT_BYTES:
+            if not changes.is_empty:
+                deltas = (*head.deltas, changes)
+                head = dataclasses.replace(head, deltas=deltas)
+            await self._swap(head)
+            self._delta_bytes = size_bytes
+            return
+        previous_key = head.snapshot
+        key = await self._write_snapshot(snapshot())
+        head = dataclasses.replace(head, snapshot=key, deltas=())
+        await self._swap(head)
+        self._delta_bytes = 0
+        await self._remove_snapshot(previous_key)
+
+    async def release(self, horizons: records.Horizons) -> None:
+        """Give the shard up on a planned stop.
+
+        :param horizons: the latest deadlines that were really granted
+        :raises BorageshelfError: as ``commit``
+        """
+        await self._swap(
+            dataclasses.replace(
+                self._head,
+                owner='',
+                commit_id=uuid.uuid4().hex,
+                horizons=horizons,
+            )
+        )
+
+    async def _load(
+        self, head: records.ShardHead
+    ) -> tuple[dict[str, records.TaskRecord], dict[str, records.ClaimRecord]]:
+        tasks: dict[str, records.TaskRecord] = {}
+        claims: dict[str, records.ClaimRecord] = {}
+        if head.snapshot:
+            entry = await self._store.get(head.snapshot)
+            if entry is None:
+                # The owner replaced the snapshot after the head was read.
+                raise errors.BorageshelfError(
+                    errors.STORE_CONFLICT, f'{head.snapshot} was removed'
+                )
+            snapshot = codec.decode_snapshot(entry.value)
+            tasks.update((task.task_id, task) for task in snapshot.tasks)
+            claims.update((item.claim_id, item) for item in snapshot.claims)
+        for changes in head.deltas:
+            apply_changes(changes, tasks, claims)
+        return tasks, claims
+
+    async def _write_snapshot(self, snapshot: records.Snapshot) -> str:
+        """Write a snapshot under a new name; the name is never reused."""
+        key = make_snapshot_key(self._shard, uuid.uuid4().hex)
+        value = codec.encode_snapshot(snapshot)
+        try:
+            await self._store.put(key, value, store_interface.MUST_NOT_EXIST)
+        except errors.BorageshelfError as error:
+            if error.code is not errors.STORE_UNCERTAIN:
+                raise
+            # Nothing refers to the snapshot yet, so the whole commit counts
+            # as not written.
+            raise errors.BorageshelfError(
+                errors.STORE_UNAVAILABLE, error.detail
+            ) from error
+        return key
+
+    async def _remove_snapshot(self, key: str) -> None:
+        if not key:
+            return
+        try:
+            entry = await self._store.get(key)
+            if entry is not None:
+                await self._store.delete(key, entry.revision)
+        except errors.BorageshelfError:
+            # An unused snapshot costs only space.
+            return
+
+    async def _swap(self, head: records.ShardHead) -> None:
+        """Replace the head, resolving uncertain writes by reading."""
+        value = codec.encode_head(head)
+        is_uncertain = False
+        tries = 0
+        while True:
+            try:
+                revision = await self._store.put(
+                    self._key, value, self._revision
+                )
+            except errors.BorageshelfError as error:
+                if error.code is errors.STORE_CONFLICT and is_uncertain:
+                    # The conflict may be with our own earlier try.
+                    revision = await self._read_back(head)
+                elif error.code is errors.STORE_UNCERTAIN or is_uncertain:
+                    is_uncertain = True
+                    tries += 1
+                    await self._pause(
+                        retries.find_backoff_ms(head.commit_id, tries)
+                    )
+                    continue
+                else:
+                    raise
+            self._revision = revision
+            self._head = head
+            return
+
+    async def _read_back(self, head: records.ShardHead) -> int:
+        """Return the revision if the head in the store is this one.
+
+        :raises BorageshelfError: ``STORE_CONFLICT`` if it is another one
+        """
+        tries = 0
+        while True:
+            try:
+                entry = await self._store.get(self._key)
+                break
+            except errors.BorageshelfError:
+                tries += 1
+                await self._pause(
+                    retries.find_backoff_ms(head.commit_id, tries)
+                )
+        if entry is not None:
+            found = codec.decode_head(entry.value)
+            if found.commit_id == head.commit_id:
+                return entry.revision
+        raise errors.BorageshelfError(
+            errors.STORE_CONFLICT, f'shard {self._shard} has another owner'
+        )
+
+
+def apply_changes(
+    changes: records.Changes,
+    tasks: dict[str, records.TaskRecord],
+    claims: dict[str, records.ClaimRecord],
+) -> None:
+    """Apply committed changes to the records of a shard."""
+    for key in changes.removed:
+        tasks.pop(key, None)
+        claims.pop(key, None)
+    tasks.update((task.task_id, task) for task in changes.tasks)
+    claims.update((claim.claim_id, claim) for claim in changes.claims)
+
+
+async def _pause(delay_ms: int) -> None:
+    await asyncio.sleep(delay_ms / 1000)
--- /dev/null
+++ b/borageshelf/shards/transitions.py
@@ -0,0 +1,253 @@
+"""Pure transitions of one task record.
+
+The owner of a shard turns each message into one of the events below and
+commits the record that ``advance`` returns. An event about another attempt
+than the current one returns the record unchanged, so a late or repeated
+message cannot count twice.
+"""
+
+import dataclasses
+import functools
+from typing import Final
+
+from borageshelf.decisions import retries
+from borageshelf import errors
+from borageshelf.shards import records
+
+RETENTION_MS: Final = 24 * 3600 * 1000
+# A job that failed on this many different targets is at fault itself.
+DISTINCT_TARGETS_LIMIT: Final = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Assigned:
+    """The task is given to a target."""
+
+    assignment: records.Assignment
+
+
+@dataclasses.dataclass(frozen=True)
+class NeverStarted:
+    """The agent proved that the attempt did not and will not start."""
+
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Succeeded:
+    """The attempt finished with a result."""
+
+    attempt: int
+    result: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Failed:
+    """The attempt ended with a failure that the worker reported."""
+
+    attempt: int
+    code: int
+    blame_target: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Stopped:
+    """The attempt was stopped, with a checkpoint or ''."""
+
+    attempt: int
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """The attempt is proved dead, without a word on its effect."""
+
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelRequested:
+    """A caller wants the task cancelled."""
+
+
+@dataclasses.dataclass(frozen=True)
+class NeverFits:
+    """No VM of the fleet can hold the task."""
+
+
+@functools.singledispatch
+def advance(
+    event: object, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    """Return the record after an event.
+
+    :param now_ms: wall-clock time in Unix milliseconds
+    :raises TypeError: if the event type is unknown
+    """
+    raise TypeError(f'no transition for {type(event).__name__}')
+
+
+@advance.register
+def _(
+    event: Assigned, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if task.phase is not records.TaskPhase.QUEUED:
+        return task
+    return dataclasses.replace(
+        task,
+        phase=records.TaskPhase.ASSIGNED,
+        assignment=event.assignment,
+    )
+
+
+@advance.register
+def _(
+    event: NeverStarted, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if not _is_current(task, event.attempt):
+        return task
+    if task.cancel_requested:
+        return _end_cancelled(task, now_ms)
+    # The attempt number grows although nothing ran: the agent refuses the
+    # old number from now on.
+    return _requeue(task, now_ms, retries.REFUSED_BACKOFF_MS)
+
+
+@advance.register
+def _(
+    event: Succeeded, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if not _is_current(task, event.attempt):
+        return task
+    task = dataclasses.replace(task, may_have_run=True, result=event.result)
+    return _end(task, records.TaskPhase.SUCCEEDED, errors.OK, now_ms)
+
+
+@advance.register
+def _(
+    event: Failed, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if not _is_current(task, event.attempt):
+        return task
+    assert task.assignment is not None
+    failure = records.Failure(task.assignment.target_id, event.code)
+    task = dataclasses.replace(
+        task, may_have_run=True, failures=(*task.failures, failure)
+    )
+    if task.cancel_requested:
+        return _end_cancelled(task, now_ms)
+    if not task.idempotent:
+        return _end(task, records.TaskPhase.FAILED, errors.TASK_FAILED, now_ms)
+    blamed = {failure.target_id for failure in task.failures}
+    if len(blamed) >= DISTINCT_TARGETS_LIMIT:
+        return _end(
+            task,
+            records.TaskPhase.FAILED,
+            errors.JOB_FAILS_EVERYWHERE,
+            now_ms,
+        )
+    if len(task.failures) >= task.attempts_limit:
+        return _end(task, records.TaskPhase.FAILED, errors.TASK_FAILED, now_ms)
+    delay_ms = retries.find_backoff_ms(task.task_id, len(task.failures))
+    return _requeue(task, now_ms, delay_ms)
+
+
+@advance.register
+def _(
+    event: Stopped, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if not _is_current(task, event.attempt):
+        return task
+    checkpoint = event.checkpoint or task.checkpoint
+    resumes = bool(event.checkpoint)
+    task = dataclasses.replace(
+        task,
+        may_have_run=True,
+        checkpoint=checkpoint,
+        evictions=task.evictions + 1,
+    )
+    if task.cancel_requested:
+        return _end_cancelled(task, now_ms)
+    if not task.idempotent and not resumes:
+        return _end_unknown(task, now_ms)
+    return _requeue(task, now_ms, 0)
+
+
+@advance.register
+def _(
+    event: Lost, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if not _is_current(task, event.attempt):
+        return task
+    task = dataclasses.replace(task, may_have_run=True)
+    if not task.idempotent:
+        return _end_unknown(task, now_ms)
+    if task.cancel_requested:
+        return _end_cancelled(task, now_ms)
+    return _requeue(task, now_ms, 0)
+
+
+@advance.register
+def _(
+    event: CancelRequested, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if task.is_terminal:
+        return task
+    if task.phase is records.TaskPhase.QUEUED:
+        return _end_cancelled(task, now_ms)
+    return dataclasses.replace(task, cancel_requested=True)
+
+
+@advance.register
+def _(
+    event: NeverFits, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if task.phase is not records.TaskPhase.QUEUED:
+        return task
+    return _end(task, records.TaskPhase.FAILED, errors.JOB_NEVER_FITS, now_ms)
+
+
+def _is_current(task: records.TaskRecord, attempt: int) -> bool:
+    """Tell whether an event about an attempt still counts."""
+    is_assigned = task.phase is records.TaskPhase.ASSIGNED
+    return is_assigned and task.attempt == attempt
+
+
+def _requeue(
+    task: records.TaskRecord, now_ms: int, delay_ms: int
+) -> records.TaskRecord:
+    return dataclasses.replace(
+        task,
+        phase=records.TaskPhase.QUEUED,
+        assignment=None,
+        attempt=task.attempt + 1,
+        not_before_ms=now_ms + delay_ms,
+    )
+
+
+def _end_cancelled(
+    task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    code = errors.STOPPED if task.may_have_run else errors.CANCELLED
+    return _end(task, records.TaskPhase.CANCELLED, code, now_ms)
+
+
+def _end_unknown(task: records.TaskRecord, now_ms: int) -> records.TaskRecord:
+    return _end(
+        task, records.TaskPhase.UNKNOWN, errors.OUTCOME_UNKNOWN, now_ms
+    )
+
+
+def _end(
+    task: records.TaskRecord,
+    phase: records.TaskPhase,
+    code: errors.ResultCode,
+    now_ms: int,
+) -> records.TaskRecord:
+    return dataclasses.replace(
+        task,
+        phase=phase,
+        code=code.number,
+        assignment=None,
+        expires_deadline_ms=now_ms + RETENTION_MS,
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform services; not part of the product."""
