--- /dev/null
+++ b/borageshelf/main.py
@@ -0,0 +1,35 @@
+"""Entry point of the executable: builds the command line and runs it."""
+
+import sys
+from typing import Final
+
+import cleo.application
+import cleo.exceptions
+
+from borageshelf.commands import processes
+from borageshelf import options
+
+VERSION: Final = '0.1.0'
+
+
+def make_application() -> cleo.application.Application:
+    """Return the command line with all commands."""
+    application = cleo.application.Application('borageshelf', VERSION)
+    for command in processes.COMMANDS:
+        application.add(command())
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    return application
+
+
+def main() -> int:
+    """Run the command of the command line and return its exit status."""
+    try:
+        return make_application().run()
+    except cleo.exceptions.CleoError as error:
+        print(f'borageshelf: {error}', file=sys.stderr)
+        return options.EXIT_WRONG_SETTINGS
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/borageshelf/options.py
@@ -0,0 +1,506 @@
+"""Settings of each kind of process, from flags and the environment.
+
+This is the first pass of every program. A flag takes precedence over its
+environment variable. All wrong, missing and contradictory settings are
+collected and reported together, so that one run shows everything that has to
+be corrected.
+"""
+
+from collections import abc
+import dataclasses
+import ipaddress
+import re
+from typing import Any, Final, TypeVar
+import urllib.parse
+
+ENVIRONMENT_PREFIX: Final = 'BORAGESHELF_'
+EXIT_WRONG_SETTINGS: Final = 2
+DEFAULT_DRAIN_MS: Final = 30_000
+DEFAULT_CLOCK_SKEW_MS: Final = 2_000
+DEFAULT_TICK_MS: Final = 100
+DEFAULT_GRANT_MS: Final = 30_000
+DEFAULT_SHARDS: Final = 16
+# The owner's grants are renewed with each exchange; fewer ticks than this in
+# one grant leave no room for a lost exchange.
+TICKS_IN_GRANT: Final = 10
+# A shorter token can be found by guessing within the admitted request rate.
+TOKEN_MINIMUM_CHARACTERS: Final = 16
+
+_NAME: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+_MISSING: Final = object()
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """An IP address and a port.
+
+    :param host: IPv4 or IPv6 address, without brackets
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as it is written in settings."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One wrong, missing or contradictory setting."""
+
+    setting: str
+    problem: str
+
+    def __str__(self) -> str:
+        """Return the line that is shown to the operator."""
+        return f'{self.setting}: {self.problem}'
+
+
+class OptionsError(Exception):
+    """The settings of a process cannot be used.
+
+    :param faults: all faults, in the order of the settings
+    """
+
+    def __init__(self, faults: abc.Sequence[Fault]) -> None:
+        super().__init__('\n'.join(map(str, faults)))
+        self.faults = tuple(faults)
+
+
+@dataclasses.dataclass(frozen=True)
+class Setting:
+    """How one field of an options class is read.
+
+    :param field: name of the field
+    :param parse: turns text into the value; raises ValueError
+    :param is_required: whether there is no default
+    :param is_secret: read from the environment only, because command lines
+        are visible to every process on the VM
+    """
+
+    field: str
+    help: str
+    parse: abc.Callable[[str], Any]
+    is_required: bool
+    is_secret: bool
+
+    @property
+    def flag(self) -> str:
+        """Name of the flag, without dashes."""
+        return self.field.replace('_', '-')
+
+    @property
+    def variable(self) -> str:
+        """Name of the environment variable."""
+        return ENVIRONMENT_PREFIX + self.field.upper()
+
+
+def parse_name(text: str) -> str:
+    """Return an identifier that is safe in keys and metric names."""
+    if _NAME.fullmatch(text) is None:
+        raise ValueError(
+            'must be 1 to 63 letters, digits, ".", "_" or "-", starting '
+            'with a letter or digit'
+        )
+    return text
+
+
+def parse_address(text: str) -> Address:
+    """Return an address from ``host:port``."""
+    host, separator, port = text.rpartition(':')
+    if not separator:
+        raise ValueError('must have the form ADDRESS:PORT')
+    if host.startswith('[') and host.endswith(']'):
+        host = host[1:-1]
+    elif ':' in host:
+        raise ValueError('an IPv6 address needs brackets')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        # Processes reach one another by IP address; a name would make a
+        # start depend on a resolver.
+        raise ValueError(f'"{host}" is not an IP address') from None
+    return Address(host, parse_integer(1, 65_535, 'the port')(port))
+
+
+def parse_reachable_address(text: str) -> Address:
+    """Return an address to which other processes can connect."""
+    address = parse_address(text)
+    if ipaddress.ip_address(address.host).is_unspecified:
+        raise ValueError('other processes cannot connect to a wildcard')
+    return address
+
+
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Return addresses that are separated by commas."""
+    parts = [part.strip() for part in text.split(',')]
+    addresses = tuple(map(parse_reachable_address, parts))
+    if len(set(addresses)) != len(addresses):
+        raise ValueError('names an address twice')
+    return addresses
+
+
+def parse_url(text: str) -> str:
+    """Return an HTTP URL without a trailing slash."""
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme not in ('http', 'https') or not parts.hostname:
+        raise ValueError('must be an http:// or https:// URL')
+    try:
+        _ = parts.port
+    except ValueError:
+        raise ValueError('has a wrong port') from None
+    if parts.query or parts.fragment or parts.username:
+        raise ValueError('must not have a query, a fragment or a user')
+    return text.rstrip('/')
+
+
+def parse_urls(text: str) -> tuple[str, ...]:
+    """Return URLs that are separated by commas."""
+    return tuple(parse_url(part.strip()) for part in text.split(','))
+
+
+def parse_integer(
+    minimum: int, maximum: int, subject: str = ''
+) -> abc.Callable[[str], int]:
+    """Return a parser of a decimal integer within bounds."""
+    prefix = f'{subject} ' if subject else ''
+
+    def parse(text: str) -> int:
+        # int() also takes underscores, signs and digits of other scripts.
+        if not (text.isascii() and text.isdigit() and len(text) <= 18):
+            raise ValueError(f'{prefix}must be a whole number')
+        if not minimum <= int(text) <= maximum:
+            raise ValueError(
+                f'{prefix}must be from {minimum} to {maximum}, not {text}'
+            )
+        return int(text)
+
+    return parse
+
+
+def parse_token(text: str) -> str:
+    """Return a token that can be sent in a header."""
+    if not (text.isascii() and text.isprintable() and ' ' not in text):
+        raise ValueError('must be printable ASCII without spaces')
+    if len(text) < TOKEN_MINIMUM_CHARACTERS:
+        raise ValueError(
+            f'must have at least {TOKEN_MINIMUM_CHARACTERS} characters'
+        )
+    return text
+
+
+def parse_path(text: str) -> str:
+    """Return a path of a file."""
+    if '\0' in text:
+        raise ValueError('must not contain a null character')
+    return text
+
+
+def define_setting(
+    parse: abc.Callable[[str], Any],
+    help_text: str,
+    default: Any = _MISSING,
+    is_secret: bool = False,
+) -> Any:
+    """Return a dataclass field that is read from a flag or a variable."""
+    metadata = {'parse': parse, 'help': help_text, 'is_secret': is_secret}
+    if default is _MISSING:
+        return dataclasses.field(metadata=metadata, repr=not is_secret)
+    return dataclasses.field(
+        default=default, metadata=metadata, repr=not is_secret
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """Base of the options classes."""
+
+    @classmethod
+    def find_contradictions(
+        cls, values: abc.Mapping[str, Any]
+    ) -> abc.Iterator[Fault]:
+        """Yield faults of settings that do not fit together.
+
+        :param values: the settings that could be read; others are absent
+        """
+        yield from ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ProcessOptions(Options):
+    """Settings that every long-running process has."""
+
+    data_centre: str = define_setting(
+        parse_name, 'data centre in which the process runs'
+    )
+    statsd_address: Address | None = define_setting(
+        parse_reachable_address, 'statsd receiver, ADDRESS:PORT', None
+    )
+    drain_ms: int = define_setting(
+        parse_integer(0, 3_600_000),
+        'time for requests in flight and tasks on a planned stop, in ms',
+        DEFAULT_DRAIN_MS,
+    )
+    clock_skew_ms: int = define_setting(
+        parse_integer(0, 60_000),
+        'bound of the difference between two clocks, in ms',
+        DEFAULT_CLOCK_SKEW_MS,
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryOptions(ProcessOptions):
+    """Settings of an entry process."""
+
+    entry_id: str = define_setting(parse_name, 'unique id of the entry')
+    region: str = define_setting(parse_name, 'region of the data centre')
+    caller_address: Address = define_setting(
+        parse_address, "listen address of the callers' HTTP, ADDRESS:PORT"
+    )
+    inner_address: Address = define_setting(
+        parse_reachable_address,
+        'listen address of the internal protocol, ADDRESS:PORT; agents and '
+        'other entries connect to it',
+    )
+    admin_address: Address = define_setting(
+        parse_address, 'listen address of the administration API'
+    )
+    admin_token: str = define_setting(
+        parse_token, 'token of the administration API', is_secret=True
+    )
+    admin_certificate_path: str = define_setting(
+        parse_path, 'PEM certificate of the administration listener', ''
+    )
+    admin_key_path: str = define_setting(
+        parse_path, 'PEM key of the administration listener', ''
+    )
+    store_url: str = define_setting(parse_url, 'URL of the key-value store')
+    shards: int = define_setting(
+        parse_integer(1, 256),
+        'number of shards, the same for all entries',
+        DEFAULT_SHARDS,
+    )
+    tick_ms: int = define_setting(
+        parse_integer(10, 10_000),
+        'interval of the group commit, in ms',
+        DEFAULT_TICK_MS,
+    )
+    grant_ms: int = define_setting(
+        parse_integer(1_000, 600_000),
+        'length of a grant to a running attempt, in ms',
+        DEFAULT_GRANT_MS,
+    )
+
+    @classmethod
+    def find_contradictions(
+        cls, values: abc.Mapping[str, Any]
+    ) -> abc.Iterator[Fault]:
+        """Yield listeners on one address, TLS by half, and short grants."""
+        yield from _find_shared_listeners(values)
+        certificate = values.get('admin_certificate_path')
+        key = values.get('admin_key_path')
+        if certificate and key == '':
+            yield Fault(
+                'admin-key-path',
+                'missing, although admin-certificate-path is set',
+            )
+        if key and certificate == '':
+            yield Fault(
+                'admin-certificate-path',
+                'missing, although admin-key-path is set',
+            )
+        grant_ms = values.get('grant_ms')
+        tick_ms = values.get('tick_ms')
+        if grant_ms and tick_ms and grant_ms < TICKS_IN_GRANT * tick_ms:
+            yield Fault(
+                'grant-ms',
+                f'must be at least {TICKS_IN_GRANT} times tick-ms, which '
+                f'is {tick_ms}',
+            )
+        skew_ms = values.get('clock_skew_ms')
+        if grant_ms and skew_ms and grant_ms <= 2 * skew_ms:
+            yield Fault(
+                'grant-ms',
+                f'must exceed twice clock-skew-ms, which is {skew_ms}',
+            )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AgentOptions(ProcessOptions):
+    """Settings of an agent process."""
+
+    target_id: str = define_setting(parse_name, 'unique id of the target')
+    rack: str = define_setting(parse_name, 'rack of the VM')
+    seeds: tuple[Address, ...] = define_setting(
+        parse_addresses,
+        'internal addresses of some entries, separated by commas',
+    )
+    worker_url: str = define_setting(
+        parse_url, 'URL of the worker on this VM', ''
+    )
+    executor_url: str = define_setting(
+        parse_url, 'URL of the executor on this VM', ''
+    )
+
+    @classmethod
+    def find_contradictions(
+        cls, values: abc.Mapping[str, Any]
+    ) -> abc.Iterator[Fault]:
+        """Yield a target that can take no work at all."""
+        worker_url = values.get('worker_url')
+        executor_url = values.get('executor_url')
+        if worker_url == '' and executor_url == '':
+            yield Fault(
+                'worker-url', 'missing, and executor-url is missing as well'
+            )
+        if worker_url and worker_url == executor_url:
+            yield Fault('executor-url', 'must differ from worker-url')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OperatorOptions(Options):
+    """Settings of the operators' commands."""
+
+    store_url: str = define_setting(
+        parse_url, 'URL of the key-value store', ''
+    )
+    admin_urls: tuple[str, ...] = define_setting(
+        parse_urls,
+        'URLs of administration APIs, separated by commas',
+        (),
+    )
+    admin_token: str = define_setting(
+        parse_token, 'token of the administration API', '', is_secret=True
+    )
+    admin_ca_path: str = define_setting(
+        parse_path, 'PEM certificate to trust for the administration API', ''
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerOptions(Options):
+    """Settings of the callers' commands."""
+
+    entry_url: str = define_setting(
+        parse_url, "URL of an entry or of the entries' load balancer"
+    )
+
+
+OptionsType = TypeVar('OptionsType', bound=Options)
+KINDS: Final[tuple[type[Options], ...]] = (
+    EntryOptions,
+    AgentOptions,
+    OperatorOptions,
+    CallerOptions,
+)
+
+
+def list_settings(kind: type[Options]) -> tuple[Setting, ...]:
+    """Return the settings of an options class."""
+    return tuple(
+        Setting(
+            field.name,
+            field.metadata['help'],
+            field.metadata['parse'],
+            field.default is dataclasses.MISSING,
+            field.metadata['is_secret'],
+        )
+        for field in dataclasses.fields(kind)
+    )
+
+
+def build_options(
+    kind: type[OptionsType],
+    flags: abc.Mapping[str, str | None],
+    environment: abc.Mapping[str, str],
+) -> OptionsType:
+    """Return the options of a process.
+
+    :param flags: values by flag name without dashes; None if not given
+    :param environment: environment variables
+    :raises OptionsError: with all faults
+    """
+    faults: list[Fault] = []
+    values: dict[str, Any] = {}
+    for setting in list_settings(kind):
+        try:
+            _read_setting(setting, flags, environment, values)
+        except ValueError as error:
+            faults.append(Fault(setting.flag, str(error)))
+    wrong = {fault.setting for fault in faults}
+    with_defaults = {
+        field.name: values.get(field.name, field.default)
+        for field in dataclasses.fields(kind)
+        if _flag(field.name) not in wrong
+    }
+    faults.extend(kind.find_contradictions(with_defaults))
+    faults.extend(_find_unknown_variables(environment))
+    if faults:
+        raise OptionsError(faults)
+    return kind(**values)
+
+
+def _read_setting(
+    setting: Setting,
+    flags: abc.Mapping[str, str | None],
+    environment: abc.Mapping[str, str],
+    values: dict[str, Any],
+) -> None:
+    """Add the value of a setting, if it is given.
+
+    :raises ValueError: if it is wrong, or missing without a default
+    """
+    text = None if setting.is_secret else flags.get(setting.flag)
+    origin = f'--{setting.flag}'
+    if text is None:
+        text = environment.get(setting.variable)
+        origin = setting.variable
+    if text is None:
+        if setting.is_required:
+            flag = '' if setting.is_secret else f'--{setting.flag} or '
+            raise ValueError(f'missing; set {flag}{setting.variable}')
+        return
+    if not text:
+        raise ValueError(f'{origin} is empty')
+    try:
+        values[setting.field] = setting.parse(text)
+    except ValueError as error:
+        raise ValueError(f'{origin} {error}') from None
+
+
+def _find_shared_listeners(
+    values: abc.Mapping[str, Any],
+) -> abc.Iterator[Fault]:
+    """Yield listeners that would bind the same port of one address."""
+    taken: dict[int, list[tuple[str, Address]]] = {}
+    for field in ('caller_address', 'inner_address', 'admin_address'):
+        address = values.get(field)
+        if address is None:
+            continue
+        for other_flag, other in taken.get(address.port, []):
+            hosts = {address.host, other.host}
+            has_wildcard = bool(hosts & {'0.0.0.0', '::'})
+            if len(hosts) == 1 or has_wildcard:
+                yield Fault(
+                    _flag(field), f'{address} is taken by {other_flag}'
+                )
+                break
+        taken.setdefault(address.port, []).append((_flag(field), address))
+
+
+def _find_unknown_variables(
+    environment: abc.Mapping[str, str],
+) -> abc.Iterator[Fault]:
+    """Yield misspelt variables, which would otherwise have no effect."""
+    known = {
+        setting.variable for kind in KINDS for setting in list_settings(kind)
+    }
+    for variable in sorted(environment):
+        if variable.startswith(ENVIRONMENT_PREFIX) and variable not in known:
+            yield Fault(variable, 'is not a known variable')
+
+
+def _flag(field: str) -> str:
+    return field.replace('_', '-')
--- /dev/null
+++ b/borageshelf/telemetry.py
@@ -0,0 +1,270 @@
+"""Metrics over statsd and log lines for changes of state.
+
+Every metric is registered here with its kind, unit and meaning;
+``docs/metrics.md`` is tested against the registry. Sending never blocks and
+never fails the caller: a datagram that cannot be sent at once is dropped.
+"""
+
+import dataclasses
+import enum
+import re
+from typing import Any, Final
+
+from absl import logging
+import statsd
+
+from borageshelf import options
+
+_UNSAFE: Final = re.compile(r'[^A-Za-z0-9_-]')
+
+
+class Kind(enum.Enum):
+    """How a statsd receiver aggregates a metric."""
+
+    COUNTER = 'counter'
+    TIMER = 'timer'
+    GAUGE = 'gauge'
+
+
+@dataclasses.dataclass(frozen=True)
+class Metric:
+    """One registered metric.
+
+    :param label: what the last part of the name tells, or ''
+    """
+
+    name: str
+    kind: Kind
+    unit: str
+    description: str
+    label: str = ''
+
+
+METRICS: Final[dict[str, Metric]] = {}
+
+
+def register(
+    name: str, kind: Kind, unit: str, description: str, label: str = ''
+) -> Metric:
+    """Register a metric.
+
+    :raises ValueError: if the name is taken
+    """
+    if name in METRICS:
+        raise ValueError(f'metric {name} is registered twice')
+    metric = Metric(name, kind, unit, description, label)
+    METRICS[name] = metric
+    return metric
+
+
+CALLS_RECEIVED = register(
+    'calls.received', Kind.COUNTER, 'calls', 'Calls received.', 'service'
+)
+CALLS_ENDED = register(
+    'calls.ended', Kind.COUNTER, 'calls', 'Calls ended.', 'result code'
+)
+CALL_LATENCY = register(
+    'calls.latency',
+    Kind.TIMER,
+    'ms',
+    'Time from the receipt of a call to the end of its answer.',
+    'service',
+)
+CALL_QUEUE_WAIT = register(
+    'calls.queue_wait',
+    Kind.TIMER,
+    'ms',
+    'Time that an admitted call waited for a slot.',
+    'service',
+)
+CALLS_QUEUED = register(
+    'calls.queued', Kind.GAUGE, 'calls', 'Calls that wait.', 'service'
+)
+CALLS_RETRIED = register(
+    'calls.retried', Kind.COUNTER, 'calls', 'Second tries of calls.', 'service'
+)
+CALLS_HEDGED = register(
+    'calls.hedged', Kind.COUNTER, 'calls', 'Hedged calls.', 'service'
+)
+EXECUTORS_EJECTED = register(
+    'executors.ejected', Kind.COUNTER, 'executors', 'Ejections of executors.'
+)
+JOBS_SUBMITTED = register(
+    'jobs.submitted', Kind.COUNTER, 'jobs', 'Jobs accepted.', 'family'
+)
+JOBS_REFUSED = register(
+    'jobs.refused', Kind.COUNTER, 'jobs', 'Jobs refused.', 'result code'
+)
+TASKS_STARTED = register(
+    'tasks.started', Kind.COUNTER, 'tasks', 'Attempts started.', 'family'
+)
+TASKS_ENDED = register(
+    'tasks.ended', Kind.COUNTER, 'tasks', 'Tasks ended.', 'result code'
+)
+TASKS_EVICTED = register(
+    'tasks.evicted', Kind.COUNTER, 'tasks', 'Evictions.', 'family'
+)
+TASKS_RUNNING = register(
+    'tasks.running', Kind.GAUGE, 'tasks', 'Attempts that run.'
+)
+TASKS_QUEUED = register(
+    'tasks.queued', Kind.GAUGE, 'tasks', 'Tasks that wait for a target.'
+)
+TASK_START_DELAY = register(
+    'tasks.start_delay',
+    Kind.TIMER,
+    'ms',
+    'Time from the submission of a task to its first start.',
+    'urgency',
+)
+TASKS_THROTTLED = register(
+    'tasks.throttled', Kind.COUNTER, 'tasks', 'Throttle requests.', 'family'
+)
+SHARDS_OWNED = register(
+    'shards.owned', Kind.GAUGE, 'shards', 'Shards that this entry owns.'
+)
+SHARD_COMMITS = register(
+    'shards.commits', Kind.COUNTER, 'commits', 'Group commits.', 'result'
+)
+SHARD_COMMIT_TIME = register(
+    'shards.commit_time', Kind.TIMER, 'ms', 'Duration of a group commit.'
+)
+SHARD_TAKEOVERS = register(
+    'shards.takeovers', Kind.COUNTER, 'shards', 'Shards taken over.'
+)
+STORE_CALLS = register(
+    'store.calls', Kind.COUNTER, 'calls', 'Calls to the store.', 'operation'
+)
+STORE_ERRORS = register(
+    'store.errors',
+    Kind.COUNTER,
+    'calls',
+    'Failed calls to the store.',
+    'result code',
+)
+STORE_LATENCY = register(
+    'store.latency', Kind.TIMER, 'ms', 'Duration of a store call.', 'operation'
+)
+CONFIG_VERSION = register(
+    'config.version', Kind.GAUGE, 'version', 'Configuration in force.'
+)
+CONFIG_DELAY = register(
+    'config.delay',
+    Kind.TIMER,
+    'ms',
+    'Time from a publication to its effect in this process.',
+)
+CONFIG_WATCH_ERRORS = register(
+    'config.watch_errors',
+    Kind.COUNTER,
+    'watches',
+    'Failed watches of the configuration root.',
+)
+TARGETS_ATTACHED = register(
+    'targets.attached', Kind.GAUGE, 'targets', 'Streams from agents.'
+)
+TARGETS_QUARANTINED = register(
+    'targets.quarantined', Kind.COUNTER, 'targets', 'Quarantined targets.'
+)
+STREAMS_BROKEN = register(
+    'streams.broken', Kind.COUNTER, 'streams', 'Broken internal streams.'
+)
+ADMIN_REQUESTS = register(
+    'admin.requests',
+    Kind.COUNTER,
+    'requests',
+    'Requests to the administration API.',
+    'HTTP status',
+)
+LOOP_DELAY = register(
+    'process.loop_delay',
+    Kind.TIMER,
+    'ms',
+    'Delay of a timer in the event loop, which shows a blocked process.',
+)
+
+
+class Telemetry:
+    """Sender of the metrics of one process.
+
+    :param process_kind: 'entry' or 'agent'
+    :param process_id: entry id or target id
+    :param address: statsd receiver; None drops all metrics
+    """
+
+    def __init__(
+        self,
+        process_kind: str,
+        process_id: str,
+        address: options.Address | None,
+    ) -> None:
+        self._client: Any = None
+        self._process = f'{process_kind} {process_id}'
+        if address is None:
+            return
+        prefix = f'borageshelf.{process_kind}.{_clean(process_id)}'
+        try:
+            self._client = _make_client(address, prefix)
+        except OSError as error:
+            # Metrics must not keep a process from starting.
+            self.log_state('metrics are off', address=address, error=error)
+
+    def count(self, metric: Metric, label: str = '', amount: int = 1) -> None:
+        """Add to a counter."""
+        if self._client is not None:
+            self._client.incr(_make_name(metric, label), amount)
+
+    def time(
+        self, metric: Metric, duration_ms: float, label: str = ''
+    ) -> None:
+        """Record a duration in milliseconds."""
+        if self._client is not None:
+            self._client.timing(_make_name(metric, label), duration_ms)
+
+    def gauge(self, metric: Metric, value: float, label: str = '') -> None:
+        """Set a gauge."""
+        if self._client is not None:
+            self._client.gauge(_make_name(metric, label), value)
+
+    def log_state(self, change: str, **identifiers: object) -> None:
+        """Write a log line for a change of state.
+
+        :param change: what changed, such as ``shard acquired``
+        :param identifiers: ids that the change concerns
+        """
+        pairs = ' '.join(
+            f'{name}={_quote(value)}' for name, value in identifiers.items()
+        )
+        logging.info('%s: %s %s', self._process, change, pairs)
+
+    def close(self) -> None:
+        """Close the socket; later metrics are dropped."""
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+
+def _make_client(address: options.Address, prefix: str) -> Any:
+    client = statsd.StatsClient(
+        address.host, address.port, prefix=prefix, ipv6=':' in address.host
+    )
+    # With a full send buffer, a blocking socket would stop the event loop.
+    # The client library drops a datagram whose send raises OSError.
+    client._sock.setblocking(False)
+    return client
+
+
+def _make_name(metric: Metric, label: str) -> str:
+    return f'{metric.name}.{_clean(label)}' if label else metric.name
+
+
+def _clean(part: str) -> str:
+    """Replace the characters that have a meaning in statsd names."""
+    return _UNSAFE.sub('_', part)
+
+
+def _quote(value: object) -> str:
+    """Return a value that cannot forge another field or log line."""
+    text = str(value)
+    is_plain = text.isprintable() and ' ' not in text and text != ''
+    return text if is_plain else repr(text)
