--- a/borageshelf/options.py
+++ b/borageshelf/options.py
@@ -8,10 +8,9 @@
 
 from collections import abc
 import dataclasses
-import ipaddress
-import re
 from typing import Any, Final, TypeVar
-import urllib.parse
+
+from borageshelf import settings
 
 ENVIRONMENT_PREFIX: Final = 'BORAGESHELF_'
 EXIT_WRONG_SETTINGS: Final = 2
@@ -23,27 +22,8 @@
 # The owner's grants are renewed with each exchange; fewer ticks than this in
 # one grant leave no room for a lost exchange.
 TICKS_IN_GRANT: Final = 10
-# A shorter token can be found by guessing within the admitted request rate.
-TOKEN_MINIMUM_CHARACTERS: Final = 16
 
-_NAME: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
-_MISSING: Final = object()
-
-
-@dataclasses.dataclass(frozen=True)
-class Address:
-    """An IP address and a port.
-
-    :param host: IPv4 or IPv6 address, without brackets
-    """
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return the address as it is written in settings."""
-        host = f'[{self.host}]' if ':' in self.host else self.host
-        return f'{host}:{self.port}'
+Address = settings.Address
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,117 +77,14 @@
         return ENVIRONMENT_PREFIX + self.field.upper()
 
 
-def parse_name(text: str) -> str:
-    """Return an identifier that is safe in keys and metric names."""
-    if _NAME.fullmatch(text) is None:
-        raise ValueError(
-            'must be 1 to 63 letters, digits, ".", "_" or "-", starting '
-            'with a letter or digit'
-        )
-    return text
-
-
-def parse_address(text: str) -> Address:
-    """Return an address from ``host:port``."""
-    host, separator, port = text.rpartition(':')
-    if not separator:
-        raise ValueError('must have the form ADDRESS:PORT')
-    if host.startswith('[') and host.endswith(']'):
-        host = host[1:-1]
-    elif ':' in host:
-        raise ValueError('an IPv6 address needs brackets')
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        # Processes reach one another by IP address; a name would make a
-        # start depend on a resolver.
-        raise ValueError(f'"{host}" is not an IP address') from None
-    return Address(host, parse_integer(1, 65_535, 'the port')(port))
-
-
-def parse_reachable_address(text: str) -> Address:
-    """Return an address to which other processes can connect."""
-    address = parse_address(text)
-    if ipaddress.ip_address(address.host).is_unspecified:
-        raise ValueError('other processes cannot connect to a wildcard')
-    return address
-
-
-def parse_addresses(text: str) -> tuple[Address, ...]:
-    """Return addresses that are separated by commas."""
-    parts = [part.strip() for part in text.split(',')]
-    addresses = tuple(map(parse_reachable_address, parts))
-    if len(set(addresses)) != len(addresses):
-        raise ValueError('names an address twice')
-    return addresses
-
-
-def parse_url(text: str) -> str:
-    """Return an HTTP URL without a trailing slash."""
-    parts = urllib.parse.urlsplit(text)
-    if parts.scheme not in ('http', 'https') or not parts.hostname:
-        raise ValueError('must be an http:// or https:// URL')
-    try:
-        _ = parts.port
-    except ValueError:
-        raise ValueError('has a wrong port') from None
-    if parts.query or parts.fragment or parts.username:
-        raise ValueError('must not have a query, a fragment or a user')
-    return text.rstrip('/')
-
-
-def parse_urls(text: str) -> tuple[str, ...]:
-    """Return URLs that are separated by commas."""
-    return tuple(parse_url(part.strip()) for part in text.split(','))
-
-
-def parse_integer(
-    minimum: int, maximum: int, subject: str = ''
-) -> abc.Callable[[str], int]:
-    """Return a parser of a decimal integer within bounds."""
-    prefix = f'{subject} ' if subject else ''
-
-    def parse(text: str) -> int:
-        # int() also takes underscores, signs and digits of other scripts.
-        if not (text.isascii() and text.isdigit() and len(text) <= 18):
-            raise ValueError(f'{prefix}must be a whole number')
-        if not minimum <= int(text) <= maximum:
-            raise ValueError(
-                f'{prefix}must be from {minimum} to {maximum}, not {text}'
-            )
-        return int(text)
-
-    return parse
-
-
-def parse_token(text: str) -> str:
-    """Return a token that can be sent in a header."""
-    if not (text.isascii() and text.isprintable() and ' ' not in text):
-        raise ValueError('must be printable ASCII without spaces')
-    if len(text) < TOKEN_MINIMUM_CHARACTERS:
-        raise ValueError(
-            f'must have at least {TOKEN_MINIMUM_CHARACTERS} characters'
-        )
-    return text
-
-
-def parse_path(text: str) -> str:
-    """Return a path of a file."""
-    if '\0' in text:
-        raise ValueError('must not contain a null character')
-    return text
-
-
 def define_setting(
     parse: abc.Callable[[str], Any],
     help_text: str,
-    default: Any = _MISSING,
+    default: Any = dataclasses.MISSING,
     is_secret: bool = False,
 ) -> Any:
     """Return a dataclass field that is read from a flag or a variable."""
     metadata = {'parse': parse, 'help': help_text, 'is_secret': is_secret}
-    if default is _MISSING:
-        return dataclasses.field(metadata=metadata, repr=not is_secret)
     return dataclasses.field(
         default=default, metadata=metadata, repr=not is_secret
     )
@@ -233,18 +110,18 @@
     """Settings that every long-running process has."""
 
     data_centre: str = define_setting(
-        parse_name, 'data centre in which the process runs'
+        settings.parse_name, 'data centre in which the process runs'
     )
-    statsd_address: Address | None = define_setting(
-        parse_reachable_address, 'statsd receiver, ADDRESS:PORT', None
+    statsd_address: settings.Address | None = define_setting(
+        settings.parse_reachable_address, 'statsd receiver, ADDRESS:PORT', None
     )
     drain_ms: int = define_setting(
-        parse_integer(0, 3_600_000),
+        settings.parse_integer(0, 3_600_000),
         'time for requests in flight and tasks on a planned stop, in ms',
         DEFAULT_DRAIN_MS,
     )
     clock_skew_ms: int = define_setting(
-        parse_integer(0, 60_000),
+        settings.parse_integer(0, 60_000),
         'bound of the difference between two clocks, in ms',
         DEFAULT_CLOCK_SKEW_MS,
     )
@@ -254,41 +131,50 @@
 class EntryOptions(ProcessOptions):
     """Settings of an entry process."""
 
-    entry_id: str = define_setting(parse_name, 'unique id of the entry')
-    region: str = define_setting(parse_name, 'region of the data centre')
-    caller_address: Address = define_setting(
-        parse_address, "listen address of the callers' HTTP, ADDRESS:PORT"
+    entry_id: str = define_setting(
+        settings.parse_name, 'unique id of the entry'
+    )
+    region: str = define_setting(
+        settings.parse_name, 'region of the data centre'
+    )
+    caller_address: settings.Address = define_setting(
+        settings.parse_address,
+        "listen address of the callers' HTTP, ADDRESS:PORT",
     )
-    inner_address: Address = define_setting(
-        parse_reachable_address,
+    inner_address: settings.Address = define_setting(
+        settings.parse_reachable_address,
         'listen address of the internal protocol, ADDRESS:PORT; agents and '
         'other entries connect to it',
     )
-    admin_address: Address = define_setting(
-        parse_address, 'listen address of the administration API'
+    admin_address: settings.Address = define_setting(
+        settings.parse_address, 'listen address of the administration API'
     )
     admin_token: str = define_setting(
-        parse_token, 'token of the administration API', is_secret=True
+        settings.parse_token, 'token of the administration API', is_secret=True
     )
     admin_certificate_path: str = define_setting(
-        parse_path, 'PEM certificate of the administration listener', ''
+        settings.parse_path,
+        'PEM certificate of the administration listener',
+        '',
     )
     admin_key_path: str = define_setting(
-        parse_path, 'PEM key of the administration listener', ''
+        settings.parse_path, 'PEM key of the administration listener', ''
+    )
+    store_url: str = define_setting(
+        settings.parse_url, 'URL of the key-value store'
     )
-    store_url: str = define_setting(parse_url, 'URL of the key-value store')
     shards: int = define_setting(
-        parse_integer(1, 256),
+        settings.parse_integer(1, 256),
         'number of shards, the same for all entries',
         DEFAULT_SHARDS,
     )
     tick_ms: int = define_setting(
-        parse_integer(10, 10_000),
+        settings.parse_integer(10, 10_000),
         'interval of the group commit, in ms',
         DEFAULT_TICK_MS,
     )
     grant_ms: int = define_setting(
-        parse_integer(1_000, 600_000),
+        settings.parse_integer(1_000, 600_000),
         'length of a grant to a running attempt, in ms',
         DEFAULT_GRANT_MS,
     )
@@ -331,17 +217,19 @@
 class AgentOptions(ProcessOptions):
     """Settings of an agent process."""
 
-    target_id: str = define_setting(parse_name, 'unique id of the target')
-    rack: str = define_setting(parse_name, 'rack of the VM')
-    seeds: tuple[Address, ...] = define_setting(
-        parse_addresses,
+    target_id: str = define_setting(
+        settings.parse_name, 'unique id of the target'
+    )
+    rack: str = define_setting(settings.parse_name, 'rack of the VM')
+    seeds: tuple[settings.Address, ...] = define_setting(
+        settings.parse_addresses,
         'internal addresses of some entries, separated by commas',
     )
     worker_url: str = define_setting(
-        parse_url, 'URL of the worker on this VM', ''
+        settings.parse_url, 'URL of the worker on this VM', ''
     )
     executor_url: str = define_setting(
-        parse_url, 'URL of the executor on this VM', ''
+        settings.parse_url, 'URL of the executor on this VM', ''
     )
 
     @classmethod
@@ -364,18 +252,23 @@
     """Settings of the operators' commands."""
 
     store_url: str = define_setting(
-        parse_url, 'URL of the key-value store', ''
+        settings.parse_url, 'URL of the key-value store', ''
     )
     admin_urls: tuple[str, ...] = define_setting(
-        parse_urls,
+        settings.parse_urls,
         'URLs of administration APIs, separated by commas',
         (),
     )
     admin_token: str = define_setting(
-        parse_token, 'token of the administration API', '', is_secret=True
+        settings.parse_token,
+        'token of the administration API',
+        '',
+        is_secret=True,
     )
     admin_ca_path: str = define_setting(
-        parse_path, 'PEM certificate to trust for the administration API', ''
+        settings.parse_path,
+        'PEM certificate to trust for the administration API',
+        '',
     )
 
 
@@ -384,7 +277,7 @@
     """Settings of the callers' commands."""
 
     entry_url: str = define_setting(
-        parse_url, "URL of an entry or of the entries' load balancer"
+        settings.parse_url, "URL of an entry or of the entries' load balancer"
     )
 
 
@@ -474,7 +367,7 @@
     values: abc.Mapping[str, Any],
 ) -> abc.Iterator[Fault]:
     """Yield listeners that would bind the same port of one address."""
-    taken: dict[int, list[tuple[str, Address]]] = {}
+    taken: dict[int, list[tuple[str, settings.Address]]] = {}
     for field in ('caller_address', 'inner_address', 'admin_address'):
         address = values.get(field)
         if address is None:
