--- a/borageshelf/model/objects.py
+++ b/borageshelf/model/objects.py
@@ -29,12 +29,39 @@
     :param quota: most resources its running tasks may hold together
     :param calls_share: guaranteed share of call capacity, 0 to 1
     :param batch_share: guaranteed share of batch capacity, 0 to 1
+    :param parent: team whose quota also bounds this one, or ''
     """
 
     name: str
     quota: resources.Resources
     calls_share: float = 0.0
     batch_share: float = 0.0
+    parent: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class DataCentre:
+    """A data centre of the deployment."""
+
+    name: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerShape:
+    """Workers of one size in one data centre.
+
+    Shapes bound what the set may promise. They are no list of targets, which
+    announce themselves with their real capacity.
+
+    :param count: number of workers that are expected
+    :param capacity: capacity of one worker
+    """
+
+    name: str
+    data_centre: str
+    count: int
+    capacity: resources.Resources
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,11 +146,15 @@
     :param tail_latency: weight of service tail latency
     :param batch_throughput: weight of batch work finished
     :param evictions: weight of avoided evictions
+    :param tail_latency_reason: why the operators chose the weight
     """
 
     tail_latency: float = 1.0
     batch_throughput: float = 1.0
     evictions: float = 1.0
+    tail_latency_reason: str = ''
+    batch_throughput_reason: str = ''
+    evictions_reason: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,3 +168,9 @@
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     limits: Limits = Limits()
     objective: Objective = Objective()
+    data_centres: dict[str, DataCentre] = dataclasses.field(
+        default_factory=dict
+    )
+    worker_shapes: dict[str, WorkerShape] = dataclasses.field(
+        default_factory=dict
+    )
