--- /dev/null
+++ b/borageshelf/configuration/contents.py
@@ -0,0 +1,224 @@
+"""Stored forms of a configuration: parts, publications, root and bundles.
+
+A set is cut into parts of one section each, which are stored under the hash
+of their bytes. A publication names its parts and its parent; the root names
+the publication in force. A bundle is a publication together with its parts,
+as it is handed from one process to another when the store is down.
+"""
+
+from collections import abc
+import dataclasses
+import hashlib
+from typing import Any, Final, TypeVar
+import zlib
+
+import msgspec
+import xxhash
+
+from borageshelf import errors
+from borageshelf.model import objects
+
+ROOT_KEY: Final = 'config/root'
+CONTENT_PREFIX: Final = 'config/content/'
+PUBLICATION_PREFIX: Final = 'config/publication/'
+REFUSED_PREFIX: Final = 'config/refused/'
+
+# A change rewrites the parts that hold the changed objects. At the two-year
+# size, 1900 changes a day of 16 KB each add 30 MB a day to the store.
+PART_TARGET_BYTES: Final = 16_000
+# The store holds values up to 1 MB.
+VALUE_LIMIT_BYTES: Final = 1_000_000
+# Bound of an unpacked bundle, against a damaged or hostile one.
+BUNDLE_LIMIT_BYTES: Final = 64_000_000
+
+_NAMED_SECTIONS: Final = (
+    'data_centres',
+    'worker_shapes',
+    'teams',
+    'placements',
+    'services',
+    'jobs',
+)
+_SECTIONS: Final = (*_NAMED_SECTIONS, 'limits', 'objective')
+
+Record = TypeVar('Record')
+
+_ENCODER: Final = msgspec.json.Encoder(order='deterministic')
+
+
+@dataclasses.dataclass(frozen=True)
+class Publication:
+    """One published version.
+
+    :param version: 1 for the first, then one more than that of the parent
+    :param parent: hash of the parent publication, or ''
+    :param published_at_ms: clock of the publisher, Unix milliseconds
+    :param publication_id: unique id chosen by the publisher
+    :param parts: content hashes, sorted by section
+    """
+
+    version: int
+    parent: str
+    author: str
+    published_at_ms: int
+    reason: str
+    publication_id: str
+    parts: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Root:
+    """Value of the root key."""
+
+    version: int
+    publication: str
+    publication_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """Record of a publication that was refused.
+
+    :param base_version: version that the publisher had expected
+    :param found_version: version that was in force instead, or 0
+    """
+
+    publication_id: str
+    author: str
+    refused_at_ms: int
+    reason: str
+    base_version: int
+    found_version: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Bundle:
+    """A publication with the bytes of its parts, by hash."""
+
+    publication: Publication
+    parts: dict[str, bytes]
+
+
+def compute_hash(data: bytes) -> str:
+    """Return the content hash of a value."""
+    return hashlib.sha256(data).hexdigest()
+
+
+def encode_parts(configuration: objects.Configuration) -> dict[str, bytes]:
+    """Return the parts of a set by content hash, in a stable order.
+
+    :raises BorageshelfError: ``VALUE_TOO_LARGE`` if one part exceeds the
+        limit of the store
+    """
+    parts: dict[str, bytes] = {}
+    for section in _NAMED_SECTIONS:
+        for bucket in _split(getattr(configuration, section)):
+            _add_part(parts, {section: bucket})
+    _add_part(parts, {'limits': configuration.limits})
+    _add_part(parts, {'objective': configuration.objective})
+    return parts
+
+
+def decode_parts(
+    parts: abc.Iterable[bytes], version: int
+) -> objects.Configuration:
+    """Return the set that consists of some parts.
+
+    :raises BorageshelfError: ``INTERNAL`` if a part cannot be decoded
+    """
+    merged: dict[str, Any] = {}
+    for data in parts:
+        part = decode_value(data, objects.Configuration)
+        for section in decode_value(data, dict[str, Any]):
+            if section not in _SECTIONS:
+                # A newer release may publish sections that this one lacks.
+                continue
+            value = getattr(part, section)
+            if section in _NAMED_SECTIONS:
+                value = {**merged.get(section, {}), **value}
+            merged[section] = value
+    for section in _NAMED_SECTIONS:
+        # Parts hold their objects by hash of name; the order of a set is by
+        # name, whichever way it was cut.
+        merged[section] = dict(sorted(merged.get(section, {}).items()))
+    return objects.Configuration(**{**merged, 'version': version})
+
+
+def encode_value(value: object) -> bytes:
+    """Return the canonical JSON of a record."""
+    return _ENCODER.encode(value)
+
+
+def decode_value(data: bytes, record: type[Record]) -> Record:
+    """Return the record of its JSON.
+
+    :raises BorageshelfError: ``INTERNAL`` if it has another form
+    """
+    try:
+        return msgspec.json.decode(data, type=record)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.BorageshelfError(
+            errors.INTERNAL, f'stored configuration is damaged: {error}'
+        ) from error
+
+
+def encode_bundle(bundle: Bundle) -> bytes:
+    """Return the compressed form of a bundle."""
+    parts = tuple(part.decode() for part in bundle.parts.values())
+    return zlib.compress(encode_value((bundle.publication, parts)))
+
+
+def decode_bundle(data: bytes) -> Bundle:
+    """Return a bundle after checking that it is complete.
+
+    :raises BorageshelfError: ``INTERNAL`` if it is damaged
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        unpacked = unpacker.decompress(data, BUNDLE_LIMIT_BYTES)
+    except zlib.error as error:
+        raise errors.BorageshelfError(
+            errors.INTERNAL, f'bundle is damaged: {error}'
+        ) from error
+    if not unpacker.eof:
+        raise errors.BorageshelfError(
+            errors.INTERNAL, 'bundle is truncated or too large'
+        )
+    publication, texts = decode_value(
+        unpacked, tuple[Publication, tuple[str, ...]]
+    )
+    parts = {compute_hash(text.encode()): text.encode() for text in texts}
+    if set(parts) != set(publication.parts):
+        raise errors.BorageshelfError(
+            errors.INTERNAL, 'parts of the bundle differ from its publication'
+        )
+    return Bundle(publication, parts)
+
+
+def _split(named: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return the objects of a section in buckets of about the target size.
+
+    The bucket of an object depends on its name only, so that an added object
+    changes one part.
+    """
+    size_bytes = len(encode_value(named))
+    count = 1
+    while count * PART_TARGET_BYTES < size_bytes:
+        count *= 2
+    buckets: list[dict[str, Any]] = [{} for _ in range(count)]
+    for name in sorted(named):
+        buckets[xxhash.xxh64_intdigest(name.encode()) % count][name] = named[
+            name
+        ]
+    return [bucket for bucket in buckets if bucket]
+
+
+def _add_part(parts: dict[str, bytes], content: dict[str, Any]) -> None:
+    data = encode_value(content)
+    if len(data) > VALUE_LIMIT_BYTES:
+        raise errors.BorageshelfError(
+            errors.VALUE_TOO_LARGE,
+            f'a part of section {next(iter(content))} has {len(data)} bytes',
+        )
+    parts[compute_hash(data)] = data
