--- /dev/null
+++ b/borageshelf/agent/reservations.py
@@ -0,0 +1,265 @@
+"""Deterministic core of an agent: capacity ledger, grants and fencing.
+
+The agent has the last word on what its VM runs. It refuses a start that does
+not fit, that comes from an earlier owner of the shard, whose grant has
+expired, or for which it has already said "never started". A restarted agent
+calls ``adopt`` with the worker's list before anything else.
+"""
+
+import dataclasses
+import enum
+from typing import Final
+
+from borageshelf import errors
+from borageshelf.model import resources
+from borageshelf.platform import worker as worker_interface
+
+# A start that is delayed beyond the longest horizon is refused because its
+# grant has expired, so older tombstones are not needed.
+TOMBSTONE_LIFETIME_MS: Final = 61 * 60 * 1000
+
+
+class HeldState(enum.Enum):
+    """State of an attempt that the agent knows."""
+
+    STARTING = 'starting'
+    RUNNING = 'running'
+    SUCCEEDED = 'succeeded'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    CHECKPOINTED = 'checkpointed'
+    NEVER_STARTED = 'never started'
+
+
+OCCUPYING_STATES: Final = frozenset({HeldState.STARTING, HeldState.RUNNING})
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptKey:
+    """One attempt of one task."""
+
+    task_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StartOffer:
+    """A start that an owner asks for.
+
+    :param epoch: fencing epoch of the shard's owner
+    :param grant_deadline_ms: the attempt may run until then
+    """
+
+    key: AttemptKey
+    shard: int
+    epoch: int
+    family: str
+    declared: resources.Resources
+    grant_deadline_ms: int
+    urgency: int = 0
+    idempotent: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """An attempt that the agent knows until its owner releases it."""
+
+    offer: StartOffer
+    state: HeldState
+    grant_deadline_ms: int
+    used: resources.Resources = resources.NOTHING
+    result: bytes = b''
+    checkpoint: str = ''
+    code: int = 0
+
+    @property
+    def occupies(self) -> bool:
+        """Tell whether the attempt may use resources of the VM."""
+        return self.state in OCCUPYING_STATES
+
+    @property
+    def charged(self) -> resources.Resources:
+        """The larger of declared and measured use."""
+        return self.offer.declared.maximum(self.used)
+
+
+class Reservations:
+    """What one VM holds and whom it obeys."""
+
+    def __init__(self, capacity: resources.Resources) -> None:
+        self._capacity = capacity
+        self._held: dict[AttemptKey, Held] = {}
+        self._epochs: dict[int, int] = {}
+        self._tombstones: dict[AttemptKey, int] = {}
+        self._leaving = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether new starts are refused because of a planned stop."""
+        return self._leaving
+
+    def leave(self) -> None:
+        """Refuse new starts from now on."""
+        self._leaving = True
+
+    def adopt(self, tasks: tuple[worker_interface.WorkerTask, ...]) -> None:
+        """Take over the attempts that the worker already has."""
+        for task in tasks:
+            shard, epoch = parse_owner(task.owner)
+            key = AttemptKey(task.task_id, task.attempt)
+            offer = StartOffer(
+                key,
+                shard,
+                epoch,
+                task.family,
+                task.declared,
+                task.lease_deadline_ms,
+            )
+            self._held[key] = Held(
+                offer,
+                _STATES[task.state],
+                task.lease_deadline_ms,
+                result=task.result,
+                checkpoint=task.checkpoint,
+            )
+            self.observe_epoch(shard, epoch)
+
+    def observe_epoch(self, shard: int, epoch: int) -> bool:
+        """Remember the epoch; tell whether it is not an earlier one."""
+        highest = self._epochs.get(shard, 0)
+        if epoch < highest:
+            return False
+        self._epochs[shard] = epoch
+        return True
+
+    def find_epoch(self, shard: int) -> int:
+        """Return the highest epoch seen for a shard, or 0."""
+        return self._epochs.get(shard, 0)
+
+    def find(self, key: AttemptKey) -> Held | None:
+        """Return what is known of an attempt."""
+        return self._held.get(key)
+
+    def list_held(self) -> tuple[Held, ...]:
+        """Return all known attempts."""
+        return tuple(self._held.values())
+
+    def find_free(self) -> resources.Resources:
+        """Return what is left of the VM."""
+        free = self._capacity
+        for held in self._held.values():
+            if held.occupies:
+                free = free.minus(held.charged)
+        return free
+
+    def offer_start(self, offer: StartOffer, now_ms: int) -> Held | None:
+        """Reserve capacity for a start.
+
+        :return: the new reservation, or None if the attempt is known already
+        :raises BorageshelfError: ``STALE_EPOCH``, ``CANCELLED``,
+            ``DEADLINE_PASSED``, ``LEAVING`` or ``NO_CAPACITY``; a refused
+            attempt is never started later
+        """
+        if not self.observe_epoch(offer.shard, offer.epoch):
+            raise errors.BorageshelfError(
+                errors.STALE_EPOCH,
+                f'epoch {offer.epoch} of shard {offer.shard}, have '
+                f'{self._epochs[offer.shard]}',
+            )
+        if offer.key in self._held:
+            return None
+        if offer.key in self._tombstones:
+            raise errors.BorageshelfError(
+                errors.CANCELLED, 'the attempt was stopped before its start'
+            )
+        code = self._find_refusal(offer, now_ms)
+        if code is not None:
+            self.bury(offer.key, now_ms)
+            raise errors.BorageshelfError(code, offer.key.task_id)
+        held = Held(offer, HeldState.STARTING, offer.grant_deadline_ms)
+        self._held[offer.key] = held
+        return held
+
+    def bury(self, key: AttemptKey, now_ms: int) -> None:
+        """Promise that an attempt never starts here."""
+        self._tombstones[key] = now_ms + TOMBSTONE_LIFETIME_MS
+
+    def update(self, key: AttemptKey, **changes: object) -> Held | None:
+        """Replace fields of a known attempt; return the new state."""
+        held = self._held.get(key)
+        if held is None:
+            return None
+        held = dataclasses.replace(held, **changes)  # type: ignore[arg-type]
+        self._held[key] = held
+        return held
+
+    def renew(
+        self, key: AttemptKey, shard: int, epoch: int, deadline_ms: int
+    ) -> bool:
+        """Extend a grant; tell whether the worker's lease must follow."""
+        if not self.observe_epoch(shard, epoch):
+            return False
+        held = self._held.get(key)
+        if held is None or not held.occupies:
+            return False
+        if deadline_ms <= held.grant_deadline_ms:
+            return False
+        self._held[key] = dataclasses.replace(
+            held, grant_deadline_ms=deadline_ms
+        )
+        return True
+
+    def release(self, key: AttemptKey, shard: int, epoch: int) -> bool:
+        """Forget an ended attempt; tell whether it was forgotten."""
+        if not self.observe_epoch(shard, epoch):
+            return False
+        held = self._held.get(key)
+        if held is None or held.occupies:
+            return False
+        del self._held[key]
+        return True
+
+    def expire_tombstones(self, now_ms: int) -> None:
+        """Drop tombstones that no start can need any more."""
+        self._tombstones = {
+            key: deadline_ms
+            for key, deadline_ms in self._tombstones.items()
+            if deadline_ms > now_ms
+        }
+
+    def _find_refusal(
+        self, offer: StartOffer, now_ms: int
+    ) -> errors.ResultCode | None:
+        if offer.grant_deadline_ms <= now_ms:
+            return errors.DEADLINE_PASSED
+        if self._leaving:
+            return errors.LEAVING
+        same_task = any(
+            held.offer.key.task_id == offer.key.task_id and held.occupies
+            for held in self._held.values()
+        )
+        if same_task or not offer.declared.fits_in(self.find_free()):
+            return errors.NO_CAPACITY
+        return None
+
+
+def format_owner(shard: int, epoch: int) -> str:
+    """Return the reference that the worker keeps with a task."""
+    return f'{shard}:{epoch}'
+
+
+def parse_owner(owner: str) -> tuple[int, int]:
+    """Return shard and epoch of a worker's reference.
+
+    :raises ValueError: if the reference is malformed
+    """
+    shard, epoch = owner.split(':')
+    return int(shard), int(epoch)
+
+
+_STATES: Final = {
+    worker_interface.TaskState.RUNNING: HeldState.RUNNING,
+    worker_interface.TaskState.SUCCEEDED: HeldState.SUCCEEDED,
+    worker_interface.TaskState.FAILED: HeldState.FAILED,
+    worker_interface.TaskState.STOPPED: HeldState.STOPPED,
+}
--- /dev/null
+++ b/borageshelf/shards/grants.py
@@ -0,0 +1,61 @@
+"""Rules for grants: how far one may reach and when an attempt is dead.
+
+A grant lets an agent run one attempt until a deadline. The proof rules are
+in the design page, section 4.
+"""
+
+import dataclasses
+from typing import Final
+
+from borageshelf.model import objects
+from borageshelf.shards import records
+
+BATCH_HORIZON_MS: Final = 15 * 60 * 1000
+MONITOR_HORIZON_MS: Final = 60 * 60 * 1000
+GRANT_LENGTH_MS: Final = 30_000
+CLOCK_SKEW_BOUND_MS: Final = 2_000
+
+
+@dataclasses.dataclass(frozen=True)
+class GrantPolicy:
+    """Lengths from which deadlines are computed, in milliseconds."""
+
+    grant_length_ms: int = GRANT_LENGTH_MS
+    batch_horizon_ms: int = BATCH_HORIZON_MS
+    monitor_horizon_ms: int = MONITOR_HORIZON_MS
+    clock_skew_bound_ms: int = CLOCK_SKEW_BOUND_MS
+
+    def extend(
+        self, horizons: records.Horizons, now_ms: int
+    ) -> records.Horizons:
+        """Return horizons that reach their full length from now on."""
+        return records.Horizons(
+            max(horizons.batch_deadline_ms, now_ms + self.batch_horizon_ms),
+            max(
+                horizons.monitor_deadline_ms,
+                now_ms + self.monitor_horizon_ms,
+            ),
+        )
+
+    def needs_extension(self, horizons: records.Horizons, now_ms: int) -> bool:
+        """Tell whether less than two thirds of a horizon remain."""
+        batch_left_ms = horizons.batch_deadline_ms - now_ms
+        monitor_left_ms = horizons.monitor_deadline_ms - now_ms
+        return (
+            3 * batch_left_ms < 2 * self.batch_horizon_ms
+            or 3 * monitor_left_ms < 2 * self.monitor_horizon_ms
+        )
+
+    def find_deadline_ms(
+        self,
+        work_class: objects.WorkClass,
+        horizons: records.Horizons,
+        now_ms: int,
+    ) -> int:
+        """Return the deadline of a grant made now, within the horizon."""
+        limit_ms = horizons.find_deadline_ms(work_class)
+        return min(now_ms + self.grant_length_ms, limit_ms)
+
+    def has_expired(self, deadline_ms: int, now_ms: int) -> bool:
+        """Tell whether a deadline has passed on every clock."""
+        return now_ms > deadline_ms + self.clock_skew_bound_ms
--- a/borageshelf/shards/transitions.py
+++ b/borageshelf/shards/transitions.py
@@ -75,6 +75,9 @@
     """No VM of the fleet can hold the task."""
 
 
+AttemptEvent = NeverStarted | Succeeded | Failed | Stopped | Lost
+
+
 @functools.singledispatch
 def advance(
     event: object, task: records.TaskRecord, now_ms: int
