--- /dev/null
+++ b/borageshelf/agent/links.py
@@ -0,0 +1,229 @@
+"""Streams from the agent to the entries of its region.
+
+An agent keeps one stream to every entry. It starts from the seed addresses
+of its settings and learns the others from the first entry that welcomes it.
+"""
+
+import asyncio
+from collections import abc
+from typing import Any, Final
+
+import grpclib.client
+import grpclib.exceptions
+
+from borageshelf import clock as clock_module
+from borageshelf.decisions import retries
+from borageshelf import loop
+from borageshelf.protocol import inner_grpc
+from borageshelf.protocol import inner_pb2
+from borageshelf import settings
+
+# An entry that sends nothing for this many report intervals is gone; a
+# partition does not close the connection.
+SILENT_INTERVALS: Final = 4
+DEFAULT_REPORT_INTERVAL_MS: Final = 1000
+CONNECT_TIMEOUT_MS: Final = 3000
+QUEUE_LIMIT: Final = 10_000
+# An address that no entry has listed for this long is given up.
+FORGET_FAILURES: Final = 8
+
+Handler = abc.Callable[['EntryLink', inner_pb2.EntryMessage], None]
+
+
+class EntryLink:
+    """The stream to one entry, reconnected until it is closed."""
+
+    def __init__(
+        self,
+        address: str,
+        links: 'EntryLinks',
+        clock: clock_module.Clock,
+    ) -> None:
+        self.address = address
+        self.entry_id = ''
+        self.epochs: dict[int, int] = {}
+        self.is_connected = False
+        self.report_interval_ms = DEFAULT_REPORT_INTERVAL_MS
+        self._links = links
+        self._clock = clock
+        self._queue: asyncio.Queue[inner_pb2.AgentMessage] | None = None
+        self._silence_deadline_ms = 0
+        self.failures = 0
+
+    def send(self, **kind: Any) -> bool:
+        """Queue a message; tell whether the stream could take it."""
+        return self.send_message(inner_pb2.AgentMessage(**kind))
+
+    def send_message(self, message: inner_pb2.AgentMessage) -> bool:
+        """Queue a message; tell whether the stream could take it."""
+        if self._queue is None:
+            return False
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    async def run(self) -> None:
+        """Keep the stream open."""
+        while True:
+            try:
+                await self._attach()
+            except (
+                OSError,
+                asyncio.TimeoutError,
+                grpclib.exceptions.GRPCError,
+                grpclib.exceptions.StreamTerminatedError,
+                grpclib.exceptions.ProtocolError,
+            ):
+                self.failures += 1
+            finally:
+                self._detach()
+            if self._links.forgets(self):
+                return
+            delay_ms = retries.find_backoff_ms(
+                self.address, max(self.failures, 1)
+            )
+            await asyncio.sleep(min(delay_ms, 2000) / 1000)
+
+    async def _attach(self) -> None:
+        host, _, port = self.address.rpartition(':')
+        channel = grpclib.client.Channel(host.strip('[]'), int(port))
+        try:
+            stub = inner_grpc.InnerStub(channel)
+            async with stub.Attach.open() as stream:
+                hello = self._links.make_hello()
+                await asyncio.wait_for(
+                    stream.send_message(inner_pb2.AgentMessage(hello=hello)),
+                    CONNECT_TIMEOUT_MS / 1000,
+                )
+                self._queue = asyncio.Queue(QUEUE_LIMIT)
+                self._hear()
+                await self._exchange(stream)
+        finally:
+            channel.close()
+
+    async def _exchange(self, stream: Any) -> None:
+        """Receive, send and report until one of them fails."""
+        tasks = [
+            asyncio.ensure_future(self._receive(stream)),
+            asyncio.ensure_future(self._send(stream)),
+            asyncio.ensure_future(self._report()),
+        ]
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _receive(self, stream: Any) -> None:
+        async for message in stream:
+            self._hear()
+            if message.WhichOneof('kind') == 'welcome':
+                self._accept(message.welcome)
+            self._links.handle(self, message)
+
+    async def _send(self, stream: Any) -> None:
+        assert self._queue is not None
+        while True:
+            message = await self._queue.get()
+            await stream.send_message(message)
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(self.report_interval_ms / 1000)
+            if self._clock() > self._silence_deadline_ms:
+                raise TimeoutError(f'entry {self.address} is silent')
+            if self.is_connected:
+                self.send(report=self._links.make_report(self))
+
+    def _accept(self, welcome: inner_pb2.Welcome) -> None:
+        self.entry_id = welcome.entry_id
+        self.is_connected = True
+        self.failures = 0
+        self.report_interval_ms = welcome.report_interval_ms
+        self._links.learn(welcome.entries)
+
+    def _hear(self) -> None:
+        limit_ms = SILENT_INTERVALS * self.report_interval_ms
+        self._silence_deadline_ms = self._clock() + max(
+            limit_ms, CONNECT_TIMEOUT_MS
+        )
+
+    def _detach(self) -> None:
+        self._queue = None
+        self.is_connected = False
+        self.epochs.clear()
+        self._links.handle_detached(self)
+
+
+class EntryLinks:
+    """All streams of one agent.
+
+    :param make_hello: makes the first message of a stream
+    :param make_report: makes the regular report for one entry
+    :param handle: called with each message of an entry
+    :param handle_detached: called when a stream has ended
+    """
+
+    def __init__(
+        self,
+        seeds: abc.Iterable[settings.Address],
+        make_hello: abc.Callable[[], inner_pb2.Hello],
+        make_report: abc.Callable[[EntryLink], inner_pb2.Report],
+        handle: Handler,
+        handle_detached: abc.Callable[[EntryLink], None],
+        clock: clock_module.Clock,
+    ) -> None:
+        self.make_hello = make_hello
+        self.make_report = make_report
+        self.handle = handle
+        self.handle_detached = handle_detached
+        self._clock = clock
+        self._seeds = {str(seed) for seed in seeds}
+        self._links: dict[str, EntryLink] = {}
+        self._tasks = loop.TaskGroup()
+
+    def start(self) -> None:
+        """Open streams to the seeds."""
+        for address in self._seeds:
+            self._open(address)
+
+    async def stop(self) -> None:
+        """Close all streams."""
+        await self._tasks.stop()
+
+    def learn(self, entries: abc.Iterable[inner_pb2.EntryAddress]) -> None:
+        """Open streams to entries that are new."""
+        for entry in entries:
+            self._open(entry.address)
+
+    def list_connected(self) -> list[EntryLink]:
+        """Return the streams that are up."""
+        return [link for link in self._links.values() if link.is_connected]
+
+    def find_owner(self, shard: int) -> EntryLink | None:
+        """Return the stream to the entry with the highest known epoch."""
+        owners = [
+            link for link in self.list_connected() if shard in link.epochs
+        ]
+        return max(owners, key=lambda link: link.epochs[shard], default=None)
+
+    def forgets(self, link: EntryLink) -> bool:
+        """Tell whether a failing address may be given up."""
+        if link.address in self._seeds or link.failures < FORGET_FAILURES:
+            return False
+        self._links.pop(link.address, None)
+        return True
+
+    def _open(self, address: str) -> None:
+        if address in self._links:
+            return
+        link = EntryLink(address, self, self._clock)
+        self._links[address] = link
+        self._tasks.start(link.run())
--- a/borageshelf/agent/reservations.py
+++ b/borageshelf/agent/reservations.py
@@ -114,6 +114,8 @@
                 task.family,
                 task.declared,
                 task.lease_deadline_ms,
+                # The worker does not keep the mark; the safe side is taken.
+                idempotent=False,
             )
             self._held[key] = Held(
                 offer,
--- /dev/null
+++ b/borageshelf/agent/tasks.py
@@ -0,0 +1,273 @@
+"""Runs and stops attempts through the worker of this VM.
+
+``Reservations`` decides; this module carries its decisions out. Operations
+on one attempt are serialised, because a stop must not overtake the start
+that it follows.
+"""
+
+import asyncio
+from collections import abc
+from typing import Final
+
+from borageshelf.agent import reservations
+from borageshelf import clock as clock_module
+from borageshelf import errors
+from borageshelf.model import resources
+from borageshelf.platform import worker as worker_interface
+from borageshelf.protocol import convert
+from borageshelf.protocol import inner_pb2
+
+RETRY_PAUSE_MS: Final = 200
+
+_ENDED: Final = {
+    worker_interface.TaskState.SUCCEEDED: reservations.HeldState.SUCCEEDED,
+    worker_interface.TaskState.FAILED: reservations.HeldState.FAILED,
+    worker_interface.TaskState.STOPPED: reservations.HeldState.STOPPED,
+}
+
+
+class TaskManager:
+    """The attempts of one VM.
+
+    :param ledger: capacity, grants and fencing
+    :param on_ended: called with the status of each attempt that ends
+    :param clock_skew_ms: bound of the difference between two clocks
+    """
+
+    def __init__(
+        self,
+        worker: worker_interface.Worker,
+        ledger: reservations.Reservations,
+        on_ended: abc.Callable[[inner_pb2.AttemptStatus], None],
+        clock: clock_module.Clock,
+        clock_skew_ms: int,
+    ) -> None:
+        self._worker = worker
+        self.ledger = ledger
+        self._on_ended = on_ended
+        self._clock = clock
+        self._clock_skew_ms = clock_skew_ms
+        self._locks: dict[reservations.AttemptKey, asyncio.Lock] = {}
+
+    async def start(self, message: inner_pb2.Start) -> inner_pb2.StartAnswer:
+        """Start an attempt or refuse it for good."""
+        offer = convert.unpack_start(message)
+        attempt = message.grant.attempt
+        try:
+            held = self.ledger.offer_start(offer, self._clock())
+        except errors.BorageshelfError as error:
+            return inner_pb2.StartAnswer(
+                attempt=attempt, code=error.code.number, detail=error.detail
+            )
+        if held is not None:
+            async with self._lock(offer.key):
+                await self._start_on_worker(offer, message)
+        return inner_pb2.StartAnswer(attempt=attempt, code=errors.OK.number)
+
+    async def stop(
+        self, attempt: inner_pb2.Attempt, wants_checkpoint: bool
+    ) -> inner_pb2.AttemptStatus | None:
+        """Stop an attempt and return the proof.
+
+        :return: None if the request comes from an earlier owner
+        """
+        key = reservations.AttemptKey(attempt.task_id, attempt.attempt)
+        if not self.ledger.observe_epoch(attempt.shard, attempt.epoch):
+            return None
+        if self.ledger.find(key) is None:
+            self.ledger.bury(key, self._clock())
+            return inner_pb2.AttemptStatus(
+                attempt=attempt, state=inner_pb2.ATTEMPT_NEVER_STARTED
+            )
+        async with self._lock(key):
+            held = self.ledger.find(key)
+            if held is not None and held.occupies:
+                await self._stop_on_worker(key, wants_checkpoint)
+        held = self.ledger.find(key)
+        return convert.pack_held(held) if held is not None else None
+
+    async def renew(self, grants: abc.Iterable[inner_pb2.Grant]) -> None:
+        """Extend grants and the worker's leases."""
+        for grant in grants:
+            attempt = grant.attempt
+            key = reservations.AttemptKey(attempt.task_id, attempt.attempt)
+            is_extended = self.ledger.renew(
+                key, attempt.shard, attempt.epoch, grant.grant_deadline_ms
+            )
+            if not is_extended:
+                continue
+            try:
+                await self._worker.renew(
+                    key.task_id, key.attempt, grant.grant_deadline_ms
+                )
+            except errors.BorageshelfError:
+                # The next renewal tries again; the lease has slack for it.
+                continue
+
+    async def release(self, attempt: inner_pb2.Attempt) -> None:
+        """Forget an attempt whose end is committed."""
+        key = reservations.AttemptKey(attempt.task_id, attempt.attempt)
+        if not self.ledger.release(key, attempt.shard, attempt.epoch):
+            return
+        self._locks.pop(key, None)
+        try:
+            await self._worker.release(key.task_id, key.attempt)
+        except errors.BorageshelfError:
+            # A restarted agent lists the attempt again and its owner
+            # releases it again.
+            return
+
+    async def throttle(
+        self, attempt: inner_pb2.Attempt, fraction: float
+    ) -> None:
+        """Limit an attempt to a fraction of its processors."""
+        try:
+            await self._worker.throttle(
+                attempt.task_id, attempt.attempt, fraction
+            )
+        except errors.BorageshelfError:
+            # The control loop sends the throttle again while it is needed.
+            return
+
+    async def poll(self) -> None:
+        """Learn from the worker which attempts have ended.
+
+        :raises BorageshelfError: ``WORKER_UNAVAILABLE``
+        """
+        # Attempts whose start is answered while the list is under way may be
+        # missing from it, so only those that ran before are looked up.
+        running = [
+            held.offer.key
+            for held in self.ledger.list_held()
+            if held.state is reservations.HeldState.RUNNING
+        ]
+        listed = {
+            reservations.AttemptKey(task.task_id, task.attempt): task
+            for task in await self._worker.list()
+        }
+        for key in running:
+            async with self._lock(key):
+                self._compare(key, listed.get(key))
+        await self._measure()
+
+    def _compare(
+        self,
+        key: reservations.AttemptKey,
+        task: worker_interface.WorkerTask | None,
+    ) -> None:
+        """End an attempt that the worker lists as ended or not at all."""
+        held = self.ledger.find(key)
+        if held is None or not held.occupies:
+            return
+        if task is None:
+            self._end(key, reservations.HeldState.STOPPED)
+        elif task.state in _ENDED:
+            self._end(key, _ENDED[task.state], task.result, task.checkpoint)
+
+    async def _measure(self) -> None:
+        for sample in await self._worker.usage():
+            key = reservations.AttemptKey(sample.task_id, sample.attempt)
+            self.ledger.update(key, used=sample.used)
+
+    async def _start_on_worker(
+        self, offer: reservations.StartOffer, message: inner_pb2.Start
+    ) -> None:
+        request = worker_interface.StartRequest(
+            offer.key.task_id,
+            offer.key.attempt,
+            reservations.format_owner(offer.shard, offer.epoch),
+            offer.family,
+            offer.declared,
+            offer.grant_deadline_ms,
+            message.checkpoint,
+            message.arguments,
+        )
+        try:
+            await self._worker.start(request)
+        except errors.BorageshelfError as error:
+            if error.code is errors.WORKER_REFUSED:
+                self._end(
+                    offer.key, reservations.HeldState.FAILED, code=error.code
+                )
+            else:
+                await self._resolve_start(offer)
+            return
+        self.ledger.update(offer.key, state=reservations.HeldState.RUNNING)
+
+    async def _resolve_start(self, offer: reservations.StartOffer) -> None:
+        """Find out whether an unanswered start took effect.
+
+        The worker may still act on the request until the lease in it ends,
+        so an absent attempt counts as dead only after that.
+        """
+        limit_ms = offer.grant_deadline_ms + self._clock_skew_ms
+        while True:
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+            now_ms = self._clock()
+            try:
+                tasks = await self._worker.list()
+            except errors.BorageshelfError:
+                continue
+            keys = {(task.task_id, task.attempt) for task in tasks}
+            if (offer.key.task_id, offer.key.attempt) in keys:
+                self.ledger.update(
+                    offer.key, state=reservations.HeldState.RUNNING
+                )
+                return
+            if now_ms > limit_ms:
+                self._end(
+                    offer.key,
+                    reservations.HeldState.FAILED,
+                    code=errors.WORKER_UNAVAILABLE,
+                )
+                return
+
+    async def _stop_on_worker(
+        self, key: reservations.AttemptKey, wants_checkpoint: bool
+    ) -> None:
+        reference = ''
+        if wants_checkpoint:
+            reference = await self._checkpoint(key)
+        while True:
+            try:
+                result = await self._worker.stop(key.task_id, key.attempt)
+                break
+            except errors.BorageshelfError as error:
+                if error.code is errors.WORKER_REFUSED:
+                    self._end(key, reservations.HeldState.STOPPED)
+                    return
+                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+        state = _ENDED.get(result.state, reservations.HeldState.STOPPED)
+        if state is reservations.HeldState.STOPPED and reference:
+            state = reservations.HeldState.CHECKPOINTED
+        self._end(key, state, result.result, reference)
+
+    async def _checkpoint(self, key: reservations.AttemptKey) -> str:
+        try:
+            saved = await self._worker.checkpoint(key.task_id, key.attempt)
+        except errors.BorageshelfError:
+            # Without a checkpoint the task starts from its last one.
+            return ''
+        return saved.reference
+
+    def _end(
+        self,
+        key: reservations.AttemptKey,
+        state: reservations.HeldState,
+        result: bytes = b'',
+        checkpoint: str = '',
+        code: errors.ResultCode | None = None,
+    ) -> None:
+        held = self.ledger.update(
+            key,
+            state=state,
+            result=result,
+            checkpoint=checkpoint,
+            code=code.number if code is not None else 0,
+            used=resources.NOTHING,
+        )
+        if held is not None:
+            self._on_ended(convert.pack_held(held))
+
+    def _lock(self, key: reservations.AttemptKey) -> asyncio.Lock:
+        return self._locks.setdefault(key, asyncio.Lock())
--- /dev/null
+++ b/borageshelf/entry/batch.py
@@ -0,0 +1,468 @@
+"""Batch work in the entry: owned shards, their effects and placement."""
+
+import asyncio
+from collections import abc
+import functools
+import itertools
+import random
+from typing import Any, Final
+
+from borageshelf import clock
+from borageshelf.decisions import assignment
+from borageshelf.decisions import placement
+from borageshelf.decisions import views
+from borageshelf.entry import membership as membership_module
+from borageshelf.entry import sessions as sessions_module
+from borageshelf import errors
+from borageshelf import loop
+from borageshelf.model import objects
+from borageshelf import options as options_module
+from borageshelf.platform import store as store_interface
+from borageshelf.protocol import convert
+from borageshelf.protocol import inner_pb2
+from borageshelf.shards import effects
+from borageshelf.shards import grants
+from borageshelf.shards import log
+from borageshelf.shards import owner as owner_module
+from borageshelf.shards import records
+from borageshelf.shards import runner as runner_module
+from borageshelf import telemetry as telemetry_module
+
+RECONCILE_INTERVAL_MS: Final = 1000
+# A new entry waits for one watch answer before it takes shards, so that
+# entries that start together share them at once.
+JOIN_PAUSE_MS: Final = 500
+
+
+class BatchService:
+    """The shards that this entry owns.
+
+    :param find_configuration: returns the configuration in force
+    """
+
+    def __init__(
+        self,
+        options: options_module.EntryOptions,
+        store: store_interface.Store,
+        registry: sessions_module.SessionRegistry,
+        find_configuration: abc.Callable[[], objects.Configuration],
+        telemetry: telemetry_module.Telemetry,
+    ) -> None:
+        self._options = options
+        self._store = store
+        self._registry = registry
+        self._find_configuration = find_configuration
+        self._telemetry = telemetry
+        self._policy = grants.GrantPolicy(
+            grant_length_ms=options.grant_ms,
+            clock_skew_bound_ms=options.clock_skew_ms,
+        )
+        self._random = random.Random(options.entry_id)
+        self._runners: dict[int, runner_module.ShardRunner] = {}
+        self._replies: dict[int, asyncio.Future[effects.Reply]] = {}
+        self._tokens = itertools.count(1)
+        self._membership: membership_module.Membership | None = None
+        self._background = loop.TaskGroup()
+        self._changed = asyncio.Event()
+        self._leaving = False
+        self._dispatch = functools.singledispatch(self._dispatch_unknown)
+        for kind, handle in (
+            (effects.SendStart, self._send_start),
+            (effects.SendStop, self._send_stop),
+            (effects.SendRelease, self._send_release),
+            (effects.SendGrants, self._send_grants),
+            (effects.Reply, self._reply),
+        ):
+            self._dispatch.register(kind, handle)
+
+    # Ownership of shards.
+
+    def start(self, membership: membership_module.Membership) -> None:
+        """Take over the shards that are assigned to this entry."""
+        self._membership = membership
+        self._background.start(self._reconcile_forever())
+
+    def note_members(self) -> None:
+        """Look at the assignment again soon."""
+        self._changed.set()
+
+    async def leave(self) -> None:
+        """Give all shards up on a planned stop."""
+        self._leaving = True
+        self._announce()
+        await self._background.stop()
+        await asyncio.gather(
+            *(self._release(shard) for shard in list(self._runners))
+        )
+        self._announce()
+
+    def list_owned(self) -> dict[int, int]:
+        """Return the epoch of each owned shard."""
+        return {
+            shard: runner.owner.epoch
+            for shard, runner in self._runners.items()
+            if runner.owner is not None and runner.is_active
+        }
+
+    def find_owner(self, shard: int) -> owner_module.ShardOwner | None:
+        """Return the owner core of a shard, if this entry owns it."""
+        runner = self._runners.get(shard)
+        if runner is None or not runner.is_active:
+            return None
+        return runner.owner
+
+    def find_owner_address(self, shard: int) -> str | None:
+        """Return the address of a shard's owner; None for this entry.
+
+        :raises BorageshelfError: ``NOT_OWNER`` if no live entry owns it
+        """
+        if self.find_owner(shard) is not None:
+            return None
+        assert self._membership is not None
+        member = self._membership.find_owner(shard)
+        if member is None or member.entry_id == self._options.entry_id:
+            raise errors.BorageshelfError(
+                errors.NOT_OWNER, f'shard {shard} has no owner now'
+            )
+        return member.address
+
+    async def _reconcile_forever(self) -> None:
+        await asyncio.sleep(JOIN_PAUSE_MS / 1000)
+        while True:
+            self._changed.clear()
+            await self._reconcile()
+            try:
+                await asyncio.wait_for(
+                    self._changed.wait(), RECONCILE_INTERVAL_MS / 1000
+                )
+            except asyncio.TimeoutError:
+                continue
+
+    async def _reconcile(self) -> None:
+        """Acquire shards without a live owner; release those that move."""
+        assert self._membership is not None
+        if not self._membership.has_view:
+            return
+        owners: dict[int, str] = {}
+        for shard in range(self._options.shards):
+            member = self._membership.find_owner(shard)
+            if member is not None:
+                owners[shard] = member.entry_id
+        members = [
+            member.entry_id
+            for member in self._membership.list_members()
+            if not member.leaving
+        ]
+        wanted = assignment.assign_shards(
+            self._options.shards, owners, members
+        )
+        own_id = self._options.entry_id
+        for shard, entry_id in wanted.items():
+            is_own = shard in self._runners
+            if entry_id == own_id and not is_own and shard not in owners:
+                await self._acquire(shard)
+            elif entry_id != own_id and is_own:
+                await self._release(shard)
+
+    async def _acquire(self, shard: int) -> None:
+        runner = runner_module.ShardRunner(
+            shard,
+            log.ShardLog(self._store, shard, self._options.entry_id),
+            self._policy,
+            self._dispatch,
+            self._place,
+            self._handle_lost,
+            clock.read_wall_clock_ms,
+            self._options.tick_ms,
+        )
+        try:
+            await runner.acquire()
+        except errors.BorageshelfError as error:
+            self._telemetry.count(
+                telemetry_module.STORE_ERRORS, error.code.name
+            )
+            return
+        assert runner.owner is not None
+        self._runners[shard] = runner
+        self._telemetry.count(telemetry_module.SHARD_TAKEOVERS)
+        self._telemetry.log_state(
+            'shard acquired', shard=shard, epoch=runner.owner.epoch
+        )
+        self._announce()
+        epoch = inner_pb2.ShardEpoch(shard=shard, epoch=runner.owner.epoch)
+        renew = inner_pb2.Renew(epochs=[epoch])
+        self._registry.broadcast(
+            lambda session: inner_pb2.EntryMessage(renew=renew)
+        )
+
+    async def _release(self, shard: int) -> None:
+        runner = self._runners[shard]
+        try:
+            await runner.release()
+        except errors.BorageshelfError as error:
+            # The next owner takes the shard over with a higher epoch.
+            self._telemetry.count(
+                telemetry_module.STORE_ERRORS, error.code.name
+            )
+        self._runners.pop(shard, None)
+        self._telemetry.log_state('shard released', shard=shard)
+        self._announce()
+
+    def _handle_lost(self, runner: runner_module.ShardRunner) -> None:
+        self._telemetry.log_state('shard lost', shard=runner.shard)
+        self._runners.pop(runner.shard, None)
+        self._announce()
+
+    def _announce(self) -> None:
+        owned = self.list_owned()
+        self._telemetry.gauge(telemetry_module.SHARDS_OWNED, len(owned))
+        if self._membership is not None:
+            self._membership.announce(owned, self._leaving)
+
+    # Requests.
+
+    async def request(
+        self,
+        shard: int,
+        ask: abc.Callable[[owner_module.ShardOwner, int], None],
+        deadline_ms: int,
+    ) -> effects.Reply:
+        """Ask the owner core and wait for the commit that answers.
+
+        :param ask: called with the owner core and the token of the reply
+        :raises BorageshelfError: ``NOT_OWNER``, or ``OUTCOME_UNKNOWN`` when
+            the deadline passes before the commit is known
+        """
+        runner = self._runners.get(shard)
+        if runner is None or not runner.is_active or runner.owner is None:
+            raise errors.BorageshelfError(
+                errors.NOT_OWNER, f'shard {shard} is not owned here'
+            )
+        token = next(self._tokens)
+        future = asyncio.get_running_loop().create_future()
+        self._replies[token] = future
+        ask(runner.owner, token)
+        runner.wake()
+        wait_ms = max(deadline_ms - clock.read_wall_clock_ms(), 0)
+        try:
+            reply: effects.Reply = await asyncio.wait_for(
+                future, wait_ms / 1000
+            )
+        except asyncio.TimeoutError:
+            raise errors.BorageshelfError(
+                errors.OUTCOME_UNKNOWN, 'the commit is not confirmed yet'
+            ) from None
+        finally:
+            self._replies.pop(token, None)
+        return reply
+
+    # Messages from agents.
+
+    def greet(self, session: sessions_module.AgentSession) -> None:
+        """Tell an agent the epochs of the owned shards."""
+        renew = inner_pb2.Renew(
+            epochs=[
+                inner_pb2.ShardEpoch(shard=shard, epoch=epoch)
+                for shard, epoch in self.list_owned().items()
+            ]
+        )
+        session.send(renew=renew)
+
+    def handle_report(
+        self,
+        session: sessions_module.AgentSession,
+        report: inner_pb2.Report,
+    ) -> None:
+        """Pass the attempts of a report to the owners of their shards."""
+        complete = {item.shard: item.epoch for item in report.complete}
+        reports: dict[int, list[owner_module.AttemptReport]] = {}
+        for status in report.attempts:
+            shard = status.attempt.shard
+            reports.setdefault(shard, []).append(convert.unpack_report(status))
+        now_ms = clock.read_wall_clock_ms()
+        for shard in {*reports, *complete}:
+            owner = self.find_owner(shard)
+            if owner is None:
+                continue
+            attempts = tuple(reports.get(shard, ()))
+            if complete.get(shard) == owner.epoch:
+                owner.handle_complete_report(
+                    session.identity, attempts, now_ms
+                )
+            else:
+                owner.handle_report(session.identity, attempts, now_ms)
+            self._runners[shard].wake()
+
+    def handle_status(
+        self,
+        session: sessions_module.AgentSession,
+        status: inner_pb2.AttemptStatus,
+    ) -> None:
+        """Handle the end of an attempt."""
+        shard = status.attempt.shard
+        owner = self.find_owner(shard)
+        event = convert.find_event(status)
+        session.withdraw(status.attempt.task_id)
+        if owner is None or event is None:
+            return
+        owner.handle_event(
+            session.identity,
+            status.attempt.task_id,
+            event,
+            clock.read_wall_clock_ms(),
+        )
+        self._runners[shard].wake()
+
+    def handle_start_answer(
+        self,
+        session: sessions_module.AgentSession,
+        answer: inner_pb2.StartAnswer,
+    ) -> None:
+        """Handle a refused start: it is a proof that nothing ran."""
+        if answer.code == errors.OK.number:
+            return
+        status = inner_pb2.AttemptStatus(
+            attempt=answer.attempt, state=inner_pb2.ATTEMPT_NEVER_STARTED
+        )
+        self.handle_status(session, status)
+
+    # Placement.
+
+    def _place(self, owner: owner_module.ShardOwner) -> None:
+        """Assign queued tasks as far as targets can take them."""
+        now_ms = clock.read_wall_clock_ms()
+        startable = owner.list_startable(now_ms)
+        if not startable:
+            return
+        targets = self._list_targets(now_ms)
+        for task in startable:
+            choice = placement.choose_target(
+                self._view_task(owner, task),
+                targets,
+                self._make_policy(),
+                now_ms,
+                self._random,
+            )
+            if isinstance(choice, views.Refused):
+                if choice.code is errors.JOB_NEVER_FITS:
+                    owner.reject(task.task_id, now_ms)
+                continue
+            session = self._registry.find(choice.target_id)
+            if session is None:
+                continue
+            session.promise(task.task_id, task.declared)
+            owner.assign(
+                task.task_id,
+                records.Assignment(
+                    choice.target_id,
+                    session.identity.vm_boot_id,
+                    session.identity.agent_boot_id,
+                    session.hello.data_centre,
+                    session.hello.rack,
+                    owner.epoch,
+                ),
+                now_ms,
+            )
+            targets = self._list_targets(now_ms)
+
+    def _list_targets(self, now_ms: int) -> list[views.TargetView]:
+        interval_ms = self._registry.find_report_interval_ms()
+        return [
+            views.TargetView(
+                target_id=session.identity.target_id,
+                data_centre=session.hello.data_centre,
+                rack=session.hello.rack,
+                vm_boot_id=session.identity.vm_boot_id,
+                agent_boot_id=session.identity.agent_boot_id,
+                capacity=session.capacity,
+                free=session.find_free(),
+                leaving=session.is_leaving,
+                quarantined_until_deadline_ms=0,
+                service=session.hello.service.service,
+                running=(),
+            )
+            for session in self._registry.list_open()
+            if not session.is_silent(interval_ms)
+            and session.capacity.processor_millicores > 0
+        ]
+
+    def _view_task(
+        self, owner: owner_module.ShardOwner, task: records.TaskRecord
+    ) -> views.TaskView:
+        siblings = [
+            other.assignment
+            for other in owner.find_job(task.job_id)
+            if other.assignment is not None
+        ]
+        return views.TaskView(
+            task_id=task.task_id,
+            family=task.family,
+            team=task.team,
+            declared=task.declared,
+            urgency=task.urgency,
+            data_centres=task.data_centres,
+            spread=task.spread,
+            sibling_data_centres=tuple(item.data_centre for item in siblings),
+            sibling_racks=tuple(item.rack for item in siblings),
+            failed_targets=tuple(item.target_id for item in task.failures),
+            deadline_ms=0,
+        )
+
+    def _make_policy(self) -> Any:
+        configuration = self._find_configuration()
+        return views.Policy(
+            objective=configuration.objective,
+            limits=configuration.limits,
+            quotas={
+                name: team.quota for name, team in configuration.teams.items()
+            },
+            team_usage={},
+        )
+
+    # Effects.
+
+    def _dispatch_unknown(self, effect: Any) -> bool:
+        raise TypeError(f'no handler for {type(effect).__name__}')
+
+    def _send_start(self, effect: effects.SendStart) -> bool:
+        session = self._registry.find(effect.target_id)
+        if session is None:
+            return False
+        if session.identity.agent_boot_id != effect.agent_boot_id:
+            return False
+        self._telemetry.count(
+            telemetry_module.TASKS_STARTED, effect.task.family
+        )
+        return session.send(start=convert.pack_start(effect))
+
+    def _send_stop(self, effect: effects.SendStop) -> bool:
+        session = self._registry.find(effect.target_id)
+        if session is None:
+            return False
+        attempt = convert.pack_attempt(effect.attempt)
+        stop = inner_pb2.Stop(attempt=attempt, checkpoint=effect.checkpoint)
+        return session.send(stop=stop)
+
+    def _send_release(self, effect: effects.SendRelease) -> bool:
+        session = self._registry.find(effect.target_id)
+        if session is None:
+            return False
+        attempt = convert.pack_attempt(effect.attempt)
+        return session.send(release=inner_pb2.Release(attempt=attempt))
+
+    def _send_grants(self, effect: effects.SendGrants) -> bool:
+        session = self._registry.find(effect.target_id)
+        if session is None:
+            return False
+        renew = inner_pb2.Renew(
+            grants=[convert.pack_grant(grant) for grant in effect.grants],
+            report_interval_ms=self._registry.find_report_interval_ms(),
+        )
+        return session.send(renew=renew)
+
+    def _reply(self, effect: effects.Reply) -> bool:
+        future = self._replies.get(effect.token)
+        if future is None or future.done():
+            return False
+        future.set_result(effect)
+        return True
--- /dev/null
+++ b/borageshelf/entry/documents.py
@@ -0,0 +1,102 @@
+"""JSON documents of the callers' HTTP interface."""
+
+import dataclasses
+
+from borageshelf import errors
+from borageshelf.shards import records
+
+
+@dataclasses.dataclass(frozen=True)
+class JobRequest:
+    """Body of a submission.
+
+    :param job: name of a job in the configuration
+    :param key: caller's key; a repeat with the same key is the same job
+    :param arguments: text that the task receives
+    """
+
+    job: str
+    key: str = ''
+    arguments: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class TaskAnswer:
+    """State of one task."""
+
+    task_id: str
+    phase: str
+    attempt: int
+    evictions: int
+    target: str = ''
+    code: int = errors.PENDING.number
+    result: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class JobAnswer:
+    """State of a job; the code is final unless it is ``PENDING``.
+
+    :param work: what may be concluded about the work
+    """
+
+    job_id: str
+    code: int
+    code_name: str
+    work: str = errors.Category.PENDING.value
+    result: str = ''
+    tasks: tuple[TaskAnswer, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class ErrorAnswer:
+    """Body of an answer that is not a success."""
+
+    code: int
+    code_name: str
+    work: str
+    detail: str
+    retry_deadline_ms: int = 0
+
+
+def describe_job(
+    job_id: str, tasks: tuple[records.TaskRecord, ...]
+) -> JobAnswer:
+    """Return the state of a job; it ends when its last task ends."""
+    code = errors.PENDING
+    if all(task.is_terminal for task in tasks):
+        codes = [errors.find(task.code) for task in tasks]
+        code = max(codes, key=lambda item: item.number)
+    result = tasks[0].result.decode(errors='replace')
+    return JobAnswer(
+        job_id,
+        code.number,
+        code.name,
+        code.category.value,
+        result,
+        tuple(_describe_task(task) for task in tasks),
+    )
+
+
+def describe_error(error: errors.BorageshelfError) -> ErrorAnswer:
+    """Return the body for an error."""
+    return ErrorAnswer(
+        error.code.number,
+        error.code.name,
+        error.code.category.value,
+        error.detail or error.code.description,
+        error.retry_deadline_ms,
+    )
+
+
+def _describe_task(task: records.TaskRecord) -> TaskAnswer:
+    target = task.assignment.target_id if task.assignment else ''
+    return TaskAnswer(
+        task.task_id,
+        task.phase.value,
+        task.attempt,
+        task.evictions,
+        target,
+        task.code,
+        task.result.decode(errors='replace'),
+    )
--- /dev/null
+++ b/borageshelf/entry/jobs.py
@@ -0,0 +1,333 @@
+"""Requests about batch jobs, answered by the owner of the job's shard.
+
+The receiving entry chooses the job id, so that it can repeat a submission
+whose answer was lost without a second job. A caller's key gives the same id
+in every entry.
+"""
+
+import asyncio
+from collections import abc
+import hashlib
+from typing import Final, TypeVar
+import uuid
+
+import msgspec
+
+from borageshelf import clock
+from borageshelf.decisions import retries
+from borageshelf.entry import batch as batch_module
+from borageshelf.entry import documents
+from borageshelf.entry import peers as peers_module
+from borageshelf import errors
+from borageshelf.model import objects
+from borageshelf.protocol import inner_pb2
+from borageshelf.shards import codec
+from borageshelf.shards import records
+
+MAX_ARGUMENTS_BYTES: Final = 16_384
+MAX_ID_LENGTH: Final = 200
+COMMIT_TIMEOUT_MS: Final = 3000
+REQUEST_TIMEOUT_MS: Final = 8000
+ROUTE_PAUSE_MS: Final = 150
+RETRIED_CODES: Final = frozenset({errors.NOT_OWNER, errors.OUTCOME_UNKNOWN})
+
+Answer = TypeVar('Answer')
+
+
+class JobService:
+    """Submits, cancels and reads jobs through the owners of shards."""
+
+    def __init__(
+        self,
+        batch: batch_module.BatchService,
+        peers: peers_module.Peers,
+        find_configuration: abc.Callable[[], objects.Configuration],
+        shard_count: int,
+    ) -> None:
+        self._batch = batch
+        self._peers = peers
+        self._find_configuration = find_configuration
+        self._shard_count = shard_count
+
+    async def submit(
+        self, request: documents.JobRequest
+    ) -> documents.JobAnswer:
+        """Accept a job; the answer means that it is durably stored.
+
+        :raises BorageshelfError: with a code that says whether the job may
+            have been accepted
+        """
+        job = self._check(request)
+        job_id = make_job_id(job.team, request.key)
+        placements = self._find_configuration().placements
+        tasks = make_tasks(
+            job,
+            placements[job.placement],
+            job_id,
+            request.arguments.encode(),
+            clock.read_wall_clock_ms(),
+        )
+        shard = codec.find_shard(job_id, self._shard_count)
+        message = inner_pb2.SubmitRequest(
+            shard=shard, document=msgspec.msgpack.encode(tasks)
+        )
+        try:
+            await self._route(
+                shard,
+                lambda: self.submit_local(message),
+                lambda address: self._peers.submit(address, message),
+            )
+        except errors.BorageshelfError as error:
+            error.detail = f'job {job_id}: {error.detail}'
+            raise
+        return documents.JobAnswer(
+            job_id, errors.PENDING.number, errors.PENDING.name
+        )
+
+    async def submit_local(self, message: inner_pb2.SubmitRequest) -> None:
+        """Store the tasks of a job in a shard of this entry.
+
+        :raises BorageshelfError: see ``BatchService.request``
+        """
+        tasks = msgspec.msgpack.decode(
+            message.document, type=tuple[records.TaskRecord, ...]
+        )
+        reply = await self._batch.request(
+            message.shard,
+            lambda owner, token: owner.submit(tasks, token),
+            clock.read_wall_clock_ms() + COMMIT_TIMEOUT_MS,
+        )
+        if reply.code is not errors.PENDING:
+            raise errors.BorageshelfError(reply.code, reply.detail)
+
+    async def find(self, job_id: str) -> documents.JobAnswer:
+        """Return the committed state of a job.
+
+        :raises BorageshelfError: ``UNKNOWN_JOB``, ``NOT_OWNER``
+        """
+        shard = codec.find_shard(job_id, self._shard_count)
+        message = inner_pb2.JobRequest(shard=shard, job_id=job_id)
+        return await self._route(
+            shard,
+            lambda: self.find_local(message),
+            lambda address: self._peers.status(address, message),
+        )
+
+    async def find_local(
+        self, message: inner_pb2.JobRequest
+    ) -> documents.JobAnswer:
+        """Return the state of a job of an own shard."""
+        owner = self._batch.find_owner(message.shard)
+        if owner is None:
+            raise errors.BorageshelfError(errors.NOT_OWNER, message.job_id)
+        tasks = owner.find_committed_job(message.job_id)
+        if not tasks:
+            raise errors.BorageshelfError(errors.UNKNOWN_JOB, message.job_id)
+        return documents.describe_job(message.job_id, tasks)
+
+    async def cancel(self, job_id: str) -> documents.JobAnswer:
+        """Ask for a cancellation and return the state of the job.
+
+        :raises BorageshelfError: ``UNKNOWN_JOB``, ``NOT_OWNER``
+        """
+        shard = codec.find_shard(job_id, self._shard_count)
+        message = inner_pb2.JobRequest(shard=shard, job_id=job_id)
+        return await self._route(
+            shard,
+            lambda: self.cancel_local(message),
+            lambda address: self._peers.cancel(address, message),
+        )
+
+    async def cancel_local(
+        self, message: inner_pb2.JobRequest
+    ) -> documents.JobAnswer:
+        """Cancel a job of an own shard."""
+        reply = await self._batch.request(
+            message.shard,
+            lambda owner, token: owner.cancel(
+                message.job_id, token, clock.read_wall_clock_ms()
+            ),
+            clock.read_wall_clock_ms() + COMMIT_TIMEOUT_MS,
+        )
+        if reply.code is not errors.PENDING:
+            raise errors.BorageshelfError(reply.code, reply.detail)
+        return await self.find_local(message)
+
+    async def claim(self, key: str, call_id: str, expires_ms: int) -> None:
+        """Claim the key of a non-idempotent call.
+
+        :param expires_ms: Unix time in milliseconds until which the claim
+            holds
+        :raises BorageshelfError: ``DUPLICATE_KEY``, or why the claim could
+            not be stored
+        """
+        claim_id = make_claim_id(key)
+        shard = codec.find_shard(claim_id, self._shard_count)
+        message = inner_pb2.ClaimRequest(
+            shard=shard,
+            claim_id=claim_id,
+            call_id=call_id,
+            expires_deadline_ms=expires_ms,
+        )
+        answer = await self._route(
+            shard,
+            lambda: self.claim_local(message),
+            lambda address: self._peers.claim(address, message),
+        )
+        if not answer.granted:
+            raise errors.BorageshelfError(
+                errors.DUPLICATE_KEY, f'earlier call: {answer.outcome}'
+            )
+
+    async def claim_local(
+        self, message: inner_pb2.ClaimRequest
+    ) -> inner_pb2.ClaimAnswer:
+        """Store a claim in an own shard."""
+        claim = records.ClaimRecord(
+            message.claim_id,
+            message.call_id,
+            records.ClaimOutcome.CLAIMED,
+            message.expires_deadline_ms,
+        )
+        reply = await self._batch.request(
+            message.shard,
+            lambda owner, token: owner.claim(claim, token),
+            clock.read_wall_clock_ms() + COMMIT_TIMEOUT_MS,
+        )
+        if reply.code not in (errors.OK, errors.DUPLICATE_KEY):
+            raise errors.BorageshelfError(reply.code, reply.detail)
+        outcome = reply.outcome.value if reply.outcome is not None else ''
+        return inner_pb2.ClaimAnswer(
+            code=reply.code.number,
+            granted=reply.code is errors.OK,
+            outcome=outcome,
+        )
+
+    async def settle(self, key: str, call_id: str, outcome: str) -> None:
+        """Record how a claimed call ended; best effort.
+
+        :param outcome: a value of ``ClaimOutcome``
+        :raises BorageshelfError: if the shard's owner did not store it; the
+            claim then stands, which is safe
+        """
+        claim_id = make_claim_id(key)
+        shard = codec.find_shard(claim_id, self._shard_count)
+        message = inner_pb2.SettleRequest(
+            shard=shard, claim_id=claim_id, call_id=call_id, outcome=outcome
+        )
+        await self._route(
+            shard,
+            lambda: self.settle_local(message),
+            lambda address: self._peers.settle(address, message),
+        )
+
+    async def settle_local(
+        self, message: inner_pb2.SettleRequest
+    ) -> inner_pb2.ClaimAnswer:
+        """Record the outcome of a claim in an own shard."""
+        outcome = records.ClaimOutcome(message.outcome)
+        reply = await self._batch.request(
+            message.shard,
+            lambda owner, token: owner.settle(
+                message.claim_id, message.call_id, outcome, token
+            ),
+            clock.read_wall_clock_ms() + COMMIT_TIMEOUT_MS,
+        )
+        return inner_pb2.ClaimAnswer(
+            code=reply.code.number, granted=True, outcome=message.outcome
+        )
+
+    def _check(self, request: documents.JobRequest) -> objects.Job:
+        configuration = self._find_configuration()
+        if not configuration.version:
+            raise errors.BorageshelfError(errors.NO_CONFIGURATION)
+        job = configuration.jobs.get(request.job)
+        if job is None:
+            raise errors.BorageshelfError(errors.UNKNOWN_JOB, request.job)
+        if len(request.arguments) > MAX_ARGUMENTS_BYTES:
+            raise errors.BorageshelfError(
+                errors.BODY_TOO_LARGE,
+                f'arguments exceed {MAX_ARGUMENTS_BYTES} bytes',
+            )
+        if len(request.key) > MAX_ID_LENGTH:
+            raise errors.BorageshelfError(
+                errors.BAD_REQUEST, f'key exceeds {MAX_ID_LENGTH} characters'
+            )
+        return job
+
+    async def _route(
+        self,
+        shard: int,
+        ask_local: abc.Callable[[], abc.Awaitable[Answer]],
+        ask_peer: abc.Callable[[str], abc.Awaitable[Answer]],
+    ) -> Answer:
+        """Ask the owner of a shard, again after the shard has moved.
+
+        All requests are idempotent by job id or call id, so a repeat is
+        safe. The final error is ``OUTCOME_UNKNOWN`` unless every try was
+        certainly without effect.
+        """
+        deadline_ms = clock.read_wall_clock_ms() + REQUEST_TIMEOUT_MS
+        is_unknown = False
+        tries = 0
+        while True:
+            try:
+                address = self._batch.find_owner_address(shard)
+                if address is None:
+                    return await ask_local()
+                return await ask_peer(address)
+            except errors.BorageshelfError as error:
+                is_final = error.code not in RETRIED_CODES
+                is_unknown |= error.code is errors.OUTCOME_UNKNOWN
+                last = error
+            tries += 1
+            delay_ms = min(
+                retries.find_backoff_ms(str(shard), tries), ROUTE_PAUSE_MS
+            )
+            now_ms = clock.read_wall_clock_ms()
+            if is_final or now_ms + delay_ms >= deadline_ms:
+                break
+            await asyncio.sleep(delay_ms / 1000)
+        if is_unknown and last.code.category is errors.Category.NOT_RUN:
+            raise errors.BorageshelfError(errors.OUTCOME_UNKNOWN, last.detail)
+        raise last
+
+
+def make_job_id(team: str, key: str) -> str:
+    """Return the job id for a caller's key, or a random one without key."""
+    if not key:
+        return uuid.uuid4().hex
+    return hashlib.sha256(f'{team}\0{key}'.encode()).hexdigest()[:32]
+
+
+def make_claim_id(key: str) -> str:
+    """Return the id under which a call's key is claimed."""
+    return 'claim-' + hashlib.sha256(key.encode()).hexdigest()[:32]
+
+
+def make_tasks(
+    job: objects.Job,
+    placement: objects.Placement,
+    job_id: str,
+    arguments: bytes,
+    now_ms: int,
+) -> tuple[records.TaskRecord, ...]:
+    """Return one task for each replica of a job."""
+    return tuple(
+        records.TaskRecord(
+            task_id=f'{job_id}/{replica}',
+            job_id=job_id,
+            family=job.name,
+            team=job.team,
+            declared=job.declared,
+            submitted_at_ms=now_ms,
+            work_class=job.work_class,
+            idempotent=job.idempotent,
+            urgency=job.urgency,
+            attempts_limit=job.attempts,
+            data_centres=placement.data_centres,
+            spread=placement.spread,
+            arguments=arguments,
+        )
+        for replica in range(job.replicas)
+    )
--- /dev/null
+++ b/borageshelf/entry/membership.py
@@ -0,0 +1,210 @@
+"""Membership of entries, kept in the store under leases.
+
+Each entry holds one key with its address and the shards that it owns. The
+lease only tells the others when they may try to take over; safety never
+depends on it. Store calls: one renewal every ``RENEW_INTERVAL_MS`` and one
+waiting watch for each entry, whatever the number of targets.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+from typing import Final
+
+import msgspec
+
+from borageshelf import clock
+from borageshelf.decisions import retries
+from borageshelf import errors
+from borageshelf import loop
+from borageshelf.platform import store as store_interface
+
+PREFIX: Final = 'entries/'
+LEASE_TTL_MS: Final = 10_000
+RENEW_INTERVAL_MS: Final = 3_000
+WATCH_LENGTH_MS: Final = 30_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """One entry as it announces itself.
+
+    :param address: address of the internal protocol
+    :param shards: epoch of each owned shard
+    :param leaving: set during a planned stop
+    """
+
+    entry_id: str
+    boot_id: str
+    address: str
+    data_centre: str
+    shards: dict[int, int] = dataclasses.field(default_factory=dict)
+    leaving: bool = False
+
+
+class Membership:
+    """Keeps the own key and follows the others.
+
+    :param on_change: called after the view of the members has changed
+    """
+
+    def __init__(
+        self,
+        store: store_interface.Store,
+        member: Member,
+        on_change: abc.Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._own = member
+        self._on_change = on_change
+        self._members: dict[str, Member] = {}
+        self._revisions: dict[str, int] = {}
+        self._lease: store_interface.Lease | None = None
+        self._revision = store_interface.MUST_NOT_EXIST
+        self._published: Member | None = None
+        self._dirty = asyncio.Event()
+        self._dirty.set()
+        self._background = loop.TaskGroup()
+        self._has_view = False
+
+    @property
+    def has_view(self) -> bool:
+        """Whether the members have been read since the start."""
+        return self._has_view
+
+    def list_members(self) -> tuple[Member, ...]:
+        """Return all live entries, this one included, by id."""
+        members = {**self._members, self._own.entry_id: self._own}
+        return tuple(members[key] for key in sorted(members))
+
+    def find_owner(self, shard: int) -> Member | None:
+        """Return the live entry that owns a shard with the highest epoch."""
+        owners = [
+            member for member in self.list_members() if shard in member.shards
+        ]
+        return max(
+            owners, key=lambda member: member.shards[shard], default=None
+        )
+
+    def start(self) -> None:
+        """Announce this entry and follow the others."""
+        self._background.start(self._keep())
+        self._background.start(self._follow())
+
+    async def stop(self) -> None:
+        """Withdraw the announcement."""
+        await self._background.stop()
+        if self._lease is None:
+            return
+        try:
+            await self._store.revoke_lease(self._lease.lease_id)
+        except errors.BorageshelfError:
+            # The lease ends by itself.
+            return
+
+    def announce(self, shards: dict[int, int], leaving: bool) -> None:
+        """Change what this entry announces."""
+        self._own = dataclasses.replace(
+            self._own, shards=dict(shards), leaving=leaving
+        )
+        self._dirty.set()
+
+    async def _keep(self) -> None:
+        """Renew the lease and write the key when it has changed."""
+        failures = 0
+        while True:
+            try:
+                await self._renew()
+                await self._publish()
+                failures = 0
+            except errors.BorageshelfError as error:
+                failures += 1
+                if error.code is errors.LEASE_LOST:
+                    self._lease = None
+                self._published = None
+                delay_ms = retries.find_backoff_ms(
+                    self._own.entry_id, failures
+                )
+                await asyncio.sleep(min(delay_ms, RENEW_INTERVAL_MS) / 1000)
+                continue
+            try:
+                await asyncio.wait_for(
+                    self._dirty.wait(), RENEW_INTERVAL_MS / 1000
+                )
+            except asyncio.TimeoutError:
+                continue
+
+    async def _renew(self) -> None:
+        now_ms = clock.read_wall_clock_ms()
+        if self._lease is None:
+            self._lease = await self._store.grant_lease(LEASE_TTL_MS)
+            self._published = None
+            return
+        renew_at_ms = self._lease.deadline_ms - LEASE_TTL_MS
+        if now_ms >= renew_at_ms + RENEW_INTERVAL_MS // 2:
+            self._lease = await self._store.renew_lease(self._lease.lease_id)
+
+    async def _publish(self) -> None:
+        """Write the own key; an earlier boot's key is replaced."""
+        self._dirty.clear()
+        member = self._own
+        if self._published == member or self._lease is None:
+            return
+        key = PREFIX + member.entry_id
+        value = msgspec.json.encode(member)
+        if self._published is None:
+            entry = await self._store.get(key)
+            self._revision = entry.revision if entry else 0
+        self._revision = await self._store.put(
+            key, value, self._revision, self._lease.lease_id
+        )
+        self._published = member
+
+    async def _follow(self) -> None:
+        """Watch the members; list them again after a gap."""
+        failures = 0
+        revision = -1
+        while True:
+            try:
+                if revision < 0:
+                    revision = await self._list()
+                deadline_ms = clock.read_wall_clock_ms() + WATCH_LENGTH_MS
+                answer = await self._store.watch(PREFIX, revision, deadline_ms)
+                failures = 0
+            except errors.BorageshelfError:
+                failures += 1
+                delay_ms = retries.find_backoff_ms(
+                    self._own.entry_id, failures
+                )
+                await asyncio.sleep(min(delay_ms, RENEW_INTERVAL_MS) / 1000)
+                continue
+            if answer.compacted:
+                revision = -1
+                continue
+            revision = max(revision, answer.revision)
+            for entry in answer.entries:
+                self._apply(entry)
+            if answer.entries:
+                self._on_change()
+
+    async def _list(self) -> int:
+        entries = await self._store.list(PREFIX)
+        self._members.clear()
+        for entry in entries:
+            self._apply(entry)
+        self._has_view = True
+        self._on_change()
+        return max((entry.revision for entry in entries), default=0)
+
+    def _apply(self, entry: store_interface.Entry) -> None:
+        entry_id = entry.key.removeprefix(PREFIX)
+        if entry_id == self._own.entry_id:
+            return
+        if entry.deleted:
+            self._members.pop(entry_id, None)
+            return
+        try:
+            member = msgspec.json.decode(entry.value, type=Member)
+        except msgspec.MsgspecError:
+            return
+        self._members[entry_id] = member
--- /dev/null
+++ b/borageshelf/entry/sessions.py
@@ -0,0 +1,136 @@
+"""Streams from agents, as the entry sees them."""
+
+import asyncio
+from collections import abc
+from typing import Any, Final
+
+from borageshelf import clock as clock_module
+from borageshelf.model import resources
+from borageshelf.protocol import convert
+from borageshelf.protocol import inner_pb2
+from borageshelf.shards import owner
+
+QUEUE_LIMIT: Final = 20_000
+# One exchange costs an entry about 130 us of processor time; 46 a second are
+# 6 ms a second, half of the budget of 1.2% of a core.
+EXCHANGES_PER_SECOND: Final = 46
+MIN_REPORT_INTERVAL_MS: Final = 1000
+SILENT_INTERVALS: Final = 4
+
+
+class AgentSession:
+    """One stream from an agent."""
+
+    def __init__(
+        self, hello: inner_pb2.Hello, clock: clock_module.Clock
+    ) -> None:
+        self.hello = hello
+        self.identity = owner.AgentIdentity(
+            hello.target_id, hello.vm_boot_id, hello.agent_boot_id
+        )
+        self.capacity = convert.unpack_resources(hello.capacity)
+        self.report = hello.report
+        self.config_version = hello.config_version
+        self.joined_at_ms = clock()
+        self.reported_at_ms = clock()
+        self._clock = clock
+        self._queue: asyncio.Queue[inner_pb2.EntryMessage] = asyncio.Queue(
+            QUEUE_LIMIT
+        )
+        self._promised: dict[str, resources.Resources] = {}
+        self.is_open = True
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target takes no new work."""
+        return self.report.leaving or not self.is_open
+
+    def send(self, **kind: Any) -> bool:
+        """Queue a message; tell whether the stream could take it."""
+        return self.send_message(inner_pb2.EntryMessage(**kind))
+
+    def send_message(self, message: inner_pb2.EntryMessage) -> bool:
+        """Queue a message; tell whether the stream could take it."""
+        if not self.is_open:
+            return False
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            self.is_open = False
+            return False
+        return True
+
+    async def next_message(self) -> inner_pb2.EntryMessage:
+        """Wait for the next message to send."""
+        return await self._queue.get()
+
+    def apply_report(self, report: inner_pb2.Report) -> None:
+        """Keep the newest report."""
+        self.report = report
+        self.reported_at_ms = self._clock()
+        self.config_version = report.config_version
+        self._promised.clear()
+
+    def promise(self, task_id: str, declared: resources.Resources) -> None:
+        """Count a start that no report shows yet."""
+        self._promised[task_id] = declared
+
+    def withdraw(self, task_id: str) -> None:
+        """Forget a start that did not happen or is over."""
+        self._promised.pop(task_id, None)
+
+    def find_free(self) -> resources.Resources:
+        """Return the reported free capacity less promised starts."""
+        free = convert.unpack_resources(self.report.free)
+        for declared in self._promised.values():
+            free = free.minus(declared)
+        return free
+
+    def is_silent(self, interval_ms: int) -> bool:
+        """Tell whether the agent has missed several reports."""
+        silence_ms = self._clock() - self.reported_at_ms
+        return silence_ms > SILENT_INTERVALS * interval_ms
+
+
+class SessionRegistry:
+    """All streams of this entry; one for each target, the newest counts."""
+
+    def __init__(self) -> None:
+        self._sessions: dict[str, AgentSession] = {}
+
+    def add(self, session: AgentSession) -> None:
+        """Register a stream; an older one of the target is closed."""
+        target_id = session.identity.target_id
+        older = self._sessions.get(target_id)
+        if older is not None:
+            older.is_open = False
+        self._sessions[target_id] = session
+
+    def remove(self, session: AgentSession) -> bool:
+        """Forget a stream; tell whether it was the target's current one."""
+        session.is_open = False
+        target_id = session.identity.target_id
+        if self._sessions.get(target_id) is not session:
+            return False
+        del self._sessions[target_id]
+        return True
+
+    def find(self, target_id: str) -> AgentSession | None:
+        """Return the stream of a target."""
+        return self._sessions.get(target_id)
+
+    def list_open(self) -> tuple[AgentSession, ...]:
+        """Return all streams."""
+        return tuple(self._sessions.values())
+
+    def find_report_interval_ms(self) -> int:
+        """Return the interval that keeps the cost of reports constant."""
+        share_ms = len(self._sessions) * 1000 // EXCHANGES_PER_SECOND
+        return max(MIN_REPORT_INTERVAL_MS, share_ms)
+
+    def broadcast(
+        self, make: abc.Callable[[AgentSession], inner_pb2.EntryMessage]
+    ) -> None:
+        """Send a message to every agent."""
+        for session in self._sessions.values():
+            session.send_message(make(session))
--- /dev/null
+++ b/borageshelf/loop.py
@@ -0,0 +1,102 @@
+"""The one event loop of a process: twisted's reactor on asyncio.
+
+``install`` must run before any module imports ``twisted.internet.reactor``.
+"""
+
+import asyncio
+from collections import abc
+import importlib
+import signal
+import sys
+from typing import Any
+
+from absl import logging
+from twisted.internet import asyncioreactor
+
+
+def install() -> asyncio.AbstractEventLoop:
+    """Install twisted's reactor on a new asyncio loop and return the loop."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    if 'twisted.internet.reactor' not in sys.modules:
+        asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
+    return loop
+
+
+def run(
+    loop: asyncio.AbstractEventLoop,
+    main: abc.Callable[[], abc.Coroutine[Any, Any, int]],
+) -> int:
+    """Run a coroutine under the reactor; return its exit status.
+
+    :param main: the process; the reactor stops when it returns
+    """
+    # The module is replaced by the installed reactor at run time, which its
+    # type declarations do not show.
+    reactor: Any = importlib.import_module('twisted.internet.reactor')
+    status = 1
+
+    async def supervise() -> None:
+        nonlocal status
+        try:
+            status = await main()
+        except Exception:
+            logging.exception('the process ends because of an error')
+        finally:
+            reactor.stop()
+
+    def start() -> None:
+        tasks.append(loop.create_task(supervise()))
+
+    tasks: list[asyncio.Task[None]] = []
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+    return status
+
+
+def watch_signals(
+    loop: asyncio.AbstractEventLoop,
+    on_stop: abc.Callable[[], None],
+    on_abort: abc.Callable[[], None],
+) -> None:
+    """Call ``on_stop`` at the first SIGTERM or SIGINT, then ``on_abort``."""
+    seen = 0
+
+    def handle() -> None:
+        nonlocal seen
+        seen += 1
+        if seen == 1:
+            on_stop()
+        else:
+            on_abort()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, handle)
+
+
+class TaskGroup:
+    """Background tasks of a component; a failure is logged, not lost."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def start(self, coroutine: abc.Coroutine[Any, Any, Any]) -> None:
+        """Run a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _finish(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            logging.error('a background task failed', exc_info=error)
