--- /dev/null
+++ b/borageshelf/platform/http_client.py
@@ -0,0 +1,296 @@
+"""HTTP client shared by the platform adapters.
+
+Wraps twisted's client for coroutines: persistent connections, a timeout for
+each call, bounded bodies, and a truthful statement whether a failed request
+may have left this process. Assumes that twisted's asyncio reactor is
+installed on the running event loop.
+"""
+
+import asyncio
+import collections
+from collections import abc
+import dataclasses
+import time
+from typing import Any, Final
+import urllib.parse
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import protocol
+from twisted.python import failure as twisted_failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface
+
+MS_PER_S: Final = 1000
+# Connections of one data centre answer in about a millisecond; a target
+# that does not accept within a second is treated as gone.
+CONNECT_TIMEOUT_S: Final = 1.0
+# Idle connections are closed before a server would usually close them, so
+# that few requests are sent on a connection that is about to break.
+IDLE_TIMEOUT_S: Final = 30
+
+
+class CallFailed(Exception):
+    """No complete answer arrived.
+
+    :param may_have_left: False only if certainly no byte of the request was
+        sent
+    """
+
+    def __init__(self, may_have_left: bool, detail: str) -> None:
+        super().__init__(detail)
+        self.may_have_left = may_have_left
+        self.detail = detail
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A complete answer."""
+
+    status: int
+    body: bytes
+
+
+class BodyStream(protocol.Protocol):
+    """Receives a body chunk by chunk; the sender waits for a slow reader."""
+
+    def __init__(self) -> None:
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._end: BaseException | None = None
+        self._arrived = asyncio.Event()
+        self._is_paused = False
+
+    def dataReceived(self, data: bytes) -> None:
+        """Keep a chunk and pause the sender."""
+        self._chunks.append(data)
+        self._arrived.set()
+        if not self._is_paused and self.transport is not None:
+            self._is_paused = True
+            self._transport.pauseProducing()
+
+    def connectionLost(
+        self, reason: twisted_failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Keep how the body ended."""
+        self._end = reason.value
+        self._arrived.set()
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next chunk, or None after the complete body.
+
+        :raises CallFailed: if the body broke off
+        """
+        while not self._chunks:
+            if isinstance(self._end, client.ResponseDone):
+                return None
+            if self._end is not None:
+                raise CallFailed(True, f'the answer broke off: {self._end!r}')
+            self._arrived.clear()
+            if self._is_paused:
+                self._is_paused = False
+                self._transport.resumeProducing()
+            await self._arrived.wait()
+        return self._chunks.popleft()
+
+    def abandon(self) -> None:
+        """Close the connection unless the body is complete."""
+        if self._end is None and self.transport is not None:
+            self._transport.loseConnection()
+
+    @property
+    def _transport(self) -> Any:
+        # The transport of a response body has no public interface type.
+        return self.transport
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamedAnswer:
+    """An answer whose body is still arriving."""
+
+    status: int
+    headers: http_headers.Headers
+    body: BodyStream
+
+
+class HttpClient:
+    """Calls to one server.
+
+    :param base_url: such as ``http://10.0.0.1:8000``; the host is an IP
+        address, because name resolution would need a thread
+    :param connections: idle connections that are kept
+    """
+
+    def __init__(self, base_url: str, connections: int) -> None:
+        self._base_url = base_url.rstrip('/')
+        reactor = _find_reactor()
+        self._pool = client.HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = connections
+        self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
+        # Only requests without a body are retried by twisted, and only on a
+        # reused connection that broke before any answer.
+        self._pool.retryAutomatically = True
+        self._agent = client.Agent.usingEndpointFactory(
+            reactor, _EndpointFactory(reactor), self._pool
+        )
+
+    async def get(
+        self,
+        path: str,
+        arguments: abc.Mapping[str, str],
+        timeout_ms: int,
+        limit_bytes: int,
+    ) -> Answer:
+        """Send a request that may be repeated without harm.
+
+        :raises CallFailed: if no complete answer arrived in time
+        """
+        query = urllib.parse.urlencode(arguments)
+        producer = BytesProducer(b'')
+        return await self._exchange(
+            b'GET', f'{path}?{query}', producer, timeout_ms, limit_bytes
+        )
+
+    async def post(
+        self, path: str, body: bytes, timeout_ms: int, limit_bytes: int
+    ) -> Answer:
+        """Send a request that is never repeated by this client.
+
+        :raises CallFailed: if no complete answer arrived in time
+        """
+        return await self._exchange(
+            b'POST', path, BytesProducer(body), timeout_ms, limit_bytes
+        )
+
+    async def open(
+        self,
+        method: bytes,
+        path: str,
+        headers: abc.Mapping[str, str],
+        producer: 'BytesProducer',
+    ) -> StreamedAnswer:
+        """Send a request and return when the answer's headers arrived.
+
+        The caller bounds the time, reads or abandons the body.
+
+        :raises CallFailed: if no answer arrived
+        """
+        found = http_headers.Headers(
+            {name: [value] for name, value in headers.items()}
+        )
+        body = producer if method != b'GET' else None
+        request = self._agent.request(
+            method, f'{self._base_url}{path}'.encode(), found, body
+        )
+        response = await _wait(request, producer)
+        stream = BodyStream()
+        response.deliverBody(stream)
+        return StreamedAnswer(response.code, response.headers, stream)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._pool.closeCachedConnections().asFuture(
+            asyncio.get_running_loop()
+        )
+
+    async def _exchange(
+        self,
+        method: bytes,
+        path: str,
+        producer: 'BytesProducer',
+        timeout_ms: int,
+        limit_bytes: int,
+    ) -> Answer:
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                streamed = await self.open(method, path, {}, producer)
+                return await _read_answer(streamed, limit_bytes)
+        except TimeoutError as error:
+            raise CallFailed(
+                producer.is_started, f'no answer in {timeout_ms} ms'
+            ) from error
+
+
+@interface.implementer(iweb.IBodyProducer)
+class BytesProducer:
+    """A request body; remembers whether the request began to be sent.
+
+    twisted writes the headers and starts the producer in one step, so a
+    producer that was not started proves that no byte left.
+    """
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+        self.is_started = False
+
+    def startProducing(self, consumer: Any) -> defer.Deferred[None]:
+        """Write the whole body."""
+        self.is_started = True
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:
+        """Do nothing; the body was written at once."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing; the body was written at once."""
+
+    def stopProducing(self) -> None:
+        """Do nothing; the body was written at once."""
+
+
+@interface.implementer(iweb.IAgentEndpointFactory)
+class _EndpointFactory:
+    """Connects to IP addresses without a name lookup."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: Any) -> endpoints.TCP4ClientEndpoint:
+        """Return the endpoint of a URI."""
+        return endpoints.TCP4ClientEndpoint(
+            self._reactor,
+            uri.host.decode(),
+            uri.port,
+            timeout=CONNECT_TIMEOUT_S,
+        )
+
+
+async def _wait(request: defer.Deferred[Any], producer: BytesProducer) -> Any:
+    """Await the answer's headers; any failure becomes ``CallFailed``."""
+    try:
+        return await request.asFuture(asyncio.get_running_loop())
+    except Exception as error:
+        raise CallFailed(producer.is_started, repr(error)) from error
+
+
+async def _read_answer(streamed: StreamedAnswer, limit_bytes: int) -> Answer:
+    """Read a whole body.
+
+    :raises CallFailed: if it breaks off or exceeds the limit
+    """
+    chunks: list[bytes] = []
+    size_bytes = 0
+    try:
+        while (chunk := await streamed.body.read_chunk()) is not None:
+            size_bytes += len(chunk)
+            if size_bytes > limit_bytes:
+                raise CallFailed(True, f'answer above {limit_bytes} bytes')
+            chunks.append(chunk)
+    finally:
+        streamed.body.abandon()
+    return Answer(streamed.status, b''.join(chunks))
+
+
+def read_clock_ms() -> int:
+    """Return the Unix time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+def _find_reactor() -> Any:
+    # Imported late, because the import installs a reactor if none is.
+    from twisted.internet import reactor
+
+    return reactor
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,67 @@
+"""Runs coroutines and HTTP sites of the tests on one asyncio reactor.
+
+A process can install one reactor only, so all tests that need twisted share
+the loop of this module.
+"""
+
+import asyncio
+from collections import abc
+import contextlib
+from typing import Any, Final, TypeVar
+
+import msgspec
+from twisted.web import server
+
+from borageshelf.platform import http_client
+from standins import http_server
+
+Result = TypeVar('Result')
+
+# Far above any expected time; a test that reaches it has hung.
+HANG_LIMIT_S: Final = 60.0
+
+_loops: list[asyncio.AbstractEventLoop] = []
+
+
+def run(coroutine: abc.Coroutine[Any, Any, Result]) -> Result:
+    """Run a coroutine on the shared loop."""
+    if not _loops:
+        _loops.append(http_server.install_reactor())
+    limited = asyncio.wait_for(coroutine, HANG_LIMIT_S)
+    return _loops[0].run_until_complete(limited)
+
+
+@contextlib.asynccontextmanager
+async def serve(site: server.Site) -> abc.AsyncIterator[str]:
+    """Serve a site on a free port; yields its base URL."""
+    listening = http_server.listen(site, 0)
+    port = http_server.find_port(listening)
+    try:
+        yield f'http://{http_server.LISTEN_ADDRESS}:{port}'
+    finally:
+        stopped = listening.stopListening()
+        if stopped is not None:
+            await stopped.asFuture(asyncio.get_running_loop())
+
+
+async def wait_for(is_true: abc.Callable[[], bool]) -> None:
+    """Yield to the loop until a condition holds."""
+    while not is_true():
+        await asyncio.sleep(0.001)
+
+
+async def control(
+    base_url: str, path: str, document: object = None
+) -> dict[str, Any]:
+    """Call a control endpoint: POST with a document, GET without."""
+    client = http_client.HttpClient(base_url, 1)
+    try:
+        if document is None:
+            answer = await client.get(path, {}, 5_000, 16_000_000)
+        else:
+            body = msgspec.json.encode(document)
+            answer = await client.post(path, body, 5_000, 16_000_000)
+    finally:
+        await client.close()
+    assert answer.status == 200, answer.body
+    return msgspec.json.decode(answer.body, type=dict[str, Any])
