--- /dev/null
+++ b/borageshelf/agent/calls.py
@@ -0,0 +1,386 @@
+"""Calls on the agent's side: the last admission decision and execution.
+
+Entries send calls over their streams; this module queues them, runs them on
+the executor and streams the answers back. It owns no socket: messages come
+in through ``receive`` and go out through the ``send`` function of each
+attached entry. It may assume one event loop and one thread.
+"""
+
+import asyncio
+import bisect
+import collections
+from collections.abc import Callable
+import dataclasses
+import functools
+import math
+from typing import Final
+
+from absl import logging
+
+from borageshelf.agent import held_calls
+from borageshelf import errors
+from borageshelf.platform import executor as executor_interface
+from borageshelf.protocol import inner_pb2
+
+TICK_MS: Final = 20
+CHUNK_LIMIT_BYTES: Final = 64 * 1024
+# Ids of calls are remembered for this long after the deadline. A repeat that
+# arrives later is refused because of its deadline; the margin is the bound
+# on clock skew.
+MEMORY_MARGIN_MS: Final = 2_000
+# A cancellation without a deadline keeps its tombstone this long.
+TOMBSTONE_MS: Final = 600_000
+# Beyond this many tombstones a cancellation gets no proof, so that a burst
+# cannot exhaust the memory.
+TOMBSTONES_LIMIT: Final = 65_536
+SAMPLES_LIMIT: Final = 1_000
+
+Send = Callable[[inner_pb2.AgentMessage], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class CallLoad:
+    """What the agent reports about its calls.
+
+    :param service_p99_ms: 99th percentile of the last calls' time in the
+        executor, or 0 without any
+    """
+
+    queued: int
+    running: int
+    service_p99_ms: float
+    leaving: bool
+
+
+class AgentCalls:
+    """Queue and execution of the calls of one target.
+
+    Use from the agent process:
+
+    * ``attach(entry_id, send)`` when a stream to an entry opens and
+      ``detach(entry_id)`` when it breaks. ``send`` queues one
+      ``AgentMessage`` on the stream and returns at once.
+    * ``receive(entry_id, message)`` for each ``EntryMessage`` whose kind is
+      ``call``, ``call_cancel`` or ``call_credit``; others are ignored.
+    * ``find_load()`` for the fields of each ``Report``.
+    * ``serve()`` as a background task; it calls ``tick()`` at intervals.
+    * ``drain(deadline_ms)`` on a planned stop, after the report with the
+      leaving flag.
+
+    Guarantees: at most ``slots`` calls run and at most ``connections`` are
+    held; a call is started at most once and never after its deadline;
+    ``ran`` is False in a ``CallEnd`` only if the call has not started and
+    never will.
+
+    :param clock: returns the wall-clock time in Unix milliseconds
+    """
+
+    def __init__(
+        self,
+        executor: executor_interface.Executor,
+        slots: int,
+        connections: int,
+        clock: Callable[[], int],
+    ) -> None:
+        self.leaving = False
+        self._executor = executor
+        self._slots = slots
+        self._connections = connections
+        self._clock = clock
+        self._sends: dict[str, Send] = {}
+        self._queue: list[held_calls.HeldCall] = []
+        self._held: dict[str, held_calls.HeldCall] = {}
+        self._running = 0
+        self._started: dict[str, int] = {}
+        self._tombstones: dict[str, int] = {}
+        self._samples_ms: collections.deque[float] = collections.deque(
+            maxlen=SAMPLES_LIMIT
+        )
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def attach(self, entry_id: str, send: Send) -> None:
+        """Register the stream to an entry; a new one replaces the old."""
+        if entry_id in self._sends:
+            self.detach(entry_id)
+        self._sends[entry_id] = send
+
+    def detach(self, entry_id: str) -> None:
+        """Drop the stream to an entry.
+
+        Its waiting calls are dropped, because nobody can receive their
+        answers. Running calls continue, so that their effect is whole.
+        """
+        self._sends.pop(entry_id, None)
+        mine = [
+            held for held in self._held.values() if held.entry_id == entry_id
+        ]
+        for held in mine:
+            if held.task is None:
+                self._drop(held)
+            else:
+                self._discard(held)
+
+    def receive(self, entry_id: str, message: inner_pb2.EntryMessage) -> None:
+        """Handle one message of an entry."""
+        kind = message.WhichOneof('kind')
+        if kind == 'call':
+            self._receive_call(entry_id, message.call)
+        elif kind == 'call_cancel':
+            self._receive_cancel(entry_id, message.call_cancel)
+        elif kind == 'call_credit':
+            self._receive_credit(message.call_credit)
+
+    def find_load(self) -> CallLoad:
+        """Return the figures for the next report."""
+        samples = sorted(self._samples_ms)
+        p99_ms = 0.0
+        if samples:
+            p99_ms = samples[math.ceil(len(samples) * 0.99) - 1]
+        return CallLoad(len(self._queue), self._running, p99_ms, self.leaving)
+
+    def tick(self) -> None:
+        """Refuse waiting calls past their deadline; forget old ids."""
+        now_ms = self._clock()
+        late = [
+            held for held in self._queue if held.call.deadline_ms <= now_ms
+        ]
+        for held in late:
+            self._refuse(held, errors.DEADLINE_PASSED)
+        for memory in (self._started, self._tombstones):
+            old = [
+                key for key, until_ms in memory.items() if until_ms < now_ms
+            ]
+            for key in old:
+                del memory[key]
+
+    async def serve(self) -> None:
+        """Call ``tick`` until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            self.tick()
+
+    async def drain(self, deadline_ms: int) -> bool:
+        """Refuse new calls and wait until the held ones have ended.
+
+        Calls that still wait at the deadline are refused with proof; those
+        that still run are cut off and reported as unknown.
+
+        :return: whether every call had ended by the deadline
+        """
+        self.leaving = True
+        remaining_ms = max(deadline_ms - self._clock(), 0)
+        try:
+            async with asyncio.timeout(remaining_ms / 1000):
+                await self._idle.wait()
+        except TimeoutError:
+            logging.warning(
+                '%d calls have not ended at the drain deadline',
+                len(self._held),
+            )
+        finished = not self._held
+        for held in list(self._held.values()):
+            if held.task is None:
+                self._refuse(held, errors.LEAVING)
+            else:
+                held.task.cancel()
+        # The ends of the cut calls are sent by their callbacks.
+        await asyncio.sleep(0)
+        return finished
+
+    def _receive_call(self, entry_id: str, call: inner_pb2.Call) -> None:
+        call_id = call.call_id
+        if call_id in self._held or call_id in self._started:
+            # A repeated message: the first one is answered.
+            return
+        held = held_calls.HeldCall(entry_id, call)
+        refusal = self._find_refusal(call)
+        if refusal is not None:
+            self._send_end(held, refusal, ran=False)
+            return
+        if len(self._held) >= self._connections:
+            displaced = self._queue[-1] if self._queue else None
+            if displaced is None or displaced.rank <= held.rank:
+                self._send_end(held, errors.OVERLOADED, ran=False)
+                return
+            self._refuse(displaced, errors.OVERLOADED)
+        self._held[call_id] = held
+        self._idle.clear()
+        bisect.insort(self._queue, held, key=lambda other: other.rank)
+        self._start_calls()
+
+    def _find_refusal(self, call: inner_pb2.Call) -> errors.ResultCode | None:
+        if call.call_id in self._tombstones:
+            return errors.CANCELLED
+        if call.deadline_ms <= self._clock():
+            return errors.DEADLINE_PASSED
+        if self.leaving:
+            return errors.LEAVING
+        return None
+
+    def _receive_cancel(
+        self, entry_id: str, cancel: inner_pb2.CallCancel
+    ) -> None:
+        held = self._held.get(cancel.call_id)
+        if held is None:
+            self._bury(entry_id, cancel)
+        elif held.task is None:
+            self._refuse(held, errors.CANCELLED)
+        elif held.call.idempotent:
+            held.task.cancel()
+        else:
+            # Stopping it half way would leave its effect unknown.
+            self._discard(held)
+
+    def _bury(self, entry_id: str, cancel: inner_pb2.CallCancel) -> None:
+        """Record that a call which has not arrived must never start."""
+        now_ms = self._clock()
+        call_id = cancel.call_id
+        until_ms = cancel.deadline_ms + MEMORY_MARGIN_MS
+        if not cancel.deadline_ms:
+            until_ms = now_ms + TOMBSTONE_MS
+        if call_id in self._started or until_ms < now_ms:
+            # It has ended, or is too old to tell.
+            return
+        if len(self._tombstones) >= TOMBSTONES_LIMIT:
+            return
+        self._tombstones[call_id] = until_ms
+        held = held_calls.HeldCall(entry_id, inner_pb2.Call(call_id=call_id))
+        self._send_end(held, errors.CANCELLED, ran=False)
+
+    def _receive_credit(self, credit: inner_pb2.CallCredit) -> None:
+        held = self._held.get(credit.call_id)
+        if held is not None:
+            held.window_bytes += credit.window_bytes
+            held.credit.set()
+
+    def _start_calls(self) -> None:
+        while self._queue and self._running < self._slots:
+            held = self._queue.pop(0)
+            if held.call.deadline_ms <= self._clock():
+                self._refuse(held, errors.DEADLINE_PASSED)
+                continue
+            self._running += 1
+            call = held.call
+            until_ms = call.deadline_ms + MEMORY_MARGIN_MS
+            self._started[call.call_id] = until_ms
+            held.started_at_ms = self._clock()
+            held.task = asyncio.get_running_loop().create_task(self._run(held))
+            held.task.add_done_callback(functools.partial(self._finish, held))
+
+    async def _run(self, held: held_calls.HeldCall) -> held_calls.Ending:
+        held.begun = True
+        try:
+            return await self._execute(held)
+        except errors.BorageshelfError as error:
+            ran = error.code.category is not errors.Category.NOT_RUN
+            return held_calls.Ending(error.code, ran, error.detail)
+        except Exception as error:
+            logging.exception('call %s failed', held.call.call_id)
+            detail = type(error).__name__
+            return held_calls.Ending(errors.OUTCOME_UNKNOWN, True, detail)
+
+    async def _execute(self, held: held_calls.HeldCall) -> held_calls.Ending:
+        call = held.call
+        request = executor_interface.CallRequest(
+            call.call_id, call.service, call.deadline_ms, call.body
+        )
+
+        async def pass_chunk(data: bytes) -> None:
+            await self._pass_chunk(held, data)
+
+        status = await self._executor.call(request, pass_chunk)
+        code = errors.find(status.code)
+        ran = status.ran or code is errors.OK
+        return held_calls.Ending(code, ran, status.detail)
+
+    async def _pass_chunk(
+        self, held: held_calls.HeldCall, data: bytes
+    ) -> None:
+        """Send data as credits allow; waits for more if they are used up."""
+        rest = memoryview(data)
+        while rest and not held.discards:
+            if held.window_bytes <= 0:
+                held.credit.clear()
+                await held.credit.wait()
+                continue
+            size = min(len(rest), held.window_bytes, CHUNK_LIMIT_BYTES)
+            chunk = inner_pb2.CallChunk(
+                call_id=held.call.call_id,
+                sequence=held.chunks,
+                data=bytes(rest[:size]),
+            )
+            held.window_bytes -= size
+            held.chunks += 1
+            rest = rest[size:]
+            self._send(held, inner_pb2.AgentMessage(call_chunk=chunk))
+
+    def _finish(
+        self, held: held_calls.HeldCall, task: asyncio.Task[held_calls.Ending]
+    ) -> None:
+        """Release the slot and send the end of a call.
+
+        Runs as the task's callback: a task that is cancelled before its
+        first step executes none of its own code.
+        """
+        self._running -= 1
+        self._drop(held)
+        if not task.cancelled():
+            ending = task.result()
+        elif held.begun:
+            ending = held_calls.Ending(
+                errors.STOPPED, True, 'stopped by the agent'
+            )
+        else:
+            ending = held_calls.Ending(errors.CANCELLED, False, '')
+        service_ms = max(self._clock() - held.started_at_ms, 0)
+        if ending.code is errors.OK:
+            self._samples_ms.append(service_ms)
+        ran = ending.ran or held.chunks > 0
+        self._send_end(held, ending.code, ran, ending.detail, service_ms)
+        self._start_calls()
+
+    def _refuse(
+        self, held: held_calls.HeldCall, code: errors.ResultCode
+    ) -> None:
+        """End a call that has not started."""
+        self._drop(held)
+        self._send_end(held, code, ran=False)
+
+    def _drop(self, held: held_calls.HeldCall) -> None:
+        self._held.pop(held.call.call_id, None)
+        if held in self._queue:
+            self._queue.remove(held)
+        if not self._held:
+            self._idle.set()
+
+    def _discard(self, held: held_calls.HeldCall) -> None:
+        """Let a call run on without passing its answer."""
+        held.discards = True
+        held.credit.set()
+
+    def _send_end(
+        self,
+        held: held_calls.HeldCall,
+        code: errors.ResultCode,
+        ran: bool,
+        detail: str = '',
+        service_ms: float = 0.0,
+    ) -> None:
+        end = inner_pb2.CallEnd(
+            call_id=held.call.call_id,
+            code=code.number,
+            chunks=held.chunks,
+            detail=detail,
+            ran=ran,
+            held_calls=len(self._held),
+            service_ms=service_ms,
+        )
+        self._send(held, inner_pb2.AgentMessage(call_end=end))
+
+    def _send(
+        self, held: held_calls.HeldCall, message: inner_pb2.AgentMessage
+    ) -> None:
+        send = self._sends.get(held.entry_id)
+        if send is not None:
+            send(message)
--- /dev/null
+++ b/borageshelf/agent/held_calls.py
@@ -0,0 +1,43 @@
+"""State of one call that an agent holds, queued or running.
+
+Used by ``agent.calls`` only.
+"""
+
+import asyncio
+import dataclasses
+from typing import Final
+
+from borageshelf import errors
+from borageshelf.protocol import inner_pb2
+
+# Both sides assume this window when a call starts; CallCredit extends it.
+CALL_WINDOW_BYTES: Final = 256 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Ending:
+    """How a call ended on the executor."""
+
+    code: errors.ResultCode
+    ran: bool
+    detail: str
+
+
+class HeldCall:
+    """A call that is queued or running."""
+
+    def __init__(self, entry_id: str, call: inner_pb2.Call) -> None:
+        self.entry_id = entry_id
+        self.call = call
+        self.window_bytes = CALL_WINDOW_BYTES
+        self.credit = asyncio.Event()
+        self.discards = False
+        self.chunks = 0
+        self.started_at_ms = 0
+        self.begun = False
+        self.task: asyncio.Task[Ending] | None = None
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return the order in the queue, first call first."""
+        return (-self.call.urgency, self.call.deadline_ms)
