--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,203 @@
+"""Placement compared with the naive version and with its stated rules."""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from borageshelf.decisions import naive_placement
+from borageshelf.decisions import placement
+from borageshelf.decisions import views
+from borageshelf import errors
+from borageshelf.model import resources
+
+NOW_MS = 1_000_000
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=200
+)
+
+SIZES = st.builds(
+    resources.Resources,
+    processor_millicores=st.integers(0, 60_000),
+    memory_mb=st.integers(0, 250_000),
+    accelerators=st.integers(0, 4),
+)
+SMALL_SIZES = st.builds(
+    resources.Resources,
+    processor_millicores=st.integers(100, 20_000),
+    memory_mb=st.integers(100, 80_000),
+    accelerators=st.integers(0, 1),
+)
+FAMILIES = st.sampled_from(['ledger', 'assay', 'kiln'])
+CENTRES = st.sampled_from(['tajo-norte', 'tajo-sur', 'molino-alto'])
+RUNNING = st.builds(
+    views.RunningView,
+    task_id=st.uuids().map(str),
+    family=FAMILIES,
+    team=st.just('ledgers'),
+    urgency=st.integers(0, 9),
+    declared=SMALL_SIZES,
+    used=SMALL_SIZES,
+    is_movable=st.booleans(),
+)
+
+
+@st.composite
+def make_target(draw: st.DrawFn) -> views.TargetView:
+    """Draw a target whose ledger agrees with what runs on it."""
+    capacity = resources.Resources(60_000, 250_000, draw(st.integers(0, 4)))
+    running: list[views.RunningView] = []
+    free = capacity
+    for attempt in draw(st.lists(RUNNING, max_size=4)):
+        if attempt.held.fits_in(free):
+            running.append(attempt)
+            free = free.minus(attempt.held)
+    centre = draw(CENTRES)
+    return views.TargetView(
+        target_id=str(draw(st.uuids())),
+        data_centre=centre,
+        rack=centre + draw(st.sampled_from(['-1', '-2'])),
+        vm_boot_id='vm',
+        agent_boot_id='agent',
+        capacity=capacity,
+        free=free,
+        leaving=draw(st.booleans()) and draw(st.booleans()),
+        quarantined_until_deadline_ms=draw(
+            st.sampled_from([0, 0, NOW_MS, NOW_MS + 1])
+        ),
+        service=draw(st.sampled_from(['', 'pigment'])),
+        running=tuple(running),
+        service_p99_ratio=draw(st.floats(0, 5)),
+    )
+
+
+TARGETS = st.lists(make_target(), max_size=8)
+TASKS = st.builds(
+    views.TaskView,
+    task_id=st.just('job/0'),
+    family=FAMILIES,
+    team=st.just('ledgers'),
+    declared=SMALL_SIZES,
+    urgency=st.integers(0, 9),
+    data_centres=st.lists(CENTRES, max_size=2).map(tuple),
+    spread=st.sampled_from(['none', 'rack', 'data_centre']),
+    sibling_data_centres=st.lists(CENTRES, max_size=1).map(tuple),
+    sibling_racks=st.lists(CENTRES.map('{}-1'.format), max_size=1).map(tuple),
+    waiting_since_ms=st.integers(0, NOW_MS),
+)
+POLICIES = st.builds(
+    views.Policy,
+    quotas=st.dictionaries(st.just('ledgers'), SIZES, max_size=1),
+    team_usage=st.dictionaries(st.just('ledgers'), SMALL_SIZES, max_size=1),
+    covers_fleet=st.booleans(),
+)
+
+
+def find(targets: list[views.TargetView], target_id: str) -> views.TargetView:
+    """Return the target with this id."""
+    return next(t for t in targets if t.target_id == target_id)
+
+
+@SETTINGS
+@hypothesis.given(TASKS, TARGETS, POLICIES, st.integers(0, 99))
+def test_placements_are_feasible(
+    task: views.TaskView,
+    targets: list[views.TargetView],
+    policy: views.Policy,
+    seed: int,
+) -> None:
+    """Guards against a VM that is given more than it can hold."""
+    answer = placement.choose_target(
+        task, targets, policy, NOW_MS, random.Random(seed)
+    )
+    if isinstance(answer, views.Refused):
+        return
+    target = find(targets, answer.target_id)
+    if answer.preempts:
+        # The agent may take away every movable and less urgent attempt.
+        for running in target.running:
+            if running.is_movable and running.urgency < task.urgency:
+                free = target.free.plus(running.held)
+                target = dataclasses.replace(target, free=free)
+    assert not naive_placement.find_violation(
+        task, target, answer.expected_use, policy, NOW_MS
+    )
+
+
+@SETTINGS
+@hypothesis.given(TASKS, TARGETS, POLICIES, st.integers(0, 99))
+def test_refusals_are_true(
+    task: views.TaskView,
+    targets: list[views.TargetView],
+    policy: views.Policy,
+    seed: int,
+) -> None:
+    """Guards against a task that waits though it fits without a service."""
+    answer = placement.choose_target(
+        task, targets, policy, NOW_MS, random.Random(seed)
+    )
+    if isinstance(answer, views.Placed):
+        return
+    naive = naive_placement.choose_unmixed(
+        task, targets, policy, NOW_MS, random.Random(seed)
+    )
+    assert isinstance(naive, views.Refused), answer
+    if answer.code is errors.JOB_NEVER_FITS:
+        assert policy.covers_fleet
+        assert not any(task.declared.fits_in(t.capacity) for t in targets)
+
+
+@SETTINGS
+@hypothesis.given(TASKS, TARGETS, st.integers(0, 99))
+def test_waiting_ends(
+    task: views.TaskView, targets: list[views.TargetView], seed: int
+) -> None:
+    """Guards against a task that waits forever for a quieter target.
+
+    A task that fits an empty allowed target beside any service must be
+    placed once it has waited long enough.
+    """
+    empty = [
+        dataclasses.replace(t, free=t.capacity, running=()) for t in targets
+    ]
+    task = dataclasses.replace(
+        task,
+        waiting_since_ms=NOW_MS - placement.LONGEST_QUIET_WAIT_MS,
+    )
+    policy = views.Policy()
+    naive = naive_placement.choose_first_fit(
+        task, empty, policy, NOW_MS, random.Random(seed)
+    )
+    answer = placement.choose_target(
+        task, empty, policy, NOW_MS, random.Random(seed)
+    )
+    assert isinstance(answer, views.Placed) == isinstance(naive, views.Placed)
+
+
+def test_lone_target_in_large_fleet_is_found() -> None:
+    """Guards against a sample that never meets the only target with room."""
+    full = views.TargetView(
+        target_id='',
+        data_centre='tajo-norte',
+        rack='r1',
+        vm_boot_id='vm',
+        agent_boot_id='agent',
+        capacity=resources.Resources(60_000, 250_000),
+        free=resources.NOTHING,
+    )
+    targets = [
+        dataclasses.replace(full, target_id=f't{i}') for i in range(4600)
+    ]
+    targets[1234] = dataclasses.replace(targets[1234], free=full.capacity)
+    task = views.TaskView(
+        'job/0', 'ledger', 'ledgers', resources.Resources(1000, 1000)
+    )
+    rng = random.Random(7)
+    answers = [
+        placement.choose_target(task, targets, views.Policy(), NOW_MS, rng)
+        for _ in range(100)
+    ]
+    placed = [a for a in answers if isinstance(a, views.Placed)]
+    assert placed
+    assert {answer.target_id for answer in placed} == {'t1234'}
