Add shard assignment and failure tests of the shard log

Ruled out: a loss of records; each of 96 placements of one or two faults in a commit, with delayed writes, ends as reported.

--- a/borageshelf/shards/log.py
+++ b/borageshelf/shards/log.py
@@ -3,8 +3,9 @@
 A shard is one key, its head. The owner replaces the head by compare-and-swap
 for each group of changes. A head names an immutable snapshot and holds the
 changes since; when these exceed ``DELTA_LIMIT_BYTES``, the next commit writes
-a new snapshot first. A crash between the two writes leaves an unused
-snapshot, which the next snapshot of the shard removes.
+a new snapshot first. A failure between the two writes leaves an unused
+snapshot, which the next snapshot of the same owner or the next takeover
+removes.
 
 An uncertain write is resolved by reading the head: it took effect if the head
 carries its commit id. Until that is known, only the same commit is tried
@@ -70,6 +71,9 @@
         self._revision = store_interface.MUST_NOT_EXIST
         self._head = records.ShardHead()
         self._delta_bytes = 0
+        # Snapshots that no head names, with their revision or 0 if unknown.
+        self._unused: dict[str, int] = {}
+        self._snapshot_revision = 0
 
     @property
     def head(self) -> records.ShardHead:
@@ -102,6 +106,7 @@
         )
         await self._swap(head)
         self._delta_bytes = sum(map(codec.measure_changes, head.deltas))
+        await self._find_unused()
         return ShardState(head.epoch, previous.horizons, tasks, claims)
 
     async def commit(
@@ -132,7 +137,11 @@
         head = dataclasses.replace(head, snapshot=key, deltas=())
         await self._swap(head)
         self._delta_bytes = 0
-        await self._remove_snapshot(previous_key)
+        written_revision = self._unused.pop(key)
+        if previous_key:
+            self._unused[previous_key] = self._snapshot_revision
+        self._snapshot_revision = written_revision
+        await self._remove_unused()
 
     async def release(self, horizons: records.Horizons) -> None:
         """Give the shard up on a planned stop.
@@ -172,8 +181,11 @@
         """Write a snapshot under a new name; the name is never reused."""
         key = make_snapshot_key(self._shard, uuid.uuid4().hex)
         value = codec.encode_snapshot(snapshot)
+        self._unused[key] = 0
         try:
-            await self._store.put(key, value, store_interface.MUST_NOT_EXIST)
+            self._unused[key] = await self._store.put(
+                key, value, store_interface.MUST_NOT_EXIST
+            )
         except errors.BorageshelfError as error:
             if error.code is not errors.STORE_UNCERTAIN:
                 raise
@@ -184,16 +196,35 @@
             ) from error
         return key
 
-    async def _remove_snapshot(self, key: str) -> None:
-        if not key:
-            return
+    async def _find_unused(self) -> None:
+        """Note snapshots that earlier owners left without use.
+
+        A head of an earlier owner can name none of them any more, because
+        the takeover is committed.
+        """
+        prefix = make_snapshot_key(self._shard, '')
+        self._unused = {}
+        self._snapshot_revision = 0
         try:
-            entry = await self._store.get(key)
-            if entry is not None:
-                await self._store.delete(key, entry.revision)
+            entries = await self._store.list(prefix)
         except errors.BorageshelfError:
-            # An unused snapshot costs only space.
             return
+        self._unused = {entry.key: entry.revision for entry in entries}
+        self._snapshot_revision = self._unused.pop(self._head.snapshot, 0)
+
+    async def _remove_unused(self) -> None:
+        """Delete unused snapshots; one that remains costs only space."""
+        for key, revision in list(self._unused.items()):
+            try:
+                if not revision:
+                    entry = await self._store.get(key)
+                    revision = entry.revision if entry is not None else 0
+                if revision:
+                    await self._store.delete(key, revision)
+            except errors.BorageshelfError as error:
+                if error.code is not errors.STORE_CONFLICT:
+                    return
+            del self._unused[key]
 
     async def _swap(self, head: records.ShardHead) -> None:
         """Replace the head, resolving uncertain writes by reading."""
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,203 @@
+"""Deterministic fakes for tests of the batch state; no event loop.
+
+A coroutine under test suspends at each store call and each pause. The test
+resumes it with ``Process`` and decides what becomes of the call, so a fault
+can be placed at any moment and a run can be repeated.
+"""
+
+from collections import abc
+import dataclasses
+import enum
+from typing import Any
+
+from borageshelf import errors
+from borageshelf.platform import store as store_interface
+
+
+class Fate(enum.Enum):
+    """What becomes of one store call."""
+
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    LOST_BEFORE = 'lost before it took effect'
+    LOST_AFTER = 'lost after it took effect'
+    DELAYED = 'lost, takes effect later'
+
+
+@dataclasses.dataclass
+class Call:
+    """A store call that waits for its fate, or a pause."""
+
+    name: str
+    key: str = ''
+    apply: abc.Callable[[], Any] | None = None
+
+    def __await__(self) -> abc.Generator['Call', Any, Any]:
+        return (yield self)
+
+
+class Process:
+    """A coroutine that is resumed step by step."""
+
+    def __init__(self, coroutine: abc.Coroutine[Any, Any, Any]) -> None:
+        self._coroutine = coroutine
+        self.call: Call | None = None
+        self.result: Any = None
+        self.error: errors.BorageshelfError | None = None
+        self.is_done = False
+        self._advance(lambda: coroutine.send(None))
+
+    def _advance(self, resume: abc.Callable[[], Any]) -> None:
+        self.call = None
+        try:
+            self.call = resume()
+        except StopIteration as stop:
+            self.is_done, self.result = True, stop.value
+        except errors.BorageshelfError as error:
+            self.is_done, self.error = True, error
+
+    def step(self, fate: Fate, store: 'FakeStore') -> None:
+        """Decide the call at which the coroutine waits and resume it."""
+        call = self.call
+        assert call is not None
+        if call.apply is None:
+            self._advance(lambda: self._coroutine.send(None))
+            return
+        try:
+            answer = store.decide(call, fate)
+        except errors.BorageshelfError as error:
+            raised = error
+            self._advance(lambda: self._coroutine.throw(raised))
+        else:
+            self._advance(lambda: self._coroutine.send(answer))
+
+    def finish(self, store: 'FakeStore') -> Any:
+        """Run to the end without faults; return or raise the outcome."""
+        while not self.is_done:
+            self.step(Fate.ANSWERED, store)
+        if self.error is not None:
+            raise self.error
+        return self.result
+
+    def kill(self) -> None:
+        """Drop the coroutine; its calls have no further effect."""
+        self._coroutine.close()
+        self.is_done = True
+
+
+async def pause(delay_ms: int) -> None:
+    """Suspend until the next step."""
+    await Call('pause')
+
+
+class FakeStore:
+    """The store's key space with compare-and-swap and delayed writes."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, store_interface.Entry] = {}
+        self.revision = 0
+        self.is_down = False
+        self.delayed: list[Call] = []
+        self.puts = 0
+        self.put_bytes = 0
+
+    def decide(self, call: Call, fate: Fate) -> Any:
+        """Apply a call according to its fate and return its answer."""
+        assert call.apply is not None
+        if self.is_down or fate is Fate.REFUSED:
+            raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, call.key)
+        if fate is Fate.ANSWERED:
+            return call.apply()
+        if call.name in {'get', 'list'}:
+            raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, call.key)
+        if fate is Fate.LOST_AFTER:
+            self._apply_silently(call)
+        elif fate is Fate.DELAYED:
+            self.delayed.append(call)
+        raise errors.BorageshelfError(errors.STORE_UNCERTAIN, call.key)
+
+    def deliver(self, position: int = 0) -> None:
+        """Let a delayed write arrive."""
+        self._apply_silently(self.delayed.pop(position))
+
+    def _apply_silently(self, call: Call) -> None:
+        assert call.apply is not None
+        try:
+            call.apply()
+        except errors.BorageshelfError:
+            return
+
+    async def get(self, key: str) -> store_interface.Entry | None:
+        """Return an entry."""
+        found: store_interface.Entry | None = await Call(
+            'get', key, lambda: self.entries.get(key)
+        )
+        return found
+
+    async def list(self, prefix: str) -> tuple[store_interface.Entry, ...]:
+        """Return all entries under a prefix."""
+        found: tuple[store_interface.Entry, ...] = await Call(
+            'list',
+            prefix,
+            lambda: tuple(
+                entry
+                for key, entry in sorted(self.entries.items())
+                if key.startswith(prefix)
+            ),
+        )
+        return found
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: str = '',
+    ) -> int:
+        """Compare and swap."""
+
+        def apply() -> int:
+            self._check(key, expected_revision)
+            self.revision += 1
+            self.puts += 1
+            self.put_bytes += len(value)
+            self.entries[key] = store_interface.Entry(
+                key, value, self.revision, lease_id
+            )
+            return self.revision
+
+        revision: int = await Call('put', key, apply)
+        return revision
+
+    async def delete(self, key: str, expected_revision: int) -> None:
+        """Compare and delete."""
+
+        def apply() -> None:
+            self._check(key, expected_revision)
+            del self.entries[key]
+
+        await Call('delete', key, apply)
+
+    def _check(self, key: str, expected_revision: int) -> None:
+        entry = self.entries.get(key)
+        found = entry.revision if entry else store_interface.MUST_NOT_EXIST
+        if found != expected_revision:
+            raise errors.BorageshelfError(errors.STORE_CONFLICT, key)
+
+    async def grant_lease(self, ttl_ms: int) -> store_interface.Lease:
+        """Leases play no part in the safety of a shard."""
+        raise NotImplementedError
+
+    async def renew_lease(self, lease_id: str) -> store_interface.Lease:
+        """Leases play no part in the safety of a shard."""
+        raise NotImplementedError
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """Leases play no part in the safety of a shard."""
+        raise NotImplementedError
+
+    async def watch(
+        self, prefix: str, after_revision: int, deadline_ms: int
+    ) -> store_interface.WatchAnswer:
+        """Watches play no part in the safety of a shard."""
+        raise NotImplementedError
--- /dev/null
+++ b/tests/test_assignment.py
@@ -0,0 +1,54 @@
+"""Properties of the assignment of shards to entries."""
+
+import collections
+import itertools
+
+import hypothesis
+from hypothesis import strategies
+
+from borageshelf.decisions import assignment
+
+NAMES = ('a', 'b', 'c', 'd', 'e')
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(
+    strategies.integers(0, 40),
+    strategies.dictionaries(
+        strategies.integers(0, 39), strategies.sampled_from([*NAMES, 'x'])
+    ),
+    strategies.lists(strategies.sampled_from(NAMES), min_size=1),
+)
+def test_spread_is_even_and_independent_of_order(
+    shard_count: int, owners: dict[int, str], members: list[str]
+) -> None:
+    """Guards against an overloaded entry and entries that disagree."""
+    found = assignment.assign_shards(shard_count, owners, members)
+    assert sorted(found) == list(range(shard_count))
+    sizes = collections.Counter(found.values())
+    counts = [sizes[name] for name in set(members)]
+    assert max(counts) - min(counts) <= 1
+    shuffled = dict(reversed(owners.items()))
+    members = [*reversed(members), members[0]]
+    assert found == assignment.assign_shards(shard_count, shuffled, members)
+    assert found == assignment.assign_shards(shard_count, found, members)
+
+
+def test_moves_are_the_fewest() -> None:
+    """Guards against moves beyond those that an even spread needs.
+
+    Every even assignment of six shards to three members is tried.
+    """
+    names = NAMES[:3]
+    for owners in itertools.product([*names, ''], repeat=6):
+        present = dict(enumerate(owners))
+        found = assignment.assign_shards(6, present, names)
+        moves = sum(found[shard] != present[shard] for shard in present)
+        sizes = collections.Counter(owners)
+        kept = sum(min(sizes[name], 2) for name in names)
+        assert moves == 6 - kept
+
+
+def test_no_members_own_nothing() -> None:
+    """Guards against an assignment to an entry that is gone."""
+    assert assignment.assign_shards(4, {0: 'a'}, ()) == {}
--- /dev/null
+++ b/tests/test_shard_log.py
@@ -0,0 +1,229 @@
+"""Failures of the store during the commits of one shard."""
+
+import itertools
+
+import pytest
+
+from borageshelf import errors
+from borageshelf.model import resources
+from borageshelf.shards import log
+from borageshelf.shards import records
+from tests import fakes
+
+HORIZONS = records.Horizons(1000, 2000)
+LOSSES = (
+    fakes.Fate.REFUSED,
+    fakes.Fate.LOST_BEFORE,
+    fakes.Fate.LOST_AFTER,
+    fakes.Fate.DELAYED,
+)
+
+
+def make_task(number: int, arguments: bytes = b'') -> records.TaskRecord:
+    return records.TaskRecord(
+        f'job{number}/0',
+        f'job{number}',
+        'family',
+        'team',
+        resources.Resources(1000, 100),
+        0,
+        arguments=arguments,
+    )
+
+
+class Writer:
+    """A log with the records that it believes to be committed."""
+
+    def __init__(self, store: fakes.FakeStore, entry_id: str) -> None:
+        self.store = store
+        self.log = log.ShardLog(store, 0, entry_id, fakes.pause)
+        self.tasks: dict[str, records.TaskRecord] = {}
+
+    def acquire(self) -> fakes.Process:
+        return fakes.Process(self.log.acquire(lambda _: HORIZONS))
+
+    def take(self) -> 'Writer':
+        self.tasks = self.acquire().finish(self.store).tasks
+        return self
+
+    def commit(self, *tasks: records.TaskRecord) -> fakes.Process:
+        changes = records.Changes(tuple(tasks))
+
+        def make_snapshot() -> records.Snapshot:
+            merged = {**self.tasks, **{task.task_id: task for task in tasks}}
+            return records.Snapshot(tuple(merged.values()))
+
+        return fakes.Process(self.log.commit(changes, make_snapshot, HORIZONS))
+
+
+def read(store: fakes.FakeStore) -> set[str]:
+    """Return the ids that a new owner finds."""
+    return set(Writer(store, 'reader').take().tasks)
+
+
+def list_snapshots(store: fakes.FakeStore) -> list[str]:
+    return [key for key in store.entries if '/snapshot/' in key]
+
+
+@pytest.mark.parametrize('size_bytes', [10, log.DELTA_LIMIT_BYTES])
+@pytest.mark.parametrize(
+    'faults', list(itertools.product(LOSSES, range(6), [1, 2]))
+)
+def test_outcome_of_a_commit_is_true(
+    size_bytes: int, faults: tuple[fakes.Fate, int, int]
+) -> None:
+    """Guards against a commit that is reported otherwise than it ended.
+
+    One or two consecutive store calls at each place of a commit get each
+    fate, with and without a snapshot; delayed writes arrive at the end.
+    """
+    fate, position, count = faults
+    store = fakes.FakeStore()
+    writer = Writer(store, 'a').take()
+    writer.tasks['job1/0'] = make_task(1)
+    writer.commit(make_task(1)).finish(store)
+    process = writer.commit(make_task(2, b'x' * size_bytes))
+    for step in range(1000):
+        if process.is_done:
+            break
+        is_faulty = position <= step < position + count
+        process.step(fate if is_faulty else fakes.Fate.ANSWERED, store)
+    assert process.is_done
+    while store.delayed:
+        store.deliver()
+    if process.error is None:
+        assert read(store) == {'job1/0', 'job2/0'}
+    else:
+        assert process.error.code is errors.STORE_UNAVAILABLE
+        assert read(store) == {'job1/0'}
+
+
+@pytest.mark.parametrize('fate', LOSSES[1:])
+def test_commit_after_uncertain_commit(fate: fakes.Fate) -> None:
+    """Guards against a second commit that loses the uncertain first one."""
+    store = fakes.FakeStore()
+    writer = Writer(store, 'a').take()
+    process = writer.commit(make_task(1))
+    process.step(fate, store)
+    store.is_down = True
+    for _ in range(20):
+        process.step(fakes.Fate.ANSWERED, store)
+    assert not process.is_done, 'an uncertain commit was reported'
+    store.is_down = False
+    process.finish(store)
+    writer.commit(make_task(2)).finish(store)
+    while store.delayed:
+        store.deliver()
+    assert read(store) == {'job1/0', 'job2/0'}
+
+
+@pytest.mark.parametrize('fate', LOSSES[1:])
+def test_competitor_takes_over_during_uncertain_commit(
+    fate: fakes.Fate,
+) -> None:
+    """Guards against a lost shard that is still written."""
+    store = fakes.FakeStore()
+    writer = Writer(store, 'a').take()
+    process = writer.commit(make_task(1))
+    process.step(fate, store)
+    other = Writer(store, 'b').take()
+    other.commit(make_task(2)).finish(store)
+    with pytest.raises(errors.BorageshelfError) as caught:
+        process.finish(store)
+    assert caught.value.code is errors.STORE_CONFLICT
+    while store.delayed:
+        store.deliver()
+    expected = {'job2/0'}
+    if fate is fakes.Fate.LOST_AFTER:
+        expected.add('job1/0')
+    assert read(store) == expected
+
+
+def test_one_of_two_competitors_acquires() -> None:
+    """Guards against two owners with one epoch, whatever the order."""
+    for order in set(itertools.permutations('aaabbb')):
+        store = fakes.FakeStore()
+        processes = {name: Writer(store, name).acquire() for name in 'ab'}
+        for name in order:
+            if not processes[name].is_done:
+                processes[name].step(fakes.Fate.ANSWERED, store)
+        won = [
+            item
+            for item in processes.values()
+            if item.is_done and item.error is None
+        ]
+        epochs = [item.result.epoch for item in won]
+        assert epochs
+        assert len(set(epochs)) == len(epochs)
+
+
+@pytest.mark.parametrize('fate', LOSSES)
+def test_acquire_with_a_lost_answer(fate: fakes.Fate) -> None:
+    """Guards against a takeover whose horizons are not stored."""
+    store = fakes.FakeStore()
+    Writer(store, 'a').take().commit(make_task(1)).finish(store)
+    for position in range(3):
+        writer = Writer(store, 'b')
+        process = writer.acquire()
+        for step in range(100):
+            if process.is_done:
+                break
+            process.step(
+                fate if step == position else fakes.Fate.ANSWERED, store
+            )
+        if process.error is not None:
+            assert process.error.code is errors.STORE_UNAVAILABLE
+            continue
+        assert set(process.result.tasks) == {'job1/0'}
+        assert process.result.horizons == HORIZONS
+        assert writer.log.head.owner == 'b'
+        writer.commit().finish(store)
+
+
+def test_unused_snapshots_are_removed() -> None:
+    """Guards against snapshots that pile up after failed commits."""
+    store = fakes.FakeStore()
+    writer = Writer(store, 'a').take()
+    big = b'x' * log.DELTA_LIMIT_BYTES
+    for number in range(5):
+        process = writer.commit(make_task(number, big))
+        process.step(fakes.Fate.ANSWERED, store)
+        process.step(fakes.Fate.REFUSED, store)
+        assert process.error is not None
+    uncertain = writer.commit(make_task(6, big))
+    uncertain.step(fakes.Fate.LOST_AFTER, store)
+    assert uncertain.error is not None
+    crashed = writer.commit(make_task(7, big))
+    crashed.step(fakes.Fate.ANSWERED, store)
+    crashed.kill()
+    Writer(store, 'b').take().commit(make_task(8, big)).finish(store)
+    assert len(list_snapshots(store)) == 1
+
+
+def test_snapshot_replaced_while_it_is_read() -> None:
+    """Guards against a takeover that reads half of two states."""
+    store = fakes.FakeStore()
+    writer = Writer(store, 'a').take()
+    big = b'x' * log.DELTA_LIMIT_BYTES
+    writer.commit(make_task(1, big)).finish(store)
+    process = Writer(store, 'b').acquire()
+    process.step(fakes.Fate.ANSWERED, store)
+    writer.tasks['job1/0'] = make_task(1, big)
+    writer.commit(make_task(2, big)).finish(store)
+    with pytest.raises(errors.BorageshelfError) as caught:
+        process.finish(store)
+    assert caught.value.code is errors.STORE_CONFLICT
+
+
+def test_release_leaves_records_and_horizons() -> None:
+    """Guards against a planned stop that loses records or proofs."""
+    store = fakes.FakeStore()
+    writer = Writer(store, 'a').take()
+    writer.commit(make_task(1)).finish(store)
+    fakes.Process(writer.log.release(records.Horizons(7, 8))).finish(store)
+    process = Writer(store, 'b').acquire()
+    state = process.finish(store)
+    assert state.horizons == records.Horizons(7, 8)
+    assert set(state.tasks) == {'job1/0'}
+    with pytest.raises(errors.BorageshelfError):
+        writer.commit(make_task(2)).finish(store)
