--- /dev/null
+++ b/borageshelf/configuration/differences.py
@@ -0,0 +1,86 @@
+"""Differences between two sets, object by object and field by field."""
+
+from collections import abc
+import dataclasses
+from typing import Any
+
+from borageshelf.configuration import fields
+from borageshelf.configuration import rendering
+from borageshelf.model import objects
+
+
+@dataclasses.dataclass(frozen=True)
+class FieldChange:
+    """One changed field, with the values as documents write them.
+
+    :param old: None if the field was absent
+    """
+
+    field: str
+    old: Any
+    new: Any
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One added, removed or changed object.
+
+    :param subject: such as ``jobs/ledgers``
+    :param kind: ``added``, ``removed`` or ``changed``
+    """
+
+    subject: str
+    kind: str
+    fields: tuple[FieldChange, ...] = ()
+
+    def __str__(self) -> str:
+        """Return the lines that are shown to the operator."""
+        lines = [f'{self.kind} {self.subject}']
+        lines.extend(
+            f'  {change.field}: {change.old} -> {change.new}'
+            for change in self.fields
+        )
+        return '\n'.join(lines)
+
+
+def find_changes(
+    old: objects.Configuration, new: objects.Configuration
+) -> tuple[Change, ...]:
+    """Return the changes from one set to another, by section and name."""
+    return tuple(_compare_sections(old, new))
+
+
+def _compare_sections(
+    old: objects.Configuration, new: objects.Configuration
+) -> abc.Iterator[Change]:
+    for section, table in fields.SECTIONS.items():
+        before = getattr(old, section)
+        after = getattr(new, section)
+        if not table.is_named:
+            if before != after:
+                yield _compare(table, section, before, after)
+            continue
+        for name in sorted(before.keys() | after.keys()):
+            subject = f'{section}/{name}'
+            if name not in before:
+                yield Change(subject, 'added')
+            elif name not in after:
+                yield Change(subject, 'removed')
+            elif before[name] != after[name]:
+                yield _compare(table, subject, before[name], after[name])
+
+
+def _compare(
+    table: fields.Table, subject: str, before: Any, after: Any
+) -> Change:
+    old = rendering.render_object(table, before)
+    new = rendering.render_object(table, after)
+    return Change(
+        subject,
+        'changed',
+        tuple(
+            FieldChange(name, old.get(name), new.get(name))
+            for name in dict.fromkeys([*old, *new])
+            if old.get(name) != new.get(name)
+        ),
+    )
--- a/borageshelf/configuration/propagation.py
+++ b/borageshelf/configuration/propagation.py
@@ -8,11 +8,11 @@
 
 import asyncio
 from collections import abc
-import time
 from typing import Final
 
 from absl import logging
 
+from borageshelf import clock as clock_module
 from borageshelf.configuration import contents
 from borageshelf.decisions import retries
 from borageshelf import errors
@@ -21,32 +21,26 @@
 
 # A watch that stays open this long without a change confirms the version.
 WATCH_MS: Final = 10_000
-# An answer may take this much longer than the watch itself; a lost connection
-# that was not closed would otherwise hold the watcher for ever.
-WATCH_MARGIN_MS: Final = 5_000
 # A change must be in force everywhere within 9 s, so a watcher that lost the
 # store may not sleep longer than half of this.
 PAUSE_LIMIT_MS: Final = 4_000
-# Two watches without an answer in between: the version may be old by then.
-CONFIRMATION_LIMIT_MS: Final = 2 * (WATCH_MS + WATCH_MARGIN_MS)
+# Without an answer to three watches in a row, the version may be old.
+CONFIRMATION_LIMIT_MS: Final = 3 * WATCH_MS
 
 Observer = abc.Callable[[objects.Configuration], None]
 # Asks other entries for bundles; returns those that answered.
 AskPeers = abc.Callable[[], abc.Awaitable[abc.Sequence[bytes]]]
 
 
-def read_clock_ms() -> int:
-    """Return the wall-clock time in Unix milliseconds."""
-    return time.time_ns() // 1_000_000
-
-
 class ConfigurationHolder:
     """The newest configuration that a process knows.
 
     :param clock: gives the time in milliseconds
     """
 
-    def __init__(self, clock: abc.Callable[[], int] = read_clock_ms) -> None:
+    def __init__(
+        self, clock: abc.Callable[[], int] = clock_module.read_wall_clock_ms
+    ) -> None:
         self._clock = clock
         self._configuration = objects.Configuration()
         self._bundle = b''
@@ -168,7 +162,7 @@
         holder: ConfigurationHolder,
         ask_peers: AskPeers,
         name: str,
-        clock: abc.Callable[[], int] = read_clock_ms,
+        clock: abc.Callable[[], int] = clock_module.read_wall_clock_ms,
         pause: abc.Callable[[int], abc.Awaitable[None]] | None = None,
     ) -> None:
         self._store = store
@@ -176,7 +170,7 @@
         self._ask_peers = ask_peers
         self._name = name
         self._clock = clock
-        self._pause = pause or _pause
+        self._pause = pause or wait_ms
         self._parts: dict[str, bytes] = {}
         self._failures = 0
 
@@ -187,8 +181,6 @@
                 await self._follow_root()
             except errors.BorageshelfError as error:
                 self._note_failure(error)
-            except TimeoutError as error:
-                self._note_failure(error)
             await self.learn_from_peers()
             delay_ms = retries.find_backoff_ms(self._name, self._failures)
             await self._pause(min(delay_ms, PAUSE_LIMIT_MS))
@@ -212,18 +204,20 @@
     async def _follow_root(self) -> None:
         """Read the root, then follow its changes until an error.
 
-        :raises BorageshelfError: of the store
-        :raises TimeoutError: if the store does not answer
+        :raises BorageshelfError: of the store, which bounds the time of each
+            call
         """
         revision = await self._read_root()
         while True:
             deadline_ms = self._clock() + WATCH_MS
-            answer = await asyncio.wait_for(
-                self._store.watch(contents.ROOT_KEY, revision, deadline_ms),
-                (WATCH_MS + WATCH_MARGIN_MS) / 1000,
+            answer = await self._store.watch(
+                contents.ROOT_KEY, revision, deadline_ms
             )
             if answer.compacted:
-                revision = await self._read_root()
+                # The root may be older than all that the store remembers, so
+                # the next watch starts at the answer, not at the root.
+                await self._read_root()
+                revision = answer.revision
                 continue
             for entry in answer.entries:
                 if entry.key == contents.ROOT_KEY and not entry.deleted:
@@ -233,14 +227,11 @@
 
     async def _read_root(self) -> int:
         """Load the publication in force; return the root's revision."""
-        entry = await asyncio.wait_for(
-            self._store.get(contents.ROOT_KEY), WATCH_MARGIN_MS / 1000
-        )
-        if entry is None:
-            return 0
-        await self._load(entry)
+        entry = await self._store.get(contents.ROOT_KEY)
+        if entry is not None:
+            await self._load(entry)
         self._note_success()
-        return entry.revision
+        return entry.revision if entry else 0
 
     async def _load(self, entry: store_interface.Entry) -> None:
         root = contents.decode_value(entry.value, contents.Root)
@@ -285,10 +276,7 @@
     :raises BorageshelfError: of the store, or ``INTERNAL`` if a value is
         missing or damaged
     """
-    data = await _read_hashed(
-        store, contents.PUBLICATION_PREFIX, publication_hash
-    )
-    publication = contents.decode_value(data, contents.Publication)
+    publication = await read_publication(store, publication_hash)
     parts: dict[str, bytes] = {}
     for part_hash in publication.parts:
         part = known_parts.get(part_hash)
@@ -300,12 +288,24 @@
     return contents.Bundle(publication, parts)
 
 
+async def read_publication(
+    store: store_interface.Store, publication_hash: str
+) -> contents.Publication:
+    """Return a publication.
+
+    :raises BorageshelfError: of the store, or ``INTERNAL`` if the value is
+        missing or damaged
+    """
+    data = await _read_hashed(
+        store, contents.PUBLICATION_PREFIX, publication_hash
+    )
+    return contents.decode_value(data, contents.Publication)
+
+
 async def _read_hashed(
     store: store_interface.Store, prefix: str, expected_hash: str
 ) -> bytes:
-    entry = await asyncio.wait_for(
-        store.get(prefix + expected_hash), WATCH_MARGIN_MS / 1000
-    )
+    entry = await store.get(prefix + expected_hash)
     if entry is None:
         raise errors.BorageshelfError(
             errors.INTERNAL, f'{prefix}{expected_hash} is missing'
@@ -325,5 +325,6 @@
         logging.exception('an observer of the configuration failed')
 
 
-async def _pause(delay_ms: int) -> None:
+async def wait_ms(delay_ms: int) -> None:
+    """Sleep for some milliseconds."""
     await asyncio.sleep(delay_ms / 1000)
--- /dev/null
+++ b/borageshelf/configuration/rendering.py
@@ -0,0 +1,91 @@
+"""Configuration objects written as documents again.
+
+The loader reads the result back into the same objects, so that operators can
+start an edit from a published version and a rollback passes all checks.
+"""
+
+from collections import abc
+import enum
+import functools
+from typing import Any
+
+import yaml
+
+from borageshelf.configuration import fields
+from borageshelf.configuration import values
+from borageshelf.model import objects
+
+
+def render_document(configuration: objects.Configuration) -> str:
+    """Return the YAML document of a whole set."""
+    return yaml.safe_dump(
+        render_sections(configuration),
+        sort_keys=False,
+        allow_unicode=True,
+        default_flow_style=False,
+    )
+
+
+def render_sections(
+    configuration: objects.Configuration,
+) -> dict[str, Any]:
+    """Return a set as the plain content of a document."""
+    sections: dict[str, Any] = {}
+    for name, table in fields.SECTIONS.items():
+        value = getattr(configuration, name)
+        if not table.is_named:
+            if value != table.structure():
+                sections[name] = render_object(table, value)
+        elif value:
+            sections[name] = {
+                key: render_object(table, item) for key, item in value.items()
+            }
+    return sections
+
+
+def render_object(table: fields.Table, value: Any) -> dict[str, Any]:
+    """Return the fields of an object; absent references are left out."""
+    rendered = {}
+    for field in table.fields:
+        content = getattr(value, field.attribute)
+        if content == '' and not field.is_required:
+            continue
+        rendered[field.name] = _render_value(field.type, content)
+    return rendered
+
+
+@functools.singledispatch
+def _render_value(value_type: object, value: Any) -> Any:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, tuple):
+        return list(value)
+    return value
+
+
+@_render_value.register
+def _(value_type: values.Number, value: Any) -> Any:
+    return int(value) if value == int(value) else value
+
+
+@_render_value.register
+def _(value_type: values.Nested, value: Any) -> Any:
+    return render_object(fields.TABLES[value_type.table], value)
+
+
+@_render_value.register
+def _(value_type: values.Quantity, value: Any) -> str:
+    """Write a quantity in the largest unit that leaves no fraction."""
+    return _choose_unit(int(value), value_type.units)
+
+
+def _choose_unit(amount: int, units: abc.Mapping[str, int]) -> str:
+    fitting = [
+        (factor, unit)
+        for unit, factor in units.items()
+        if amount % factor == 0
+    ]
+    factor, unit = max(fitting)
+    if amount == 0:
+        factor, unit = min(fitting)
+    return f'{amount // factor} {unit}'
