--- a/borageshelf/agent/links.py
+++ b/borageshelf/agent/links.py
@@ -64,6 +64,10 @@
             return False
         return True
 
+    def post(self, message: inner_pb2.AgentMessage) -> None:
+        """Queue a message if the stream can take it."""
+        self.send_message(message)
+
     async def run(self) -> None:
         """Keep the stream open."""
         while True:
@@ -126,7 +130,8 @@
             self._hear()
             if message.WhichOneof('kind') == 'welcome':
                 self._accept(message.welcome)
-            self._links.handle(self, message)
+            if self.is_connected:
+                self._links.handle(self, message)
 
     async def _send(self, stream: Any) -> None:
         assert self._queue is not None
--- a/borageshelf/agent/process.py
+++ b/borageshelf/agent/process.py
@@ -55,7 +55,6 @@
         self._stopping = asyncio.Event()
         self._aborting = asyncio.Event()
         self._config = inner_pb2.ConfigPart()
-        self._call_links: dict[str, links.EntryLink] = {}
         self._links = links.EntryLinks(
             options.seeds,
             self._make_hello,
@@ -138,10 +137,11 @@
         )
         self._calls = calls.AgentCalls(
             self._executor,
-            self._service,
-            self._send_call,
+            self._service.slots,
+            self._service.connections,
             clock.read_wall_clock_ms,
         )
+        self._background.start(self._calls.serve())
 
     async def _poll(self) -> None:
         next_expiry_ms = 0
@@ -205,9 +205,10 @@
             free = self._tasks.ledger.find_free()
             report.free.CopyFrom(convert.pack_resources(free))
         if self._calls is not None:
-            report.queued_calls = self._calls.queued
-            report.running_calls = self._calls.running
-            report.service_p99_ms = self._calls.service_p99_ms
+            load = self._calls.find_load()
+            report.queued_calls = load.queued
+            report.running_calls = load.running
+            report.service_p99_ms = load.service_p99_ms
         return report
 
     def _make_report(self, link: links.EntryLink) -> inner_pb2.Report:
@@ -231,14 +232,6 @@
         if link is not None:
             link.send(finished=status)
 
-    def _send_call(
-        self, call_id: str, message: inner_pb2.AgentMessage
-    ) -> bool:
-        link = self._call_links.get(call_id)
-        if message.WhichOneof('kind') == 'call_end':
-            self._call_links.pop(call_id, None)
-        return link is not None and link.send_message(message)
-
     # Messages from the entries.
 
     def _handle(
@@ -246,6 +239,8 @@
     ) -> None:
         kind = message.WhichOneof('kind')
         if kind == 'welcome':
+            if self._calls is not None:
+                self._calls.attach(link.entry_id, link.post)
             self._apply_config(message.welcome.config)
         elif kind == 'config':
             self._apply_config(message.config)
@@ -264,31 +259,11 @@
                 self._tasks.throttle(throttle.attempt, throttle.fraction)
             )
         elif self._calls is not None:
-            self._handle_call(link, message)
-
-    def _handle_call(
-        self, link: links.EntryLink, message: inner_pb2.EntryMessage
-    ) -> None:
-        assert self._calls is not None
-        if message.WhichOneof('kind') == 'call':
-            self._call_links[message.call.call_id] = link
-        self._calls.handle(message)
+            self._calls.receive(link.entry_id, message)
 
     def _handle_detached(self, link: links.EntryLink) -> None:
-        """Cancel the calls of an entry that is gone; nobody waits."""
-        orphans = [
-            call_id
-            for call_id, owner in self._call_links.items()
-            if owner is link
-        ]
-        for call_id in orphans:
-            del self._call_links[call_id]
-            if self._calls is not None:
-                self._calls.handle(
-                    inner_pb2.EntryMessage(
-                        call_cancel=inner_pb2.CallCancel(call_id=call_id)
-                    )
-                )
+        if self._calls is not None and link.entry_id:
+            self._calls.detach(link.entry_id)
 
     def _apply_config(self, config: inner_pb2.ConfigPart) -> None:
         """Use a newer configuration; a version never goes down."""
@@ -345,10 +320,10 @@
         self._telemetry.log_state('agent leaves', deadline_ms=deadline_ms)
         if self._tasks is not None:
             self._tasks.ledger.leave()
-        if self._calls is not None:
-            self._calls.leave()
         for link in self._links.list_connected():
             link.send(report=self._make_report(link))
+        if self._calls is not None:
+            self._background.start(self._calls.drain(deadline_ms))
         # Checkpoints and their commits need the second half of the time.
         await self._wait_for_work(deadline_ms - self._options.drain_ms // 2)
         await self._evict(only_idempotent=True)
@@ -362,8 +337,7 @@
     async def _wait_for_work(self, deadline_ms: int) -> None:
         """Wait until no call and no task runs, or the deadline passes."""
         while not self._aborting.is_set():
-            has_calls = self._calls is not None and not self._calls.is_idle
-            if not (has_calls or self._has_running_tasks()):
+            if not (self._has_calls() or self._has_running_tasks()):
                 return
             if clock.read_wall_clock_ms() >= deadline_ms:
                 return
@@ -395,6 +369,12 @@
                 link.send(report=self._make_report(link))
             await asyncio.sleep(POLL_INTERVAL_MS / 1000)
 
+    def _has_calls(self) -> bool:
+        if self._calls is None:
+            return False
+        load = self._calls.find_load()
+        return load.queued + load.running > 0
+
     def _has_running_tasks(self) -> bool:
         if self._tasks is None:
             return False
--- a/borageshelf/entry/jobs.py
+++ b/borageshelf/entry/jobs.py
@@ -16,6 +16,7 @@
 from borageshelf import clock
 from borageshelf.decisions import retries
 from borageshelf.entry import batch as batch_module
+from borageshelf.entry import call_claims
 from borageshelf.entry import documents
 from borageshelf.entry import peers as peers_module
 from borageshelf import errors
@@ -153,13 +154,14 @@
             raise errors.BorageshelfError(reply.code, reply.detail)
         return await self.find_local(message)
 
-    async def claim(self, key: str, call_id: str, expires_ms: int) -> None:
+    async def claim(
+        self, key: str, call_id: str, expires_ms: int
+    ) -> call_claims.ClaimAnswer:
         """Claim the key of a non-idempotent call.
 
         :param expires_ms: Unix time in milliseconds until which the claim
             holds
-        :raises BorageshelfError: ``DUPLICATE_KEY``, or why the claim could
-            not be stored
+        :raises BorageshelfError: why the claim could not be stored
         """
         claim_id = make_claim_id(key)
         shard = codec.find_shard(claim_id, self._shard_count)
@@ -174,10 +176,9 @@
             lambda: self.claim_local(message),
             lambda address: self._peers.claim(address, message),
         )
-        if not answer.granted:
-            raise errors.BorageshelfError(
-                errors.DUPLICATE_KEY, f'earlier call: {answer.outcome}'
-            )
+        return call_claims.ClaimAnswer(
+            answer.granted, records.ClaimOutcome(answer.outcome)
+        )
 
     async def claim_local(
         self, message: inner_pb2.ClaimRequest
@@ -203,17 +204,21 @@
             outcome=outcome,
         )
 
-    async def settle(self, key: str, call_id: str, outcome: str) -> None:
-        """Record how a claimed call ended; best effort.
+    async def settle(
+        self, key: str, call_id: str, outcome: records.ClaimOutcome
+    ) -> None:
+        """Record how a claimed call ended.
 
-        :param outcome: a value of ``ClaimOutcome``
         :raises BorageshelfError: if the shard's owner did not store it; the
             claim then stands, which is safe
         """
         claim_id = make_claim_id(key)
         shard = codec.find_shard(claim_id, self._shard_count)
         message = inner_pb2.SettleRequest(
-            shard=shard, claim_id=claim_id, call_id=call_id, outcome=outcome
+            shard=shard,
+            claim_id=claim_id,
+            call_id=call_id,
+            outcome=outcome.value,
         )
         await self._route(
             shard,
--- /dev/null
+++ b/borageshelf/entry/process.py
@@ -0,0 +1,224 @@
+"""The entry process: callers, agents, other entries and owned shards."""
+
+import asyncio
+from collections import abc
+import importlib
+import random
+from typing import Any, Final
+import uuid
+
+import grpclib.server
+
+from borageshelf import clock
+from borageshelf.configuration import propagation
+from borageshelf.decisions import admission
+from borageshelf.entry import batch as batch_module
+from borageshelf.entry import callers
+from borageshelf.entry import calls as calls_module
+from borageshelf.entry import jobs as jobs_module
+from borageshelf.entry import membership as membership_module
+from borageshelf.entry import peers as peers_module
+from borageshelf.entry import service as service_module
+from borageshelf.entry import sessions as sessions_module
+from borageshelf import errors
+from borageshelf import loop as loop_module
+from borageshelf.model import objects
+from borageshelf import options as options_module
+from borageshelf.platform import http_store
+from borageshelf import telemetry as telemetry_module
+
+CLAIM_LIFETIME_MS: Final = 24 * 3600 * 1000
+# A balancer needs a moment to notice that an entry is not ready any more.
+BALANCER_PAUSE_MS: Final = 500
+
+
+class Entry:
+    """One entry with its parts."""
+
+    def __init__(
+        self,
+        options: options_module.EntryOptions,
+        telemetry: telemetry_module.Telemetry,
+    ) -> None:
+        self._options = options
+        self._telemetry = telemetry
+        self._boot_id = uuid.uuid4().hex
+        self._stopping = asyncio.Event()
+        self._aborting = asyncio.Event()
+        self._background = loop_module.TaskGroup()
+        self._store = http_store.HttpStore(options.store_url)
+        self._holder = propagation.ConfigurationHolder()
+        self._registry = sessions_module.SessionRegistry()
+        self._peers = peers_module.Peers()
+        self._batch = batch_module.BatchService(
+            options,
+            self._store,
+            self._registry,
+            self._find_configuration,
+            telemetry,
+        )
+        self._membership = membership_module.Membership(
+            self._store,
+            membership_module.Member(
+                options.entry_id,
+                self._boot_id,
+                str(options.inner_address),
+                options.data_centre,
+            ),
+            self._note_members,
+        )
+        self._jobs = jobs_module.JobService(
+            self._batch,
+            self._peers,
+            self._find_configuration,
+            options.shards,
+        )
+        self._calls = calls_module.CallEngine(
+            self._boot_id,
+            options.data_centre,
+            clock.read_wall_clock_ms,
+            random.Random(self._boot_id),
+            self._claim,
+            self._jobs.settle,
+            telemetry,
+        )
+        self._service = service_module.InnerService(
+            options.entry_id,
+            self._registry,
+            self._membership,
+            self._batch,
+            self._jobs,
+            self._calls,
+            self._holder,
+            telemetry,
+        )
+        self._listeners: list[Any] = []
+
+    async def run(self) -> int:
+        """Run until a planned stop is complete."""
+        loop_module.watch_signals(
+            asyncio.get_running_loop(),
+            self._stopping.set,
+            self._aborting.set,
+        )
+        server = grpclib.server.Server([self._service])
+        await server.start(
+            self._options.inner_address.host, self._options.inner_address.port
+        )
+        self._holder.observe(self._apply_configuration)
+        watcher = propagation.ConfigurationWatcher(
+            self._store,
+            self._holder,
+            self._ask_peers,
+            self._options.entry_id,
+        )
+        self._background.start(watcher.run())
+        self._background.start(self._calls.serve())
+        self._membership.start()
+        self._batch.start(self._membership)
+        self._listen()
+        self._telemetry.log_state('entry started', entry=self._boot_id)
+        await self._stopping.wait()
+        await self._drain()
+        server.close()
+        await server.wait_closed()
+        self._peers.close()
+        await self._background.stop()
+        return 0
+
+    def _listen(self) -> None:
+        reactor: Any = importlib.import_module('twisted.internet.reactor')
+        site = callers.CallerSite(
+            self._calls, self._jobs, self._find_configuration
+        ).make_site()
+        address = self._options.caller_address
+        self._listeners.append(
+            reactor.listenTCP(address.port, site, interface=address.host)
+        )
+
+    async def _drain(self) -> None:
+        """Finish what callers wait for and hand the shards over."""
+        deadline_ms = clock.read_wall_clock_ms() + self._options.drain_ms
+        self._telemetry.log_state('entry leaves', deadline_ms=deadline_ms)
+        await asyncio.sleep(BALANCER_PAUSE_MS / 1000)
+        for listener in self._listeners:
+            listener.stopListening()
+        calls = asyncio.ensure_future(self._calls.drain(deadline_ms))
+        aborting = asyncio.ensure_future(self._aborting.wait())
+        leaving = asyncio.ensure_future(self._leave(calls))
+        await asyncio.wait(
+            {leaving, aborting}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in (calls, aborting, leaving):
+            task.cancel()
+        await asyncio.gather(calls, aborting, leaving, return_exceptions=True)
+
+    async def _leave(self, calls: asyncio.Future[bool]) -> None:
+        await self._batch.leave()
+        await calls
+        await self._membership.stop()
+
+    # Glue between the parts.
+
+    def _find_configuration(self) -> objects.Configuration:
+        return self._holder.configuration
+
+    def _note_members(self) -> None:
+        self._batch.note_members()
+        self._configure_calls()
+
+    def _apply_configuration(
+        self, configuration: objects.Configuration
+    ) -> None:
+        self._telemetry.gauge(
+            telemetry_module.CONFIG_VERSION, configuration.version
+        )
+        self._configure_calls()
+        self._service.broadcast_configuration()
+
+    def _configure_calls(self) -> None:
+        configuration = self._holder.configuration
+        shares = {
+            name: team.calls_share
+            for name, team in configuration.teams.items()
+            if team.calls_share
+        }
+        limits = {
+            name: admission.Limits(
+                queue_limit=service.queue_limit, team_shares=shares
+            )
+            for name, service in configuration.services.items()
+        }
+        entries = len(self._membership.list_members())
+        self._calls.configure(limits, entries)
+
+    async def _claim(self, key: str, call_id: str) -> Any:
+        expires_ms = clock.read_wall_clock_ms() + CLAIM_LIFETIME_MS
+        return await self._jobs.claim(key, call_id, expires_ms)
+
+    async def _ask_peers(self) -> abc.Sequence[bytes]:
+        """Return the configuration of every entry that answers."""
+        bundles = []
+        for member in self._membership.list_members():
+            if member.entry_id == self._options.entry_id:
+                continue
+            try:
+                answer = await self._peers.versions(member.address)
+            except errors.BorageshelfError:
+                continue
+            if answer.publication:
+                bundles.append(answer.publication)
+        return bundles
+
+
+def run(options: options_module.EntryOptions) -> int:
+    """Run an entry until it is stopped; return its exit status."""
+    loop = loop_module.install()
+    telemetry = telemetry_module.Telemetry(
+        'entry', options.entry_id, options.statsd_address
+    )
+
+    async def main() -> int:
+        return await Entry(options, telemetry).run()
+
+    return loop_module.run(loop, main)
--- a/borageshelf/loop.py
+++ b/borageshelf/loop.py
@@ -19,7 +19,7 @@
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     if 'twisted.internet.reactor' not in sys.modules:
-        asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
+        asyncioreactor.install(loop)
     return loop
 
 
