--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,15 +1,22 @@
 """Injectable faults, shared by all stand-ins.
 
-A test sets a ``FaultPlan``; the stand-in asks the ``FaultInjector`` before
-and after each call what goes wrong with it.
+A test sets a ``FaultPlan``; each stand-in passes its calls through a
+``FaultGate``, which counts them and applies the plan.
 """
 
+import asyncio
+from collections import abc
 import enum
 import random
-from typing import Final
+from typing import Final, TypeVar
 
 import msgspec
 
+from borageshelf import errors
+from standins import clocks
+
+Result = TypeVar('Result')
+
 EVERY_CALL: Final = -1
 
 
@@ -57,13 +64,29 @@
     LATE = 'late'
 
 
-class FaultInjector:
-    """Applies the current plan; draws from its own random generator."""
+class FaultGate:
+    """Counts calls and lets the current plan act on them.
 
-    def __init__(self, seed: int = 0) -> None:
+    :param unavailable: code of a call that was certainly not applied
+    :param uncertain: code of a write that may have been applied
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        seed: int,
+        unavailable: errors.ResultCode,
+        uncertain: errors.ResultCode,
+    ) -> None:
         self.plan = FaultPlan()
+        self.calls: dict[str, int] = {}
+        self._clock = clock
         self._random = random.Random(seed)
+        self._unavailable = unavailable
+        self._uncertain = uncertain
         self._left: dict[WriteFate, int] = {}
+        self._plan_changed = asyncio.Event()
+        self._late: set[asyncio.Task[None]] = set()
 
     def set_plan(self, plan: FaultPlan) -> None:
         """Replace the plan; unused counts of the old one are dropped."""
@@ -73,8 +96,50 @@
             WriteFate.LOST_ANSWER: plan.lost_answers,
             WriteFate.LATE: plan.late_writes,
         }
-
-    def draw_write_fate(self) -> WriteFate:
+        self._plan_changed.set()
+        self._plan_changed = asyncio.Event()
+
+    async def admit(self, method: str, is_write: bool) -> None:
+        """Count a call, delay it, and fail it during an outage."""
+        self.count(method)
+        if self.plan.delay_ms:
+            await self._clock.pause(self.plan.delay_ms)
+        await self.meet_outage(is_write)
+
+    def count(self, method: str) -> None:
+        """Count one call."""
+        self.calls[method] = self.calls.get(method, 0) + 1
+
+    async def meet_outage(self, is_write: bool) -> None:
+        """Refuse during an outage, or wait for its end and then fail.
+
+        The caller of a call that a silent outage holds has usually given up
+        before; the call is not applied after the outage.
+        """
+        if self.plan.outage is Outage.REFUSING:
+            raise errors.BorageshelfError(self._unavailable, 'outage')
+        if self.plan.outage is Outage.SILENT:
+            while self.plan.outage is Outage.SILENT:
+                await self._plan_changed.wait()
+            code = self._uncertain if is_write else self._unavailable
+            raise errors.BorageshelfError(code, 'no answer in time')
+
+    def apply(self, write: abc.Callable[[], Result]) -> Result:
+        """Run an admitted write, and lose its request or answer as planned.
+
+        :param write: applies the write, or raises ``BorageshelfError`` if it
+            is refused
+        """
+        fate = self._draw_write_fate()
+        if fate is WriteFate.ANSWERED:
+            return write()
+        if fate is WriteFate.LOST_ANSWER:
+            _ignore_refusal(write)
+        if fate is WriteFate.LATE:
+            self._apply_late(write, self.plan.late_ms)
+        raise errors.BorageshelfError(self._uncertain, fate.value)
+
+    def _draw_write_fate(self) -> WriteFate:
         """Decide about the next write and use up its count."""
         for fate, left in self._left.items():
             if left == 0:
@@ -85,3 +150,22 @@
                 self._left[fate] = left - 1
             return fate
         return WriteFate.ANSWERED
+
+    def _apply_late(
+        self, write: abc.Callable[[], object], delay_ms: int
+    ) -> None:
+        async def wait_and_apply() -> None:
+            await self._clock.pause(delay_ms)
+            _ignore_refusal(write)
+
+        task = asyncio.ensure_future(wait_and_apply())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+
+def _ignore_refusal(write: abc.Callable[[], object]) -> None:
+    """Apply a write whose answer nobody gets."""
+    try:
+        write()
+    except errors.BorageshelfError:
+        return
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -83,9 +83,12 @@
         self._revision = 0
         self._compacted_revision = 0
         self._changed = asyncio.Event()
-        self._late: set[asyncio.Task[None]] = set()
-        self.faults = faults.FaultInjector(seed)
-        self.calls: dict[str, int] = {}
+        self._gate = faults.FaultGate(
+            self._clock,
+            seed,
+            errors.STORE_UNAVAILABLE,
+            errors.STORE_UNCERTAIN,
+        )
         self.waiting_watches = 0
 
     @property
@@ -93,9 +96,14 @@
         """Revision of the newest write."""
         return self._revision
 
+    @property
+    def calls(self) -> dict[str, int]:
+        """Number of calls of each method, refused ones included."""
+        return self._gate.calls
+
     def set_faults(self, plan: faults.FaultPlan) -> None:
         """Replace the faults; calls held by an outage look at them again."""
-        self.faults.set_plan(plan)
+        self._gate.set_plan(plan)
         self._wake_waiters()
 
     def compact(self) -> None:
@@ -181,7 +189,7 @@
         self, prefix: str, after_revision: int, deadline_ms: int
     ) -> store_interface.WatchAnswer:
         while True:
-            await self._meet_outage(errors.STORE_UNAVAILABLE)
+            await self._gate.meet_outage(is_write=False)
             self._expire_leases()
             if after_revision < self._compacted_revision:
                 return store_interface.WatchAnswer(self._revision, (), True)
@@ -206,60 +214,24 @@
             elapsed.cancel()
 
     async def _admit(self, method: str, bound: _RateBound) -> None:
-        """Count a call, apply slowness, outages and rate bounds."""
-        self.calls[method] = self.calls.get(method, 0) + 1
-        if self.faults.plan.delay_ms:
-            await self._clock.pause(self.faults.plan.delay_ms)
-        is_read = bound is self._reads
-        await self._meet_outage(
-            errors.STORE_UNAVAILABLE if is_read else errors.STORE_UNCERTAIN
-        )
+        """Count a call; apply slowness, outages and rate bounds."""
+        await self._gate.admit(method, bound is self._writes)
         if not bound.take(self._clock.read_ms()):
-            self.calls['refused'] = self.calls.get('refused', 0) + 1
+            self._gate.count('refused')
             raise errors.BorageshelfError(
                 errors.STORE_UNAVAILABLE, f'rate bound of {method} calls'
             )
         self._expire_leases()
 
-    async def _meet_outage(self, silent_code: errors.ResultCode) -> None:
-        """Refuse during an outage, or wait for its end and then fail.
-
-        :param silent_code: raised after a silent outage; the caller usually
-            gave up before
-        """
-        outage = self.faults.plan.outage
-        if outage is faults.Outage.REFUSING:
-            raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, 'outage')
-        if outage is faults.Outage.SILENT:
-            while self.faults.plan.outage is faults.Outage.SILENT:
-                await self._changed.wait()
-            raise errors.BorageshelfError(silent_code, 'no answer in time')
-
     async def _write(
         self, method: str, apply: abc.Callable[[], Result]
     ) -> Result:
-        """Run a write and lose its request or answer as planned."""
-        await self._admit(method, self._writes)
-        fate = self.faults.draw_write_fate()
-        if fate is faults.WriteFate.ANSWERED:
-            return apply()
-        if fate is faults.WriteFate.LOST_ANSWER:
-            _ignore_refusal(apply)
-        if fate is faults.WriteFate.LATE:
-            self._apply_late(apply)
-        raise errors.BorageshelfError(errors.STORE_UNCERTAIN, fate.value)
-
-    def _apply_late(self, apply: abc.Callable[[], object]) -> None:
-        delay_ms = self.faults.plan.late_ms
-
-        async def wait_and_apply() -> None:
-            await self._clock.pause(delay_ms)
+        def expire_and_apply() -> Result:
             self._expire_leases()
-            _ignore_refusal(apply)
+            return apply()
 
-        task = asyncio.ensure_future(wait_and_apply())
-        self._late.add(task)
-        task.add_done_callback(self._late.discard)
+        await self._admit(method, self._writes)
+        return self._gate.apply(expire_and_apply)
 
     def _put(
         self, key: str, value: bytes, expected_revision: int, lease_id: str
@@ -347,11 +319,3 @@
         """Wake all waiters once; later waits need a new change."""
         self._changed.set()
         self._changed = asyncio.Event()
-
-
-def _ignore_refusal(apply: abc.Callable[[], object]) -> None:
-    """Apply a write whose answer nobody gets."""
-    try:
-        apply()
-    except errors.BorageshelfError:
-        return
--- /dev/null
+++ b/standins/timeline.py
@@ -0,0 +1,205 @@
+"""Timed virtual work of one worker.
+
+A deterministic core without I/O: attempts progress with the given time, end
+when their work is done or their lease ends, and slow down together when they
+use more processors than the VM has. Everything is computed on demand, in the
+order of the events, so each end has its exact time however late the next
+call is.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import math
+from typing import Final
+
+from borageshelf.model import resources
+from borageshelf.platform import worker as worker_interface
+from standins import audits
+
+SAMPLE_INTERVAL_MS: Final = 500
+
+State = worker_interface.TaskState
+Samples = tuple[worker_interface.UsageSample, ...]
+
+
+@dataclasses.dataclass
+class Attempt:
+    """An attempt that is not released.
+
+    :param used: real use at full speed
+    :param work_ms: the whole work, as time at full speed
+    :param done_ms: the part of it that is done
+    :param throttle: allowed fraction of the processors
+    :param noise: how much it slows executors on its VM, 0 for none
+    """
+
+    request: worker_interface.StartRequest
+    interval: audits.Interval
+    used: resources.Resources
+    work_ms: int
+    done_ms: float
+    will_fail: bool
+    final_result: bytes
+    noise: float
+    can_checkpoint: bool
+    lease_deadline_ms: int
+    state: State = State.RUNNING
+    result: bytes = b''
+    checkpoint: str = ''
+    throttle: float = 1.0
+
+
+class Timeline:
+    """The attempts of one worker over time.
+
+    :param usage_lag_ms: samples are kept until they are this old
+    :param on_audit: called when an interval starts and when it ends
+    """
+
+    def __init__(
+        self,
+        capacity: resources.Resources,
+        usage_lag_ms: int,
+        now_ms: int,
+        on_audit: abc.Callable[[audits.Interval], None],
+    ) -> None:
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.audit: list[audits.Interval] = []
+        self.now_ms = now_ms
+        self._capacity = capacity
+        self._usage_lag_ms = usage_lag_ms
+        self._on_audit = on_audit
+        self._samples: collections.deque[tuple[int, Samples]] = (
+            collections.deque()
+        )
+        self._next_sample_ms = now_ms
+
+    def start(self, attempt: Attempt) -> None:
+        """Add an attempt that runs from now on."""
+        request = attempt.request
+        self.attempts[request.task_id, request.attempt] = attempt
+        self.audit.append(attempt.interval)
+        self._on_audit(attempt.interval)
+
+    def stop(self, attempt: Attempt, ended_as: str) -> None:
+        """Stop a running attempt now."""
+        self._end(attempt, State.STOPPED, ended_as)
+
+    def clear(self, ended_as: str) -> None:
+        """End and forget everything."""
+        for attempt in self.find_running():
+            self.stop(attempt, ended_as)
+        self.attempts.clear()
+        self._samples.clear()
+
+    def find_running(self) -> list[Attempt]:
+        """Return the attempts that run."""
+        return [
+            attempt
+            for attempt in self.attempts.values()
+            if attempt.state is State.RUNNING
+        ]
+
+    def read_samples(self) -> Samples:
+        """Return the newest samples that are as old as the lag."""
+        found: Samples = ()
+        for measured_ms, samples in self._samples:
+            if measured_ms > self.now_ms - self._usage_lag_ms:
+                break
+            found = samples
+        return found
+
+    def settle(self, now_ms: int) -> None:
+        """Compute everything that happens until a time."""
+        while self.now_ms < now_ms:
+            running = self.find_running()
+            speeds = self._find_speeds(running)
+            self._advance(running, speeds, now_ms)
+            for attempt in running:
+                self._end_if_due(attempt)
+            if self.now_ms >= self._next_sample_ms:
+                self._sample(running, speeds)
+
+    def _advance(
+        self,
+        running: abc.Sequence[Attempt],
+        speeds: abc.Sequence[float],
+        limit_ms: int,
+    ) -> None:
+        """Move to the next event: an end, a lease, a sample or the limit."""
+        event_ms = min(limit_ms, self._next_sample_ms)
+        for attempt, speed in zip(running, speeds, strict=True):
+            event_ms = min(event_ms, attempt.lease_deadline_ms)
+            if speed:
+                left_ms = max(attempt.work_ms - attempt.done_ms, 0)
+                due_ms = self.now_ms + math.ceil(left_ms / speed)
+                event_ms = min(event_ms, due_ms)
+        elapsed_ms = max(event_ms - self.now_ms, 0)
+        self.now_ms += elapsed_ms
+        for attempt, speed in zip(running, speeds, strict=True):
+            attempt.done_ms += elapsed_ms * speed
+
+    def _find_speeds(self, running: abc.Sequence[Attempt]) -> list[float]:
+        """Return each attempt's speed, 1 for full speed.
+
+        Attempts that together use more than the VM has share it in
+        proportion to their use.
+        """
+        used_millicores = sum(
+            attempt.used.processor_millicores * attempt.throttle
+            for attempt in running
+        )
+        limit_millicores = self._capacity.processor_millicores
+        share = 1.0
+        if used_millicores > limit_millicores:
+            share = limit_millicores / used_millicores
+        return [attempt.throttle * share for attempt in running]
+
+    def _end_if_due(self, attempt: Attempt) -> None:
+        if attempt.done_ms >= attempt.work_ms:
+            self._finish(attempt)
+        elif self.now_ms >= attempt.lease_deadline_ms:
+            self._end(attempt, State.STOPPED, 'lease ended')
+
+    def _finish(self, attempt: Attempt) -> None:
+        if attempt.will_fail:
+            self._end(attempt, State.FAILED, 'failed')
+            return
+        attempt.result = attempt.final_result
+        self._end(attempt, State.SUCCEEDED, 'succeeded')
+
+    def _end(self, attempt: Attempt, state: State, ended_as: str) -> None:
+        attempt.state = state
+        attempt.interval.end_ms = self.now_ms
+        attempt.interval.work_to_ms = int(attempt.done_ms)
+        attempt.interval.ended_as = ended_as
+        self._on_audit(attempt.interval)
+
+    def _sample(
+        self, running: abc.Sequence[Attempt], speeds: abc.Sequence[float]
+    ) -> None:
+        samples = tuple(
+            self._measure(attempt, speed)
+            for attempt, speed in zip(running, speeds, strict=True)
+            if attempt.state is State.RUNNING
+        )
+        self._samples.append((self.now_ms, samples))
+        self._next_sample_ms = self.now_ms + SAMPLE_INTERVAL_MS
+        limit_ms = self.now_ms - self._usage_lag_ms
+        while len(self._samples) > 1 and self._samples[1][0] <= limit_ms:
+            self._samples.popleft()
+
+    def _measure(
+        self, attempt: Attempt, speed: float
+    ) -> worker_interface.UsageSample:
+        millicores = int(attempt.used.processor_millicores * speed)
+        used = dataclasses.replace(
+            attempt.used, processor_millicores=millicores
+        )
+        return worker_interface.UsageSample(
+            attempt.request.task_id,
+            attempt.request.attempt,
+            used,
+            self.now_ms,
+        )
--- /dev/null
+++ b/standins/virtual_worker.py
@@ -0,0 +1,323 @@
+"""Virtual worker: the worker interface over timed virtual work.
+
+Implements ``borageshelf.platform.worker.Worker``. It enforces the leases
+itself. It does not refuse tasks that exceed its capacity; the audit shows
+them, so that a test notices when the system overfills a VM.
+"""
+
+from collections import abc
+import dataclasses
+from typing import Final, TypeVar
+import uuid
+
+import msgspec
+
+from borageshelf import errors
+from borageshelf.model import resources
+from borageshelf.platform import worker as worker_interface
+from standins import audits
+from standins import clocks
+from standins import faults
+from standins import timeline
+
+CHECKPOINT_PREFIX: Final = 'progress-ms:'
+# Time until a task fails on a worker that fails everything.
+FAILURE_AFTER_MS: Final = 10
+
+Result = TypeVar('Result')
+
+
+class TaskPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The JSON document in the arguments of a task.
+
+    :param run_ms: work, as time at full speed
+    :param fail: whether the task fails at its end
+    :param used_millicores: real use, the declared size if negative
+    :param used_memory_mb: real use, the declared size if negative
+    :param noise: how much the task slows executors on its VM, 0 for none
+    :param can_checkpoint: False makes every checkpoint empty
+    """
+
+    run_ms: int = 1_000
+    result: str = ''
+    fail: bool = False
+    used_millicores: int = -1
+    used_memory_mb: int = -1
+    noise: float = 0.0
+    can_checkpoint: bool = True
+
+
+class WorkerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Size and behaviour of the worker.
+
+    :param fail_starts: '' for none; 'refuse' refuses each start; 'fail'
+        accepts it and lets the task fail
+    :param usage_lag_ms: age of the newest usage report
+    """
+
+    name: str = 'worker'
+    rack: str = 'rack-1'
+    capacity: resources.Resources = resources.Resources(60_000, 250_000, 0)
+    fail_starts: str = ''
+    usage_lag_ms: int = 2_000
+
+
+class VirtualWorker:
+    """The stand-in.
+
+    :param on_audit: called when an interval starts and when it ends
+    """
+
+    def __init__(
+        self,
+        settings: WorkerSettings,
+        clock: clocks.Clock | None = None,
+        seed: int = 0,
+        on_audit: abc.Callable[[audits.Interval], None] | None = None,
+    ) -> None:
+        self.settings = settings
+        self._clock = clock or clocks.SystemClock()
+        self.gate = faults.FaultGate(
+            self._clock,
+            seed,
+            errors.WORKER_UNAVAILABLE,
+            errors.WORKER_UNAVAILABLE,
+        )
+        self._boot_id = uuid.uuid4().hex
+        self._timeline = timeline.Timeline(
+            settings.capacity,
+            settings.usage_lag_ms,
+            self._clock.read_ms(),
+            on_audit or (lambda interval: None),
+        )
+
+    @property
+    def audit(self) -> abc.Sequence[audits.Interval]:
+        """Every interval in which an attempt ran."""
+        self.settle()
+        return self._timeline.audit
+
+    async def describe(self) -> worker_interface.WorkerDescription:
+        """Return identity and capacity."""
+        await self.gate.admit('describe', False)
+        return worker_interface.WorkerDescription(
+            self._boot_id, self.settings.capacity, self.settings.rack
+        )
+
+    async def list(self) -> tuple[worker_interface.WorkerTask, ...]:
+        """Return all attempts that run or are not released."""
+        await self.gate.admit('list', False)
+        self.settle()
+        return tuple(map(_describe, self._timeline.attempts.values()))
+
+    async def start(self, request: worker_interface.StartRequest) -> None:
+        """Start an attempt; a repeat has no effect."""
+        await self._change('start', lambda: self._start(request))
+
+    async def renew(
+        self, task_id: str, attempt: int, lease_deadline_ms: int
+    ) -> None:
+        """Extend the task's lease; an earlier deadline has no effect."""
+
+        def apply() -> None:
+            found = self._find_running(task_id, attempt)
+            found.lease_deadline_ms = max(
+                found.lease_deadline_ms, lease_deadline_ms
+            )
+
+        await self._change('renew', apply)
+
+    async def throttle(
+        self, task_id: str, attempt: int, fraction: float
+    ) -> None:
+        """Limit the task to a fraction of its processors."""
+
+        def apply() -> None:
+            if not 0 <= fraction <= 1:
+                raise _refuse(f'fraction {fraction} is not from 0 to 1')
+            self._find_running(task_id, attempt).throttle = fraction
+
+        await self._change('throttle', apply)
+
+    async def checkpoint(
+        self, task_id: str, attempt: int
+    ) -> worker_interface.Checkpoint:
+        """Save the progress of a running task."""
+
+        def apply() -> worker_interface.Checkpoint:
+            found = self._find_running(task_id, attempt)
+            if found.can_checkpoint:
+                found.checkpoint = f'{CHECKPOINT_PREFIX}{int(found.done_ms)}'
+            return worker_interface.Checkpoint(found.checkpoint)
+
+        return await self._change('checkpoint', apply)
+
+    async def stop(
+        self, task_id: str, attempt: int
+    ) -> worker_interface.StopResult:
+        """Stop an attempt; one that had finished keeps its result."""
+
+        def apply() -> worker_interface.StopResult:
+            found = self._find(task_id, attempt)
+            if found.state is timeline.State.RUNNING:
+                self._timeline.stop(found, 'stopped')
+            return worker_interface.StopResult(found.state, found.result)
+
+        return await self._change('stop', apply)
+
+    async def release(self, task_id: str, attempt: int) -> None:
+        """Forget an attempt that does not run."""
+
+        def apply() -> None:
+            found = self._timeline.attempts.get((task_id, attempt))
+            if found is None:
+                return
+            if found.state is timeline.State.RUNNING:
+                raise _refuse(f'{task_id} attempt {attempt} is running')
+            del self._timeline.attempts[task_id, attempt]
+
+        await self._change('release', apply)
+
+    async def usage(self) -> tuple[worker_interface.UsageSample, ...]:
+        """Return the latest measurements, which lag behind."""
+        await self.gate.admit('usage', False)
+        self.settle()
+        return self._timeline.read_samples()
+
+    def measure_noise(self) -> float:
+        """Return the noise of what runs now, less where it is throttled."""
+        self.settle()
+        return sum(
+            attempt.noise * attempt.throttle
+            for attempt in self._timeline.find_running()
+        )
+
+    def replace(self) -> None:
+        """Replace the VM: everything on it ends and is forgotten."""
+        self.settle()
+        self._timeline.clear('VM replaced')
+        self._boot_id = uuid.uuid4().hex
+
+    def settle(self) -> None:
+        """Compute everything that happened until now."""
+        self._timeline.settle(self._clock.read_ms())
+
+    async def _change(
+        self, method: str, apply: abc.Callable[[], Result]
+    ) -> Result:
+        def settle_and_apply() -> Result:
+            self.settle()
+            return apply()
+
+        await self.gate.admit(method, True)
+        return self.gate.apply(settle_and_apply)
+
+    def _start(self, request: worker_interface.StartRequest) -> None:
+        if (request.task_id, request.attempt) in self._timeline.attempts:
+            return
+        now_ms = self._timeline.now_ms
+        if request.lease_deadline_ms <= now_ms:
+            raise _refuse('the lease deadline has passed')
+        if self.settings.fail_starts == 'refuse':
+            raise _refuse('the worker refuses every start')
+        self._timeline.start(
+            _make_attempt(request, self.settings, _read_plan(request), now_ms)
+        )
+
+    def _find(self, task_id: str, attempt: int) -> timeline.Attempt:
+        found = self._timeline.attempts.get((task_id, attempt))
+        if found is None:
+            raise _refuse(f'{task_id} attempt {attempt} is not known')
+        return found
+
+    def _find_running(self, task_id: str, attempt: int) -> timeline.Attempt:
+        found = self._find(task_id, attempt)
+        if found.state is not timeline.State.RUNNING:
+            raise _refuse(f'{task_id} attempt {attempt} does not run')
+        return found
+
+
+def _refuse(detail: str) -> errors.BorageshelfError:
+    return errors.BorageshelfError(errors.WORKER_REFUSED, detail)
+
+
+def _read_plan(request: worker_interface.StartRequest) -> TaskPlan:
+    if not request.arguments:
+        return TaskPlan()
+    try:
+        return msgspec.json.decode(request.arguments, type=TaskPlan)
+    except msgspec.MsgspecError as error:
+        raise _refuse(f'arguments of {request.task_id}: {error}') from error
+
+
+def _make_attempt(
+    request: worker_interface.StartRequest,
+    settings: WorkerSettings,
+    plan: TaskPlan,
+    now_ms: int,
+) -> timeline.Attempt:
+    used = _find_use(request.declared, plan)
+    done_ms = _read_progress_ms(request.checkpoint)
+    interval = audits.Interval(
+        worker=settings.name,
+        task_id=request.task_id,
+        attempt=request.attempt,
+        family=request.family,
+        declared=request.declared,
+        used=used,
+        start_ms=now_ms,
+        work_from_ms=done_ms,
+    )
+    work_ms = plan.run_ms
+    if settings.fail_starts:
+        work_ms = min(work_ms, done_ms + FAILURE_AFTER_MS)
+    return timeline.Attempt(
+        request=request,
+        interval=interval,
+        used=used,
+        work_ms=work_ms,
+        done_ms=done_ms,
+        will_fail=plan.fail or bool(settings.fail_starts),
+        final_result=plan.result.encode(),
+        noise=plan.noise,
+        can_checkpoint=plan.can_checkpoint,
+        lease_deadline_ms=request.lease_deadline_ms,
+        checkpoint=request.checkpoint,
+    )
+
+
+def _find_use(
+    declared: resources.Resources, plan: TaskPlan
+) -> resources.Resources:
+    used = declared
+    if plan.used_millicores >= 0:
+        used = dataclasses.replace(
+            used, processor_millicores=plan.used_millicores
+        )
+    if plan.used_memory_mb >= 0:
+        used = dataclasses.replace(used, memory_mb=plan.used_memory_mb)
+    return used
+
+
+def _read_progress_ms(checkpoint: str) -> int:
+    if not checkpoint:
+        return 0
+    text = checkpoint.removeprefix(CHECKPOINT_PREFIX)
+    if text == checkpoint or not text.isdigit():
+        raise _refuse(f'checkpoint {checkpoint!r} is not valid')
+    return int(text)
+
+
+def _describe(attempt: timeline.Attempt) -> worker_interface.WorkerTask:
+    request = attempt.request
+    return worker_interface.WorkerTask(
+        request.task_id,
+        request.attempt,
+        request.owner,
+        request.family,
+        request.declared,
+        attempt.state,
+        attempt.lease_deadline_ms,
+        attempt.result,
+        attempt.checkpoint,
+    )
