--- a/borageshelf/entry/callers.py
+++ b/borageshelf/entry/callers.py
@@ -39,14 +39,14 @@
     """
 
     def __init__(self, handlers: abc.Mapping[bytes, Handler]) -> None:
-        super().__init__()
+        resource.Resource.__init__(self)
         self.isLeaf = True
         self._handlers = handlers
 
     def render(self, request: server.Request) -> int:
         """Start the handler of the request's method."""
         task = asyncio.ensure_future(self._serve(request))
-        finished = request.notifyFinish()  # type: ignore[no-untyped-call]
+        finished = request.notifyFinish()
         finished.addErrback(lambda _: task.cancel())
         return server.NOT_DONE_YET
 
@@ -91,7 +91,9 @@
     def make_site(self) -> server.Site:
         """Return the site to listen with."""
         root = Router(self._route)
-        return BoundedSite(root, timeout=IDLE_TIMEOUT_S)
+        site: Any = BoundedSite
+        made: server.Site = site(root, timeout=IDLE_TIMEOUT_S)
+        return made
 
     def _route(self, path: tuple[str, ...]) -> Endpoint | None:
         """Return the resource of a path."""
@@ -113,27 +115,27 @@
 
     async def _call(self, request: server.Request, name: str) -> None:
         submission = self._read_call(request, name)
-        started = False
+        flow: AnswerFlow | None = None
 
         async def pass_chunk(data: bytes) -> None:
-            nonlocal started
-            if not started:
-                started = True
+            nonlocal flow
+            if flow is None:
                 request.setHeader(b'content-type', b'application/octet-stream')
+                flow = AnswerFlow()
+                request.registerProducer(flow, True)
             request.write(data)
-            await _wait_for_reader(request)
+            await flow.wait()
 
         result = await self._calls.run(submission, pass_chunk)
-        is_whole = result.code in (errors.OK, errors.EXECUTOR_FAILED)
+        if flow is not None:
+            request.unregisterProducer()
         if result.code is errors.OK:
-            if not started:
+            if flow is None:
                 request.setHeader(b'content-type', b'application/octet-stream')
             request.finish()
-        elif started and not is_whole:
+        elif flow is not None:
             # Without the final chunk the caller sees that the answer is cut.
             request.loseConnection()
-        elif started:
-            request.loseConnection()
         else:
             raise errors.BorageshelfError(
                 result.code, result.detail, result.retry_deadline_ms
@@ -207,14 +209,14 @@
     def __init__(
         self, route: abc.Callable[[tuple[str, ...]], Endpoint | None]
     ) -> None:
-        super().__init__()
+        resource.Resource.__init__(self)
         self._route = route
 
     def getChild(  # noqa: N802
         self, path: bytes, request: server.Request
     ) -> resource.Resource:
         """Return the endpoint for the rest of the path."""
-        parts = [path, *request.postpath]
+        parts = [path, *(request.postpath or ())]
         request.postpath = []
         try:
             names = tuple(part.decode() for part in parts)
@@ -231,7 +233,7 @@
         if length is not None and length > BODY_LIMIT_BYTES:
             self._refuse()
             return
-        super().gotLength(length)
+        server.Request.gotLength(self, length)
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Bound bodies whose length is not announced."""
@@ -239,10 +241,11 @@
         if received + len(data) > BODY_LIMIT_BYTES:
             self._refuse()
             return
-        super().handleContentChunk(data)
+        server.Request.handleContentChunk(self, data)
 
     def _refuse(self) -> None:
-        if self.channel is None:
+        channel: Any = self.channel
+        if channel is None:
             return
         error = errors.BorageshelfError(
             errors.BODY_TOO_LARGE, f'the limit is {BODY_LIMIT_BYTES} bytes'
@@ -254,8 +257,8 @@
             b'connection: close\r\n'
             b'content-length: %d\r\n\r\n' % len(body)
         )
-        self.channel.transport.write(head + body)
-        self.channel.loseConnection()
+        channel.transport.write(head + body)
+        channel.loseConnection()
 
 
 class BoundedSite(server.Site):
@@ -275,27 +278,12 @@
 }
 
 
-async def _wait_for_reader(request: server.Request) -> None:
-    """Wait while the connection's send buffer is above its limit."""
-    producer = _Producer.find(request)
-    await producer.wait()
-
-
-class _Producer:
+class AnswerFlow:
     """Follows the flow control of one HTTP connection."""
 
     def __init__(self) -> None:
         self._resumed: defer.Deferred[None] | None = None
 
-    @classmethod
-    def find(cls, request: server.Request) -> '_Producer':
-        found: _Producer | None = getattr(request, 'answer_producer', None)
-        if found is None:
-            found = cls()
-            request.answer_producer = found
-            request.registerProducer(found, True)
-        return found
-
     def pauseProducing(self) -> None:  # noqa: N802
         if self._resumed is None:
             self._resumed = defer.Deferred()
