--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,378 @@
+"""Starts a whole deployment as plain processes on loopback.
+
+Used by the demo, the process tests and the measurements. Every process that
+is started here is also ended here.
+"""
+
+import asyncio
+import collections
+from collections import abc
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import sys
+import time
+from typing import Any, Final
+
+import aiohttp
+
+ROOT: Final = pathlib.Path(__file__).parents[1]
+HOST: Final = '127.0.0.1'
+READY_TIMEOUT_S: Final = 60
+STOP_TIMEOUT_S: Final = 60
+TOKEN: Final = 'demonstration-token-of-the-bench'
+OUTPUT_LINES: Final = 400
+
+
+@dataclasses.dataclass(frozen=True)
+class VmPlan:
+    """One target VM.
+
+    :param service: service of the executor on the VM, or ''
+    :param has_worker: whether batch tasks run here as well
+    """
+
+    name: str
+    data_centre: str
+    rack: str
+    service: str = ''
+    has_worker: bool = True
+    millicores: int = 60_000
+    memory_mb: int = 250_000
+    accelerators: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetPlan:
+    """A deployment; one entry for each listed data centre.
+
+    :param entries: data centre of each entry
+    """
+
+    name: str
+    region: str
+    entries: tuple[str, ...]
+    vms: tuple[VmPlan, ...]
+    shards: int = 16
+    grant_ms: int = 30_000
+    drain_ms: int = 10_000
+
+
+class Process:
+    """One process with the newest lines of its output."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self.process = process
+        self.lines: collections.deque[str] = collections.deque(
+            maxlen=OUTPUT_LINES
+        )
+        self._seen = asyncio.Condition()
+        self._reader = asyncio.ensure_future(self._read())
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.process.pid
+
+    async def find_line(self, text: str) -> str:
+        """Wait for an output line that contains a text.
+
+        :raises RuntimeError: if the process ends or takes too long
+        """
+        async with asyncio.timeout(READY_TIMEOUT_S), self._seen:
+            while True:
+                for line in self.lines:
+                    if text in line:
+                        return line
+                if self.process.returncode is not None:
+                    raise RuntimeError(
+                        f'{self.name} has ended: {list(self.lines)[-20:]}'
+                    )
+                await self._seen.wait()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for the end and return the exit status."""
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await self.process.wait()
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+        await self._reader
+
+    async def _read(self) -> None:
+        assert self.process.stdout is not None
+        async for line in self.process.stdout:
+            async with self._seen:
+                self.lines.append(line.decode(errors='replace').rstrip())
+                self._seen.notify_all()
+        await self.process.wait()
+        async with self._seen:
+            self._seen.notify_all()
+
+
+@dataclasses.dataclass
+class EntryHandle:
+    """One entry process and its addresses."""
+
+    entry_id: str
+    data_centre: str
+    caller_url: str
+    inner_address: str
+    admin_url: str
+    process: Process
+
+
+@dataclasses.dataclass
+class VmHandle:
+    """The processes of one target VM."""
+
+    plan: VmPlan
+    worker: Process | None
+    worker_url: str
+    executor: Process | None
+    executor_url: str
+    agent: Process
+
+
+async def start_process(
+    name: str, *arguments: str, environment: dict[str, str] | None = None
+) -> Process:
+    """Start a Python module of this repository."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        *arguments,
+        cwd=ROOT,
+        env={**os.environ, **(environment or {})},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    return Process(name, process)
+
+
+async def start_standin(name: str, *arguments: str) -> tuple[Process, str]:
+    """Start a stand-in on a free port and return its URL."""
+    process = await start_process(
+        name, *arguments, '--port', '0', '--lifetime-s', '900'
+    )
+    line = await process.find_line('listening on ')
+    return process, 'http://' + line.split('listening on ')[1].strip()
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+class Fleet:
+    """A running deployment; use as an asynchronous context manager."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.plan = plan
+        self.entries: list[EntryHandle] = []
+        self.vms: dict[str, VmHandle] = {}
+        self.store_url = ''
+        self._store: Process | None = None
+        self._processes: list[Process] = []
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def http(self) -> aiohttp.ClientSession:
+        """HTTP client of the bench."""
+        assert self._session is not None
+        return self._session
+
+    async def __aenter__(self) -> 'Fleet':
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(connector=connector)
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await asyncio.gather(*(item.kill() for item in self._processes))
+        assert self._session is not None
+        await self._session.close()
+
+    async def _start(self) -> None:
+        self._store, self.store_url = await start_standin(
+            f'{self.plan.name} store', 'standins.store'
+        )
+        self._processes.append(self._store)
+        await asyncio.gather(
+            *(
+                self.start_entry(f'{self.plan.name}-entry-{number}', place)
+                for number, place in enumerate(self.plan.entries)
+            )
+        )
+        await asyncio.gather(*(self._start_vm(vm) for vm in self.plan.vms))
+
+    async def start_entry(
+        self, entry_id: str, data_centre: str
+    ) -> EntryHandle:
+        """Start an entry and wait until it listens."""
+        caller, inner, admin = find_free_ports(3)
+        process = await start_process(
+            entry_id,
+            'borageshelf.main',
+            'entry',
+            f'--entry-id={entry_id}',
+            f'--region={self.plan.region}',
+            f'--data-centre={data_centre}',
+            f'--caller-address={HOST}:{caller}',
+            f'--inner-address={HOST}:{inner}',
+            f'--admin-address={HOST}:{admin}',
+            f'--store-url={self.store_url}',
+            f'--shards={self.plan.shards}',
+            f'--grant-ms={self.plan.grant_ms}',
+            f'--drain-ms={self.plan.drain_ms}',
+            environment={'BORAGESHELF_ADMIN_TOKEN': TOKEN},
+        )
+        self._processes.append(process)
+        await process.find_line('entry started')
+        handle = EntryHandle(
+            entry_id,
+            data_centre,
+            f'http://{HOST}:{caller}',
+            f'{HOST}:{inner}',
+            f'http://{HOST}:{admin}',
+            process,
+        )
+        self.entries.append(handle)
+        return handle
+
+    async def _start_vm(self, plan: VmPlan) -> None:
+        worker: Process | None = None
+        worker_url = ''
+        if plan.has_worker:
+            worker, worker_url = await start_standin(
+                f'{plan.name} worker',
+                'standins.worker',
+                f'--name={plan.name}',
+                f'--rack={plan.rack}',
+                f'--millicores={plan.millicores}',
+                f'--memory-mb={plan.memory_mb}',
+                f'--accelerators={plan.accelerators}',
+            )
+            self._processes.append(worker)
+        executor: Process | None = None
+        executor_url = ''
+        if plan.service:
+            flags = [f'--worker-url={worker_url}'] if worker_url else []
+            executor, executor_url = await start_standin(
+                f'{plan.name} executor',
+                'standins.executor',
+                f'--service={plan.service}',
+                *flags,
+            )
+            self._processes.append(executor)
+        agent = await self.start_agent(plan, worker_url, executor_url)
+        self.vms[plan.name] = VmHandle(
+            plan, worker, worker_url, executor, executor_url, agent
+        )
+
+    async def start_agent(
+        self, plan: VmPlan, worker_url: str, executor_url: str
+    ) -> Process:
+        """Start an agent and wait until it has read its target."""
+        flags = []
+        if worker_url:
+            flags.append(f'--worker-url={worker_url}')
+        if executor_url:
+            flags.append(f'--executor-url={executor_url}')
+        seeds = ','.join(entry.inner_address for entry in self.entries)
+        agent = await start_process(
+            f'{plan.name} agent',
+            'borageshelf.main',
+            'agent',
+            f'--target-id={plan.name}',
+            f'--data-centre={plan.data_centre}',
+            f'--rack={plan.rack}',
+            f'--seeds={seeds}',
+            f'--drain-ms={self.plan.drain_ms}',
+            *flags,
+        )
+        self._processes.append(agent)
+        await agent.find_line('agent started')
+        return agent
+
+    # Requests.
+
+    async def request(
+        self, method: str, url: str, **options: Any
+    ) -> tuple[int, Any]:
+        """Send a request; return status and JSON document."""
+        async with self.http.request(method, url, **options) as answer:
+            return answer.status, await answer.json(content_type=None)
+
+    async def submit(
+        self, entry: EntryHandle, job: str, arguments: str, key: str = ''
+    ) -> tuple[int, Any]:
+        """Submit a job."""
+        return await self.request(
+            'POST',
+            f'{entry.caller_url}/v1/jobs',
+            json={'job': job, 'key': key, 'arguments': arguments},
+        )
+
+    async def find_job(
+        self, entry: EntryHandle, job_id: str
+    ) -> tuple[int, Any]:
+        """Read the state of a job."""
+        return await self.request(
+            'GET', f'{entry.caller_url}/v1/jobs/{job_id}'
+        )
+
+    async def count_store_calls(self) -> dict[str, Any]:
+        """Return the call counters of the store stand-in."""
+        _, counters = await self.request(
+            'GET', f'{self.store_url}/control/counters'
+        )
+        found: dict[str, Any] = counters
+        return found
+
+    async def set_store_faults(self, **faults: Any) -> None:
+        """Set the faults of the store stand-in; none ends them."""
+        status, answer = await self.request(
+            'POST', f'{self.store_url}/control/faults', json=faults
+        )
+        if status != 200:
+            raise RuntimeError(f'faults are not set: {answer}')
+
+
+async def wait_until(
+    is_true: abc.Callable[[], abc.Awaitable[bool]],
+    what: str,
+    limit_s: float = READY_TIMEOUT_S,
+    pause_s: float = 0.1,
+) -> float:
+    """Wait for a condition; return the seconds that it took.
+
+    :raises RuntimeError: if the limit passes first
+    """
+    started = time.monotonic()
+    while not await is_true():
+        if time.monotonic() - started > limit_s:
+            raise RuntimeError(f'not reached in {limit_s} s: {what}')
+        await asyncio.sleep(pause_s)
+    return time.monotonic() - started
