--- a/borageshelf/agent/calls.py
+++ b/borageshelf/agent/calls.py
@@ -21,9 +21,9 @@
 from borageshelf import errors
 from borageshelf.platform import executor as executor_interface
 from borageshelf.protocol import inner_pb2
+from borageshelf.protocol import limits
 
 TICK_MS: Final = 20
-CHUNK_LIMIT_BYTES: Final = 64 * 1024
 # Ids of calls are remembered for this long after the deadline. A repeat that
 # arrives later is refused because of its deadline; the margin is the bound
 # on clock skew.
@@ -297,14 +297,21 @@
     async def _pass_chunk(
         self, held: held_calls.HeldCall, data: bytes
     ) -> None:
-        """Send data as credits allow; waits for more if they are used up."""
+        """Send data as credits allow; waits for more if they are used up.
+
+        A discarded chunk counts, so that the end shows the answer as
+        incomplete.
+        """
         rest = memoryview(data)
-        while rest and not held.discards:
+        while rest:
             if held.window_bytes <= 0:
+                if held.discards:
+                    held.chunks += 1
+                    return
                 held.credit.clear()
                 await held.credit.wait()
                 continue
-            size = min(len(rest), held.window_bytes, CHUNK_LIMIT_BYTES)
+            size = min(len(rest), held.window_bytes, limits.CHUNK_LIMIT_BYTES)
             chunk = inner_pb2.CallChunk(
                 call_id=held.call.call_id,
                 sequence=held.chunks,
@@ -355,7 +362,7 @@
             self._idle.set()
 
     def _discard(self, held: held_calls.HeldCall) -> None:
-        """Let a call run on without passing its answer."""
+        """Let a call run on without waiting for its reader."""
         held.discards = True
         held.credit.set()
 
--- a/borageshelf/agent/held_calls.py
+++ b/borageshelf/agent/held_calls.py
@@ -5,13 +5,10 @@
 
 import asyncio
 import dataclasses
-from typing import Final
 
 from borageshelf import errors
 from borageshelf.protocol import inner_pb2
-
-# Both sides assume this window when a call starts; CallCredit extends it.
-CALL_WINDOW_BYTES: Final = 256 * 1024
+from borageshelf.protocol import limits
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,7 +26,7 @@
     def __init__(self, entry_id: str, call: inner_pb2.Call) -> None:
         self.entry_id = entry_id
         self.call = call
-        self.window_bytes = CALL_WINDOW_BYTES
+        self.window_bytes = limits.CALL_WINDOW_BYTES
         self.credit = asyncio.Event()
         self.discards = False
         self.chunks = 0
--- /dev/null
+++ b/borageshelf/entry/call_tries.py
@@ -0,0 +1,159 @@
+"""State of one call in an entry and of its tries on executors.
+
+Used by ``entry.calls`` only. A try checks the order of the answer's chunks
+and counts its credits; a call collects what its tries prove.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+from typing import Final
+
+from borageshelf.decisions import admission
+from borageshelf import errors
+from borageshelf.protocol import inner_pb2
+from borageshelf.protocol import limits
+
+# Credits are sent back in steps of a quarter of the window.
+CREDIT_STEP_BYTES: Final = limits.CALL_WINDOW_BYTES // 4
+
+
+class Outcome(enum.Enum):
+    """What is proved about the work of a call."""
+
+    DONE = 'done'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True)
+class Submission:
+    """A call as a caller asks for it.
+
+    :param call_id: unique among the calls in progress in this entry
+    :param kind: kind of work, for guaranteed shares
+    :param urgency: 0 (least urgent) to 9
+    :param key: key of a non-idempotent call, or ''
+    """
+
+    call_id: str
+    service: str
+    team: str
+    deadline_ms: int
+    body: bytes
+    kind: str = ''
+    urgency: int = 0
+    idempotent: bool = False
+    key: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """How a call ended.
+
+    :param retry_deadline_ms: Unix milliseconds before which a retry is
+        pointless, or 0
+    :param passed_bytes: bytes of the answer that were passed on; the answer
+        is complete only if the code is ``OK`` or ``EXECUTOR_FAILED``
+    """
+
+    outcome: Outcome
+    code: errors.ResultCode
+    detail: str = ''
+    retry_deadline_ms: int = 0
+    passed_bytes: int = 0
+
+
+class Try:
+    """One try of a call on one target.
+
+    :param wire_id: call id on the stream, unique for each try, so that the
+        late answer of a try is never taken for that of another one
+    """
+
+    def __init__(
+        self, call: 'ActiveCall', wire_id: str, target_id: str, sent_at_ms: int
+    ) -> None:
+        self.call = call
+        self.wire_id = wire_id
+        self.target_id = target_id
+        self.sent_at_ms = sent_at_ms
+        self.chunks = 0
+        self.cancel_sent = False
+        self.recorded = False
+        self._window_bytes = limits.CALL_WINDOW_BYTES
+        self._consumed_bytes = 0
+
+    def find_fault(self, chunk: inner_pb2.CallChunk) -> str:
+        """Count a chunk; return '' or why it breaks the protocol."""
+        if chunk.sequence != self.chunks:
+            return f'chunk {chunk.sequence} instead of {self.chunks}'
+        self.chunks += 1
+        self._window_bytes -= len(chunk.data)
+        if self._window_bytes < 0:
+            return 'more data than credits'
+        return ''
+
+    def consume(self, size_bytes: int) -> int:
+        """Count bytes that the caller took; return credits to send now."""
+        self._consumed_bytes += size_bytes
+        if self._consumed_bytes < CREDIT_STEP_BYTES:
+            return 0
+        credit_bytes = self._consumed_bytes
+        self._consumed_bytes = 0
+        self._window_bytes += credit_bytes
+        return credit_bytes
+
+
+class ActiveCall:
+    """One call from its admission to its result."""
+
+    def __init__(
+        self, submission: Submission, queued: admission.QueuedCall
+    ) -> None:
+        self.submission = submission
+        self.queued = queued
+        self.open_tries: dict[str, Try] = {}
+        self.tried: list[str] = []
+        self.winner: Try | None = None
+        self.may_have_run = False
+        self.is_cancelled = False
+        self.is_abandoned = False
+        self.hedge_at_ms: int | None = None
+        self.passed_bytes = 0
+        self.result: Result | None = None
+        self.changed = asyncio.Event()
+        self.buffer: collections.deque[bytes] = collections.deque()
+
+    def push(self, data: bytes) -> None:
+        """Buffer a part of the answer for the caller."""
+        self.buffer.append(data)
+        self.changed.set()
+
+    def resolve(self, result: Result) -> None:
+        """Set the result; the first one counts."""
+        if self.result is None:
+            self.result = result
+            self.changed.set()
+
+
+def find_result(
+    code: errors.ResultCode, ran: bool, may_have_run: bool, detail: str
+) -> Result:
+    """Return the result of a call whose last try ended without success.
+
+    :param ran: whether the last try may have run
+    :param may_have_run: whether any earlier try may have run; the proof of
+        the last try says nothing about them
+    """
+    if not ran and not may_have_run:
+        if code.category is not errors.Category.NOT_RUN:
+            code = errors.NO_TARGET
+        return Result(Outcome.NOT_RUN, code, detail)
+    if ran and code is errors.EXECUTOR_FAILED:
+        return Result(Outcome.DONE, code, detail)
+    if code is not errors.ANSWER_TRUNCATED:
+        detail = f'{code.name}: {detail}' if detail else code.name
+        code = errors.OUTCOME_UNKNOWN
+    return Result(Outcome.UNKNOWN, code, detail)
