--- /dev/null
+++ b/borageshelf/commands/base.py
@@ -0,0 +1,165 @@
+"""Common parts of the commands: settings, output and the event loop."""
+
+import asyncio
+from collections import abc
+import functools
+import json
+import os
+from typing import Any, Final, TypeVar
+
+import cleo.commands.command
+import cleo.helpers
+import cleo.io.inputs.option
+import cleo.io.outputs.output
+import msgspec
+
+from borageshelf.commands import statuses
+from borageshelf import errors
+from borageshelf import options as options_module
+
+OptionsType = TypeVar('OptionsType', bound=options_module.Options)
+JSON_FLAG: Final = cleo.helpers.option(
+    'json', description='Print one JSON document'
+)
+
+
+def make_flags(
+    kind: type[options_module.Options],
+) -> list[cleo.io.inputs.option.Option]:
+    """Return the command-line flags of an options class."""
+    return [
+        cleo.helpers.option(
+            setting.flag,
+            description=f'{setting.help} ({setting.variable})',
+            flag=False,
+        )
+        for setting in options_module.list_settings(kind)
+        if not setting.is_secret
+    ]
+
+
+class UsageError(Exception):
+    """An argument of a command is wrong."""
+
+
+class Command(cleo.commands.command.Command):
+    """Base of all commands: turns errors into exit statuses."""
+
+    def handle(self) -> int:
+        """Run the command and return its exit status."""
+        try:
+            return self.execute_command()
+        except options_module.OptionsError as error:
+            for fault in error.faults:
+                self.print_error(str(fault))
+            return statuses.WRONG_SETTINGS
+        except UsageError as error:
+            self.print_error(str(error))
+            return statuses.WRONG_SETTINGS
+        except errors.BorageshelfError as error:
+            self.report_error(error)
+            return self.find_status(error.code)
+
+    def execute_command(self) -> int:
+        """Do the work of the command; subclasses implement it."""
+        raise NotImplementedError
+
+    def find_status(self, code: errors.ResultCode) -> int:
+        """Return the exit status for a result code."""
+        return statuses.find_operator_status(code)
+
+    def describe_work(self, code: errors.ResultCode) -> str:
+        """Return what an error says about the work."""
+        return code.category.value
+
+    def read_options(self, kind: type[OptionsType]) -> OptionsType:
+        """Return the options from flags and environment.
+
+        :raises OptionsError: with all faults
+        """
+        flags = {
+            setting.flag: self.option(setting.flag)
+            for setting in options_module.list_settings(kind)
+            if not setting.is_secret
+        }
+        return options_module.build_options(kind, flags, os.environ)
+
+    def read_integer(self, name: str, text: str | None, default: int) -> int:
+        """Return a whole number that was given as text.
+
+        :raises UsageError: if it is something else
+        """
+        if text is None:
+            return default
+        if not (text.isascii() and text.isdigit() and len(text) < 16):
+            raise UsageError(f'{name} must be a whole number, not {text}')
+        return int(text)
+
+    def wants_json(self) -> bool:
+        """Tell whether one JSON document shall be printed."""
+        has_flag = any(item.name == 'json' for item in self.options)
+        return has_flag and bool(self.option('json'))
+
+    def print_json(self, document: object) -> None:
+        """Print one JSON document."""
+        self.print_text(json.dumps(msgspec.to_builtins(document)))
+
+    def print_text(self, text: str) -> None:
+        """Print text without reading style tags in it."""
+        self.io.output.write_line(
+            _clean(text), type=cleo.io.outputs.output.Type.RAW
+        )
+
+    def print_error(self, text: str) -> None:
+        """Print a line about an error, after the name of the command."""
+        self.io.error_output.write_line(
+            f'{self.name}: {_clean(text)}',
+            type=cleo.io.outputs.output.Type.RAW,
+        )
+
+    def report_error(self, error: errors.BorageshelfError) -> None:
+        """Print an error, as JSON if that was asked for."""
+        if self.wants_json():
+            self.print_json(
+                {
+                    'code': error.code.number,
+                    'code_name': error.code.name,
+                    'work': self.describe_work(error.code),
+                    'detail': error.detail,
+                    'retry_deadline_ms': error.retry_deadline_ms,
+                }
+            )
+            return
+        detail = error.detail or error.code.description
+        self.print_error(f'{error.code.name}: {detail}')
+
+
+def run_coroutine(
+    make: abc.Callable[[], abc.Coroutine[Any, Any, Any]],
+) -> Any:
+    """Run a coroutine on the event loop and return its result.
+
+    It must make its adapters itself, because these need the running loop.
+    """
+    return _find_loop().run_until_complete(make())
+
+
+@functools.cache
+def _find_loop() -> asyncio.AbstractEventLoop:
+    """Return the loop of this process.
+
+    The reactor itself is never run, because it could not be run again for a
+    second coroutine of the same command.
+    """
+    # Importing the event loop takes as long as all other commands together.
+    from borageshelf import loop
+
+    return loop.install()
+
+
+def _clean(text: str) -> str:
+    """Replace control characters, which could change the terminal's state."""
+    return ''.join(
+        character if character.isprintable() or character in '\n\t' else '?'
+        for character in text
+    )
--- /dev/null
+++ b/borageshelf/commands/callers.py
@@ -0,0 +1,215 @@
+"""The commands of callers: submit, cancel, status and wait.
+
+The exit status tells what may be concluded about the work, by the category of
+its result code. A request about an existing job that fails says nothing about
+the job.
+"""
+
+import pathlib
+import time
+from typing import Any, Final
+import urllib.parse
+
+import cleo.helpers
+
+from borageshelf.commands import base
+from borageshelf.commands import http_documents
+from borageshelf.commands import statuses
+from borageshelf import errors
+from borageshelf import options as options_module
+
+DEFAULT_WAIT_MS: Final = 600_000
+# An entry answers a wait after this time at the latest, so that a planned
+# stop of the entry does not have to wait for it.
+WAIT_REQUEST_MS: Final = 30_000
+# Time for the answer itself on top of the wait.
+WAIT_MARGIN_S: Final = 10.0
+RETRY_PAUSE_S: Final = 1.0
+
+_ID_ARGUMENT: Final = cleo.helpers.argument('job-id', 'Id of the job')
+_OPTIONS: Final = [
+    base.JSON_FLAG,
+    *base.make_flags(options_module.CallerOptions),
+]
+
+
+class CallerCommand(base.Command):
+    """Base of the callers' commands."""
+
+    def find_status(self, code: errors.ResultCode) -> int:
+        """Return the exit status for a failed request."""
+        return statuses.find_read_status(code)
+
+    def describe_work(self, code: errors.ResultCode) -> str:
+        """Return what a failed request says about the job."""
+        return errors.Category.UNKNOWN.value
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        document: object = None,
+        timeout_s: float = http_documents.TIMEOUT_S,
+    ) -> Any:
+        """Send a request to an entry and return the document of its answer.
+
+        :raises BorageshelfError: with the code of a refusal
+        """
+        settings = self.read_options(options_module.CallerOptions)
+        client = http_documents.Client(settings.entry_url)
+        answer = client.send(method, path, document, timeout_s)
+        job = http_documents.check_answer(answer)
+        if not isinstance(job, dict) or not isinstance(job.get('code'), int):
+            raise errors.BorageshelfError(
+                errors.OUTCOME_UNKNOWN, 'the answer is malformed'
+            )
+        return job
+
+    def report_job(self, job: Any) -> int:
+        """Print the state of a job and return the exit status."""
+        if self.wants_json():
+            self.print_json(job)
+        else:
+            self.print_text(f'{job.get("job_id")}: {job.get("code_name")}')
+            for task in job.get('tasks', ()):
+                self.print_text(
+                    f'  {task["task_id"]}: {task["phase"]}, attempt '
+                    f'{task["attempt"]}'
+                )
+            if job.get('result'):
+                self.print_text(str(job['result']))
+        return statuses.find_work_status(errors.find(job['code']))
+
+    def make_path(self) -> str:
+        """Return the path of the job that the argument names."""
+        job_id = urllib.parse.quote(self.argument('job-id'), safe='')
+        return f'/v1/jobs/{job_id}'
+
+
+class SubmitCommand(CallerCommand):
+    """Submit a job."""
+
+    name = 'submit'
+    description = 'Submits a job'
+    arguments = [cleo.helpers.argument('job', 'Name of a configured job')]
+    options = [
+        cleo.helpers.option(
+            'key',
+            description='Key; a repeat with the same key is the same job',
+            flag=False,
+        ),
+        cleo.helpers.option(
+            'arguments', description='Text for the task', flag=False
+        ),
+        cleo.helpers.option(
+            'arguments-file',
+            description='File with the text for the task',
+            flag=False,
+        ),
+        *_OPTIONS,
+    ]
+
+    def execute_command(self) -> int:
+        """Submit and print the job's id."""
+        request = {
+            'job': self.argument('job'),
+            'key': self.option('key') or '',
+            'arguments': self._read_arguments(),
+        }
+        job = self.send('POST', '/v1/jobs', request)
+        status = self.report_job(job)
+        # The job is durably accepted, which is what this command asks for.
+        return statuses.OK if status == statuses.PENDING else status
+
+    def find_status(self, code: errors.ResultCode) -> int:
+        """Return the exit status for a refused submission."""
+        return statuses.find_work_status(code)
+
+    def describe_work(self, code: errors.ResultCode) -> str:
+        """Return what a refusal says about the job."""
+        return code.category.value
+
+    def _read_arguments(self) -> str:
+        path = self.option('arguments-file')
+        if path and self.option('arguments'):
+            raise base.UsageError('give --arguments or --arguments-file')
+        if not path:
+            return self.option('arguments') or ''
+        try:
+            return pathlib.Path(path).read_text()
+        except (OSError, ValueError) as error:
+            raise base.UsageError(f'{path}: {error}') from error
+
+
+class StatusCommand(CallerCommand):
+    """Show the state of a job."""
+
+    name = 'status'
+    description = 'Shows the state of a job'
+    arguments = [_ID_ARGUMENT]
+    options = _OPTIONS
+
+    def execute_command(self) -> int:
+        """Print the state."""
+        return self.report_job(self.send('GET', self.make_path()))
+
+
+class CancelCommand(CallerCommand):
+    """Cancel a job."""
+
+    name = 'cancel'
+    description = 'Cancels a job'
+    arguments = [_ID_ARGUMENT]
+    options = _OPTIONS
+
+    def execute_command(self) -> int:
+        """Cancel and print the state, which may still be pending."""
+        return self.report_job(self.send('DELETE', self.make_path()))
+
+
+class WaitCommand(CallerCommand):
+    """Wait for the end of a job."""
+
+    name = 'wait'
+    description = 'Waits until a job has ended'
+    arguments = [_ID_ARGUMENT]
+    options = [
+        cleo.helpers.option(
+            'limit-ms', description='Limit of the wait', flag=False
+        ),
+        *_OPTIONS,
+    ]
+
+    def execute_command(self) -> int:
+        """Ask until the job has ended or the time is over.
+
+        Failures of single requests are repeated: the job goes on whether or
+        not an entry answers.
+        """
+        limit_ms = self.read_integer(
+            'limit-ms', self.option('limit-ms'), DEFAULT_WAIT_MS
+        )
+        end = time.monotonic() + limit_ms / 1000
+        while True:
+            left_ms = max(int((end - time.monotonic()) * 1000), 0)
+            wait_ms = min(left_ms, WAIT_REQUEST_MS)
+            try:
+                job = self.send(
+                    'GET',
+                    f'{self.make_path()}/wait?timeout_ms={wait_ms}',
+                    timeout_s=wait_ms / 1000 + WAIT_MARGIN_S,
+                )
+            except errors.BorageshelfError as error:
+                if error.code in _FINAL_REFUSALS or left_ms == 0:
+                    raise
+                time.sleep(min(RETRY_PAUSE_S, left_ms / 1000))
+                continue
+            if job['code'] != errors.PENDING.number or left_ms == 0:
+                return self.report_job(job)
+
+
+# Refusals that another try will not change.
+_FINAL_REFUSALS: Final = frozenset(
+    {errors.UNKNOWN_JOB, errors.BAD_REQUEST, errors.NOT_FOUND}
+)
+COMMANDS: Final = (SubmitCommand, StatusCommand, CancelCommand, WaitCommand)
--- a/borageshelf/commands/processes.py
+++ b/borageshelf/commands/processes.py
@@ -1,81 +1,39 @@
 """The commands ``entry`` and ``agent``, which run the processes."""
 
 import importlib
-import os
-from typing import Any, Final, TypeVar
+from typing import Any, Final
 
-import cleo.commands.command
-import cleo.helpers
-import cleo.io.inputs.option
+from borageshelf.commands import base
+from borageshelf import options as options_module
 
-from borageshelf import options
 
-OptionsType = TypeVar('OptionsType', bound=options.Options)
-
-
-def make_flags(
-    kind: type[options.Options],
-) -> list[cleo.io.inputs.option.Option]:
-    """Return the command-line flags of an options class."""
-    return [
-        cleo.helpers.option(
-            setting.flag,
-            description=f'{setting.help} ({setting.variable})',
-            flag=False,
-        )
-        for setting in options.list_settings(kind)
-        if not setting.is_secret
-    ]
-
-
-def read_options(
-    command: cleo.commands.command.Command, kind: type[OptionsType]
-) -> OptionsType | None:
-    """Return the options, or None after all faults were printed."""
-    flags = {
-        setting.flag: command.option(setting.flag)
-        for setting in options.list_settings(kind)
-        if not setting.is_secret
-    }
-    try:
-        return options.build_options(kind, flags, os.environ)
-    except options.OptionsError as error:
-        for fault in error.faults:
-            command.line_error(f'{command.name}: {fault}')
-        return None
-
-
-class EntryCommand(cleo.commands.command.Command):
+class EntryCommand(base.Command):
     """Run an entry process."""
 
     name = 'entry'
     description = 'Runs an entry process'
-    options = make_flags(options.EntryOptions)
+    options = base.make_flags(options_module.EntryOptions)
 
-    def handle(self) -> int:
+    def execute_command(self) -> int:
         """Run until a planned stop."""
-        settings = read_options(self, options.EntryOptions)
-        if settings is None:
-            return options.EXIT_WRONG_SETTINGS
+        settings = self.read_options(options_module.EntryOptions)
         return _run_process('borageshelf.entry.process', settings)
 
 
-class AgentCommand(cleo.commands.command.Command):
+class AgentCommand(base.Command):
     """Run an agent process."""
 
     name = 'agent'
     description = 'Runs the agent process beside a target'
-    options = make_flags(options.AgentOptions)
+    options = base.make_flags(options_module.AgentOptions)
 
-    def handle(self) -> int:
+    def execute_command(self) -> int:
         """Run until a planned stop."""
-        settings = read_options(self, options.AgentOptions)
-        if settings is None:
-            return options.EXIT_WRONG_SETTINGS
+        settings = self.read_options(options_module.AgentOptions)
         return _run_process('borageshelf.agent.process', settings)
 
 
-def _run_process(module_name: str, settings: options.Options) -> int:
+def _run_process(module_name: str, settings: options_module.Options) -> int:
     """Run a process module.
 
     It is imported here because it installs the event loop's reactor, which
--- a/borageshelf/configuration/publication.py
+++ b/borageshelf/configuration/publication.py
@@ -227,7 +227,7 @@
             if publication.version <= request.base_version:
                 break
         is_recorded = await self.record_refusal(
-            request, root.version, 'another version is in force'
+            request, root.version, f'version {root.version} is in force'
         )
         return LostRace(request.publication_id, base, found, is_recorded)
 
--- a/borageshelf/main.py
+++ b/borageshelf/main.py
@@ -6,7 +6,11 @@
 import cleo.application
 import cleo.exceptions
 
+from borageshelf.commands import callers
+from borageshelf.commands import operators
 from borageshelf.commands import processes
+from borageshelf.commands import publish
+from borageshelf.commands import top
 from borageshelf import options
 
 VERSION: Final = '0.1.0'
@@ -15,8 +19,9 @@
 def make_application() -> cleo.application.Application:
     """Return the command line with all commands."""
     application = cleo.application.Application('borageshelf', VERSION)
-    for command in processes.COMMANDS:
-        application.add(command())
+    for module in (processes, operators, publish, callers, top):
+        for command in module.COMMANDS:
+            application.add(command())
     application.auto_exits(False)
     application.catch_exceptions(False)
     return application
