--- a/borageshelf/agent/process.py
+++ b/borageshelf/agent/process.py
@@ -383,6 +383,7 @@
 
 def run(options: options_module.AgentOptions) -> int:
     """Run an agent until it is stopped; return its exit status."""
+    telemetry_module.start_logging()
     loop = loop_module.install()
     telemetry = telemetry_module.Telemetry(
         'agent', options.target_id, options.statsd_address
--- a/borageshelf/entry/call_links.py
+++ b/borageshelf/entry/call_links.py
@@ -64,7 +64,9 @@
         self, call: call_tries.ActiveCall, target_id: str, now_ms: int
     ) -> call_tries.Try:
         """Register a new try of a call."""
-        wire_id = f'{self._entry_id}/{next(self._numbers)}'
+        number = next(self._numbers)
+        call_id = call.submission.call_id
+        wire_id = f'{call_id}/{self._entry_id}/{number}'
         item = call_tries.Try(call, wire_id, target_id, now_ms)
         call.open_tries[wire_id] = item
         self.tries[wire_id] = item
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -213,6 +213,7 @@
 
 def run(options: options_module.EntryOptions) -> int:
     """Run an entry until it is stopped; return its exit status."""
+    telemetry_module.start_logging()
     loop = loop_module.install()
     telemetry = telemetry_module.Telemetry(
         'entry', options.entry_id, options.statsd_address
--- a/borageshelf/telemetry.py
+++ b/borageshelf/telemetry.py
@@ -244,6 +244,12 @@
             self._client = None
 
 
+def start_logging() -> None:
+    """Write log lines of level INFO and above to the standard error."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+
+
 def _make_client(address: options.Address, prefix: str) -> Any:
     client = statsd.StatsClient(
         address.host, address.port, prefix=prefix, ipv6=':' in address.host
