Test the call engines and make every refusal of the agent final

A call that the agent refused as full was not remembered, so a repeat of its message could run after the caller had been told "not run". Each refusal now leaves a tombstone.

--- a/borageshelf/agent/calls.py
+++ b/borageshelf/agent/calls.py
@@ -196,12 +196,12 @@
         held = held_calls.HeldCall(entry_id, call)
         refusal = self._find_refusal(call)
         if refusal is not None:
-            self._send_end(held, refusal, ran=False)
+            self._send_refusal(held, refusal)
             return
         if len(self._held) >= self._connections:
             displaced = self._queue[-1] if self._queue else None
             if displaced is None or displaced.rank <= held.rank:
-                self._send_end(held, errors.OVERLOADED, ran=False)
+                self._send_refusal(held, errors.OVERLOADED)
                 return
             self._refuse(displaced, errors.OVERLOADED)
         self._held[call_id] = held
@@ -235,18 +235,16 @@
     def _bury(self, entry_id: str, cancel: inner_pb2.CallCancel) -> None:
         """Record that a call which has not arrived must never start."""
         now_ms = self._clock()
-        call_id = cancel.call_id
-        until_ms = cancel.deadline_ms + MEMORY_MARGIN_MS
-        if not cancel.deadline_ms:
-            until_ms = now_ms + TOMBSTONE_MS
-        if call_id in self._started or until_ms < now_ms:
+        deadline_ms = cancel.deadline_ms or now_ms + TOMBSTONE_MS
+        is_old = deadline_ms + MEMORY_MARGIN_MS < now_ms
+        if cancel.call_id in self._started or is_old:
             # It has ended, or is too old to tell.
             return
         if len(self._tombstones) >= TOMBSTONES_LIMIT:
             return
-        self._tombstones[call_id] = until_ms
-        held = held_calls.HeldCall(entry_id, inner_pb2.Call(call_id=call_id))
-        self._send_end(held, errors.CANCELLED, ran=False)
+        call = inner_pb2.Call(call_id=cancel.call_id, deadline_ms=deadline_ms)
+        held = held_calls.HeldCall(entry_id, call)
+        self._send_refusal(held, errors.CANCELLED)
 
     def _receive_credit(self, credit: inner_pb2.CallCredit) -> None:
         held = self._held.get(credit.call_id)
@@ -352,6 +350,17 @@
     ) -> None:
         """End a call that has not started."""
         self._drop(held)
+        self._send_refusal(held, code)
+
+    def _send_refusal(
+        self, held: held_calls.HeldCall, code: errors.ResultCode
+    ) -> None:
+        """State that a call has not started and never will.
+
+        The tombstone makes this true if the request arrives (again) later.
+        """
+        until_ms = held.call.deadline_ms + MEMORY_MARGIN_MS
+        self._tombstones[held.call.call_id] = until_ms
         self._send_end(held, code, ran=False)
 
     def _drop(self, held: held_calls.HeldCall) -> None:
--- /dev/null
+++ b/tests/calls_support.py
@@ -0,0 +1,207 @@
+"""Fakes for tests of the call engines: clock, executor, streams, claims."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import random
+
+from borageshelf.agent import calls as agent_calls
+from borageshelf.decisions import admission
+from borageshelf.entry import call_claims
+from borageshelf.entry import calls as entry_calls
+from borageshelf import errors
+from borageshelf.platform import executor as executor_interface
+from borageshelf.protocol import inner_pb2
+from borageshelf.shards import records
+from borageshelf import telemetry
+
+START_MS = 1_000_000
+
+
+class FakeClock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.now_ms = START_MS
+
+    def __call__(self) -> int:
+        return self.now_ms
+
+
+class FakeExecutor:
+    """Answers each call with its body, once its gate is open."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+        self.bodies: list[bytes] = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.statuses: list[executor_interface.CallStatus] = []
+        self.answer: list[bytes] | None = None
+
+    async def describe(self) -> executor_interface.ExecutorDescription:
+        """Return the bounds of the design page."""
+        return executor_interface.ExecutorDescription('service', 8, 60)
+
+    async def call(
+        self,
+        request: executor_interface.CallRequest,
+        on_chunk: Callable[[bytes], Awaitable[None]],
+    ) -> executor_interface.CallStatus:
+        """Run one call."""
+        self.started.append(request.call_id)
+        self.bodies.append(request.body)
+        await self.gate.wait()
+        if self.statuses:
+            return self.statuses.pop(0)
+        for data in self.answer or [request.body]:
+            await on_chunk(data)
+        return executor_interface.CallStatus(errors.OK.number, True)
+
+
+class FakeClaims:
+    """Claims in memory, with errors on demand."""
+
+    def __init__(self) -> None:
+        self.holders: dict[str, tuple[str, records.ClaimOutcome]] = {}
+        self.claim_errors: list[errors.ResultCode] = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    async def claim(self, key: str, call_id: str) -> call_claims.ClaimAnswer:
+        """Grant a free key."""
+        await self.gate.wait()
+        if self.claim_errors:
+            raise errors.BorageshelfError(self.claim_errors.pop(0))
+        claimed = records.ClaimOutcome.CLAIMED
+        holder, outcome = self.holders.setdefault(key, (call_id, claimed))
+        return call_claims.ClaimAnswer(holder == call_id, outcome)
+
+    async def settle(
+        self, key: str, call_id: str, outcome: records.ClaimOutcome
+    ) -> None:
+        """Record an outcome; "not run" frees the key."""
+        if self.holders.get(key, ('',))[0] != call_id:
+            return
+        if outcome is records.ClaimOutcome.NOT_RUN:
+            del self.holders[key]
+        else:
+            self.holders[key] = (call_id, outcome)
+
+
+class Cell:
+    """One entry and some agents, joined by streams in memory.
+
+    :param hold_to_agent: kinds of messages to agents that are kept in
+        ``held`` instead of being delivered
+    """
+
+    def __init__(self, targets: int = 1, slots: int = 8) -> None:
+        self.clock = FakeClock()
+        self.claims = FakeClaims()
+        self.executors: dict[str, FakeExecutor] = {}
+        self.agents: dict[str, agent_calls.AgentCalls] = {}
+        self.hold_to_agent: set[str] = set()
+        self.held: list[tuple[str, inner_pb2.EntryMessage]] = []
+        self.sent: list[tuple[str, inner_pb2.EntryMessage]] = []
+        self.rewrite: Callable[
+            [inner_pb2.AgentMessage], list[inner_pb2.AgentMessage]
+        ] = lambda message: [message]
+        self.engine = entry_calls.CallEngine(
+            'entry-1.boot',
+            'north',
+            self.clock,
+            random.Random(1),
+            self.claims.claim,
+            self.claims.settle,
+            telemetry.Telemetry('entry', 'entry-1', None),
+        )
+        self.engine.configure({'service': admission.Limits()}, 1)
+        for number in range(targets):
+            self.add_target(f'target-{number}', slots)
+
+    def add_target(self, target_id: str, slots: int = 8) -> None:
+        """Attach one agent with its executor."""
+        executor = FakeExecutor()
+        agent = agent_calls.AgentCalls(executor, slots, 60, self.clock)
+        self.executors[target_id] = executor
+        self.agents[target_id] = agent
+        agent.attach(
+            'entry-1', lambda message: self._to_entry(target_id, message)
+        )
+        self.engine.attach(
+            entry_calls.Target(target_id, 'north', 'service', slots, 60),
+            lambda message: self._to_agent(target_id, message),
+        )
+
+    def deliver(self) -> None:
+        """Deliver the held messages in the order of their sending."""
+        held, self.held = self.held, []
+        for target_id, message in held:
+            self.agents[target_id].receive('entry-1', message)
+
+    def submit(
+        self, call_id: str = 'call-1', **changes: object
+    ) -> 'asyncio.Task[tuple[entry_calls.Result, bytes]]':
+        """Start a call and collect its answer."""
+        submission = entry_calls.Submission(
+            call_id=call_id,
+            service='service',
+            team='team',
+            deadline_ms=self.clock.now_ms + 10_000,
+            body=f'answer to {call_id}'.encode(),
+        )
+        submission = dataclasses.replace(submission, **changes)  # type: ignore
+
+        async def run() -> tuple[entry_calls.Result, bytes]:
+            parts: list[bytes] = []
+
+            async def collect(data: bytes) -> None:
+                parts.append(data)
+
+            result = await self.engine.run(submission, collect)
+            return result, b''.join(parts)
+
+        return asyncio.ensure_future(run())
+
+    def advance(self, duration_ms: int) -> None:
+        """Move the clock and let both sides act on it."""
+        self.clock.now_ms += duration_ms
+        for agent in self.agents.values():
+            agent.tick()
+        self.engine.tick()
+
+    def _to_agent(
+        self, target_id: str, message: inner_pb2.EntryMessage
+    ) -> None:
+        self.sent.append((target_id, message))
+        if message.WhichOneof('kind') in self.hold_to_agent:
+            self.held.append((target_id, message))
+            return
+        agent = self.agents[target_id]
+        asyncio.get_running_loop().call_soon(agent.receive, 'entry-1', message)
+
+    def _to_entry(
+        self, target_id: str, message: inner_pb2.AgentMessage
+    ) -> None:
+        for copy in self.rewrite(message):
+            asyncio.get_running_loop().call_soon(
+                self.engine.receive, target_id, copy
+            )
+
+
+async def run_pending() -> None:
+    """Let all callbacks that are ready run."""
+    for _ in range(60):
+        await asyncio.sleep(0)
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test coroutine in a fresh loop."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(20):
+            await test()
+
+    asyncio.run(bounded())
