--- a/borageshelf/agent/calls.py
+++ b/borageshelf/agent/calls.py
@@ -10,7 +10,6 @@
 import bisect
 import collections
 from collections.abc import Callable
-import dataclasses
 import functools
 import math
 from typing import Final
@@ -38,20 +37,6 @@
 Send = Callable[[inner_pb2.AgentMessage], None]
 
 
-@dataclasses.dataclass(frozen=True)
-class CallLoad:
-    """What the agent reports about its calls.
-
-    :param service_p99_ms: 99th percentile of the last calls' time in the
-        executor, or 0 without any
-    """
-
-    queued: int
-    running: int
-    service_p99_ms: float
-    leaving: bool
-
-
 class AgentCalls:
     """Queue and execution of the calls of one target.
 
@@ -131,13 +116,15 @@
         elif kind == 'call_credit':
             self._receive_credit(message.call_credit)
 
-    def find_load(self) -> CallLoad:
+    def find_load(self) -> held_calls.CallLoad:
         """Return the figures for the next report."""
         samples = sorted(self._samples_ms)
         p99_ms = 0.0
         if samples:
             p99_ms = samples[math.ceil(len(samples) * 0.99) - 1]
-        return CallLoad(len(self._queue), self._running, p99_ms, self.leaving)
+        return held_calls.CallLoad(
+            len(self._queue), self._running, p99_ms, self.leaving
+        )
 
     def tick(self) -> None:
         """Refuse waiting calls past their deadline; forget old ids."""
--- a/borageshelf/agent/held_calls.py
+++ b/borageshelf/agent/held_calls.py
@@ -11,6 +11,20 @@
 from borageshelf.protocol import limits
 
 
+@dataclasses.dataclass(frozen=True)
+class CallLoad:
+    """What the agent reports about its calls.
+
+    :param service_p99_ms: 99th percentile of the last calls' time in the
+        executor, or 0 without any
+    """
+
+    queued: int
+    running: int
+    service_p99_ms: float
+    leaving: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class Ending:
     """How a call ended on the executor."""
--- a/borageshelf/decisions/admission.py
+++ b/borageshelf/decisions/admission.py
@@ -13,14 +13,13 @@
 import math
 from typing import Final
 
+from borageshelf.decisions import service_times
 from borageshelf import errors
 
 QUEUE_LIMIT: Final = 256
 # Shares are measured over this half-life. It is longer than a call and
 # shorter than a caller's patience.
 USE_HALF_LIFE_MS: Final = 2_000
-# Weight of one call in the estimates of service time.
-ESTIMATE_STEP: Final = 0.05
 # Time kept for the call itself, in mean deviations above the mean. For
 # exponential service times this is the 98th percentile; work that ends after
 # its deadline is wasted capacity under overload.
@@ -57,14 +56,6 @@
     team_quotas: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True)
-class ServiceEstimate:
-    """Learned time that a call of one kind holds a slot."""
-
-    mean_ms: float = 0.0
-    deviation_ms: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True)
 class RunningCall:
     """A call that was taken.
@@ -97,7 +88,7 @@
     running: Mapping[str, RunningCall] = dataclasses.field(
         default_factory=dict
     )
-    estimates: Mapping[str, ServiceEstimate] = dataclasses.field(
+    estimates: Mapping[str, service_times.ServiceEstimate] = dataclasses.field(
         default_factory=dict
     )
     use_ms: Mapping[Group, float] = dataclasses.field(default_factory=dict)
@@ -190,7 +181,7 @@
     _charge(use_ms, call, elapsed_ms - taken.charged_ms)
     estimates = state.estimates
     if ran:
-        learned = _learn(_estimate(state, call.kind), elapsed_ms)
+        learned = service_times.learn(_estimate(state, call.kind), elapsed_ms)
         estimates = {**estimates, call.kind: learned}
     return dataclasses.replace(
         state,
@@ -363,20 +354,10 @@
     return waiting + running
 
 
-def _estimate(state: AdmissionState, kind: str) -> ServiceEstimate:
-    return state.estimates.get(kind, ServiceEstimate())
-
-
-def _learn(estimate: ServiceEstimate, service_ms: float) -> ServiceEstimate:
-    """Return the estimate after one call (RFC 6298, section 2)."""
-    if estimate.mean_ms <= 0:
-        return ServiceEstimate(service_ms, service_ms / 2)
-    error_ms = service_ms - estimate.mean_ms
-    deviation_ms = abs(error_ms) - estimate.deviation_ms
-    return ServiceEstimate(
-        estimate.mean_ms + ESTIMATE_STEP * error_ms,
-        estimate.deviation_ms + ESTIMATE_STEP * deviation_ms,
-    )
+def _estimate(
+    state: AdmissionState, kind: str
+) -> service_times.ServiceEstimate:
+    return state.estimates.get(kind, service_times.ServiceEstimate())
 
 
 def _find_work_ms(state: AdmissionState, calls: list[QueuedCall]) -> float:
