--- a/bench/calls_model.py
+++ b/bench/calls_model.py
@@ -258,7 +258,5 @@
     for number in range(EXECUTORS):
         factor = scenario.slow_factor if number < scenario.slow else 1.0
         failing = number < scenario.failing
-        fleet.append(
-            ExecutorModel(events, number, factor, failing, bounded)
-        )
+        fleet.append(ExecutorModel(events, number, factor, failing, bounded))
     return fleet
--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -16,6 +16,7 @@
 from borageshelf import errors
 from borageshelf import loop
 from borageshelf.model import objects
+from borageshelf.model import resources
 from borageshelf import options as options_module
 from borageshelf.platform import store as store_interface
 from borageshelf.protocol import convert
@@ -157,12 +158,16 @@
             self._options.shards, owners, members
         )
         own_id = self._options.entry_id
+        moves = []
         for shard, entry_id in wanted.items():
             is_own = shard in self._runners
             if entry_id == own_id and not is_own and shard not in owners:
-                await self._acquire(shard)
+                moves.append(self._acquire(shard))
             elif entry_id != own_id and is_own:
-                await self._release(shard)
+                moves.append(self._release(shard))
+        if moves:
+            await asyncio.gather(*moves)
+            self._announce()
 
     async def _acquire(self, shard: int) -> None:
         runner = runner_module.ShardRunner(
@@ -188,7 +193,6 @@
         self._telemetry.log_state(
             'shard acquired', shard=shard, epoch=runner.owner.epoch
         )
-        self._announce()
         epoch = inner_pb2.ShardEpoch(shard=shard, epoch=runner.owner.epoch)
         renew = inner_pb2.Renew(epochs=[epoch])
         self._registry.broadcast(
@@ -206,7 +210,6 @@
             )
         self._runners.pop(shard, None)
         self._telemetry.log_state('shard released', shard=shard)
-        self._announce()
 
     def _handle_lost(self, runner: runner_module.ShardRunner) -> None:
         self._telemetry.log_state('shard lost', shard=runner.shard)
@@ -256,6 +259,21 @@
             self._replies.pop(token, None)
         return reply
 
+    def find_team_usage(self) -> dict[str, resources.Resources]:
+        """Return what the tasks of the owned shards reserve, by team."""
+        usage: dict[str, resources.Resources] = {}
+        for shard in self.list_owned():
+            owner = self.find_owner(shard)
+            for task in owner.list_tasks() if owner is not None else ():
+                if task.assignment is not None:
+                    used = usage.get(task.team, resources.NOTHING)
+                    usage[task.team] = used.plus(task.declared)
+        return usage
+
+    def find_quarantine(self, target_id: str) -> int:
+        """Return the time until which a target gets no work, or 0."""
+        return 0
+
     # Messages from agents.
 
     def greet(self, session: sessions_module.AgentSession) -> None:
--- a/borageshelf/entry/membership.py
+++ b/borageshelf/entry/membership.py
@@ -32,6 +32,7 @@
     :param address: address of the internal protocol
     :param shards: epoch of each owned shard
     :param leaving: set during a planned stop
+    :param config_version: configuration in force in the entry
     """
 
     entry_id: str
@@ -40,6 +41,7 @@
     data_centre: str
     shards: dict[int, int] = dataclasses.field(default_factory=dict)
     leaving: bool = False
+    config_version: int = 0
 
 
 class Membership:
@@ -109,6 +111,13 @@
         )
         self._dirty.set()
 
+    def announce_version(self, config_version: int) -> None:
+        """Announce the configuration in force; ``publish --wait`` reads it."""
+        self._own = dataclasses.replace(
+            self._own, config_version=config_version
+        )
+        self._dirty.set()
+
     async def _keep(self) -> None:
         """Renew the lease and write the key when it has changed."""
         failures = 0
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -12,6 +12,7 @@
 from borageshelf import clock
 from borageshelf.configuration import propagation
 from borageshelf.decisions import admission
+from borageshelf.entry import admin
 from borageshelf.entry import batch as batch_module
 from borageshelf.entry import callers
 from borageshelf.entry import calls as calls_module
@@ -20,6 +21,7 @@
 from borageshelf.entry import peers as peers_module
 from borageshelf.entry import service as service_module
 from borageshelf.entry import sessions as sessions_module
+from borageshelf.entry import status as status_module
 from borageshelf import errors
 from borageshelf import loop as loop_module
 from borageshelf.model import objects
@@ -92,6 +94,14 @@
             self._holder,
             telemetry,
         )
+        self._status = status_module.StatusProvider(
+            options,
+            self._holder,
+            self._registry,
+            self._membership,
+            self._batch,
+            self._calls,
+        )
         self._listeners: list[Any] = []
 
     async def run(self) -> int:
@@ -135,11 +145,13 @@
         self._listeners.append(
             reactor.listenTCP(address.port, site, interface=address.host)
         )
+        admin.listen(reactor, self._options, self._status, self._telemetry)
 
     async def _drain(self) -> None:
         """Finish what callers wait for and hand the shards over."""
         deadline_ms = clock.read_wall_clock_ms() + self._options.drain_ms
         self._telemetry.log_state('entry leaves', deadline_ms=deadline_ms)
+        self._status.is_leaving = True
         await asyncio.sleep(BALANCER_PAUSE_MS / 1000)
         for listener in self._listeners:
             listener.stopListening()
@@ -174,6 +186,7 @@
             telemetry_module.CONFIG_VERSION, configuration.version
         )
         self._configure_calls()
+        self._membership.announce_version(configuration.version)
         self._service.broadcast_configuration()
 
     def _configure_calls(self) -> None:
--- a/borageshelf/telemetry.py
+++ b/borageshelf/telemetry.py
@@ -10,6 +10,7 @@
 import re
 from typing import Any, Final
 
+from absl import flags
 from absl import logging
 import statsd
 
@@ -244,8 +245,15 @@
             self._client = None
 
 
+# A line names the place of the change, not this module.
+logging.ABSLLogger.register_frame_to_skip(__file__, 'log_state')
+
+
 def start_logging() -> None:
     """Write log lines of level INFO and above to the standard error."""
+    # Flags come from cleo, not from absl; without this call absl warns that
+    # its flags are not parsed.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
 
