--- /dev/null
+++ b/bench/demo_plans.py
@@ -0,0 +1,139 @@
+"""The two deployments of the demo, scaled to one machine."""
+
+import dataclasses
+import json
+import pathlib
+import sys
+from typing import Final
+
+from bench import fleet as fleet_module
+
+EXAMPLES: Final = fleet_module.ROOT / 'examples'
+
+
+@dataclasses.dataclass(frozen=True)
+class JobLoad:
+    """How often a job is submitted and what its tasks do.
+
+    :param period_s: time between two submissions
+    :param arguments: plan for the worker stand-in
+    """
+
+    job: str
+    period_s: float
+    arguments: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """A fleet, its configuration and its load.
+
+    :param calls_per_s: calls in a second over all entries
+    :param call_ms: time that a call takes on a free executor
+    """
+
+    plan: fleet_module.FleetPlan
+    folder: pathlib.Path
+    service: str
+    calls_per_s: float
+    call_ms: int
+    jobs: tuple[JobLoad, ...]
+    once_jobs: tuple[str, ...]
+
+
+def _make_task(run_ms: int, **plan: object) -> str:
+    return json.dumps({'run_ms': run_ms, 'result': 'done', **plan})
+
+
+DEPLOYMENTS: Final = (
+    Deployment(
+        fleet_module.FleetPlan(
+            name='ocre',
+            region='sierra-centro',
+            entries=('tajo-norte', 'tajo-sur', 'molino-alto'),
+            vms=(
+                fleet_module.VmPlan(
+                    'ocre-vm-1', 'tajo-norte', 'norte-1', 'pigment'
+                ),
+                fleet_module.VmPlan(
+                    'ocre-vm-2', 'tajo-sur', 'sur-1', 'pigment'
+                ),
+                fleet_module.VmPlan(
+                    'ocre-vm-3', 'molino-alto', 'molino-1', 'pigment'
+                ),
+                fleet_module.VmPlan(
+                    'ocre-vm-4', 'tajo-norte', 'norte-2', 'pigment'
+                ),
+            ),
+        ),
+        EXAMPLES / 'ocre',
+        'pigment',
+        30.0,
+        20,
+        (
+            JobLoad('ledgers', 0.4, _make_task(3000, noise=0.05)),
+            JobLoad('assay-batch', 0.8, _make_task(1500)),
+            JobLoad('kiln-blend-plan', 2.0, _make_task(1000)),
+            JobLoad('grade-certificate', 0.7, _make_task(400)),
+        ),
+        ('kiln-blend-plan',),
+    ),
+    Deployment(
+        fleet_module.FleetPlan(
+            name='colombo',
+            region='western-province',
+            entries=('colombo-north', 'colombo-south', 'dehiwala', 'kotte'),
+            vms=(
+                fleet_module.VmPlan(
+                    'colombo-vm-1', 'colombo-north', 'north-1', 'dispatch'
+                ),
+                fleet_module.VmPlan(
+                    'colombo-vm-2', 'colombo-south', 'south-1', 'dispatch'
+                ),
+                fleet_module.VmPlan(
+                    'colombo-vm-3', 'dehiwala', 'dehiwala-1', 'dispatch'
+                ),
+                fleet_module.VmPlan(
+                    'colombo-vm-4', 'kotte', 'kotte-1', 'dispatch'
+                ),
+            ),
+        ),
+        EXAMPLES / 'colombo',
+        'dispatch',
+        40.0,
+        15,
+        (
+            JobLoad('route-plan', 0.6, _make_task(1500)),
+            JobLoad('inspection-report', 0.9, _make_task(800)),
+            JobLoad('billing-run', 2.0, _make_task(1200)),
+        ),
+        ('billing-run',),
+    ),
+)
+
+
+async def publish(fleet: fleet_module.Fleet, folder: pathlib.Path) -> None:
+    """Publish a folder and wait until it is in force everywhere.
+
+    :raises RuntimeError: if the publication fails
+    """
+    admin_urls = ','.join(entry.admin_url for entry in fleet.entries)
+    process = await fleet_module.start_process(
+        f'{fleet.plan.name} publish',
+        'borageshelf.main',
+        'publish',
+        str(folder),
+        f'--store-url={fleet.store_url}',
+        f'--admin-urls={admin_urls}',
+        '--author=demo',
+        '--reason=first version',
+        '--base-version=0',
+        '--wait',
+        environment={'BORAGESHELF_ADMIN_TOKEN': fleet_module.TOKEN},
+    )
+    status = await process.wait()
+    if status != 0:
+        raise RuntimeError(
+            f'publish failed with status {status}: {list(process.lines)}'
+        )
+    sys.stdout.flush()
--- a/borageshelf/agent/process.py
+++ b/borageshelf/agent/process.py
@@ -347,16 +347,13 @@
         """Checkpoint and stop tasks that still run."""
         if self._tasks is None or self._aborting.is_set():
             return
-        stops = []
-        for held in self._tasks.ledger.list_held():
-            if not held.occupies:
-                continue
-            if only_idempotent and not held.offer.idempotent:
-                continue
-            attempt = convert.pack_held(held).attempt
-            attempt.epoch = self._tasks.ledger.find_epoch(attempt.shard)
-            stops.append(self._tasks.stop(attempt, True))
-        await asyncio.gather(*stops)
+        await asyncio.gather(
+            *(
+                self._tasks.evict(held.offer.key)
+                for held in self._tasks.ledger.list_held()
+                if held.offer.idempotent or not only_idempotent
+            )
+        )
 
     async def _wait_for_releases(self, deadline_ms: int) -> None:
         """Stay until the owners have committed what ended here."""
--- a/borageshelf/agent/reservations.py
+++ b/borageshelf/agent/reservations.py
@@ -67,6 +67,7 @@
     offer: StartOffer
     state: HeldState
     grant_deadline_ms: int
+    started_at_ms: int = 0
     used: resources.Resources = resources.NOTHING
     result: bytes = b''
     checkpoint: str = ''
@@ -178,7 +179,7 @@
         if code is not None:
             self.bury(offer.key, now_ms)
             raise errors.BorageshelfError(code, offer.key.task_id)
-        held = Held(offer, HeldState.STARTING, offer.grant_deadline_ms)
+        held = Held(offer, HeldState.STARTING, offer.grant_deadline_ms, now_ms)
         self._held[offer.key] = held
         return held
 
--- a/borageshelf/agent/tasks.py
+++ b/borageshelf/agent/tasks.py
@@ -11,7 +11,9 @@
 
 from borageshelf.agent import reservations
 from borageshelf import clock as clock_module
+from borageshelf.decisions import preemption
 from borageshelf import errors
+from borageshelf.model import objects
 from borageshelf.model import resources
 from borageshelf.platform import worker as worker_interface
 from borageshelf.protocol import convert
@@ -47,12 +49,14 @@
         self._on_ended = on_ended
         self._clock = clock
         self._clock_skew_ms = clock_skew_ms
+        self.objective = objects.Objective()
         self._locks: dict[reservations.AttemptKey, asyncio.Lock] = {}
 
     async def start(self, message: inner_pb2.Start) -> inner_pb2.StartAnswer:
         """Start an attempt or refuse it for good."""
         offer = convert.unpack_start(message)
         attempt = message.grant.attempt
+        await self._make_room(offer)
         try:
             held = self.ledger.offer_start(offer, self._clock())
         except errors.BorageshelfError as error:
@@ -169,6 +173,49 @@
             key = reservations.AttemptKey(sample.task_id, sample.attempt)
             self.ledger.update(key, used=sample.used)
 
+    async def _make_room(self, offer: reservations.StartOffer) -> None:
+        """Evict less urgent attempts if a more urgent one does not fit."""
+        free = self.ledger.find_free()
+        is_known = self.ledger.find(offer.key) is not None
+        if is_known or self.ledger.is_leaving:
+            return
+        if offer.declared.fits_in(free):
+            return
+        if offer.epoch < self.ledger.find_epoch(offer.shard):
+            return
+        now_ms = self._clock()
+        candidates = [
+            preemption.Candidate(
+                task_id=held.offer.key.task_id,
+                urgency=held.offer.urgency,
+                held=held.charged,
+                is_movable=held.offer.idempotent,
+                run_ms=max(now_ms - held.started_at_ms, 0),
+            )
+            for held in self.ledger.list_held()
+            if held.state is reservations.HeldState.RUNNING
+        ]
+        victims = preemption.choose_victims(
+            offer.declared, free, offer.urgency, candidates, self.objective
+        )
+        if not victims:
+            return
+        names = {victim.task_id for victim in victims}
+        await asyncio.gather(
+            *(
+                self.evict(held.offer.key)
+                for held in self.ledger.list_held()
+                if held.offer.key.task_id in names and held.occupies
+            )
+        )
+
+    async def evict(self, key: reservations.AttemptKey) -> None:
+        """Checkpoint and stop an attempt; its owner resumes it elsewhere."""
+        async with self._lock(key):
+            held = self.ledger.find(key)
+            if held is not None and held.occupies:
+                await self._stop_on_worker(key, wants_checkpoint=True)
+
     async def _start_on_worker(
         self, offer: reservations.StartOffer, message: inner_pb2.Start
     ) -> None:
--- a/borageshelf/entry/callers.py
+++ b/borageshelf/entry/callers.py
@@ -115,6 +115,7 @@
 
     async def _call(self, request: server.Request, name: str) -> None:
         submission = self._read_call(request, name)
+        request.setHeader(b'call-id', submission.call_id.encode())
         flow: AnswerFlow | None = None
 
         async def pass_chunk(data: bytes) -> None:
