--- a/borageshelf/platform/http_client.py
+++ b/borageshelf/platform/http_client.py
@@ -60,15 +60,14 @@
         self._chunks: collections.deque[bytes] = collections.deque()
         self._end: BaseException | None = None
         self._arrived = asyncio.Event()
-        self._is_paused = False
 
     def dataReceived(self, data: bytes) -> None:
         """Keep a chunk and pause the sender."""
         self._chunks.append(data)
         self._arrived.set()
-        if not self._is_paused and self.transport is not None:
-            self._is_paused = True
-            self._transport.pauseProducing()
+        # Paused for each chunk, because twisted resumes the sender after it
+        # delivered what had arrived with the headers.
+        self._transport.pauseProducing()
 
     def connectionLost(
         self, reason: twisted_failure.Failure = protocol.connectionDone
@@ -88,9 +87,7 @@
             if self._end is not None:
                 raise CallFailed(True, f'the answer broke off: {self._end!r}')
             self._arrived.clear()
-            if self._is_paused:
-                self._is_paused = False
-                self._transport.resumeProducing()
+            self._transport.resumeProducing()
             await self._arrived.wait()
         return self._chunks.popleft()
 
--- a/borageshelf/platform/http_executor.py
+++ b/borageshelf/platform/http_executor.py
@@ -88,7 +88,9 @@
             )
         exchange = _Exchange(request, on_chunk)
         now_ms = http_client.read_clock_ms()
-        left_ms = max(request.deadline_ms - now_ms, 0)
+        left_ms = request.deadline_ms - now_ms
+        if left_ms <= 0:
+            return _make_status(errors.DEADLINE_PASSED, 'before the call')
         try:
             async with asyncio.timeout(
                 left_ms / http_client.MS_PER_S
--- a/standins/timeline.py
+++ b/standins/timeline.py
@@ -18,6 +18,9 @@
 from standins import audits
 
 SAMPLE_INTERVAL_MS: Final = 500
+# Progress at a fractional speed is rounded; without this tolerance a task
+# could end a millisecond late.
+ROUNDING_MS: Final = 1e-6
 
 State = worker_interface.TaskState
 Samples = tuple[worker_interface.UsageSample, ...]
@@ -133,7 +136,8 @@
             event_ms = min(event_ms, attempt.lease_deadline_ms)
             if speed:
                 left_ms = max(attempt.work_ms - attempt.done_ms, 0)
-                due_ms = self.now_ms + math.ceil(left_ms / speed)
+                wait_ms = math.ceil(left_ms / speed - ROUNDING_MS)
+                due_ms = self.now_ms + wait_ms
                 event_ms = min(event_ms, due_ms)
         elapsed_ms = max(event_ms - self.now_ms, 0)
         self.now_ms += elapsed_ms
@@ -157,7 +161,7 @@
         return [attempt.throttle * share for attempt in running]
 
     def _end_if_due(self, attempt: Attempt) -> None:
-        if attempt.done_ms >= attempt.work_ms:
+        if attempt.done_ms >= attempt.work_ms - ROUNDING_MS:
             self._finish(attempt)
         elif self.now_ms >= attempt.lease_deadline_ms:
             self._end(attempt, State.STOPPED, 'lease ended')
@@ -172,7 +176,7 @@
     def _end(self, attempt: Attempt, state: State, ended_as: str) -> None:
         attempt.state = state
         attempt.interval.end_ms = self.now_ms
-        attempt.interval.work_to_ms = int(attempt.done_ms)
+        attempt.interval.work_to_ms = int(attempt.done_ms + ROUNDING_MS)
         attempt.interval.ended_as = ended_as
         self._on_audit(attempt.interval)
 
