Fix faults of the shard owner and split it along its concerns

Causes, each shown by a test that fails before this change: - A claim that was taken again while the removal of the expired one was not committed was removed too: expiry did not skip changed claims. - Removed task and claim ids shared one list, so a freed key with the id of a task removed the task. - JOB_NEVER_FITS says "not run", also for a task that ran on a lost VM. - An assignment whose horizon passed during its commit counted as lost instead of never started, which ends non-idempotent work as unknown. - A cancel of a job whose batch was refused was still confirmed. - Requests after the batch under way got no answer when the shard was lost; abandon() answers all with OUTCOME_UNKNOWN.

Interface: SendStop.only_unstarted, Changes.removed_claims, Excused, ShardOwner.abandon() and excuse_failures() are new; nothing is removed.

--- a/borageshelf/shards/effects.py
+++ b/borageshelf/shards/effects.py
@@ -36,11 +36,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class SendStop:
-    """Stop an attempt, or prove that it never starts."""
+    """Stop an attempt, or prove that it never starts.
+
+    :param only_unstarted: only the proof is wanted; an attempt that the
+        agent knows goes on
+    """
 
     target_id: str
     attempt: AttemptId
     checkpoint: bool = False
+    only_unstarted: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/borageshelf/shards/log.py
+++ b/borageshelf/shards/log.py
@@ -285,6 +285,7 @@
     """Apply committed changes to the records of a shard."""
     for key in changes.removed:
         tasks.pop(key, None)
+    for key in changes.removed_claims:
         claims.pop(key, None)
     tasks.update((task.task_id, task) for task in changes.tasks)
     claims.update((claim.claim_id, claim) for claim in changes.claims)
--- a/borageshelf/shards/owner.py
+++ b/borageshelf/shards/owner.py
@@ -3,8 +3,8 @@
 The runtime (``runner``) feeds it messages and requests, asks it for batches
 of changes, commits them through ``log`` and carries out effects. Two kinds
 of effect exist: those that wait for the commit of their batch (starts,
-releases, replies) and those that need none (grant renewals, stops), which
-``take_effects`` returns at once.
+releases, stops of cancelled work, replies) and those that need none (grant
+renewals, other stops), which ``take_effects`` returns at once.
 
 A task is given to another target only by ``Lost``, ``Stopped``, ``Failed`` or
 ``NeverStarted``, each of which stands for one of the three proofs of the
@@ -14,12 +14,13 @@
 import dataclasses
 from typing import Final
 
-from borageshelf import errors
-from borageshelf.model import objects
 from borageshelf.shards import effects
+from borageshelf.shards import granted
 from borageshelf.shards import grants
 from borageshelf.shards import log
+from borageshelf.shards import pending
 from borageshelf.shards import records
+from borageshelf.shards import requests
 from borageshelf.shards import transitions
 
 # Bounds the work of one tick when many records expire together.
@@ -56,7 +57,7 @@
     horizons: records.Horizons
 
 
-class ShardOwner:
+class ShardOwner(requests.RequestHandler):
     """The records of one shard and what their owner does with them.
 
     :param state: the committed records, with the horizons that the previous
@@ -73,111 +74,18 @@
     ) -> None:
         self.shard = shard
         self.epoch = state.epoch
-        self._policy = policy
-        self._takeover_horizons = state.horizons
-        self._horizons = horizons
-        self._tasks = state.tasks
-        self._claims = state.claims
-        self._uncommitted = _Overlay()
-        self._in_flight = _Overlay()
-        self._submit_tokens: dict[int, frozenset[str]] = {}
-        self._claim_tokens: dict[int, str] = {}
-        self._waiting: list[effects.Effect] = []
-        self._immediate: list[effects.Effect] = []
-        # Latest deadline granted by this owner to the current attempt.
-        self._granted_ms: dict[str, int] = {}
+        super().__init__(
+            pending.PendingRecords(state.tasks, state.claims),
+            granted.GrantLedger(
+                shard, state.epoch, state.horizons, horizons, policy
+            ),
+        )
         self._leaving = False
 
     @property
     def horizons(self) -> records.Horizons:
         """The committed horizons; no grant reaches past them."""
-        return self._horizons
-
-    # Requests.
-
-    def submit(
-        self, tasks: tuple[records.TaskRecord, ...], token: int
-    ) -> None:
-        """Accept the tasks of a job; repeating a job id changes nothing."""
-        for task in tasks:
-            if self._find(task.task_id) is None:
-                self._uncommitted.tasks[task.task_id] = task
-        keys = frozenset(task.task_id for task in tasks)
-        self._submit_tokens[token] = keys
-        self._waiting.append(effects.Reply(token, errors.PENDING))
-
-    def cancel(self, job_id: str, token: int, now_ms: int) -> None:
-        """Cancel all tasks of a job; proof of "not run" comes later."""
-        tasks = self.find_job(job_id)
-        if not tasks:
-            self._immediate.append(
-                effects.Reply(token, errors.UNKNOWN_JOB, job_id)
-            )
-            return
-        for task in tasks:
-            event = transitions.CancelRequested()
-            changed = transitions.advance(event, task, now_ms)
-            self._change(task, changed)
-            if changed.cancel_requested and changed.assignment is not None:
-                self._stop(changed, changed.assignment.target_id)
-        self._waiting.append(effects.Reply(token, errors.PENDING))
-
-    def claim(self, claim: records.ClaimRecord, token: int) -> None:
-        """Claim the key of a non-idempotent request.
-
-        The reply has ``OK`` if this call holds the claim, else
-        ``DUPLICATE_KEY`` with the outcome of the earlier call.
-        """
-        found = self._find_claim(claim.claim_id)
-        if found is None:
-            self._uncommitted.claims[claim.claim_id] = claim
-            found = claim
-        self._claim_tokens[token] = claim.claim_id
-        is_holder = found.call_id == claim.call_id
-        code = errors.OK if is_holder else errors.DUPLICATE_KEY
-        self._waiting.append(
-            effects.Reply(token, code, found.call_id, found.outcome)
-        )
-
-    def settle(
-        self,
-        claim_id: str,
-        call_id: str,
-        outcome: records.ClaimOutcome,
-        token: int,
-    ) -> None:
-        """Record how a claimed request ended; "not run" frees the key."""
-        found = self._find_claim(claim_id)
-        if found is not None and found.call_id == call_id:
-            settled = dataclasses.replace(found, outcome=outcome)
-            is_free = outcome is records.ClaimOutcome.NOT_RUN
-            self._uncommitted.claims[claim_id] = None if is_free else settled
-        self._waiting.append(effects.Reply(token, errors.OK))
-
-    def find_job(self, job_id: str) -> tuple[records.TaskRecord, ...]:
-        """Return the tasks of a job, uncommitted changes included."""
-        prefix = f'{job_id}/'
-        keys = set(self._tasks)
-        keys.update(self._in_flight.tasks, self._uncommitted.tasks)
-        found = [
-            self._find(key) for key in sorted(keys) if key.startswith(prefix)
-        ]
-        return tuple(task for task in found if task is not None)
-
-    def find_committed_job(
-        self, job_id: str
-    ) -> tuple[records.TaskRecord, ...]:
-        """Return the tasks of a job as committed."""
-        prefix = f'{job_id}/'
-        return tuple(
-            task
-            for key, task in sorted(self._tasks.items())
-            if key.startswith(prefix)
-        )
-
-    def list_tasks(self) -> tuple[records.TaskRecord, ...]:
-        """Return all committed tasks."""
-        return tuple(self._tasks.values())
+        return self._grants.horizons
 
     # Placement.
 
@@ -187,10 +95,10 @@
             return ()
         startable = [
             task
-            for task in self._tasks.values()
+            for task in self._records.tasks.values()
             if task.phase is records.TaskPhase.QUEUED
             and task.not_before_ms <= now_ms
-            and not self._is_busy(task.task_id)
+            and not self._records.is_task_busy(task.task_id)
         ]
         startable.sort(key=lambda task: (-task.urgency, task.submitted_at_ms))
         return tuple(startable)
@@ -199,13 +107,14 @@
         self, task_id: str, assignment: records.Assignment, now_ms: int
     ) -> None:
         """Give a queued task to a target; the start waits for the commit."""
-        task = self._tasks[task_id]
+        task = self._records.tasks[task_id]
         event = transitions.Assigned(assignment)
         changed = transitions.advance(event, task, now_ms)
         if not self._change(task, changed):
             return
-        grant = effects.Grant(self._identify(changed), 0)
-        self._waiting.append(
+        # The deadline is set when the start is sent.
+        grant = effects.Grant(self._grants.identify(changed), 0)
+        self._waiting.add(
             effects.SendStart(
                 assignment.target_id,
                 assignment.agent_boot_id,
@@ -216,10 +125,18 @@
 
     def reject(self, task_id: str, now_ms: int) -> None:
         """End a queued task that no VM can hold."""
-        task = self._tasks[task_id]
+        task = self._records.tasks[task_id]
         changed = transitions.advance(transitions.NeverFits(), task, now_ms)
         self._change(task, changed)
 
+    def excuse_failures(self, target_id: str, now_ms: int) -> None:
+        """Forget the failures of unfinished tasks on a faulty target."""
+        event = transitions.Excused(target_id)
+        for task_id in list(self._records.tasks):
+            task = self._records.find_task(task_id)
+            if task is not None:
+                self._advance(task, event, now_ms)
+
     # Messages from agents.
 
     def handle_complete_report(
@@ -234,7 +151,7 @@
         of an earlier owner that it lists not yet is refused from then on.
         """
         listed = {(item.task_id, item.attempt) for item in attempts}
-        for task in self._list_assigned(agent.target_id):
+        for task in self._records.list_assigned(agent.target_id):
             assert task.assignment is not None
             if task.assignment.vm_boot_id != agent.vm_boot_id:
                 event = transitions.Lost(task.attempt)
@@ -242,9 +159,12 @@
                 continue
             is_same = task.assignment.agent_boot_id == agent.agent_boot_id
             if is_same and (task.task_id, task.attempt) not in listed:
-                # The start may be lost with an earlier stream; the agent
-                # proves that it never starts. A restarted agent can't.
-                self._stop(task, agent.target_id)
+                # The start may be lost with an earlier stream, or it may
+                # have crossed the report. In the first case the agent proves
+                # that it never starts, which a restarted agent cannot do.
+                self._immediate.append(
+                    self._make_stop(task, only_unstarted=True)
+                )
         self.handle_report(agent, attempts, now_ms)
 
     def handle_report(
@@ -256,15 +176,18 @@
         """Handle attempts that an agent lists; renews those that run."""
         renewed: list[effects.Grant] = []
         for report in attempts:
-            task = self._find(report.task_id)
+            task = self._records.find_task(report.task_id)
             if not self._is_expected(task, agent, report):
                 self._dismiss(agent, report)
                 continue
             assert task is not None
             if report.event is not None:
                 self.handle_event(agent, task.task_id, report.event, now_ms)
+            elif self._records.tasks[task.task_id].cancel_requested:
+                # The first stop may be lost with its stream or its sender.
+                self._immediate.append(self._make_stop(task))
             else:
-                grant = self._renew(task, now_ms)
+                grant = self._grants.renew(task, now_ms)
                 if grant is not None:
                     renewed.append(grant)
         if renewed:
@@ -280,7 +203,7 @@
         now_ms: int,
     ) -> None:
         """Handle the end of an attempt; the release waits for the commit."""
-        task = self._find(task_id)
+        task = self._records.find_task(task_id)
         identity = effects.AttemptId(
             self.shard, self.epoch, task_id, event.attempt
         )
@@ -290,11 +213,11 @@
                 return
         if task is not None:
             self._advance(task, event, now_ms)
-        self._waiting.append(release)
+        self._waiting.add(release)
 
     def handle_unsent(self, start: effects.SendStart, now_ms: int) -> None:
         """Handle a start that was never written to any stream."""
-        task = self._find(start.task.task_id)
+        task = self._records.find_task(start.task.task_id)
         if task is not None:
             event = transitions.NeverStarted(start.task.attempt)
             self._advance(task, event, now_ms)
@@ -303,15 +226,14 @@
 
     def tick(self, now_ms: int) -> None:
         """Reassign attempts that are proved dead; expire old records."""
-        for task in list(self._tasks.values()):
+        for task in list(self._records.tasks.values()):
             if task.phase is not records.TaskPhase.ASSIGNED:
                 continue
-            if self._is_busy(task.task_id):
+            if self._records.is_task_busy(task.task_id):
                 continue
-            if self._policy.has_expired(self._find_bound_ms(task), now_ms):
-                event = transitions.Lost(task.attempt)
-                self._advance(task, event, now_ms)
-        self._expire(now_ms)
+            if self._grants.is_expired(task, now_ms):
+                self._advance(task, transitions.Lost(task.attempt), now_ms)
+        self._records.expire(now_ms, EXPIRIES_PER_TICK)
 
     def leave(self) -> None:
         """Place nothing more; a planned stop follows."""
@@ -319,16 +241,11 @@
 
     def find_release_horizons(self) -> records.Horizons:
         """Return the latest deadlines that may have been granted."""
-        batch_ms = monitor_ms = 0
-        for task in self._tasks.values():
-            if task.phase is not records.TaskPhase.ASSIGNED:
-                continue
-            bound_ms = self._find_bound_ms(task)
-            if task.work_class is objects.WorkClass.MONITOR:
-                monitor_ms = max(monitor_ms, bound_ms)
-            else:
-                batch_ms = max(batch_ms, bound_ms)
-        return records.Horizons(batch_ms, monitor_ms)
+        return self._grants.find_release_horizons(
+            task
+            for task in self._records.tasks.values()
+            if task.phase is records.TaskPhase.ASSIGNED
+        )
 
     def take_effects(self) -> tuple[effects.Effect, ...]:
         """Return the effects that wait for no commit."""
@@ -342,49 +259,37 @@
         Only one batch is under way at a time: ``confirm_batch`` or
         ``refuse_batch`` must follow before the next call.
         """
-        needs_horizons = self._policy.needs_extension(self._horizons, now_ms)
-        is_idle = self._uncommitted.is_empty and not self._waiting
+        needs_horizons = self._grants.needs_extension(now_ms)
+        is_idle = self._records.is_unchanged and self._waiting.is_empty
         if is_idle and not needs_horizons:
             return None
-        horizons = self._horizons
+        horizons = self.horizons
         if needs_horizons:
-            horizons = self._policy.extend(horizons, now_ms)
-        self._in_flight = self._uncommitted
-        self._uncommitted = _Overlay()
-        batch = Batch(
-            self._in_flight.make_changes(), tuple(self._waiting), horizons
-        )
-        self._waiting.clear()
-        return batch
+            horizons = self._grants.extend(now_ms)
+        return Batch(self._records.begin(), self._waiting.take(), horizons)
 
     def make_snapshot(self) -> records.Snapshot:
         """Return all records, with the batch under way applied."""
-        tasks = dict(self._tasks)
-        claims = dict(self._claims)
-        log.apply_changes(self._in_flight.make_changes(), tasks, claims)
-        return records.Snapshot(tuple(tasks.values()), tuple(claims.values()))
+        return self._records.make_snapshot()
 
     def confirm_batch(
         self, batch: Batch, now_ms: int
     ) -> tuple[effects.Effect, ...]:
         """Apply a committed batch and return the effects that waited."""
-        log.apply_changes(batch.changes, self._tasks, self._claims)
-        self._in_flight = _Overlay()
-        self._horizons = batch.horizons
+        self._records.confirm()
+        self._waiting.confirm(batch.effects)
+        self._grants.horizons = batch.horizons
         for changed in batch.changes.tasks:
             if changed.phase is not records.TaskPhase.ASSIGNED:
-                self._granted_ms.pop(changed.task_id, None)
+                self._grants.forget(changed.task_id)
         released: list[effects.Effect] = []
         for effect in batch.effects:
             if isinstance(effect, effects.SendStart):
-                grant = self._renew(effect.task, now_ms)
-                if grant is not None:
-                    effect = dataclasses.replace(effect, grant=grant)
-                    released.append(effect)
-                continue
-            if isinstance(effect, effects.Reply):
-                self._submit_tokens.pop(effect.token, None)
-                self._claim_tokens.pop(effect.token, None)
+                grant = self._grants.renew(effect.task, now_ms)
+                if grant is None:
+                    self.handle_unsent(effect, now_ms)
+                    continue
+                effect = dataclasses.replace(effect, grant=grant)
             released.append(effect)
         return tuple(released)
 
@@ -394,107 +299,17 @@
         New jobs and claims are dropped and their requests refused. All other
         changes wait for the next batch: a completion must not be lost.
         """
-        dropped = {
-            key for key in self._in_flight.tasks if key not in self._tasks
-        }
-        dropped_claims = {
-            key for key in self._in_flight.claims if key not in self._claims
-        }
-        for key in dropped:
-            del self._in_flight.tasks[key]
-            self._uncommitted.tasks.pop(key, None)
-        for key in dropped_claims:
-            del self._in_flight.claims[key]
-            self._uncommitted.claims.pop(key, None)
-        self._uncommitted = self._in_flight.merge(self._uncommitted)
-        self._in_flight = _Overlay()
-        refused: list[effects.Effect] = []
-        kept: list[effects.Effect] = []
-        for effect in [*batch.effects, *self._waiting]:
-            if self._is_dropped(effect, dropped, dropped_claims):
-                assert isinstance(effect, effects.Reply)
-                self._submit_tokens.pop(effect.token, None)
-                self._claim_tokens.pop(effect.token, None)
-                refused.append(
-                    effects.Reply(
-                        effect.token,
-                        errors.STORE_UNAVAILABLE,
-                        'the request was not stored',
-                    )
-                )
-            else:
-                kept.append(effect)
-        self._waiting = kept
-        return tuple(refused)
-
-    # Helpers.
-
-    def _is_dropped(
-        self,
-        effect: effects.Effect,
-        dropped: set[str],
-        dropped_claims: set[str],
-    ) -> bool:
-        if not isinstance(effect, effects.Reply):
-            return False
-        submitted = self._submit_tokens.get(effect.token, frozenset())
-        if submitted & dropped:
-            return True
-        return self._claim_tokens.get(effect.token, '') in dropped_claims
-
-    def _find(self, task_id: str) -> records.TaskRecord | None:
-        for overlay in (self._uncommitted, self._in_flight):
-            if task_id in overlay.tasks:
-                return overlay.tasks[task_id]
-        return self._tasks.get(task_id)
-
-    def _find_claim(self, claim_id: str) -> records.ClaimRecord | None:
-        for overlay in (self._uncommitted, self._in_flight):
-            if claim_id in overlay.claims:
-                return overlay.claims[claim_id]
-        return self._claims.get(claim_id)
-
-    def _is_busy(self, task_id: str) -> bool:
-        """Tell whether a change of the task is not committed yet."""
-        return (
-            task_id in self._uncommitted.tasks
-            or task_id in self._in_flight.tasks
-        )
-
-    def _change(
-        self, task: records.TaskRecord, changed: records.TaskRecord
-    ) -> bool:
-        if changed == task:
-            return False
-        self._uncommitted.tasks[task.task_id] = changed
-        return True
-
-    def _advance(
-        self, task: records.TaskRecord, event: object, now_ms: int
-    ) -> None:
-        self._change(task, transitions.advance(event, task, now_ms))
+        tasks, claims = self._records.refuse()
+        return self._waiting.refuse(batch.effects, tasks, claims)
 
-    def _identify(self, task: records.TaskRecord) -> effects.AttemptId:
-        return effects.AttemptId(
-            self.shard, self.epoch, task.task_id, task.attempt
-        )
+    def abandon(self, batch: Batch | None) -> tuple[effects.Reply, ...]:
+        """Answer all waiting requests after another entry took the shard.
 
-    def _stop(self, task: records.TaskRecord, target_id: str) -> None:
-        self._immediate.append(
-            effects.SendStop(target_id, self._identify(task))
-        )
+        :param batch: the batch whose commit found that out, if any
+        """
+        return self._waiting.abandon(batch.effects if batch else ())
 
-    def _list_assigned(self, target_id: str) -> list[records.TaskRecord]:
-        """Return committed tasks whose current attempt is on a target."""
-        found = []
-        for key in self._tasks:
-            task = self._find(key)
-            if task is None or task.assignment is None:
-                continue
-            is_committed = self._tasks[key].assignment == task.assignment
-            if is_committed and task.assignment.target_id == target_id:
-                found.append(task)
-        return found
+    # Helpers.
 
     def _is_expected(
         self,
@@ -512,18 +327,23 @@
         )
 
     def _dismiss(self, agent: AgentIdentity, report: AttemptReport) -> None:
-        """Stop or release an attempt that is not the current one."""
+        """Stop or release an attempt that is not the current one.
+
+        While a change of the task is not committed, the agent keeps what it
+        has: the change may be lost with this owner.
+        """
+        if self._records.is_task_busy(report.task_id):
+            return
         identity = effects.AttemptId(
             self.shard, self.epoch, report.task_id, report.attempt
         )
         if report.event is None:
-            self._immediate.append(effects.SendStop(agent.target_id, identity))
-        elif not self._is_busy(report.task_id):
-            # While the end of the attempt is being committed, the agent
-            # keeps the result.
-            self._immediate.append(
-                effects.SendRelease(agent.target_id, identity)
+            effect: effects.Effect = effects.SendStop(
+                agent.target_id, identity
             )
+        else:
+            effect = effects.SendRelease(agent.target_id, identity)
+        self._immediate.append(effect)
 
     def _is_proof(
         self, task: records.TaskRecord | None, agent: AgentIdentity
@@ -539,78 +359,3 @@
             task.assignment.target_id == agent.target_id
             and task.assignment.agent_boot_id == agent.agent_boot_id
         )
-
-    def _renew(
-        self, task: records.TaskRecord, now_ms: int
-    ) -> effects.Grant | None:
-        """Extend the grant of the current attempt, if a horizon allows."""
-        if task.task_id not in self._tasks:
-            return None
-        deadline_ms = self._policy.find_deadline_ms(
-            task.work_class, self._horizons, now_ms
-        )
-        if deadline_ms <= now_ms:
-            return None
-        granted_ms = max(deadline_ms, self._granted_ms.get(task.task_id, 0))
-        self._granted_ms[task.task_id] = granted_ms
-        return effects.Grant(self._identify(task), deadline_ms)
-
-    def _find_bound_ms(self, task: records.TaskRecord) -> int:
-        """Return the latest deadline that any grant of the attempt has."""
-        bound_ms = self._granted_ms.get(task.task_id, 0)
-        assert task.assignment is not None
-        if task.assignment.epoch < self.epoch:
-            takeover_ms = self._takeover_horizons.find_deadline_ms(
-                task.work_class
-            )
-            bound_ms = max(bound_ms, takeover_ms)
-        return bound_ms
-
-    def _expire(self, now_ms: int) -> None:
-        expired = [
-            task.task_id
-            for task in self._tasks.values()
-            if task.is_terminal
-            and task.expires_deadline_ms < now_ms
-            and not self._is_busy(task.task_id)
-        ]
-        for key in expired[:EXPIRIES_PER_TICK]:
-            self._uncommitted.tasks[key] = None
-        expired_claims = [
-            claim.claim_id
-            for claim in self._claims.values()
-            if claim.expires_deadline_ms < now_ms
-        ]
-        for key in expired_claims[:EXPIRIES_PER_TICK]:
-            self._uncommitted.claims[key] = None
-
-
-@dataclasses.dataclass(frozen=True)
-class _Overlay:
-    """Changes that are not committed; None removes a record."""
-
-    tasks: dict[str, records.TaskRecord | None] = dataclasses.field(
-        default_factory=dict
-    )
-    claims: dict[str, records.ClaimRecord | None] = dataclasses.field(
-        default_factory=dict
-    )
-
-    @property
-    def is_empty(self) -> bool:
-        return not (self.tasks or self.claims)
-
-    def make_changes(self) -> records.Changes:
-        removed = [key for key, item in self.tasks.items() if item is None]
-        removed += [key for key, item in self.claims.items() if item is None]
-        return records.Changes(
-            tuple(item for item in self.tasks.values() if item is not None),
-            tuple(item for item in self.claims.values() if item is not None),
-            tuple(removed),
-        )
-
-    def merge(self, newer: '_Overlay') -> '_Overlay':
-        """Return both overlays as one; the newer one wins."""
-        return _Overlay(
-            {**self.tasks, **newer.tasks}, {**self.claims, **newer.claims}
-        )
--- /dev/null
+++ b/borageshelf/shards/pending.py
@@ -0,0 +1,212 @@
+"""Records of one shard: committed, being committed, and changed since.
+
+Used by ``owner`` only. A change first goes to the uncommitted overlay;
+``begin`` moves that overlay into the batch under way, and ``confirm`` or
+``refuse`` ends the batch. Reads see the newest change.
+"""
+
+import dataclasses
+
+from borageshelf.shards import log
+from borageshelf.shards import records
+
+
+@dataclasses.dataclass(frozen=True)
+class Overlay:
+    """Changes that are not committed; None removes a record."""
+
+    tasks: dict[str, records.TaskRecord | None] = dataclasses.field(
+        default_factory=dict
+    )
+    claims: dict[str, records.ClaimRecord | None] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether there is nothing to commit."""
+        return not (self.tasks or self.claims)
+
+    def make_changes(self) -> records.Changes:
+        """Return the stored form."""
+        tasks = self.tasks.items()
+        claims = self.claims.items()
+        return records.Changes(
+            tuple(item for _, item in tasks if item is not None),
+            tuple(item for _, item in claims if item is not None),
+            tuple(key for key, item in tasks if item is None),
+            tuple(key for key, item in claims if item is None),
+        )
+
+    def merge(self, newer: 'Overlay') -> 'Overlay':
+        """Return both overlays as one; the newer one wins."""
+        return Overlay(
+            {**self.tasks, **newer.tasks}, {**self.claims, **newer.claims}
+        )
+
+
+class PendingRecords:
+    """The records of a shard with their uncommitted changes."""
+
+    def __init__(
+        self,
+        tasks: dict[str, records.TaskRecord],
+        claims: dict[str, records.ClaimRecord],
+    ) -> None:
+        self.tasks = tasks
+        self.claims = claims
+        self._uncommitted = Overlay()
+        self._in_flight = Overlay()
+        self._task_ids: dict[str, set[str]] = {}
+        for task in tasks.values():
+            self._index(task)
+
+    @property
+    def is_unchanged(self) -> bool:
+        """Tell whether there is nothing to commit."""
+        return self._uncommitted.is_empty
+
+    def find_task(self, task_id: str) -> records.TaskRecord | None:
+        """Return a task with its newest change."""
+        for overlay in (self._uncommitted, self._in_flight):
+            if task_id in overlay.tasks:
+                return overlay.tasks[task_id]
+        return self.tasks.get(task_id)
+
+    def find_claim(self, claim_id: str) -> records.ClaimRecord | None:
+        """Return a claim with its newest change."""
+        for overlay in (self._uncommitted, self._in_flight):
+            if claim_id in overlay.claims:
+                return overlay.claims[claim_id]
+        return self.claims.get(claim_id)
+
+    def find_job(self, job_id: str) -> tuple[records.TaskRecord, ...]:
+        """Return the tasks of a job with their newest changes."""
+        task_ids = sorted(self._task_ids.get(job_id, ()))
+        found = [self.find_task(task_id) for task_id in task_ids]
+        return tuple(task for task in found if task is not None)
+
+    def find_committed_job(
+        self, job_id: str
+    ) -> tuple[records.TaskRecord, ...]:
+        """Return the tasks of a job as committed."""
+        task_ids = sorted(self._task_ids.get(job_id, ()))
+        return tuple(
+            self.tasks[task_id]
+            for task_id in task_ids
+            if task_id in self.tasks
+        )
+
+    def is_task_busy(self, task_id: str) -> bool:
+        """Tell whether a change of the task is not committed yet."""
+        return (
+            task_id in self._uncommitted.tasks
+            or task_id in self._in_flight.tasks
+        )
+
+    def is_claim_busy(self, claim_id: str) -> bool:
+        """Tell whether a change of the claim is not committed yet."""
+        return (
+            claim_id in self._uncommitted.claims
+            or claim_id in self._in_flight.claims
+        )
+
+    def list_assigned(self, target_id: str) -> list[records.TaskRecord]:
+        """Return tasks whose committed, current attempt is on a target."""
+        found = []
+        for task_id, committed in self.tasks.items():
+            task = self.find_task(task_id)
+            if task is None or task.assignment is None:
+                continue
+            is_committed = committed.assignment == task.assignment
+            if is_committed and task.assignment.target_id == target_id:
+                found.append(task)
+        return found
+
+    def change_task(self, task: records.TaskRecord) -> None:
+        """Write a task with the next batch."""
+        self._index(task)
+        self._uncommitted.tasks[task.task_id] = task
+
+    def remove_task(self, task_id: str) -> None:
+        """Remove a task with the next batch."""
+        self._uncommitted.tasks[task_id] = None
+
+    def change_claim(self, claim: records.ClaimRecord) -> None:
+        """Write a claim with the next batch."""
+        self._uncommitted.claims[claim.claim_id] = claim
+
+    def remove_claim(self, claim_id: str) -> None:
+        """Remove a claim with the next batch."""
+        self._uncommitted.claims[claim_id] = None
+
+    def expire(self, now_ms: int, limit: int) -> None:
+        """Remove records that are past their time, at most a few."""
+        expired = [
+            task.task_id
+            for task in self.tasks.values()
+            if task.is_terminal
+            and task.expires_deadline_ms < now_ms
+            and not self.is_task_busy(task.task_id)
+        ]
+        for task_id in expired[:limit]:
+            self.remove_task(task_id)
+        # A claim may be taken again while its removal is not committed; the
+        # removal must not be repeated over the new claim.
+        expired_claims = [
+            claim.claim_id
+            for claim in self.claims.values()
+            if claim.expires_deadline_ms < now_ms
+            and not self.is_claim_busy(claim.claim_id)
+        ]
+        for claim_id in expired_claims[:limit]:
+            self.remove_claim(claim_id)
+
+    def begin(self) -> records.Changes:
+        """Start a batch of all changes so far."""
+        self._in_flight = self._uncommitted
+        self._uncommitted = Overlay()
+        return self._in_flight.make_changes()
+
+    def make_snapshot(self) -> records.Snapshot:
+        """Return all records, with the batch under way applied."""
+        tasks = dict(self.tasks)
+        claims = dict(self.claims)
+        log.apply_changes(self._in_flight.make_changes(), tasks, claims)
+        return records.Snapshot(tuple(tasks.values()), tuple(claims.values()))
+
+    def confirm(self) -> None:
+        """Apply the batch under way."""
+        changes = self._in_flight.make_changes()
+        for task_id in changes.removed:
+            self._drop_index(task_id)
+        log.apply_changes(changes, self.tasks, self.claims)
+        self._in_flight = Overlay()
+
+    def refuse(self) -> tuple[set[str], set[str]]:
+        """Take the batch under way back; new records are dropped.
+
+        :return: ids of the dropped tasks and claims
+        """
+        tasks = set(self._in_flight.tasks) - set(self.tasks)
+        claims = set(self._in_flight.claims) - set(self.claims)
+        for task_id in tasks:
+            del self._in_flight.tasks[task_id]
+            self._uncommitted.tasks.pop(task_id, None)
+            self._drop_index(task_id)
+        for claim_id in claims:
+            del self._in_flight.claims[claim_id]
+            self._uncommitted.claims.pop(claim_id, None)
+        self._uncommitted = self._in_flight.merge(self._uncommitted)
+        self._in_flight = Overlay()
+        return tasks, claims
+
+    def _index(self, task: records.TaskRecord) -> None:
+        self._task_ids.setdefault(task.job_id, set()).add(task.task_id)
+
+    def _drop_index(self, task_id: str) -> None:
+        job_id = task_id.rpartition('/')[0]
+        task_ids = self._task_ids.get(job_id, set())
+        task_ids.discard(task_id)
+        if not task_ids:
+            self._task_ids.pop(job_id, None)
--- a/borageshelf/shards/records.py
+++ b/borageshelf/shards/records.py
@@ -123,16 +123,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class Changes:
-    """Records written or removed together."""
+    """Records written or removed together.
+
+    :param removed: ids of removed tasks
+    :param removed_claims: ids of removed claims; kept apart because callers
+        choose the ids of both, so a claim may have the id of a task
+    """
 
     tasks: tuple[TaskRecord, ...] = ()
     claims: tuple[ClaimRecord, ...] = ()
     removed: tuple[str, ...] = ()
+    removed_claims: tuple[str, ...] = ()
 
     @property
     def is_empty(self) -> bool:
         """Tell whether there is nothing to write."""
-        return not (self.tasks or self.claims or self.removed)
+        is_write = bool(self.tasks or self.claims)
+        return not (is_write or self.removed or self.removed_claims)
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/borageshelf/shards/requests.py
@@ -0,0 +1,133 @@
+"""Requests of callers to the owner of a shard.
+
+Base of ``owner.ShardOwner``. Each request changes records or finds nothing
+to change, and its reply waits for the commit of the batch it belongs to.
+"""
+
+import dataclasses
+
+from borageshelf import errors
+from borageshelf.shards import effects
+from borageshelf.shards import granted
+from borageshelf.shards import pending
+from borageshelf.shards import records
+from borageshelf.shards import transitions
+from borageshelf.shards import waiting
+
+
+class RequestHandler:
+    """Jobs and claims of one shard as callers see them."""
+
+    def __init__(
+        self,
+        pending_records: pending.PendingRecords,
+        grants: granted.GrantLedger,
+    ) -> None:
+        self._records = pending_records
+        self._grants = grants
+        self._waiting = waiting.WaitingEffects()
+        self._immediate: list[effects.Effect] = []
+
+    def submit(
+        self, tasks: tuple[records.TaskRecord, ...], token: int
+    ) -> None:
+        """Accept the tasks of a job; repeating a job id changes nothing."""
+        for task in tasks:
+            if self._records.find_task(task.task_id) is None:
+                self._records.change_task(task)
+        self._waiting.add_reply(
+            effects.Reply(token, errors.PENDING),
+            tasks=frozenset(task.task_id for task in tasks),
+        )
+
+    def cancel(self, job_id: str, token: int, now_ms: int) -> None:
+        """Cancel all tasks of a job; proof of "not run" comes later."""
+        tasks = self.find_job(job_id)
+        if not tasks:
+            self._immediate.append(
+                effects.Reply(token, errors.UNKNOWN_JOB, job_id)
+            )
+            return
+        for task in tasks:
+            event = transitions.CancelRequested()
+            changed = transitions.advance(event, task, now_ms)
+            self._change(task, changed)
+            if changed.cancel_requested and changed.assignment is not None:
+                # A stop for a cancel that is not stored would end work that
+                # nobody has cancelled as far as the next owner knows.
+                self._waiting.add(self._make_stop(changed))
+        self._waiting.add_reply(
+            effects.Reply(token, errors.PENDING),
+            tasks=frozenset(task.task_id for task in tasks),
+        )
+
+    def claim(self, claim: records.ClaimRecord, token: int) -> None:
+        """Claim the key of a non-idempotent request.
+
+        The reply has ``OK`` if this call holds the claim, else
+        ``DUPLICATE_KEY`` with the outcome of the earlier call.
+        """
+        found = self._records.find_claim(claim.claim_id)
+        if found is None:
+            self._records.change_claim(claim)
+            found = claim
+        is_holder = found.call_id == claim.call_id
+        code = errors.OK if is_holder else errors.DUPLICATE_KEY
+        self._waiting.add_reply(
+            effects.Reply(token, code, found.call_id, found.outcome),
+            claims=frozenset([claim.claim_id]),
+        )
+
+    def settle(
+        self,
+        claim_id: str,
+        call_id: str,
+        outcome: records.ClaimOutcome,
+        token: int,
+    ) -> None:
+        """Record how a claimed request ended; "not run" frees the key."""
+        found = self._records.find_claim(claim_id)
+        if found is not None and found.call_id == call_id:
+            if outcome is records.ClaimOutcome.NOT_RUN:
+                self._records.remove_claim(claim_id)
+            else:
+                settled = dataclasses.replace(found, outcome=outcome)
+                self._records.change_claim(settled)
+        self._waiting.add(effects.Reply(token, errors.OK))
+
+    def find_job(self, job_id: str) -> tuple[records.TaskRecord, ...]:
+        """Return the tasks of a job, uncommitted changes included."""
+        return self._records.find_job(job_id)
+
+    def find_committed_job(
+        self, job_id: str
+    ) -> tuple[records.TaskRecord, ...]:
+        """Return the tasks of a job as committed."""
+        return self._records.find_committed_job(job_id)
+
+    def list_tasks(self) -> tuple[records.TaskRecord, ...]:
+        """Return all committed tasks."""
+        return tuple(self._records.tasks.values())
+
+    def _change(
+        self, task: records.TaskRecord, changed: records.TaskRecord
+    ) -> bool:
+        if changed == task:
+            return False
+        self._records.change_task(changed)
+        return True
+
+    def _advance(
+        self, task: records.TaskRecord, event: object, now_ms: int
+    ) -> None:
+        self._change(task, transitions.advance(event, task, now_ms))
+
+    def _make_stop(
+        self, task: records.TaskRecord, only_unstarted: bool = False
+    ) -> effects.SendStop:
+        assert task.assignment is not None
+        return effects.SendStop(
+            task.assignment.target_id,
+            self._grants.identify(task),
+            only_unstarted=only_unstarted,
+        )
--- a/borageshelf/shards/transitions.py
+++ b/borageshelf/shards/transitions.py
@@ -43,7 +43,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Failed:
-    """The attempt ended with a failure that the worker reported."""
+    """The attempt ended with a failure that the worker reported.
+
+    :param blame_target: the target is known to fail everything, so the
+        failure does not count against the task
+    """
 
     attempt: int
     code: int
@@ -75,6 +79,13 @@
     """No VM of the fleet can hold the task."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Excused:
+    """A target was found to fail everything; its failures do not count."""
+
+    target_id: str
+
+
 AttemptEvent = NeverStarted | Succeeded | Failed | Stopped | Lost
 
 
@@ -134,9 +145,10 @@
         return task
     assert task.assignment is not None
     failure = records.Failure(task.assignment.target_id, event.code)
-    task = dataclasses.replace(
-        task, may_have_run=True, failures=(*task.failures, failure)
-    )
+    task = dataclasses.replace(task, may_have_run=True)
+    if not event.blame_target:
+        failures = (*task.failures, failure)
+        task = dataclasses.replace(task, failures=failures)
     if task.cancel_requested:
         return _end_cancelled(task, now_ms)
     if not task.idempotent:
@@ -207,7 +219,26 @@
 ) -> records.TaskRecord:
     if task.phase is not records.TaskPhase.QUEUED:
         return task
-    return _end(task, records.TaskPhase.FAILED, errors.JOB_NEVER_FITS, now_ms)
+    # JOB_NEVER_FITS says "not run", which is false if an earlier attempt ran
+    # on a VM that is gone.
+    code = errors.STOPPED if task.may_have_run else errors.JOB_NEVER_FITS
+    return _end(task, records.TaskPhase.FAILED, code, now_ms)
+
+
+@advance.register
+def _(
+    event: Excused, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if task.is_terminal:
+        return task
+    return dataclasses.replace(
+        task,
+        failures=tuple(
+            failure
+            for failure in task.failures
+            if failure.target_id != event.target_id
+        ),
+    )
 
 
 def _is_current(task: records.TaskRecord, attempt: int) -> bool:
--- /dev/null
+++ b/tests/test_shard_owner.py
@@ -0,0 +1,154 @@
+"""Faults of the owner core that need no cluster to show."""
+
+import dataclasses
+
+from borageshelf import errors
+from borageshelf.model import resources
+from borageshelf.shards import effects
+from borageshelf.shards import grants
+from borageshelf.shards import log
+from borageshelf.shards import owner
+from borageshelf.shards import records
+from borageshelf.shards import transitions
+
+POLICY = grants.GrantPolicy()
+PLACE = records.Assignment('t1', 'vm1', 'agent1', 'dc', 'rack', 1)
+AGENT = owner.AgentIdentity('t1', 'vm1', 'agent1')
+TASK = records.TaskRecord(
+    'job/0', 'job', 'family', 'team', resources.Resources(1000, 100), 0
+)
+ASSIGNED = dataclasses.replace(
+    TASK, phase=records.TaskPhase.ASSIGNED, assignment=PLACE
+)
+
+
+def make_owner(
+    *tasks: records.TaskRecord, claims: tuple[records.ClaimRecord, ...] = ()
+) -> owner.ShardOwner:
+    state = log.ShardState(
+        1,
+        records.Horizons(),
+        {task.task_id: task for task in tasks},
+        {claim.claim_id: claim for claim in claims},
+    )
+    horizons = POLICY.extend(records.Horizons(), 0)
+    return owner.ShardOwner(0, state, horizons, POLICY)
+
+
+def commit(core: owner.ShardOwner, now_ms: int) -> list[effects.Effect]:
+    batch = core.take_batch(now_ms)
+    assert batch is not None
+    return list(core.confirm_batch(batch, now_ms))
+
+
+def make_claim(
+    claim_id: str, call_id: str, ends_ms: int
+) -> records.ClaimRecord:
+    outcome = records.ClaimOutcome.CLAIMED
+    return records.ClaimRecord(claim_id, call_id, outcome, ends_ms)
+
+
+def test_new_claim_survives_the_expiry_of_the_old_one() -> None:
+    """Guards against a key that two calls hold, one after the other."""
+    core = make_owner(claims=(make_claim('key', 'old', 5),))
+    core.tick(10)
+    core.claim(make_claim('key', 'new', 100), 1)
+    core.tick(11)
+    (reply,) = commit(core, 11)
+    assert isinstance(reply, effects.Reply)
+    assert reply.code is errors.OK
+    core.claim(make_claim('key', 'third', 100), 2)
+    (reply,) = commit(core, 12)
+    assert isinstance(reply, effects.Reply)
+    assert (reply.code, reply.detail) == (errors.DUPLICATE_KEY, 'new')
+
+
+def test_claim_with_the_id_of_a_task() -> None:
+    """Guards against a freed key that removes a job, or the reverse."""
+    core = make_owner(TASK, claims=(make_claim('job/0', 'call', 9),))
+    core.settle('job/0', 'call', records.ClaimOutcome.NOT_RUN, 1)
+    commit(core, 1)
+    assert core.find_committed_job('job') == (TASK,)
+
+
+def test_task_that_ran_is_not_reported_as_not_run() -> None:
+    """Guards against "never fits" for work that ran on a lost VM."""
+    core = make_owner(dataclasses.replace(TASK, may_have_run=True))
+    core.reject('job/0', 1)
+    commit(core, 1)
+    (task,) = core.find_committed_job('job')
+    category = errors.find(task.code).category
+    assert category is not errors.Category.NOT_RUN
+
+
+def test_start_without_a_grant_never_started() -> None:
+    """Guards against an unknown outcome for a start that was never sent.
+
+    The horizons pass while the commit of the assignment is under way.
+    """
+    task = dataclasses.replace(TASK, idempotent=False)
+    core = make_owner(task)
+    core.assign('job/0', PLACE, 0)
+    batch = core.take_batch(0)
+    assert batch is not None
+    late_ms = POLICY.batch_horizon_ms + 1
+    assert core.confirm_batch(batch, late_ms) == ()
+    core.tick(late_ms + POLICY.clock_skew_bound_ms + 1)
+    commit(core, late_ms)
+    (found,) = core.find_committed_job('job')
+    assert found.phase is records.TaskPhase.QUEUED
+    assert not found.may_have_run
+
+
+def test_lost_shard_answers_all_requests() -> None:
+    """Guards against callers that wait, or hear "not run" wrongly.
+
+    The batch under way may be stored even though the shard is lost.
+    """
+    core = make_owner()
+    core.submit((TASK,), 1)
+    batch = core.take_batch(0)
+    core.submit((dataclasses.replace(TASK, task_id='b/0', job_id='b'),), 2)
+    replies = core.abandon(batch)
+    assert [reply.token for reply in replies] == [1, 2]
+    assert {reply.code for reply in replies} == {errors.OUTCOME_UNKNOWN}
+
+
+def test_refused_batch_refuses_new_jobs_and_their_cancels() -> None:
+    """Guards against an accepted cancel of a job that was never stored."""
+    core = make_owner()
+    core.submit((TASK,), 1)
+    batch = core.take_batch(0)
+    assert batch is not None
+    core.cancel('job', 2, 0)
+    refused = core.refuse_batch(batch)
+    codes = {effect.token: effect.code for effect in refused}  # type: ignore
+    unavailable = errors.STORE_UNAVAILABLE
+    assert codes == {1: unavailable, 2: unavailable}
+    assert core.find_job('job') == ()
+
+
+def test_refused_batch_keeps_a_completion() -> None:
+    """Guards against a result that is lost in a store outage."""
+    core = make_owner(ASSIGNED)
+    core.handle_event(AGENT, 'job/0', transitions.Succeeded(1, b'r'), 1)
+    batch = core.take_batch(1)
+    assert batch is not None
+    assert core.refuse_batch(batch) == ()
+    (release,) = commit(core, 2)
+    assert isinstance(release, effects.SendRelease)
+    (task,) = core.find_committed_job('job')
+    assert task.result == b'r'
+
+
+def test_failures_on_a_faulty_target_are_excused() -> None:
+    """Guards against a job that a worker which fails everything ends."""
+    failures = (records.Failure('t1', 304), records.Failure('t2', 304))
+    core = make_owner(dataclasses.replace(ASSIGNED, failures=failures))
+    core.excuse_failures('t2', 1)
+    failed = transitions.Failed(1, 304, blame_target=True)
+    core.handle_event(AGENT, 'job/0', failed, 1)
+    commit(core, 1)
+    (task,) = core.find_committed_job('job')
+    assert task.failures == failures[:1]
+    assert task.phase is records.TaskPhase.QUEUED
