Add the property test of the batch state and the removals it finds

A world of two entries, two targets, their agents and workers and the store runs under a fake clock; 24 kinds of action disturb it. The properties are checked after every action, and after all faults are over each job must end. Six safeguards are removed one at a time by test code; for each a shortest trace that fails is kept, and passes unchanged.

--- /dev/null
+++ b/tests/batch_checks.py
@@ -0,0 +1,209 @@
+"""Properties of the batch state that must hold after every step."""
+
+from borageshelf.agent import reservations
+from borageshelf import errors
+from borageshelf.model import resources
+from borageshelf.shards import codec
+from borageshelf.shards import effects
+from borageshelf.shards import log
+from borageshelf.shards import records
+from tests import batch_agent
+from tests import fakes
+
+Key = reservations.AttemptKey
+Violation = batch_agent.Violation
+
+
+class Checks:
+    """Follows the committed state and what really ran."""
+
+    def __init__(self, store: fakes.FakeStore) -> None:
+        self._store = store
+        self._revisions: dict[int, int] = {}
+        self._accepted: dict[str, int] = {}
+        # Tasks that were reported as not run.
+        self._not_run: set[str] = set()
+        self.heads: dict[int, records.ShardHead] = {}
+        self.tasks: dict[str, records.TaskRecord] = {}
+        self._horizons: dict[tuple[int, int], records.Horizons] = {}
+        self._stops: set[Key] = set()
+        self._evicted: dict[Key, str] = {}
+
+    # The committed state.
+
+    def read_heads(self) -> None:
+        """Check each new head in the store."""
+        for key, entry in self._store.entries.items():
+            if not key.endswith('/head'):
+                continue
+            number = int(key.split('/')[1])
+            if self._revisions.get(number) == entry.revision:
+                continue
+            self._revisions[number] = entry.revision
+            head = codec.decode_head(entry.value)
+            self.heads[number] = head
+            if head.owner:
+                self._horizons[number, head.epoch] = head.horizons
+            self._compare(number, self._load(head))
+
+    def _load(self, head: records.ShardHead) -> dict[str, records.TaskRecord]:
+        tasks: dict[str, records.TaskRecord] = {}
+        if head.snapshot:
+            if head.snapshot not in self._store.entries:
+                raise Violation(f'{head.snapshot} is missing')
+            entry = self._store.entries[head.snapshot]
+            snapshot = codec.decode_snapshot(entry.value)
+            tasks.update((task.task_id, task) for task in snapshot.tasks)
+        for changes in head.deltas:
+            log.apply_changes(changes, tasks, {})
+        return tasks
+
+    def _compare(
+        self, number: int, tasks: dict[str, records.TaskRecord]
+    ) -> None:
+        for task_id, shard in self._accepted.items():
+            if shard == number and task_id not in tasks:
+                raise Violation(f'accepted {task_id} is lost')
+        for task_id, task in tasks.items():
+            previous = self.tasks.get(task_id)
+            if previous is not None:
+                self._compare_task(previous, task)
+            self.tasks[task_id] = task
+            if task.is_terminal:
+                code = errors.find(task.code)
+                if code.category is errors.Category.NOT_RUN:
+                    self._not_run.add(task_id)
+
+    def _compare_task(
+        self, previous: records.TaskRecord, task: records.TaskRecord
+    ) -> None:
+        if previous.is_terminal and previous != task:
+            raise Violation(
+                f'{task.task_id} ended twice: {previous.phase}, {task.phase}'
+            )
+        if task.attempt < previous.attempt:
+            raise Violation(f'{task.task_id} goes back to an earlier attempt')
+
+    def accept(self, shard: int, task_id: str) -> None:
+        """Note a job whose acceptance a caller has seen."""
+        self._accepted[task_id] = shard
+        if task_id not in self.tasks:
+            raise Violation(f'{task_id} is accepted but not stored')
+
+    def refuse(
+        self, task_id: str, executions: list[batch_agent.Execution]
+    ) -> None:
+        """Note a job that was refused as not run."""
+        self._not_run.add(task_id)
+        if task_id in self.tasks:
+            raise Violation(f'{task_id} is refused but stored')
+
+    def is_complete(self) -> bool:
+        """Tell whether every stored job has ended."""
+        return not self.list_open()
+
+    def list_open(self) -> list[str]:
+        """Return the tasks that have not ended."""
+        return [
+            f'{task.task_id} {task.phase.value} attempt {task.attempt}'
+            for task in self.tasks.values()
+            if not task.is_terminal
+        ]
+
+    def check_cancelled(self) -> None:
+        """Check that no cancelled task waits for its own end."""
+        for task in self.tasks.values():
+            if task.cancel_requested and not task.is_terminal:
+                raise Violation(f'{task.task_id} is cancelled and runs on')
+
+    # What really happens.
+
+    def look(
+        self,
+        executions: list[batch_agent.Execution],
+        capacity: resources.Resources,
+    ) -> None:
+        """Check what runs now and what was reported about the past."""
+        used: dict[str, resources.Resources] = {}
+        running: set[str] = set()
+        for item in executions:
+            if item.key.task_id in self._not_run:
+                raise Violation(f'{item.key.task_id} ran, reported "not run"')
+            if not item.runs:
+                continue
+            if item.key.task_id in running:
+                raise Violation(f'{item.key.task_id} runs in two places')
+            running.add(item.key.task_id)
+            total = used.get(item.target_id, resources.NOTHING)
+            used[item.target_id] = total.plus(item.request.declared)
+        for target, total in used.items():
+            if not total.fits_in(capacity):
+                raise Violation(f'{target} runs more than it can hold')
+        for task in self.tasks.values():
+            if task.phase is records.TaskPhase.SUCCEEDED:
+                self._check_success(task, executions)
+
+    def _check_success(
+        self,
+        task: records.TaskRecord,
+        executions: list[batch_agent.Execution],
+    ) -> None:
+        results = [
+            item.result
+            for item in executions
+            if item.key == Key(task.task_id, task.attempt)
+        ]
+        if results != [task.result]:
+            raise Violation(f'{task.task_id} has a result of another attempt')
+
+    def check_start(
+        self,
+        execution: batch_agent.Execution,
+        executions: list[batch_agent.Execution],
+    ) -> None:
+        """Check that a start is allowed by what ran before."""
+        task_id = execution.key.task_id
+        earlier = [item for item in executions if item.key.task_id == task_id]
+        if any(item.key == execution.key for item in earlier):
+            raise Violation(f'{execution.key} starts twice')
+        task = self.tasks.get(task_id)
+        if task is None:
+            raise Violation(f'{task_id} starts but is not stored')
+        if task.idempotent or not earlier:
+            return
+        checkpoint = execution.request.checkpoint
+        if not checkpoint or earlier[-1].checkpoint != checkpoint:
+            raise Violation(f'{task_id} is not idempotent and starts again')
+
+    def check_release(self, key: Key, state: reservations.HeldState) -> None:
+        """Check that an agent keeps an end until it is committed."""
+        task = self.tasks.get(key.task_id)
+        if task is None or state is reservations.HeldState.NEVER_STARTED:
+            return
+        is_assigned = task.phase is records.TaskPhase.ASSIGNED
+        if is_assigned and task.attempt == key.attempt:
+            raise Violation(f'the end of {key} is released, not committed')
+
+    def check_stop(self, key: Key) -> None:
+        """Check that an owner stops a current attempt only on a cancel."""
+        task = self.tasks.get(key.task_id)
+        if task is None or task.cancel_requested:
+            return
+        is_assigned = task.phase is records.TaskPhase.ASSIGNED
+        if is_assigned and task.attempt == key.attempt:
+            raise Violation(f'{key} is stopped without a reason')
+
+    def check_grants(self, effect: effects.Effect) -> None:
+        """Check that grants stay within the committed horizon."""
+        granted: tuple[effects.Grant, ...] = ()
+        if isinstance(effect, effects.SendStart):
+            granted = (effect.grant,)
+        elif isinstance(effect, effects.SendGrants):
+            granted = effect.grants
+        for grant in granted:
+            attempt = grant.attempt
+            horizons = self._horizons[attempt.shard, attempt.epoch]
+            work_class = self.tasks[attempt.task_id].work_class
+            limit_ms = horizons.find_deadline_ms(work_class)
+            if grant.grant_deadline_ms > limit_ms:
+                raise Violation(f'the grant of {attempt} passes the horizon')
--- /dev/null
+++ b/tests/batch_removals.py
@@ -0,0 +1,103 @@
+"""Broken versions of the batch state, each without one safeguard.
+
+They show that the property test and the recorded traces notice the loss of
+each safeguard. The product has no switch for them.
+"""
+
+from collections import abc
+import contextlib
+from typing import Any, Final
+from unittest import mock
+
+from borageshelf.agent import reservations
+from borageshelf import errors
+from borageshelf.shards import granted
+from borageshelf.shards import log
+from borageshelf.shards import owner
+from borageshelf.shards import records
+from borageshelf.shards import transitions
+from tests import batch_world
+
+
+class UnfencedLedger(reservations.Reservations):
+    """Obeys earlier owners of a shard."""
+
+    def observe_epoch(self, shard: int, epoch: int) -> bool:
+        super().observe_epoch(shard, epoch)
+        return True
+
+
+class ForgetfulLedger(reservations.Reservations):
+    """Forgets that it said "never started"."""
+
+    def bury(self, key: reservations.AttemptKey, now_ms: int) -> None:
+        return
+
+
+class TrustingOwner(owner.ShardOwner):
+    """Takes "never started" from any agent process."""
+
+    def _is_proof(self, *arguments: Any) -> bool:
+        return True
+
+
+class UnreadLog(log.ShardLog):
+    """Takes an uncertain write for a failed one."""
+
+    async def _swap(self, head: records.ShardHead) -> None:
+        put = self._store.put
+
+        async def fail(*arguments: Any) -> int:
+            try:
+                return await put(*arguments)
+            except errors.BorageshelfError as error:
+                if error.code is not errors.STORE_UNCERTAIN:
+                    raise
+                raise errors.BorageshelfError(
+                    errors.STORE_UNAVAILABLE
+                ) from error
+
+        store = mock.Mock(put=fail, get=self._store.get)
+        original, self._store = self._store, store
+        try:
+            await super()._swap(head)
+        finally:
+            self._store = original
+
+
+def _find_no_bound(
+    ledger: granted.GrantLedger, task: records.TaskRecord
+) -> int:
+    """Do not wait for the end of the last grant."""
+    return 0
+
+
+def _is_current(task: records.TaskRecord, attempt: int) -> bool:
+    return task.phase is records.TaskPhase.ASSIGNED
+
+
+REMOVALS: Final[dict[str, batch_world.Parts]] = {
+    'epoch fence': batch_world.Parts(ledger_type=UnfencedLedger),
+    'grant bound': batch_world.Parts(),
+    'read-back': batch_world.Parts(log_type=UnreadLog),
+    'attempt check': batch_world.Parts(),
+    'tombstone': batch_world.Parts(ledger_type=ForgetfulLedger),
+    'agent process': batch_world.Parts(owner_type=TrustingOwner),
+}
+
+
+@contextlib.contextmanager
+def remove(name: str | None) -> abc.Iterator[batch_world.Parts]:
+    """Take one safeguard away, or none."""
+    with contextlib.ExitStack() as stack:
+        if name == 'attempt check':
+            stack.enter_context(
+                mock.patch.object(transitions, '_is_current', _is_current)
+            )
+        elif name == 'grant bound':
+            stack.enter_context(
+                mock.patch.object(
+                    granted.GrantLedger, 'find_bound_ms', _find_no_bound
+                )
+            )
+        yield REMOVALS[name] if name else batch_world.Parts()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -31,6 +31,8 @@
     name: str
     key: str = ''
     apply: abc.Callable[[], Any] | None = None
+    # Set once the store has served the call; the answer may come later.
+    outcome: tuple[Any, errors.BorageshelfError | None] | None = None
 
     def __await__(self) -> abc.Generator['Call', Any, Any]:
         return (yield self)
@@ -57,15 +59,19 @@
             self.is_done, self.error = True, error
 
     def step(self, fate: Fate, store: 'FakeStore') -> None:
-        """Decide the call at which the coroutine waits and resume it."""
+        """Let the store serve the call and resume the coroutine."""
+        assert self.call is not None
+        store.serve(self.call, fate)
+        self.resume()
+
+    def resume(self) -> None:
+        """Go on if the call that the coroutine waits for was served."""
         call = self.call
         assert call is not None
-        if call.apply is None:
-            self._advance(lambda: self._coroutine.send(None))
+        if call.outcome is None:
             return
-        try:
-            answer = store.decide(call, fate)
-        except errors.BorageshelfError as error:
+        answer, error = call.outcome
+        if error is not None:
             raised = error
             self._advance(lambda: self._coroutine.throw(raised))
         else:
@@ -98,16 +104,27 @@
         self.revision = 0
         self.is_down = False
         self.delayed: list[Call] = []
-        self.puts = 0
-        self.put_bytes = 0
+        self.head_puts = 0
 
-    def decide(self, call: Call, fate: Fate) -> Any:
-        """Apply a call according to its fate and return its answer."""
-        assert call.apply is not None
+    def serve(self, call: Call, fate: Fate) -> None:
+        """Serve a call once, according to its fate."""
+        if call.outcome is not None:
+            return
+        if call.apply is None:
+            call.outcome = None, None
+            return
+        try:
+            call.outcome = self._decide(call, call.apply, fate), None
+        except errors.BorageshelfError as error:
+            call.outcome = None, error
+
+    def _decide(
+        self, call: Call, apply: abc.Callable[[], Any], fate: Fate
+    ) -> Any:
         if self.is_down or fate is Fate.REFUSED:
             raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, call.key)
         if fate is Fate.ANSWERED:
-            return call.apply()
+            return apply()
         if call.name in {'get', 'list'}:
             raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, call.key)
         if fate is Fate.LOST_AFTER:
@@ -159,8 +176,7 @@
         def apply() -> int:
             self._check(key, expected_revision)
             self.revision += 1
-            self.puts += 1
-            self.put_bytes += len(value)
+            self.head_puts += key.endswith('/head')
             self.entries[key] = store_interface.Entry(
                 key, value, self.revision, lease_id
             )
--- /dev/null
+++ b/tests/test_batch_traces.py
@@ -0,0 +1,170 @@
+"""Recorded traces with stated outcomes, and removals of safeguards.
+
+``test-data/batch-traces.test`` states what callers see in each failure and
+how long it takes. ``test-data/batch-removals.test`` holds, for each
+safeguard, the shortest trace found that fails without it.
+"""
+
+import pytest
+
+from borageshelf import errors
+from borageshelf.shards import grants
+from tests import batch_removals
+from tests import batch_search
+from tests import batch_world
+from tests import text_cases
+
+TRACES = text_cases.read_cases('batch-traces.test')
+REMOVALS = text_cases.read_cases('batch-removals.test')
+AWAIT_LIMIT_MS = 40 * 60 * 1000
+
+
+class TracedWorld(batch_world.World):
+    """A world with steps that state what is seen."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+        self.broken: set[str] = set()
+        self.doomed: set[str] = set()
+        self.marked_ms = self.now_ms
+        self.marked_puts = 0
+
+    def do_horizons(self) -> None:
+        """Use the real lengths of grants and horizons."""
+        self.policy = grants.GrantPolicy()
+
+    def do_place(self, *targets: str) -> None:
+        """Place new work on these targets only."""
+        self.placeable = set(targets)
+
+    def do_add(self, target: str) -> None:
+        """Add a target."""
+        self.placeable.add(target)
+        self._boot(target)
+
+    def do_break(self, target: str) -> None:
+        """Let a worker fail everything."""
+        self.broken.add(target)
+
+    def do_doom(self, job_id: str) -> None:
+        """Let a job fail everywhere."""
+        self.doomed.add(job_id)
+
+    def do_excuse(self, entry_id: str, target: str) -> None:
+        """Do not blame jobs for their failures on a target."""
+        for shard in self.entries[entry_id].shards.values():
+            assert shard.owner is not None
+            shard.owner.excuse_failures(target, self._read_clock(entry_id))
+
+    def do_work(self, target: str) -> None:
+        super().do_work(target)
+        for execution in self.executions:
+            job_id = execution.key.task_id.partition('/')[0]
+            is_bad = target in self.broken or job_id in self.doomed
+            if execution.runs and execution.target_id == target and is_bad:
+                self.workers[target].end(execution.key, False)
+
+    def do_wave(self, entry_id: str, count: str) -> None:
+        """Submit many jobs at once."""
+        for _ in range(int(count)):
+            self.do_submit(entry_id, 'idem')
+
+    def do_cancel_all(self, entry_id: str) -> None:
+        for job_id in self.jobs:
+            self.do_cancel(entry_id, job_id)
+
+    def do_mark(self) -> None:
+        """Count time and commits from now on."""
+        self.marked_ms = self.now_ms
+        self.marked_puts = self.store.head_puts
+
+    def do_commits(self) -> None:
+        """State how many commits there were since the mark."""
+        count = self.store.head_puts - self.marked_puts
+        self.lines.append(f'{count} commits')
+
+    def do_phases(self) -> None:
+        """State how many jobs are in which phase."""
+        counts: dict[str, int] = {}
+        for task in self.checks.tasks.values():
+            key = f'{task.phase.value} {errors.find(task.code).name}'
+            counts[key] = counts.get(key, 0) + 1
+        for key, count in sorted(counts.items()):
+            self.lines.append(f'{count} {key}')
+
+    def do_show(self, job_id: str) -> None:
+        """State what is committed of a job and where it runs."""
+        task = self.checks.tasks.get(f'{job_id}/0')
+        if task is None:
+            self.lines.append(f'{job_id} is not stored')
+            return
+        text = f'{job_id} {task.phase.value}'
+        if task.is_terminal:
+            text += f' {errors.find(task.code).name}'
+        runs = [
+            item
+            for item in self.executions
+            if item.key.task_id == task.task_id
+        ]
+        places = [item.target_id for item in runs if item.runs]
+        text += f', started {len(runs)} times'
+        self.lines.append(text + ''.join(f', runs on {x}' for x in places))
+
+    def do_reply(self, job_id: str) -> None:
+        """State what the submitter of a job was told."""
+        for token, asked in self.requests.items():
+            if asked == job_id:
+                code = self.replies.get(token)
+                text = code.name if code else 'no answer yet'
+                self.lines.append(f'{job_id} reply: {text}')
+
+    def do_owner(self, shard: str) -> None:
+        """State the owner of a shard."""
+        head = self.checks.heads[int(shard)]
+        self.lines.append(f'shard {shard} epoch {head.epoch} of {head.owner}')
+
+    def do_await(self, job_id: str, event: str) -> None:
+        """Run until a job runs on a target or has ended; state when."""
+        started_ms = self.marked_ms
+        while self.now_ms - started_ms < AWAIT_LIMIT_MS:
+            if self._has_come(f'{job_id}/0', event):
+                break
+            self.perform('run', '500')
+        seconds = (self.now_ms - started_ms) / 1000
+        self.lines.append(f'{job_id} {event} after {seconds:g} s')
+
+    def _has_come(self, task_id: str, event: str) -> bool:
+        task = self.checks.tasks.get(task_id)
+        if event == 'ended':
+            return task is not None and task.is_terminal
+        return any(
+            item.runs
+            and item.key.task_id == task_id
+            and item.target_id == event
+            for item in self.executions
+        )
+
+
+@pytest.mark.parametrize('case', TRACES, ids=lambda case: case.name)
+def test_trace(case: text_cases.Case) -> None:
+    """Guards against a change of what callers see in a known failure."""
+    world = TracedWorld()
+    for step in case.steps:
+        world.perform(*step)
+    assert tuple(world.lines) == case.out
+    world.broken.clear()
+    world.doomed.clear()
+    world.heal()
+
+
+@pytest.mark.parametrize('name', sorted(batch_removals.REMOVALS))
+def test_removal_is_found(name: str) -> None:
+    """Guards against checks that do not see the loss of a safeguard."""
+    cases = [case for case in REMOVALS if case.name.startswith(name)]
+    assert cases
+    for case in cases:
+        with batch_removals.remove(name) as parts:
+            found = batch_search.find_violation(case.steps, parts)
+        assert (found,) == case.out
+        assert not batch_search.find_violation(case.steps)
