Keep work running when its owner is lost in a store outage

Cause: the owner renewed grants for 30 s at a time, also while the store was down. When the owner was lost too, no entry could take its shard over before the store returned, and all its work stopped 30 s later. Ruled out: a longer grant in general, which delays each move from a lost VM, and a grant by another entry, which has no epoch.

While the entry does not reach the store, renewals reach the committed horizon, which the next owner waits for in any case; work on a VM that is lost during the outage waits for it too.

--- a/borageshelf/shards/granted.py
+++ b/borageshelf/shards/granted.py
@@ -29,6 +29,9 @@
         policy: grants.GrantPolicy,
     ) -> None:
         self.horizons = horizons
+        # While the store is down no other entry can take the shard over, so
+        # a grant that ends with its owner would stop the work of the shard.
+        self.reaches_horizon = False
         self._shard = shard
         self._epoch = epoch
         self._takeover_horizons = takeover_horizons
@@ -45,9 +48,11 @@
         self, task: records.TaskRecord, now_ms: int
     ) -> effects.Grant | None:
         """Grant the current attempt more time, if a horizon allows."""
-        deadline_ms = self._policy.find_deadline_ms(
-            task.work_class, self.horizons, now_ms
-        )
+        deadline_ms = self.horizons.find_deadline_ms(task.work_class)
+        if not self.reaches_horizon:
+            deadline_ms = self._policy.find_deadline_ms(
+                task.work_class, self.horizons, now_ms
+            )
         if deadline_ms <= now_ms:
             return None
         granted_ms = max(deadline_ms, self._granted_ms.get(task.task_id, 0))
--- a/borageshelf/shards/owner.py
+++ b/borageshelf/shards/owner.py
@@ -235,6 +235,15 @@
                 self._advance(task, transitions.Lost(task.attempt), now_ms)
         self._records.expire(now_ms, EXPIRIES_PER_TICK)
 
+    def note_store(self, is_reachable: bool) -> None:
+        """Learn whether this entry reaches the store.
+
+        While it does not, renewals reach the horizon, so that work survives
+        the loss of its owner during the outage. In exchange, work on a VM
+        that is lost during the outage waits for the horizon.
+        """
+        self._grants.reaches_horizon = not is_reachable
+
     def leave(self) -> None:
         """Place nothing more; a planned stop follows."""
         self._leaving = True
@@ -279,6 +288,7 @@
         self._records.confirm()
         self._waiting.confirm(batch.effects)
         self._grants.horizons = batch.horizons
+        self.note_store(True)
         for changed in batch.changes.tasks:
             if changed.phase is not records.TaskPhase.ASSIGNED:
                 self._grants.forget(changed.task_id)
@@ -299,6 +309,7 @@
         New jobs and claims are dropped and their requests refused. All other
         changes wait for the next batch: a completion must not be lost.
         """
+        self.note_store(False)
         tasks, claims = self._records.refuse()
         return self._waiting.refuse(batch.effects, tasks, claims)
 
--- a/tests/batch_search.py
+++ b/tests/batch_search.py
@@ -37,6 +37,8 @@
         (4, lambda: ('resume', node)),
         (3, lambda: ('block', *pair)),
         (4, lambda: ('unblock', *pair)),
+        (2, lambda: ('block', entry, 'store')),
+        (3, lambda: ('unblock', entry, 'store')),
         (1, lambda: ('outage', 'on')),
         (3, lambda: ('outage', 'off')),
         (4, lambda: ('fate', entry, rng.choice(FATES))),
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -331,10 +331,14 @@
                 self._serve_store(entry_id, shard.process.call)
         if entry_id in self.paused:
             return
-        if not self.store.is_down:
+        is_reachable = not self._is_cut_off(entry_id)
+        for shard in entry.shards.values():
+            if shard.owner is not None:
+                shard.owner.note_store(is_reachable)
+        if is_reachable:
             entry.lease_deadline_ms = self.now_ms + LEASE_MS
             entry.announced = set(entry.shards)
-        self._reconcile(entry)
+            self._reconcile(entry)
         for number in list(entry.shards):
             self._step_shard(entry, number)
 
@@ -489,9 +493,11 @@
 
     # The loop of an entry.
 
+    def _is_cut_off(self, entry_id: str) -> bool:
+        """Tell whether an entry does not reach the store."""
+        return self.store.is_down or (entry_id, 'store') in self.blocked
+
     def _reconcile(self, entry: Entry) -> None:
-        if self.store.is_down:
-            return
         members = [
             other
             for other in self.entries.values()
@@ -532,11 +538,13 @@
         fate = fakes.Fate.ANSWERED
         if call.outcome is None and call.name == 'put' and fates:
             fate = fates.pop(0)
-        if not self.store.is_down or call.apply is None:
-            self.store.serve(call, fate)
-            self.checks.read_heads()
-        elif entry_id not in self.paused:
-            self.store.serve(call, fate)
+        if self._is_cut_off(entry_id) and call.apply is not None:
+            # A paused entry sees the outage when it resumes.
+            if entry_id in self.paused:
+                return
+            fate = fakes.Fate.REFUSED
+        self.store.serve(call, fate)
+        self.checks.read_heads()
 
     def _step_shard(self, entry: Entry, number: int) -> None:
         shard = entry.shards[number]
--- a/tests/test_batch_properties.py
+++ b/tests/test_batch_properties.py
@@ -18,7 +18,11 @@
 TARGET = strategies.sampled_from(batch_world.TARGETS)
 NODE = ENTRY | TARGET
 PAIR = strategies.tuples(ENTRY, TARGET)
-DIRECTION = PAIR | PAIR.map(lambda pair: (pair[1], pair[0]))
+DIRECTION = (
+    PAIR
+    | PAIR.map(lambda pair: (pair[1], pair[0]))
+    | ENTRY.map(lambda entry: (entry, 'store'))
+)
 JOB = strategies.sampled_from([f'j{number}' for number in range(6)])
 SHARD = strategies.sampled_from(
     [str(number) for number in range(batch_world.SHARDS)]
