--- /dev/null
+++ b/bench/placement_run.py
@@ -0,0 +1,415 @@
+"""One run of a variant over a trace with a fake clock."""
+
+import dataclasses
+import random
+from typing import Final
+
+from bench import placement_fleet
+from bench import placement_trace
+from bench import placement_variants
+from borageshelf.decisions import control
+from borageshelf.decisions import control_state
+from borageshelf.decisions import estimates
+from borageshelf.decisions import interference
+from borageshelf.decisions import preemption
+from borageshelf.decisions import quarantine
+from borageshelf.decisions import views
+from borageshelf.model import objects
+from borageshelf.model import resources
+
+SERVICE: Final = 'service'
+LIMITS: Final = objects.Limits()
+ATTEMPTS: Final = 5
+WINDOW_S: Final = 240
+
+
+@dataclasses.dataclass
+class Figures:
+    """What a run counts.
+
+    :param urgent_waits_s: waits of tasks with urgency 5 and more
+    :param rates: batch millicores in use by second
+    :param late_shares: share of calls slower than the goal by second
+    """
+
+    finished: int = 0
+    work_millicore_s: float = 0.0
+    evictions: int = 0
+    lost: int = 0
+    failed_attempts: int = 0
+    p99_ms: float = 0.0
+    urgent_waits_s: list[int] = dataclasses.field(default_factory=list)
+    rates: list[float] = dataclasses.field(default_factory=list)
+    late_shares: list[float] = dataclasses.field(default_factory=list)
+
+
+class Run:
+    """State of one run; ``execute`` returns its figures."""
+
+    def __init__(
+        self,
+        variant: placement_variants.Variant,
+        trace: placement_trace.Trace,
+        seed: int,
+    ) -> None:
+        self.variant = variant
+        self.trace = trace
+        self.rng = random.Random(seed)
+        self.size_rng = random.Random(seed + 1)
+        self.fleet = placement_fleet.make_fleet(variant.is_mixed)
+        self.queue: list[placement_fleet.Task] = []
+        self.figures = Figures()
+        self.book = estimates.Book()
+        self.pairs = interference.Table()
+        self.failures = quarantine.FailureTable()
+        self.states = {vm.name: control_state.State() for vm in self.fleet}
+        self.tables = {vm.name: interference.Table() for vm in self.fleet}
+
+    def execute(self) -> Figures:
+        """Run the whole trace."""
+        arrivals: dict[int, list[str]] = {}
+        for second, family in self.trace.jobs:
+            arrivals.setdefault(second, []).append(family)
+        count = 0
+        for now_s in range(placement_trace.LENGTH_S):
+            for family in arrivals.get(now_s, []):
+                count += 1
+                self.queue.append(
+                    placement_fleet.make_task(
+                        count,
+                        self.trace.families[family],
+                        now_s,
+                        self.size_rng,
+                    )
+                )
+            self._cancel(now_s)
+            self._place(now_s)
+            for vm in self.fleet:
+                self._advance(vm, now_s)
+            self.figures.rates.append(
+                sum(t.used_millicores for vm in self.fleet for t in vm.tasks)
+            )
+            self.figures.late_shares.append(
+                placement_fleet.find_late_share(self.fleet)
+            )
+        self.figures.p99_ms = placement_fleet.find_fleet_p99_ms(self.fleet)
+        return self.figures
+
+    def _cancel(self, now_s: int) -> None:
+        for phase in self.trace.find_phases('cancel', now_s):
+            # Drawn by task, so that every variant loses the same tasks.
+            def is_kept(
+                task: placement_fleet.Task, share: float = phase.value
+            ) -> bool:
+                return random.Random(task.task_id).random() >= share
+
+            self.queue = [task for task in self.queue if is_kept(task)]
+            for vm in self.fleet:
+                vm.tasks = [task for task in vm.tasks if is_kept(task)]
+
+    def _place(self, now_s: int) -> None:
+        self.queue.sort(key=lambda t: (-t.family.urgency, t.arrived_s))
+        targets = {vm.name: self._view(vm, now_s) for vm in self.fleet}
+        policy = self._make_policy()
+        refused: set[str] = set()
+        waiting: list[placement_fleet.Task] = []
+        for task in self.queue:
+            name = task.family.name
+            # A family that was refused is refused again in this second,
+            # unless the reason was its own failed targets.
+            if task.retry_s > now_s or (name in refused and not task.failed):
+                waiting.append(task)
+                continue
+            answer = self.variant.choose(
+                self._view_task(task),
+                list(targets.values()),
+                policy,
+                now_s * 1000,
+                self.rng,
+            )
+            if isinstance(answer, views.Refused) or (
+                answer.preempts and self.variant.without == 'preemption'
+            ):
+                refused.add(name)
+                waiting.append(task)
+                continue
+            vm = next(v for v in self.fleet if v.name == answer.target_id)
+            self._start(vm, task, answer, now_s)
+            targets[vm.name] = self._view(vm, now_s)
+        known = {id(task) for task in waiting}
+        evicted = [t for t in self.queue if t.retry_s == now_s + 1]
+        self.queue = waiting + [t for t in evicted if id(t) not in known]
+
+    def _start(
+        self,
+        vm: placement_fleet.Vm,
+        task: placement_fleet.Task,
+        placed: views.Placed,
+        now_s: int,
+    ) -> None:
+        if placed.preempts:
+            self._preempt(vm, task, placed.expected_use, now_s)
+        task.reserved = placed.expected_use
+        task.started_s = now_s
+        task.used_millicores = 0.0
+        task.speed = placed.throttle
+        if self.variant.without == 'exploration at half speed':
+            task.speed = 1.0
+        self.states[vm.name] = control_state.note_start(
+            self.states[vm.name], task.task_id, task.speed
+        )
+        if task.first_start_s < 0:
+            task.first_start_s = now_s
+            if task.family.urgency >= 5:
+                self.figures.urgent_waits_s.append(now_s - task.arrived_s)
+        vm.tasks.append(task)
+
+    def _preempt(
+        self,
+        vm: placement_fleet.Vm,
+        task: placement_fleet.Task,
+        need: resources.Resources,
+        now_s: int,
+    ) -> None:
+        victims = preemption.choose_victims(
+            need,
+            self._find_free(vm, now_s),
+            task.family.urgency,
+            [self._make_candidate(t, now_s) for t in vm.tasks],
+            self.variant.objective,
+        )
+        chosen = {victim.task_id for victim in victims or ()}
+        for victim in [t for t in vm.tasks if t.task_id in chosen]:
+            self._evict(vm, victim, now_s)
+
+    def _make_candidate(
+        self, task: placement_fleet.Task, now_s: int
+    ) -> preemption.Candidate:
+        return preemption.Candidate(
+            task.task_id,
+            task.family.urgency,
+            task.reserved.maximum(task.measure(now_s)),
+            True,
+            (now_s - task.started_s) * 1000,
+            estimates.find_run_ms(self.book, task.family.name)[0],
+            task.evictions,
+        )
+
+    def _evict(
+        self, vm: placement_fleet.Vm, task: placement_fleet.Task, now_s: int
+    ) -> None:
+        """Checkpoint, stop and queue a task; its progress is kept."""
+        vm.tasks.remove(task)
+        self.figures.evictions += 1
+        task.evictions += 1
+        task.retry_s = now_s + 1
+        task.attempt += 1
+        self.queue.append(task)
+
+    def _advance(self, vm: placement_fleet.Vm, now_s: int) -> None:
+        if any(p.name == vm.name for p in self._find_failing(now_s)):
+            for task in list(vm.tasks):
+                if task.started_s >= now_s - 1:
+                    self._fail(vm, task, now_s)
+        finished = placement_fleet.step(vm, self.trace, now_s, self.rng)
+        for task in finished:
+            self._finish(vm, task, now_s)
+        for task in placement_fleet.find_overfull(vm):
+            self._kill(vm, task, now_s)
+        if vm.executors:
+            self._control(vm, now_s)
+
+    def _find_failing(self, now_s: int) -> list[placement_trace.Phase]:
+        return self.trace.find_phases('fail', now_s)
+
+    def _fail(
+        self, vm: placement_fleet.Vm, task: placement_fleet.Task, now_s: int
+    ) -> None:
+        vm.tasks.remove(task)
+        self.figures.failed_attempts += 1
+        task.failed = (*task.failed, vm.name)
+        self._note_outcome(vm, task, False, now_s)
+        if not task.family.is_idempotent or len(task.failed) >= ATTEMPTS:
+            self.figures.lost += 1
+            return
+        task.retry_s = now_s + 1
+        task.attempt += 1
+        self.queue.append(task)
+
+    def _note_outcome(
+        self,
+        vm: placement_fleet.Vm,
+        task: placement_fleet.Task,
+        succeeded: bool,
+        now_s: int,
+    ) -> None:
+        self.failures = quarantine.observe(
+            self.failures,
+            quarantine.Outcome(
+                vm.name, task.family.name, succeeded, now_s * 1000
+            ),
+            len(self.fleet),
+        )
+
+    def _finish(
+        self, vm: placement_fleet.Vm, task: placement_fleet.Task, now_s: int
+    ) -> None:
+        vm.tasks.remove(task)
+        self.figures.finished += 1
+        self.figures.work_millicore_s += task.work_millicore_s
+        self._note_outcome(vm, task, True, now_s)
+        peak = dataclasses.replace(task.true, accelerators=0)
+        self.book = estimates.observe_finished(
+            self.book,
+            task.family.name,
+            peak,
+            (now_s - task.started_s) * 1000,
+        )
+
+    def _kill(
+        self, vm: placement_fleet.Vm, task: placement_fleet.Task, now_s: int
+    ) -> None:
+        """Lose the progress of a task that ran out of memory."""
+        self._evict(vm, task, now_s)
+        task.done_millicore_s = 0.0
+        if not task.family.is_idempotent:
+            self.queue.remove(task)
+            self.figures.lost += 1
+
+    def _control(self, vm: placement_fleet.Vm, now_s: int) -> None:
+        p99, load, age_s = placement_fleet.measure_p99(vm, self.rng)
+        at_ms = (now_s - age_s) * 1000
+        if p99 <= 0 or self.variant.decide is None:
+            return
+        seen = interference.Observation(
+            SERVICE,
+            p99,
+            load,
+            interference.find_mix(vm.mixes, at_ms),
+            at_ms,
+        )
+        self.pairs = interference.observe(self.pairs, seen)
+        table = interference.observe(self.tables[vm.name], seen)
+        self.tables[vm.name] = table
+        without = self.variant.without
+        if without == 'interference in control':
+            table = interference.Table()
+        state = self.states[vm.name]
+        if without == 'wave recognition':
+            state = dataclasses.replace(state, waves=0)
+        if without == 'calm after relapse':
+            state = dataclasses.replace(state, calm_needed_ms=0)
+        view = control.VmView(
+            vm.capacity,
+            [self._view_attempt(task, now_s) for task in vm.tasks],
+            SERVICE,
+            placement_fleet.GOAL_P99_MS,
+            p99,
+            at_ms,
+        )
+        state, actions = self.variant.decide(
+            state, view, table, self.variant.objective, LIMITS, now_s * 1000
+        )
+        self.states[vm.name] = state
+        tasks = {task.task_id: task for task in vm.tasks}
+        for action in actions:
+            if isinstance(action, control.Move):
+                if without != 'moving':
+                    self._evict(vm, tasks[action.task_id], now_s)
+            elif without != 'throttling':
+                tasks[action.task_id].speed = action.fraction
+
+    def _view_attempt(
+        self, task: placement_fleet.Task, now_s: int
+    ) -> control.AttemptView:
+        known = self._make_candidate(task, now_s)
+        return control.AttemptView(
+            task.task_id,
+            task.attempt,
+            task.family.name,
+            task.family.urgency,
+            task.reserved,
+            task.measure(now_s),
+            True,
+            known.run_ms,
+            known.expected_run_ms,
+            task.evictions,
+        )
+
+    def _find_free(
+        self, vm: placement_fleet.Vm, now_s: int
+    ) -> resources.Resources:
+        free = vm.capacity
+        for task in vm.tasks:
+            held = task.reserved
+            if not self.variant.is_naive:
+                held = held.maximum(task.measure(now_s))
+            free = free.minus(held)
+        return free
+
+    def _view(self, vm: placement_fleet.Vm, now_s: int) -> views.TargetView:
+        state = quarantine.find_state(self.failures, vm.name)
+        uses_failures = not (
+            self.variant.is_naive or self.variant.without == 'quarantine'
+        )
+        p99 = vm.p99_history[-1 - placement_fleet.LATENCY_LAG_S :]
+        return views.TargetView(
+            vm.name,
+            'centre',
+            'rack',
+            'vm',
+            'agent',
+            vm.capacity,
+            self._find_free(vm, now_s),
+            service=SERVICE if vm.executors else '',
+            running=tuple(self._view_running(t, now_s) for t in vm.tasks),
+            service_p99_ratio=p99[0] / placement_fleet.GOAL_P99_MS
+            if p99
+            else 0.0,
+            quarantined_until_deadline_ms=state.quarantined_until_deadline_ms
+            if uses_failures
+            else 0,
+            failure_share=quarantine.find_failure_share(
+                self.failures, vm.name, now_s * 1000
+            )
+            if uses_failures
+            else 0.0,
+            on_probation=uses_failures and state.on_probation,
+        )
+
+    def _view_running(
+        self, task: placement_fleet.Task, now_s: int
+    ) -> views.RunningView:
+        return views.RunningView(
+            task.task_id,
+            task.family.name,
+            'team',
+            task.family.urgency,
+            task.reserved,
+            task.measure(now_s),
+        )
+
+    def _view_task(self, task: placement_fleet.Task) -> views.TaskView:
+        avoided = self.variant.without != 'failed targets avoided'
+        return views.TaskView(
+            task.task_id,
+            task.family.name,
+            'team',
+            task.family.declared,
+            task.family.urgency,
+            failed_targets=task.failed if avoided else (),
+            waiting_since_ms=task.arrived_s * 1000,
+        )
+
+    def _make_policy(self) -> views.Policy:
+        without = self.variant.without
+        return views.Policy(
+            objective=self.variant.objective,
+            limits=LIMITS,
+            estimates=estimates.Book()
+            if without == 'learned sizes'
+            else self.book,
+            interference=interference.Table()
+            if without == 'interference in placement'
+            else self.pairs,
+        )
--- /dev/null
+++ b/bench/placement_variants.py
@@ -0,0 +1,124 @@
+"""Variants of the placement bench: the real decisions, the naive ones and
+the ablations.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Final, TypeAlias
+
+from bench import placement_trace
+from borageshelf.decisions import control
+from borageshelf.decisions import control_state
+from borageshelf.decisions import interference
+from borageshelf.decisions import naive_placement
+from borageshelf.decisions import placement
+from borageshelf.decisions import views
+from borageshelf.model import objects
+
+Chooser: TypeAlias = Callable[
+    [
+        views.TaskView,
+        list[views.TargetView],
+        views.Policy,
+        int,
+        random.Random,
+    ],
+    views.Placed | views.Refused,
+]
+Controller: TypeAlias = Callable[
+    [
+        control_state.State,
+        control.VmView,
+        interference.Table,
+        objects.Objective,
+        objects.Limits,
+        int,
+    ],
+    tuple[control_state.State, tuple[control.Action, ...]],
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Variant:
+    """One way to place and control work.
+
+    :param without: name of the mechanism that is switched off
+    """
+
+    name: str
+    objective: objects.Objective
+    choose: Chooser = placement.choose_target
+    decide: Controller | None = control.decide
+    is_mixed: bool = True
+    is_naive: bool = False
+    without: str = ''
+
+
+PRESETS: Final = {
+    'ocre': placement_trace.OBJECTIVES['ocre'],
+    'colombo': placement_trace.OBJECTIVES['colombo'],
+    'equal': objects.Objective(1.0, 1.0, 1.0),
+    'latency only': objects.Objective(1.0, 0.0, 0.0),
+    'throughput only': objects.Objective(0.0, 1.0, 0.0),
+}
+MECHANISMS: Final = (
+    'learned sizes',
+    'interference in placement',
+    'interference in control',
+    'throttling',
+    'moving',
+    'exploration at half speed',
+    'wave recognition',
+    'calm after relapse',
+    'quarantine',
+    'failed targets avoided',
+    'preemption',
+)
+
+
+def make_comparison(deployment: str) -> list[Variant]:
+    """Return the real variant and the naive ones."""
+    own = PRESETS[deployment]
+    return [
+        Variant(
+            'never mixed',
+            own,
+            naive_placement.choose_unmixed,
+            None,
+            is_mixed=False,
+            is_naive=True,
+        ),
+        Variant(
+            'first fit, no control',
+            own,
+            naive_placement.choose_first_fit,
+            None,
+            is_naive=True,
+        ),
+        Variant(
+            'first fit, evicting control',
+            own,
+            naive_placement.choose_first_fit,
+            naive_placement.evict_when_slow,
+            is_naive=True,
+        ),
+        Variant('real', own),
+    ]
+
+
+def make_presets(deployment: str) -> list[Variant]:
+    """Return the real variant with every other preset."""
+    return [
+        Variant(f'preset {name}', objective)
+        for name, objective in PRESETS.items()
+        if name != deployment
+    ]
+
+
+def make_ablations(deployment: str) -> list[Variant]:
+    """Return the real variant without each mechanism in turn."""
+    return [
+        Variant(f'without {name}', PRESETS[deployment], without=name)
+        for name in MECHANISMS
+    ]
--- a/borageshelf/decisions/naive_placement.py
+++ b/borageshelf/decisions/naive_placement.py
@@ -2,16 +2,22 @@
 
 ``choose_first_fit`` uses declared sizes and has no control.
 ``choose_unmixed`` keeps batch work away from the targets with a service, a
-static reservation. ``find_violation`` states what every placement must obey;
+static reservation. ``evict_when_slow`` is control by eviction alone.
+``find_violation`` states what every placement must obey;
 it is written without the helpers of ``placement`` on purpose.
 """
 
 from collections.abc import Sequence
+import dataclasses
 import random
 from typing import Final
 
+from borageshelf.decisions import control
+from borageshelf.decisions import control_state
+from borageshelf.decisions import interference
 from borageshelf.decisions import views
 from borageshelf import errors
+from borageshelf.model import objects
 from borageshelf.model import resources
 
 RETRY_MS: Final = 1_000
@@ -92,3 +98,29 @@
     if usage == resources.NOTHING and task.declared.fits_in(quota):
         return ''
     return "the team's quota is used up"
+
+
+def evict_when_slow(
+    state: control_state.State,
+    view: control.VmView,
+    table: interference.Table,
+    objective: objects.Objective,
+    limits: objects.Limits,
+    now_ms: int,
+) -> tuple[control_state.State, tuple[control.Action, ...]]:
+    """Move the largest attempt whenever the service misses its goal.
+
+    It waits for a measurement after its last action, and does nothing else
+    against oscillation.
+    """
+    is_late = view.measured_at_ms <= state.changed_at_ms
+    if is_late or view.p99_ms <= view.target_p99_ms or not view.attempts:
+        return state, ()
+    largest = max(
+        view.attempts,
+        key=lambda attempt: attempt.used.processor_millicores,
+    )
+    state = dataclasses.replace(state, changed_at_ms=now_ms)
+    return state, (
+        control.Move(largest.task_id, largest.attempt, 'the service is slow'),
+    )
--- a/borageshelf/decisions/placement.py
+++ b/borageshelf/decisions/placement.py
@@ -87,6 +87,9 @@
     """Tell whether the target may take the task at all, room aside."""
     if target.leaving or target.quarantined_until_deadline_ms > now_ms:
         return False
+    # One attempt shows whether a target has recovered from its quarantine.
+    if target.on_probation and target.running:
+        return False
     if task.data_centres and target.data_centre not in task.data_centres:
         return False
     if task.spread == 'data_centre':
--- a/borageshelf/decisions/preemption.py
+++ b/borageshelf/decisions/preemption.py
@@ -17,6 +17,8 @@
 # An attempt in the last fifth of its expected run time soon leaves by
 # itself; stopping it would lose the most work for the least time.
 NEARLY_DONE_SHARE: Final = 0.8
+# Urgency of a need that every attempt must yield to, such as full memory.
+ABOVE_ALL: Final = 99
 
 
 @dataclasses.dataclass(frozen=True)
--- a/borageshelf/decisions/views.py
+++ b/borageshelf/decisions/views.py
@@ -49,6 +49,7 @@
     :param service_p99_ratio: last measured p99 over the service's goal
     :param failure_share: share of recent attempts that failed here and for
         which the target is to blame, 0 to 1
+    :param on_probation: whether nothing succeeded since its quarantine
     """
 
     target_id: str
@@ -64,6 +65,7 @@
     running: tuple[RunningView, ...] = ()
     service_p99_ratio: float = 0.0
     failure_share: float = 0.0
+    on_probation: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
