--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -9,12 +9,12 @@
 import signal
 from typing import Any
 
+import msgspec
 import pytest
 
 from bench import demo_plans
 from bench import fleet as fleet_module
 from standins import audits
-import msgspec
 
 PLAN = fleet_module.FleetPlan(
     name='test',
