Feed learned sizes, interference and failures into placement

Entries learn from reports and ends of attempts; agents run the control loop beside their service. Views of targets are kept up to date instead of being rebuilt for each decision, whose cost would grow with the fleet. Reports carry usage per family and only when it changes.

--- a/borageshelf/agent/calls.py
+++ b/borageshelf/agent/calls.py
@@ -32,7 +32,11 @@
 # Beyond this many tombstones a cancellation gets no proof, so that a burst
 # cannot exhaust the memory.
 TOMBSTONES_LIMIT: Final = 65_536
-SAMPLES_LIMIT: Final = 1_000
+SAMPLES_LIMIT: Final = 2_000
+# The control of batch work acts on the p99, so the window must be short
+# enough to show its effect and long enough for a p99.
+SAMPLE_WINDOW_MS: Final = 5_000
+FEWEST_SAMPLES: Final = 20
 
 Send = Callable[[inner_pb2.AgentMessage], None]
 
@@ -78,8 +82,8 @@
         self._running = 0
         self._started: dict[str, int] = {}
         self._tombstones: dict[str, int] = {}
-        self._samples_ms: collections.deque[float] = collections.deque(
-            maxlen=SAMPLES_LIMIT
+        self._samples: collections.deque[tuple[int, float]] = (
+            collections.deque(maxlen=SAMPLES_LIMIT)
         )
         self._idle = asyncio.Event()
         self._idle.set()
@@ -118,9 +122,12 @@
 
     def find_load(self) -> held_calls.CallLoad:
         """Return the figures for the next report."""
-        samples = sorted(self._samples_ms)
+        since_ms = self._clock() - SAMPLE_WINDOW_MS
+        while self._samples and self._samples[0][0] < since_ms:
+            self._samples.popleft()
+        samples = sorted(sample for _, sample in self._samples)
         p99_ms = 0.0
-        if samples:
+        if len(samples) >= FEWEST_SAMPLES:
             p99_ms = samples[math.ceil(len(samples) * 0.99) - 1]
         return held_calls.CallLoad(
             len(self._queue), self._running, p99_ms, self.leaving
@@ -327,7 +334,7 @@
             ending = held_calls.Ending(errors.CANCELLED, False, '')
         service_ms = max(self._clock() - held.started_at_ms, 0)
         if ending.code is errors.OK:
-            self._samples_ms.append(service_ms)
+            self._samples.append((self._clock(), service_ms))
         ran = ending.ran or held.chunks > 0
         self._send_end(held, ending.code, ran, ending.detail, service_ms)
         self._start_calls()
--- a/borageshelf/agent/links.py
+++ b/borageshelf/agent/links.py
@@ -42,6 +42,7 @@
         self.address = address
         self.entry_id = ''
         self.epochs: dict[int, int] = {}
+        self.usage_fingerprint = b''
         self.is_connected = False
         self.report_interval_ms = DEFAULT_REPORT_INTERVAL_MS
         self._links = links
@@ -163,6 +164,7 @@
     def _detach(self) -> None:
         self._queue = None
         self.is_connected = False
+        self.usage_fingerprint = b''
         self.epochs.clear()
         self._links.handle_detached(self)
 
--- a/borageshelf/agent/process.py
+++ b/borageshelf/agent/process.py
@@ -12,7 +12,10 @@
 from borageshelf.agent import links
 from borageshelf.agent import reservations
 from borageshelf.agent import tasks
+from borageshelf.agent import usage as usage_module
+from borageshelf.agent import vm_control
 from borageshelf import clock
+from borageshelf.configuration import propagation
 from borageshelf import errors
 from borageshelf import loop as loop_module
 from borageshelf.model import resources
@@ -55,6 +58,8 @@
         self._stopping = asyncio.Event()
         self._aborting = asyncio.Event()
         self._config = inner_pb2.ConfigPart()
+        self._holder = propagation.ConfigurationHolder()
+        self._control: vm_control.VmControl | None = None
         self._links = links.EntryLinks(
             options.seeds,
             self._make_hello,
@@ -118,6 +123,9 @@
             clock.read_wall_clock_ms,
             self._options.clock_skew_ms,
         )
+        self._control = vm_control.VmControl(
+            self._tasks, self._description.capacity, self._telemetry
+        )
         if adopted:
             self._telemetry.log_state('attempts adopted', count=len(adopted))
 
@@ -152,6 +160,7 @@
             try:
                 await self._tasks.poll()
                 await self._check_boot()
+                await self._control_attempts()
             except errors.BorageshelfError as error:
                 self._telemetry.count(
                     telemetry_module.STORE_ERRORS, error.code.name
@@ -161,6 +170,21 @@
                 next_expiry_ms = now_ms + TOMBSTONE_INTERVAL_MS
                 self._tasks.ledger.expire_tombstones(now_ms)
 
+    async def _control_attempts(self) -> None:
+        """Throttle or move attempts that slow the service down."""
+        if self._control is None or self._tasks is None:
+            return
+        if self._calls is None or self._service is None:
+            await self._control.run('', 0.0, self._holder.configuration)
+            return
+        load = self._calls.find_load()
+        await self._control.run(
+            self._service.service,
+            load.service_p99_ms,
+            self._holder.configuration,
+            load.running / max(self._service.slots, 1),
+        )
+
     async def _check_boot(self) -> None:
         """End the process when the worker has restarted under it.
 
@@ -209,6 +233,7 @@
             report.queued_calls = load.queued
             report.running_calls = load.running
             report.service_p99_ms = load.service_p99_ms
+            report.service_measured_at_ms = clock.read_wall_clock_ms()
         return report
 
     def _make_report(self, link: links.EntryLink) -> inner_pb2.Report:
@@ -216,12 +241,26 @@
         report = self._make_base_report()
         if self._tasks is None:
             return report
+        self._add_usage(link, report)
         for held in self._tasks.ledger.list_held():
             shard = held.offer.shard
             if self._obeys(link, shard):
                 report.attempts.append(convert.pack_held(held))
         return report
 
+    def _add_usage(
+        self, link: links.EntryLink, report: inner_pb2.Report
+    ) -> None:
+        """Add what the attempts hold, if this entry does not know it."""
+        assert self._tasks is not None
+        usage = usage_module.summarise(self._tasks.ledger.list_held())
+        fingerprint = usage_module.make_fingerprint(usage)
+        if fingerprint == link.usage_fingerprint:
+            return
+        link.usage_fingerprint = fingerprint
+        report.has_usage = True
+        report.usage.extend(usage)
+
     def _obeys(self, link: links.EntryLink, shard: int) -> bool:
         assert self._tasks is not None
         epoch = link.epochs.get(shard, -1)
@@ -269,7 +308,16 @@
         """Use a newer configuration; a version never goes down."""
         if config.version <= self._config.version:
             return
+        try:
+            self._holder.offer_part(config.document)
+        except errors.BorageshelfError as error:
+            self._telemetry.log_state(
+                'a configuration is refused', detail=error.detail
+            )
+            return
         self._config.CopyFrom(config)
+        if self._tasks is not None:
+            self._tasks.objective = self._holder.configuration.objective
         applied = inner_pb2.ConfigPart(version=config.version)
         for link in self._links.list_connected():
             link.send(config_applied=applied)
--- a/borageshelf/agent/reservations.py
+++ b/borageshelf/agent/reservations.py
@@ -58,6 +58,7 @@
     grant_deadline_ms: int
     urgency: int = 0
     idempotent: bool = True
+    team: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +70,7 @@
     grant_deadline_ms: int
     started_at_ms: int = 0
     used: resources.Resources = resources.NOTHING
+    peak: resources.Resources = resources.NOTHING
     result: bytes = b''
     checkpoint: str = ''
     code: int = 0
@@ -106,18 +108,8 @@
     def adopt(self, tasks: tuple[worker_interface.WorkerTask, ...]) -> None:
         """Take over the attempts that the worker already has."""
         for task in tasks:
-            shard, epoch = parse_owner(task.owner)
             key = AttemptKey(task.task_id, task.attempt)
-            offer = StartOffer(
-                key,
-                shard,
-                epoch,
-                task.family,
-                task.declared,
-                task.lease_deadline_ms,
-                # The worker does not keep the mark; the safe side is taken.
-                idempotent=False,
-            )
+            offer = parse_owner(task, key)
             self._held[key] = Held(
                 offer,
                 _STATES[task.state],
@@ -125,7 +117,7 @@
                 result=task.result,
                 checkpoint=task.checkpoint,
             )
-            self.observe_epoch(shard, epoch)
+            self.observe_epoch(offer.shard, offer.epoch)
 
     def observe_epoch(self, shard: int, epoch: int) -> bool:
         """Remember the epoch; tell whether it is not an earlier one."""
@@ -246,18 +238,35 @@
         return None
 
 
-def format_owner(shard: int, epoch: int) -> str:
-    """Return the reference that the worker keeps with a task."""
-    return f'{shard}:{epoch}'
+def format_owner(offer: StartOffer) -> str:
+    """Return the reference that the worker keeps with a task.
+
+    It holds what a restarted agent needs to know and the worker's list does
+    not give.
+    """
+    mark = int(offer.idempotent)
+    return f'{offer.shard}:{offer.epoch}:{offer.urgency}:{mark}:{offer.team}'
 
 
-def parse_owner(owner: str) -> tuple[int, int]:
-    """Return shard and epoch of a worker's reference.
+def parse_owner(
+    task: worker_interface.WorkerTask, key: AttemptKey
+) -> StartOffer:
+    """Return the offer from which a listed task was started.
 
     :raises ValueError: if the reference is malformed
     """
-    shard, epoch = owner.split(':')
-    return int(shard), int(epoch)
+    shard, epoch, urgency, mark, team = task.owner.split(':', 4)
+    return StartOffer(
+        key,
+        int(shard),
+        int(epoch),
+        task.family,
+        task.declared,
+        task.lease_deadline_ms,
+        int(urgency),
+        mark == '1',
+        team,
+    )
 
 
 _STATES: Final = {
--- a/borageshelf/agent/tasks.py
+++ b/borageshelf/agent/tasks.py
@@ -50,6 +50,8 @@
         self._clock = clock
         self._clock_skew_ms = clock_skew_ms
         self.objective = objects.Objective()
+        # Reduced speeds with which attempts were started, for control.
+        self.speeds: dict[reservations.AttemptKey, float] = {}
         self._locks: dict[reservations.AttemptKey, asyncio.Lock] = {}
 
     async def start(self, message: inner_pb2.Start) -> inner_pb2.StartAnswer:
@@ -114,6 +116,7 @@
         if not self.ledger.release(key, attempt.shard, attempt.epoch):
             return
         self._locks.pop(key, None)
+        self.speeds.pop(key, None)
         try:
             await self._worker.release(key.task_id, key.attempt)
         except errors.BorageshelfError:
@@ -171,7 +174,11 @@
     async def _measure(self) -> None:
         for sample in await self._worker.usage():
             key = reservations.AttemptKey(sample.task_id, sample.attempt)
-            self.ledger.update(key, used=sample.used)
+            held = self.ledger.find(key)
+            if held is not None and held.occupies:
+                self.ledger.update(
+                    key, used=sample.used, peak=held.peak.maximum(sample.used)
+                )
 
     async def _make_room(self, offer: reservations.StartOffer) -> None:
         """Evict less urgent attempts if a more urgent one does not fit."""
@@ -222,7 +229,7 @@
         request = worker_interface.StartRequest(
             offer.key.task_id,
             offer.key.attempt,
-            reservations.format_owner(offer.shard, offer.epoch),
+            reservations.format_owner(offer),
             offer.family,
             offer.declared,
             offer.grant_deadline_ms,
@@ -240,6 +247,9 @@
                 await self._resolve_start(offer)
             return
         self.ledger.update(offer.key, state=reservations.HeldState.RUNNING)
+        if 0 < message.speed < 1:
+            self.speeds[offer.key] = message.speed
+            await self.throttle(message.grant.attempt, message.speed)
 
     async def _resolve_start(self, offer: reservations.StartOffer) -> None:
         """Find out whether an unanswered start took effect.
--- a/borageshelf/configuration/propagation.py
+++ b/borageshelf/configuration/propagation.py
@@ -113,6 +113,7 @@
             version=self.version,
             services={name: known[name] for name in services if name in known},
             limits=self._configuration.limits,
+            objective=self._configuration.objective,
         )
         return contents.encode_value(part)
 
--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -11,12 +11,13 @@
 from borageshelf.decisions import assignment
 from borageshelf.decisions import placement
 from borageshelf.decisions import views
+from borageshelf.entry import learning as learning_module
 from borageshelf.entry import membership as membership_module
 from borageshelf.entry import sessions as sessions_module
+from borageshelf.entry import targets
 from borageshelf import errors
 from borageshelf import loop
 from borageshelf.model import objects
-from borageshelf.model import resources
 from borageshelf import options as options_module
 from borageshelf.platform import store as store_interface
 from borageshelf.protocol import convert
@@ -33,6 +34,8 @@
 # A new entry waits for one watch answer before it takes shards, so that
 # entries that start together share them at once.
 JOIN_PAUSE_MS: Final = 500
+# Bounds the time that one shard holds the event loop in a surge of jobs.
+PLACED_PER_TICK: Final = 32
 
 
 class BatchService:
@@ -54,6 +57,10 @@
         self._registry = registry
         self._find_configuration = find_configuration
         self._telemetry = telemetry
+        self.learning = learning_module.Learning()
+        self.board = targets.TargetBoard(
+            registry, self.learning, find_configuration
+        )
         self._policy = grants.GrantPolicy(
             grant_length_ms=options.grant_ms,
             clock_skew_bound_ms=options.clock_skew_ms,
@@ -259,21 +266,6 @@
             self._replies.pop(token, None)
         return reply
 
-    def find_team_usage(self) -> dict[str, resources.Resources]:
-        """Return what the tasks of the owned shards reserve, by team."""
-        usage: dict[str, resources.Resources] = {}
-        for shard in self.list_owned():
-            owner = self.find_owner(shard)
-            for task in owner.list_tasks() if owner is not None else ():
-                if task.assignment is not None:
-                    used = usage.get(task.team, resources.NOTHING)
-                    usage[task.team] = used.plus(task.declared)
-        return usage
-
-    def find_quarantine(self, target_id: str) -> int:
-        """Return the time until which a target gets no work, or 0."""
-        return 0
-
     # Messages from agents.
 
     def greet(self, session: sessions_module.AgentSession) -> None:
@@ -291,7 +283,8 @@
         session: sessions_module.AgentSession,
         report: inner_pb2.Report,
     ) -> None:
-        """Pass the attempts of a report to the owners of their shards."""
+        """Learn from a report; pass its attempts to their owners."""
+        self._learn(session, report)
         complete = {item.shard: item.epoch for item in report.complete}
         reports: dict[int, list[owner_module.AttemptReport]] = {}
         for status in report.attempts:
@@ -311,6 +304,26 @@
                 owner.handle_report(session.identity, attempts, now_ms)
             self._runners[shard].wake()
 
+    def note_detached(self, target_id: str) -> None:
+        """Place nothing more on a target whose stream has ended."""
+        self.board.remove(target_id)
+
+    def _learn(
+        self,
+        session: sessions_module.AgentSession,
+        report: inner_pb2.Report,
+    ) -> None:
+        now_ms = clock.read_wall_clock_ms()
+        self.learning.note_report(
+            session.identity.target_id,
+            session.hello.service.service,
+            session.hello.service.slots,
+            session.capacity,
+            report,
+            now_ms,
+        )
+        self.board.note_report(session, report, now_ms)
+
     def handle_status(
         self,
         session: sessions_module.AgentSession,
@@ -323,6 +336,7 @@
         session.withdraw(status.attempt.task_id)
         if owner is None or event is None:
             return
+        self._learn_end(session, owner, status)
         owner.handle_event(
             session.identity,
             status.attempt.task_id,
@@ -331,6 +345,27 @@
         )
         self._runners[shard].wake()
 
+    def _learn_end(
+        self,
+        session: sessions_module.AgentSession,
+        owner: owner_module.ShardOwner,
+        status: inner_pb2.AttemptStatus,
+    ) -> None:
+        """Learn from the first message about the end of an attempt."""
+        if not _is_current(owner, status.attempt):
+            return
+        is_quarantined = self.learning.note_end(
+            session.identity.target_id,
+            status,
+            len(self._registry.list_open()),
+            clock.read_wall_clock_ms(),
+        )
+        if is_quarantined:
+            self._telemetry.count(telemetry_module.TARGETS_QUARANTINED)
+            self._telemetry.log_state(
+                'target quarantined', target=session.identity.target_id
+            )
+
     def handle_start_answer(
         self,
         session: sessions_module.AgentSession,
@@ -352,57 +387,48 @@
         startable = owner.list_startable(now_ms)
         if not startable:
             return
-        targets = self._list_targets(now_ms)
-        for task in startable:
+        policy = self._make_policy()
+        for task in startable[:PLACED_PER_TICK]:
             choice = placement.choose_target(
                 self._view_task(owner, task),
-                targets,
-                self._make_policy(),
+                self.board.list_views(now_ms),
+                policy,
                 now_ms,
                 self._random,
             )
-            if isinstance(choice, views.Refused):
-                if choice.code is errors.JOB_NEVER_FITS:
-                    owner.reject(task.task_id, now_ms)
-                continue
-            session = self._registry.find(choice.target_id)
-            if session is None:
-                continue
-            session.promise(task.task_id, task.declared)
-            owner.assign(
-                task.task_id,
-                records.Assignment(
-                    choice.target_id,
-                    session.identity.vm_boot_id,
-                    session.identity.agent_boot_id,
-                    session.hello.data_centre,
-                    session.hello.rack,
-                    owner.epoch,
-                ),
-                now_ms,
-            )
-            targets = self._list_targets(now_ms)
-
-    def _list_targets(self, now_ms: int) -> list[views.TargetView]:
-        interval_ms = self._registry.find_report_interval_ms()
-        return [
-            views.TargetView(
-                target_id=session.identity.target_id,
-                data_centre=session.hello.data_centre,
-                rack=session.hello.rack,
-                vm_boot_id=session.identity.vm_boot_id,
-                agent_boot_id=session.identity.agent_boot_id,
-                capacity=session.capacity,
-                free=session.find_free(),
-                leaving=session.is_leaving,
-                quarantined_until_deadline_ms=0,
-                service=session.hello.service.service,
-                running=(),
-            )
-            for session in self._registry.list_open()
-            if not session.is_silent(interval_ms)
-            and session.capacity.processor_millicores > 0
-        ]
+            if isinstance(choice, views.Placed):
+                self._assign(owner, task, choice, now_ms)
+                policy = self._make_policy()
+            elif choice.code is errors.JOB_NEVER_FITS:
+                owner.reject(task.task_id, now_ms)
+
+    def _assign(
+        self,
+        owner: owner_module.ShardOwner,
+        task: records.TaskRecord,
+        choice: views.Placed,
+        now_ms: int,
+    ) -> None:
+        session = self._registry.find(choice.target_id)
+        if session is None:
+            return
+        self.board.note_promise(
+            choice.target_id, task.task_id, task.team, choice.expected_use
+        )
+        owner.assign(
+            task.task_id,
+            records.Assignment(
+                choice.target_id,
+                session.identity.vm_boot_id,
+                session.identity.agent_boot_id,
+                session.hello.data_centre,
+                session.hello.rack,
+                owner.epoch,
+                choice.expected_use,
+                choice.throttle,
+            ),
+            now_ms,
+        )
 
     def _view_task(
         self, owner: owner_module.ShardOwner, task: records.TaskRecord
@@ -423,10 +449,10 @@
             sibling_data_centres=tuple(item.data_centre for item in siblings),
             sibling_racks=tuple(item.rack for item in siblings),
             failed_targets=tuple(item.target_id for item in task.failures),
-            deadline_ms=0,
+            waiting_since_ms=max(task.submitted_at_ms, task.not_before_ms),
         )
 
-    def _make_policy(self) -> Any:
+    def _make_policy(self) -> views.Policy:
         configuration = self._find_configuration()
         return views.Policy(
             objective=configuration.objective,
@@ -434,7 +460,9 @@
             quotas={
                 name: team.quota for name, team in configuration.teams.items()
             },
-            team_usage={},
+            team_usage=self.board.find_team_usage(),
+            estimates=self.learning.book,
+            interference=self.learning.table,
         )
 
     # Effects.
@@ -484,3 +512,16 @@
             return False
         future.set_result(effect)
         return True
+
+
+def _is_current(
+    owner: owner_module.ShardOwner, attempt: inner_pb2.Attempt
+) -> bool:
+    """Tell whether the end of an attempt is news to the owner."""
+    job_id = attempt.task_id.rpartition('/')[0]
+    return any(
+        task.task_id == attempt.task_id
+        and task.attempt == attempt.attempt
+        and task.phase is records.TaskPhase.ASSIGNED
+        for task in owner.find_job(job_id)
+    )
--- a/borageshelf/entry/service.py
+++ b/borageshelf/entry/service.py
@@ -189,6 +189,7 @@
     def _forget(self, session: sessions_module.AgentSession) -> None:
         if not self._registry.remove(session):
             return
+        self._batch.note_detached(session.identity.target_id)
         if session.hello.service.service:
             self._calls.detach(session.identity.target_id)
         self._note_attached(session, 'target detached')
--- a/borageshelf/entry/status.py
+++ b/borageshelf/entry/status.py
@@ -77,7 +77,9 @@
                 running_calls=session.report.running_calls,
                 queued_calls=session.report.queued_calls,
                 quarantined_until_deadline_ms=(
-                    self._batch.find_quarantine(session.identity.target_id)
+                    self._batch.learning.find_quarantine(
+                        session.identity.target_id
+                    )
                 ),
                 reported_at_ms=session.reported_at_ms,
             )
@@ -111,7 +113,7 @@
 
     def list_quotas(self) -> list[admin_documents.Quota]:
         """Return the teams with quota and use."""
-        usage = self._batch.find_team_usage()
+        usage = self._batch.board.find_team_usage()
         return [
             admin_documents.Quota(
                 team.name,
--- /dev/null
+++ b/borageshelf/entry/targets.py
@@ -0,0 +1,168 @@
+"""Views of all attached targets, kept up to date for placement.
+
+A view is replaced when its agent reports or a start is promised, so that a
+placement decision does not cost time proportional to the fleet.
+"""
+
+from collections import abc
+import dataclasses
+from typing import Final
+
+from borageshelf.decisions import quarantine
+from borageshelf.decisions import views
+from borageshelf.entry import learning as learning_module
+from borageshelf.entry import sessions as sessions_module
+from borageshelf.model import objects
+from borageshelf.model import resources
+from borageshelf.protocol import convert
+from borageshelf.protocol import inner_pb2
+
+SWEEP_INTERVAL_MS: Final = 1000
+
+
+class TargetBoard:
+    """The targets that can run batch tasks."""
+
+    def __init__(
+        self,
+        registry: sessions_module.SessionRegistry,
+        learning: learning_module.Learning,
+        find_configuration: abc.Callable[[], objects.Configuration],
+    ) -> None:
+        self._registry = registry
+        self._learning = learning
+        self._find_configuration = find_configuration
+        self._views: list[views.TargetView] = []
+        self._places: dict[str, int] = {}
+        self._running: dict[str, tuple[views.RunningView, ...]] = {}
+        self._promised_team: dict[str, dict[str, resources.Resources]] = {}
+        self._swept_at_ms = 0
+
+    def list_views(self, now_ms: int) -> abc.Sequence[views.TargetView]:
+        """Return the views; silent targets are shown as leaving."""
+        if now_ms >= self._swept_at_ms + SWEEP_INTERVAL_MS:
+            self._swept_at_ms = now_ms
+            self._sweep(now_ms)
+        return self._views
+
+    def note_report(
+        self,
+        session: sessions_module.AgentSession,
+        report: inner_pb2.Report,
+        now_ms: int,
+    ) -> None:
+        """Update the view of a target."""
+        target_id = session.identity.target_id
+        if session.capacity == resources.NOTHING:
+            return
+        if report.has_usage:
+            self._running[target_id] = tuple(map(_view_usage, report.usage))
+        self._promised_team.pop(target_id, None)
+        view = self._make_view(session, now_ms)
+        if target_id in self._places:
+            self._views[self._places[target_id]] = view
+        else:
+            self._places[target_id] = len(self._views)
+            self._views.append(view)
+
+    def note_promise(
+        self,
+        target_id: str,
+        task_id: str,
+        team: str,
+        size: resources.Resources,
+    ) -> None:
+        """Take a start into account that no report shows yet."""
+        session = self._registry.find(target_id)
+        if session is not None:
+            session.promise(task_id, size)
+        promised = self._promised_team.setdefault(target_id, {})
+        promised[team] = promised.get(team, resources.NOTHING).plus(size)
+        place = self._places[target_id]
+        view = self._views[place]
+        self._views[place] = dataclasses.replace(
+            view, free=view.free.minus(size)
+        )
+
+    def remove(self, target_id: str) -> None:
+        """Drop a target whose stream has ended."""
+        place = self._places.pop(target_id, None)
+        self._running.pop(target_id, None)
+        self._promised_team.pop(target_id, None)
+        if place is None:
+            return
+        last = self._views.pop()
+        if last.target_id != target_id:
+            self._views[place] = last
+            self._places[last.target_id] = place
+
+    def find_team_usage(self) -> dict[str, resources.Resources]:
+        """Return what each team holds in the fleet, as last reported."""
+        usage: dict[str, resources.Resources] = {}
+        for running in self._running.values():
+            for item in running:
+                used = usage.get(item.team, resources.NOTHING)
+                usage[item.team] = used.plus(item.declared)
+        for promised in self._promised_team.values():
+            for team, size in promised.items():
+                used = usage.get(team, resources.NOTHING)
+                usage[team] = used.plus(size)
+        return usage
+
+    def _sweep(self, now_ms: int) -> None:
+        interval_ms = self._registry.find_report_interval_ms()
+        for place, view in enumerate(self._views):
+            session = self._registry.find(view.target_id)
+            is_gone = session is None or session.is_silent(interval_ms)
+            if is_gone and not view.leaving:
+                self._views[place] = dataclasses.replace(view, leaving=True)
+
+    def _make_view(
+        self, session: sessions_module.AgentSession, now_ms: int
+    ) -> views.TargetView:
+        target_id = session.identity.target_id
+        state = quarantine.find_state(self._learning.failures, target_id)
+        service = session.hello.service.service
+        return views.TargetView(
+            target_id=target_id,
+            data_centre=session.hello.data_centre,
+            rack=session.hello.rack,
+            vm_boot_id=session.identity.vm_boot_id,
+            agent_boot_id=session.identity.agent_boot_id,
+            capacity=session.capacity,
+            free=session.find_free(),
+            leaving=session.is_leaving,
+            quarantined_until_deadline_ms=state.quarantined_until_deadline_ms,
+            service=service,
+            running=self._running.get(target_id, ()),
+            service_p99_ratio=self._find_ratio(service, session),
+            failure_share=quarantine.find_failure_share(
+                self._learning.failures, target_id, now_ms
+            ),
+            on_probation=state.on_probation,
+        )
+
+    def _find_ratio(
+        self, service: str, session: sessions_module.AgentSession
+    ) -> float:
+        goal = self._find_configuration().services.get(service)
+        if goal is None or goal.target_p99_ms <= 0:
+            return 0.0
+        return session.report.service_p99_ms / goal.target_p99_ms
+
+
+def _view_usage(usage: inner_pb2.Usage) -> views.RunningView:
+    """Return one view for all attempts of a family and urgency.
+
+    Placement only adds up what can be preempted and what runs beside a
+    service, so the attempts need not be told apart.
+    """
+    return views.RunningView(
+        task_id=f'{usage.family}:{usage.urgency}',
+        family=usage.family,
+        team=usage.team,
+        urgency=usage.urgency,
+        declared=convert.unpack_resources(usage.held),
+        used=convert.unpack_resources(usage.used),
+        is_movable=usage.movable,
+    )
--- a/borageshelf/protocol/convert.py
+++ b/borageshelf/protocol/convert.py
@@ -61,15 +61,21 @@
 def pack_start(effect: effects.SendStart) -> inner_pb2.Start:
     """Return the message that starts an attempt."""
     task = effect.task
+    assert task.assignment is not None
+    reserved = task.assignment.reserved
+    if reserved == resources.NOTHING:
+        reserved = task.declared
     return inner_pb2.Start(
         grant=pack_grant(effect.grant),
         family=task.family,
-        declared=pack_resources(task.declared),
+        declared=pack_resources(reserved),
         idempotent=task.idempotent,
         monitor=task.work_class is objects.WorkClass.MONITOR,
         checkpoint=task.checkpoint,
         arguments=task.arguments,
         urgency=task.urgency,
+        speed=task.assignment.speed,
+        team=task.team,
     )
 
 
@@ -85,6 +91,7 @@
         message.grant.grant_deadline_ms,
         message.urgency,
         message.idempotent,
+        message.team,
     )
 
 
@@ -104,6 +111,9 @@
         checkpoint=held.checkpoint,
         code=held.code,
         family=offer.family,
+        declared=pack_resources(offer.declared),
+        used=pack_resources(held.peak),
+        started_at_ms=held.started_at_ms,
     )
 
 
--- a/borageshelf/shards/records.py
+++ b/borageshelf/shards/records.py
@@ -40,6 +40,8 @@
         attempt is dead
     :param agent_boot_id: the agent process to which the start was addressed
     :param epoch: fencing epoch of the owner that assigned the attempt
+    :param reserved: size to reserve, from the declared and learned sizes
+    :param speed: fraction of its processors with which the task starts
     """
 
     target_id: str
@@ -48,6 +50,8 @@
     data_centre: str
     rack: str
     epoch: int
+    reserved: resources.Resources = resources.NOTHING
+    speed: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
