Notice the death of an entry's process at once

Each entry keeps an idle stream to the next one. When it breaks and the address refuses connections, the dead entry's key is deleted, so the others take its shards over without waiting up to 10 s for its lease. A lost VM or a partition refuses nothing; there the lease still decides.

--- a/borageshelf/entry/membership.py
+++ b/borageshelf/entry/membership.py
@@ -60,7 +60,6 @@
         self._own = member
         self._on_change = on_change
         self._members: dict[str, Member] = {}
-        self._revisions: dict[str, int] = {}
         self._lease: store_interface.Lease | None = None
         self._revision = store_interface.MUST_NOT_EXIST
         self._published: Member | None = None
@@ -118,6 +117,21 @@
         )
         self._dirty.set()
 
+    async def remove(self, member: Member) -> None:
+        """Delete the key of an entry whose process is certainly gone.
+
+        An entry that lives after all writes its key again; its shards may
+        have moved by then, which their epochs make safe.
+
+        :raises BorageshelfError: of the store
+        """
+        key = PREFIX + member.entry_id
+        entry = await self._store.get(key)
+        found = _decode(entry) if entry is not None else None
+        if entry is None or found is None or found.boot_id != member.boot_id:
+            return
+        await self._store.delete(key, entry.revision)
+
     async def _keep(self) -> None:
         """Renew the lease and write the key when it has changed."""
         failures = 0
@@ -208,12 +222,20 @@
     def _apply(self, entry: store_interface.Entry) -> None:
         entry_id = entry.key.removeprefix(PREFIX)
         if entry_id == self._own.entry_id:
+            if entry.deleted:
+                self._published = None
+                self._dirty.set()
             return
-        if entry.deleted:
+        member = None if entry.deleted else _decode(entry)
+        if member is None:
             self._members.pop(entry_id, None)
-            return
-        try:
-            member = msgspec.json.decode(entry.value, type=Member)
-        except msgspec.MsgspecError:
-            return
-        self._members[entry_id] = member
+        else:
+            self._members[entry_id] = member
+
+
+def _decode(entry: store_interface.Entry) -> Member | None:
+    """Return the member of a key, or None if it can't be read."""
+    try:
+        return msgspec.json.decode(entry.value, type=Member)
+    except msgspec.MsgspecError:
+        return None
--- a/borageshelf/entry/peers.py
+++ b/borageshelf/entry/peers.py
@@ -14,6 +14,15 @@
 from borageshelf.protocol import inner_pb2
 
 TIMEOUT_MS: Final = 5000
+PROBE_TIMEOUT_MS: Final = 1000
+
+_BROKEN: Final = (
+    OSError,
+    asyncio.TimeoutError,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
 
 
 class Peers:
@@ -76,14 +85,37 @@
         )
         return answer
 
+    async def observe(self, address: str) -> bool:
+        """Wait until a peer's stream ends.
+
+        :return: whether the peer's process is certainly gone: its stream
+            has ended and its address refuses connections
+        """
+        channel = self._open(address)
+        try:
+            async with inner_grpc.InnerStub(channel).Observe.open() as stream:
+                await stream.send_message(
+                    inner_pb2.VersionsRequest(), end=True
+                )
+                async for _ in stream:
+                    continue
+        except (*_BROKEN, ConnectionRefusedError):
+            pass
+        finally:
+            channel.close()
+        return await _is_refused(address)
+
     def _stub(self, address: str) -> Any:
         channel = self._channels.get(address)
         if channel is None:
-            host, _, port = address.rpartition(':')
-            channel = grpclib.client.Channel(host.strip('[]'), int(port))
+            channel = self._open(address)
             self._channels[address] = channel
         return inner_grpc.InnerStub(channel)
 
+    def _open(self, address: str) -> grpclib.client.Channel:
+        host, port = _split(address)
+        return grpclib.client.Channel(host, port)
+
     async def _ask(
         self,
         method: abc.Callable[..., abc.Awaitable[Any]],
@@ -100,18 +132,34 @@
             raise errors.BorageshelfError(
                 errors.NOT_OWNER, 'the owner cannot be reached'
             ) from error
-        except (
-            OSError,
-            asyncio.TimeoutError,
-            grpclib.exceptions.GRPCError,
-            grpclib.exceptions.StreamTerminatedError,
-            grpclib.exceptions.ProtocolError,
-        ) as error:
+        except _BROKEN as error:
             raise errors.BorageshelfError(
                 errors.OUTCOME_UNKNOWN, 'the answer of the owner is lost'
             ) from error
 
 
+async def _is_refused(address: str) -> bool:
+    """Tell whether no process listens at an address.
+
+    A timeout or another error is no proof: the network may be cut.
+    """
+    host, port = _split(address)
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    writer.close()
+    return False
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
 def _check(answer: Any) -> None:
     code = errors.find(answer.code)
     if code not in (errors.OK, errors.PENDING):
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -22,6 +22,7 @@
 from borageshelf.entry import service as service_module
 from borageshelf.entry import sessions as sessions_module
 from borageshelf.entry import status as status_module
+from borageshelf.entry import watchdog
 from borageshelf import errors
 from borageshelf import loop as loop_module
 from borageshelf.model import objects
@@ -69,6 +70,9 @@
             ),
             self._note_members,
         )
+        self._watchdog = watchdog.Watchdog(
+            options.entry_id, self._membership, self._peers, telemetry
+        )
         self._jobs = jobs_module.JobService(
             self._batch,
             self._peers,
@@ -126,6 +130,7 @@
         self._background.start(self._calls.serve())
         self._membership.start()
         self._batch.start(self._membership)
+        self._background.start(self._watchdog.run())
         self._listen()
         self._telemetry.log_state('entry started', entry=self._boot_id)
         await self._stopping.wait()
--- a/borageshelf/entry/service.py
+++ b/borageshelf/entry/service.py
@@ -250,6 +250,12 @@
 
         await _serve(stream, answer, inner_pb2.VersionsAnswer)
 
+    async def Observe(self, stream: Any) -> None:  # noqa: N802
+        """Keep a stream open whose end shows the death of this process."""
+        await stream.recv_message()
+        await stream.send_initial_metadata()
+        await asyncio.Event().wait()
+
 
 async def _serve(
     stream: Any,
--- a/borageshelf/protocol/inner_grpc.py
+++ b/borageshelf/protocol/inner_grpc.py
@@ -42,6 +42,10 @@
     async def Versions(self, stream: 'grpclib.server.Stream[borageshelf.protocol.inner_pb2.VersionsRequest, borageshelf.protocol.inner_pb2.VersionsAnswer]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Observe(self, stream: 'grpclib.server.Stream[borageshelf.protocol.inner_pb2.VersionsRequest, borageshelf.protocol.inner_pb2.VersionsAnswer]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/borageshelf.protocol.Inner/Attach': grpclib.const.Handler(
@@ -86,6 +90,12 @@
                 borageshelf.protocol.inner_pb2.VersionsRequest,
                 borageshelf.protocol.inner_pb2.VersionsAnswer,
             ),
+            '/borageshelf.protocol.Inner/Observe': grpclib.const.Handler(
+                self.Observe,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                borageshelf.protocol.inner_pb2.VersionsRequest,
+                borageshelf.protocol.inner_pb2.VersionsAnswer,
+            ),
         }
 
 
@@ -134,3 +144,9 @@
             borageshelf.protocol.inner_pb2.VersionsRequest,
             borageshelf.protocol.inner_pb2.VersionsAnswer,
         )
+        self.Observe = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/borageshelf.protocol.Inner/Observe',
+            borageshelf.protocol.inner_pb2.VersionsRequest,
+            borageshelf.protocol.inner_pb2.VersionsAnswer,
+        )
