--- a/borageshelf/configuration/markup.py
+++ b/borageshelf/configuration/markup.py
@@ -91,11 +91,12 @@
     if len(text.data) > FILE_LIMIT_BYTES:
         detail = f'has more than {FILE_LIMIT_BYTES} bytes'
         return [], [_make_fault(text.path, 0, faults.FILE_TOO_LARGE, detail)]
-    alias = None
     try:
-        source = text.data.decode()
-        alias = _find_alias(source)
-        nodes = [] if alias else list(yaml.compose_all(source, _Loader))
+        nodes = list(yaml.compose_all(text.data.decode(), _Loader))
+    except _AliasError as error:
+        line = error.line
+        detail = 'write the value again instead'
+        return [], [_make_fault(text.path, line, faults.ALIAS_USED, detail)]
     except UnicodeDecodeError:
         detail = 'is not UTF-8'
         return [], [_make_fault(text.path, 0, faults.YAML_SYNTAX, detail)]
@@ -107,11 +108,6 @@
     except (yaml.YAMLError, RecursionError, ValueError) as error:
         detail = str(error).partition('\n')[0] or type(error).__name__
         return [], [_make_fault(text.path, 0, faults.YAML_SYNTAX, detail)]
-    if alias:
-        # Nested aliases can expand a small file without bound, and a fault
-        # behind an alias has no line of its own.
-        detail = 'write the value again instead'
-        return [], [_make_fault(text.path, alias, faults.ALIAS_USED, detail)]
     found: list[faults.Fault] = []
     documents = []
     for node in nodes:
@@ -121,16 +117,29 @@
     return documents, found
 
 
+class _AliasError(Exception):
+    """A document contains an alias."""
+
+    def __init__(self, line: int) -> None:
+        super().__init__(line)
+        self.line = line
+
+
 class _Loader(yaml.SafeLoader):
-    """Loader used for its resolver and scalar constructors only."""
+    """Loader whose nodes form a tree.
 
+    Nested aliases can expand a small file without bound, and a fault behind
+    an alias has no line of its own.
+    """
 
-def _find_alias(source: str) -> int:
-    """Return the line of the first alias, or 0."""
-    for event in yaml.parse(source, _Loader):
-        if isinstance(event, yaml.AliasEvent):
-            return _find_line(event)
-    return 0
+    def compose_node(
+        self, parent: yaml.Node | None, index: Any
+    ) -> yaml.Node | None:
+        """Return the next node unless it is an alias."""
+        if self.check_event(yaml.AliasEvent):
+            event = self.peek_event()  # type: ignore[no-untyped-call]
+            raise _AliasError(_find_line(event))
+        return super().compose_node(parent, index)
 
 
 def _find_line(node: yaml.Node | yaml.Event) -> int:
@@ -191,9 +200,8 @@
             return node.value
         is_integer = node.tag == 'tag:yaml.org,2002:int'
         if is_integer and _DECIMAL.fullmatch(node.value) is None:
-            detail = f'{node.value} is no plain decimal number'
-            self._add(line, path, faults.WRONG_TYPE, detail)
-            return 0
+            # As text it fails the check of its type, with its own spelling.
+            return node.value
         try:
             return _Loader('').construct_object(node)
         except (ValueError, KeyError, yaml.YAMLError):
