--- a/tests/batch_agent.py
+++ b/tests/batch_agent.py
@@ -272,7 +272,7 @@
         request = worker_interface.StartRequest(
             key.task_id,
             key.attempt,
-            reservations.format_owner(attempt.shard, attempt.epoch),
+            reservations.format_owner(offer),
             task.family,
             task.declared,
             offer.grant_deadline_ms,
--- a/tests/test_batch_traces.py
+++ b/tests/test_batch_traces.py
@@ -146,13 +146,18 @@
         )
 
 
-@pytest.mark.parametrize('case', TRACES, ids=lambda case: case.name)
+def read_steps(case: text_cases.Case) -> list[batch_search.Step]:
+    lines = case.inputs['steps'].splitlines()
+    return [tuple(line.split()) for line in lines]
+
+
+@pytest.mark.parametrize('case', TRACES, ids=text_cases.name_case)
 def test_trace(case: text_cases.Case) -> None:
     """Guards against a change of what callers see in a known failure."""
     world = TracedWorld()
-    for step in case.steps:
+    for step in read_steps(case):
         world.perform(*step)
-    assert tuple(world.lines) == case.out
+    assert world.lines == case.expected.splitlines()
     world.broken.clear()
     world.doomed.clear()
     world.heal()
@@ -164,7 +169,8 @@
     cases = [case for case in REMOVALS if case.name.startswith(name)]
     assert cases
     for case in cases:
+        steps = read_steps(case)
         with batch_removals.remove(name) as parts:
-            found = batch_search.find_violation(case.steps, parts)
-        assert (found,) == case.out
-        assert not batch_search.find_violation(case.steps)
+            found = batch_search.find_violation(steps, parts)
+        assert found == case.expected
+        assert not batch_search.find_violation(steps)
--- a/tests/text_cases.py
+++ b/tests/text_cases.py
@@ -1,41 +1,67 @@
-"""Reader of test cases in text files.
+"""Driver of test cases in text files.
 
-A file holds cases ``[case name]``, each with steps, a line ``[out]`` and the
-expected output. Lines that start with ``#`` are comments.
+A file holds cases. Each starts with a line ``[case NAME]``, has input
+sections with a header of their own, and ends with the expected text under
+``[out]``. Text before the first case is a comment.
 """
 
 import dataclasses
 import pathlib
+import re
+from typing import Final
 
-DATA = pathlib.Path(__file__).parents[1] / 'test-data'
+FOLDER: Final = pathlib.Path(__file__).parents[1] / 'test-data'
 
+_HEADER: Final = re.compile(r'^\[(case|in|out)(?: (.+))?\]$')
 
-@dataclasses.dataclass(frozen=True)
+
+@dataclasses.dataclass
 class Case:
-    """One case."""
+    """One case.
+
+    :param inputs: text of each input section by name
+    """
 
     name: str
-    steps: tuple[tuple[str, ...], ...]
-    out: tuple[str, ...]
+    inputs: dict[str, str]
+    expected: str = ''
 
 
 def read_cases(pattern: str) -> list[Case]:
-    """Return the cases of all files that match, in order."""
-    cases = []
-    for path in sorted(DATA.glob(pattern)):
-        for block in path.read_text().split('[case ')[1:]:
-            name, _, body = block.partition(']')
-            steps, _, out = body.partition('[out]')
-            cases.append(
-                Case(
-                    name,
-                    tuple(tuple(line.split()) for line in _clean(steps)),
-                    tuple(_clean(out)),
-                )
-            )
-    return cases
+    """Return the cases of all files that match a pattern."""
+    return [
+        case
+        for path in sorted(FOLDER.glob(pattern))
+        for case in _parse(path.read_text())
+    ]
+
 
+def name_case(case: Case) -> str:
+    """Return the name that pytest shows."""
+    return case.name.replace(' ', '-')
 
-def _clean(text: str) -> list[str]:
-    lines = [line.strip() for line in text.splitlines()]
-    return [line for line in lines if line and not line.startswith('#')]
+
+def _parse(text: str) -> list[Case]:
+    cases: list[Case] = []
+    lines: list[str] = []
+    kind, name = '', ''
+
+    def close() -> None:
+        body = '\n'.join(lines).strip('\n')
+        if kind == 'in':
+            cases[-1].inputs[name] = body + '\n'
+        elif kind == 'out':
+            cases[-1].expected = body
+        lines.clear()
+
+    for line in text.splitlines():
+        header = _HEADER.match(line)
+        if header is None:
+            lines.append(line)
+            continue
+        close()
+        kind, name = header[1], header[2] or ''
+        if kind == 'case':
+            cases.append(Case(name, {}))
+    close()
+    return cases
