Take no starts right after the start of an agent process

Cause: a start request that an agent process sent before its death may reach the worker after its successor has read the worker's list. Ruled out: the owner's placement, which never knows the starts of other shards, and a longer wait of one grant (32 s) after each restart of an agent.

A start request now carries a first lease of 2 s, renewed up to the grant once the start is answered, so a late request has no effect, and a new process counts its VM as full for 4 s and then reads the list again.

Interface: Reservations(is_settled), settle(), find_first_lease_ms(), FIRST_LEASE_MS and SETTLE_MS are new; the default keeps the old behaviour until the agent process uses them.

--- a/borageshelf/agent/reservations.py
+++ b/borageshelf/agent/reservations.py
@@ -4,6 +4,12 @@
 not fit, that comes from an earlier owner of the shard, whose grant has
 expired, or for which it has already said "never started". A restarted agent
 calls ``adopt`` with the worker's list before anything else.
+
+A start request that an earlier agent process of the VM sent may reach the
+worker after the new process has read the worker's list. So a start request
+carries a short first lease, which is renewed up to the grant once the start
+is answered, and a new process takes no starts before ``SETTLE_MS`` have
+passed and it has read the list again.
 """
 
 import dataclasses
@@ -17,6 +23,10 @@
 # A start that is delayed beyond the longest horizon is refused because its
 # grant has expired, so older tombstones are not needed.
 TOMBSTONE_LIFETIME_MS: Final = 61 * 60 * 1000
+# A worker that answers a start later than this refuses or stops it.
+FIRST_LEASE_MS: Final = 2_000
+# The first lease and a step of the VM's clock by the skew bound.
+SETTLE_MS: Final = FIRST_LEASE_MS + 2_000
 
 
 class HeldState(enum.Enum):
@@ -87,10 +97,17 @@
 
 
 class Reservations:
-    """What one VM holds and whom it obeys."""
+    """What one VM holds and whom it obeys.
+
+    :param is_settled: False for a new agent process, which calls ``settle``
+        later; until then the VM counts as full
+    """
 
-    def __init__(self, capacity: resources.Resources) -> None:
+    def __init__(
+        self, capacity: resources.Resources, is_settled: bool = True
+    ) -> None:
         self._capacity = capacity
+        self._is_settled = is_settled
         self._held: dict[AttemptKey, Held] = {}
         self._epochs: dict[int, int] = {}
         self._tombstones: dict[AttemptKey, int] = {}
@@ -105,6 +122,14 @@
         """Refuse new starts from now on."""
         self._leaving = True
 
+    def settle(self) -> None:
+        """Take starts from now on.
+
+        Called ``SETTLE_MS`` after the start of the process, after ``adopt``
+        with a list that the worker made since then.
+        """
+        self._is_settled = True
+
     def adopt(self, tasks: tuple[worker_interface.WorkerTask, ...]) -> None:
         """Take over the attempts that the worker already has."""
         for task in tasks:
@@ -141,6 +166,8 @@
 
     def find_free(self) -> resources.Resources:
         """Return what is left of the VM."""
+        if not self._is_settled:
+            return resources.NOTHING
         free = self._capacity
         for held in self._held.values():
             if held.occupies:
@@ -233,11 +260,18 @@
             held.offer.key.task_id == offer.key.task_id and held.occupies
             for held in self._held.values()
         )
-        if same_task or not offer.declared.fits_in(self.find_free()):
+        if not self._is_settled or same_task:
+            return errors.NO_CAPACITY
+        if not offer.declared.fits_in(self.find_free()):
             return errors.NO_CAPACITY
         return None
 
 
+def find_first_lease_ms(offer: StartOffer, now_ms: int) -> int:
+    """Return the lease deadline that a start request carries."""
+    return min(offer.grant_deadline_ms, now_ms + FIRST_LEASE_MS)
+
+
 def format_owner(offer: StartOffer) -> str:
     """Return the reference that the worker keeps with a task.
 
--- a/tests/batch_agent.py
+++ b/tests/batch_agent.py
@@ -120,7 +120,7 @@
     def renew(self, key: Key, deadline_ms: int, now_ms: int) -> None:
         """Extend a lease."""
         task = self.tasks.get(key)
-        if task is not None:
+        if task is not None and task.runs:
             task.lease_deadline_ms = max(task.lease_deadline_ms, deadline_ms)
 
     def stop(self, key: Key, checkpoint: bool) -> Execution | None:
@@ -174,6 +174,7 @@
     def __init__(
         self,
         worker: FakeWorker,
+        monotonic_ms: int,
         reservations_type: type[reservations.Reservations],
         on_release: abc.Callable[[Key, HeldState], None],
         on_stop: abc.Callable[[Key], None],
@@ -182,8 +183,9 @@
         self.identity = owner.AgentIdentity(
             worker.target_id, worker.boot_id, f'agent{next(BOOTS)}'
         )
-        self.ledger = reservations_type(worker.capacity)
+        self.ledger = reservations_type(worker.capacity, is_settled=False)
         self.ledger.adopt(worker.list())
+        self._settles_at_ms = monotonic_ms + reservations.SETTLE_MS
         self.requests: collections.deque[
             tuple[abc.Callable[[int], Any], abc.Callable[[Any, int], None]]
         ] = collections.deque()
@@ -202,7 +204,7 @@
             if self.is_alive:
                 handle(answer, now_ms)
 
-    def poll(self, now_ms: int) -> None:
+    def poll(self, now_ms: int, monotonic_ms: int) -> None:
         """Compare the ledger with the worker's list."""
         self.ledger.expire_tombstones(now_ms)
         for task in self.worker.list():
@@ -212,6 +214,8 @@
                 self.ledger.adopt((task,))
             elif held.occupies:
                 self._note(key, self.worker.tasks[key])
+        if monotonic_ms > self._settles_at_ms:
+            self.ledger.settle()
 
     def handle(self, message: Any, now_ms: int) -> None:
         """Handle a message of an entry."""
@@ -275,7 +279,7 @@
             reservations.format_owner(offer),
             task.family,
             task.declared,
-            offer.grant_deadline_ms,
+            reservations.find_first_lease_ms(offer, now_ms),
             task.checkpoint,
         )
 
@@ -286,6 +290,7 @@
                 self._say_never_started(attempt)
                 return
             self._note(key, self.worker.tasks.get(key))
+            self._extend_lease(key)
             if key in self._stops:
                 self._request_stop(key, self._stops[key])
 
@@ -340,12 +345,19 @@
         key = Key(attempt.task_id, attempt.attempt)
         deadline_ms = grant.grant_deadline_ms
         if self.ledger.renew(key, attempt.shard, attempt.epoch, deadline_ms):
-            self.requests.append(
-                (
-                    lambda now_ms: self.worker.renew(key, deadline_ms, now_ms),
-                    lambda answer, now_ms: None,
-                )
+            self._extend_lease(key)
+
+    def _extend_lease(self, key: Key) -> None:
+        held = self.ledger.find(key)
+        if held is None or not held.occupies:
+            return
+        deadline_ms = held.grant_deadline_ms
+        self.requests.append(
+            (
+                lambda now_ms: self.worker.renew(key, deadline_ms, now_ms),
+                lambda answer, now_ms: None,
             )
+        )
 
     def _note(self, key: Key, task: Execution | None) -> None:
         """Take over what the worker says about an attempt."""
--- a/tests/batch_removals.py
+++ b/tests/batch_removals.py
@@ -11,6 +11,7 @@
 
 from borageshelf.agent import reservations
 from borageshelf import errors
+from borageshelf.model import resources
 from borageshelf.shards import granted
 from borageshelf.shards import log
 from borageshelf.shards import owner
@@ -65,6 +66,15 @@
             self._store = original
 
 
+class HastyLedger(reservations.Reservations):
+    """Takes starts while starts of an earlier process may be under way."""
+
+    def __init__(
+        self, capacity: resources.Resources, is_settled: bool = True
+    ) -> None:
+        super().__init__(capacity)
+
+
 def _find_no_bound(
     ledger: granted.GrantLedger, task: records.TaskRecord
 ) -> int:
@@ -82,6 +92,7 @@
     'read-back': batch_world.Parts(log_type=UnreadLog),
     'attempt check': batch_world.Parts(),
     'tombstone': batch_world.Parts(ledger_type=ForgetfulLedger),
+    'settling': batch_world.Parts(ledger_type=HastyLedger),
     'agent process': batch_world.Parts(owner_type=TrustingOwner),
 }
 
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -312,7 +312,7 @@
         if agent is None or target in self.paused:
             return
         agent.serve_requests(now_ms)
-        agent.poll(now_ms)
+        agent.poll(now_ms, self.now_ms)
         if now_ms - self.reported_at_ms.get(target, 0) >= REPORT_MS:
             self.reported_at_ms[target] = now_ms
             for number in range(SHARDS):
@@ -379,6 +379,7 @@
     def _start_agent(self, target: str) -> None:
         self.agents[target] = batch_agent.Agent(
             self.workers[target],
+            self.now_ms,
             self.parts.ledger_type,
             self.checks.check_release,
             self.checks.check_stop,
