--- a/borageshelf/shards/log.py
+++ b/borageshelf/shards/log.py
@@ -2,10 +2,12 @@
 
 A shard is one key, its head. The owner replaces the head by compare-and-swap
 for each group of changes. A head names an immutable snapshot and holds the
-changes since; when these exceed ``DELTA_LIMIT_BYTES``, the next commit writes
-a new snapshot first. A failure between the two writes leaves an unused
-snapshot, which the next snapshot of the same owner or the next takeover
-removes.
+changes since. Once the heads written since the last snapshot have as many
+bytes as that snapshot, the next commit writes a new one first. With heads
+that grow by h bytes a commit and n commits between snapshots of S bytes, a
+commit costs h*n/2 + S/n bytes, which is least when the heads, h*n*n/2
+together, equal S. A failure between the two writes leaves an unused snapshot,
+which the next snapshot of the same owner or the next takeover removes.
 
 An uncertain write is resolved by reading the head: it took effect if the head
 carries its commit id. Until that is known, only the same commit is tried
@@ -24,10 +26,8 @@
 from borageshelf.shards import codec
 from borageshelf.shards import records
 
-# The bytes of a commit are about D/2 + S*c/D for delta bound D, snapshot
-# size S and change size c, least at D = sqrt(2*S*c). At the two-year size S
-# is 14 KB and c is 200 bytes.
-DELTA_LIMIT_BYTES: Final = 2400
+# A snapshot smaller than this is not worth an additional write.
+SNAPSHOT_MIN_BYTES: Final = 2_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,7 +70,9 @@
         self._key = make_head_key(shard)
         self._revision = store_interface.MUST_NOT_EXIST
         self._head = records.ShardHead()
-        self._delta_bytes = 0
+        # Bytes of the heads since the last snapshot, and of that snapshot.
+        self._heads_bytes = 0
+        self._snapshot_bytes = 0
         # Snapshots that no head names, with their revision or 0 if unknown.
         self._unused: dict[str, int] = {}
         self._snapshot_revision = 0
@@ -104,8 +106,9 @@
             commit_id=uuid.uuid4().hex,
             horizons=horizons(previous.horizons),
         )
-        await self._swap(head)
-        self._delta_bytes = sum(map(codec.measure_changes, head.deltas))
+        value_bytes = await self._swap(head)
+        # The head has grown evenly up to its present size.
+        self._heads_bytes = value_bytes * len(head.deltas) // 2
         await self._find_unused()
         return ShardState(head.epoch, previous.horizons, tasks, claims)
 
@@ -121,22 +124,21 @@
         :raises BorageshelfError: ``STORE_UNAVAILABLE`` if certainly nothing
             was written, ``STORE_CONFLICT`` if the shard has another owner
         """
-        size_bytes = self._delta_bytes + codec.measure_changes(changes)
         head = dataclasses.replace(
             self._head, commit_id=uuid.uuid4().hex, horizons=horizons
         )
-        if size_bytes <= DELTA_LIMIT_BYTES:
-            if not changes.is_empty:
-                deltas = (*head.deltas, changes)
-                head = dataclasses.replace(head, deltas=deltas)
-            await self._swap(head)
-            self._delta_bytes = size_bytes
+        if not changes.is_empty:
+            deltas = (*head.deltas, changes)
+            head = dataclasses.replace(head, deltas=deltas)
+        limit_bytes = max(self._snapshot_bytes, SNAPSHOT_MIN_BYTES)
+        if self._heads_bytes <= limit_bytes:
+            self._heads_bytes += await self._swap(head)
             return
         previous_key = head.snapshot
-        key = await self._write_snapshot(snapshot())
+        key, size_bytes = await self._write_snapshot(snapshot())
         head = dataclasses.replace(head, snapshot=key, deltas=())
-        await self._swap(head)
-        self._delta_bytes = 0
+        self._heads_bytes = await self._swap(head)
+        self._snapshot_bytes = size_bytes
         written_revision = self._unused.pop(key)
         if previous_key:
             self._unused[previous_key] = self._snapshot_revision
@@ -170,6 +172,7 @@
                 raise errors.BorageshelfError(
                     errors.STORE_CONFLICT, f'{head.snapshot} was removed'
                 )
+            self._snapshot_bytes = len(entry.value)
             snapshot = codec.decode_snapshot(entry.value)
             tasks.update((task.task_id, task) for task in snapshot.tasks)
             claims.update((item.claim_id, item) for item in snapshot.claims)
@@ -177,8 +180,13 @@
             apply_changes(changes, tasks, claims)
         return tasks, claims
 
-    async def _write_snapshot(self, snapshot: records.Snapshot) -> str:
-        """Write a snapshot under a new name; the name is never reused."""
+    async def _write_snapshot(
+        self, snapshot: records.Snapshot
+    ) -> tuple[str, int]:
+        """Write a snapshot under a new name, which is never reused.
+
+        :return: the name and the size in bytes
+        """
         key = make_snapshot_key(self._shard, uuid.uuid4().hex)
         value = codec.encode_snapshot(snapshot)
         self._unused[key] = 0
@@ -194,7 +202,7 @@
             raise errors.BorageshelfError(
                 errors.STORE_UNAVAILABLE, error.detail
             ) from error
-        return key
+        return key, len(value)
 
     async def _find_unused(self) -> None:
         """Note snapshots that earlier owners left without use.
@@ -226,8 +234,11 @@
                     return
             del self._unused[key]
 
-    async def _swap(self, head: records.ShardHead) -> None:
-        """Replace the head, resolving uncertain writes by reading."""
+    async def _swap(self, head: records.ShardHead) -> int:
+        """Replace the head, resolving uncertain writes by reading.
+
+        :return: size of the head in bytes
+        """
         value = codec.encode_head(head)
         is_uncertain = False
         tries = 0
@@ -251,7 +262,7 @@
                     raise
             self._revision = revision
             self._head = head
-            return
+            return len(value)
 
     async def _read_back(self, head: records.ShardHead) -> int:
         """Return the revision if the head in the store is this one.
--- a/borageshelf/shards/transitions.py
+++ b/borageshelf/shards/transitions.py
@@ -278,10 +278,12 @@
     code: errors.ResultCode,
     now_ms: int,
 ) -> records.TaskRecord:
+    # The record is kept for a day; only the result is of use from now on.
     return dataclasses.replace(
         task,
         phase=phase,
         code=code.number,
         assignment=None,
+        arguments=b'',
         expires_deadline_ms=now_ms + RETENTION_MS,
     )
--- a/tests/batch_removals.py
+++ b/tests/batch_removals.py
@@ -45,7 +45,7 @@
 class UnreadLog(log.ShardLog):
     """Takes an uncertain write for a failed one."""
 
-    async def _swap(self, head: records.ShardHead) -> None:
+    async def _swap(self, head: records.ShardHead) -> int:
         put = self._store.put
 
         async def fail(*arguments: Any) -> int:
@@ -61,7 +61,7 @@
         store = mock.Mock(put=fail, get=self._store.get)
         original, self._store = self._store, store
         try:
-            await super()._swap(head)
+            return await super()._swap(head)
         finally:
             self._store = original
 
--- a/tests/test_shard_log.py
+++ b/tests/test_shard_log.py
@@ -1,6 +1,7 @@
 """Failures of the store during the commits of one shard."""
 
 import itertools
+import random
 
 import pytest
 
@@ -10,6 +11,8 @@
 from borageshelf.shards import records
 from tests import fakes
 
+# More than the heads since a snapshot may have, also when compressed.
+BIG = random.Random(1).randbytes(4 * log.SNAPSHOT_MIN_BYTES)
 HORIZONS = records.Horizons(1000, 2000)
 LOSSES = (
     fakes.Fate.REFUSED,
@@ -46,6 +49,10 @@
         self.tasks = self.acquire().finish(self.store).tasks
         return self
 
+    def store_task(self, task: records.TaskRecord) -> None:
+        self.commit(task).finish(self.store)
+        self.tasks[task.task_id] = task
+
     def commit(self, *tasks: records.TaskRecord) -> fakes.Process:
         changes = records.Changes(tuple(tasks))
 
@@ -65,12 +72,12 @@
     return [key for key in store.entries if '/snapshot/' in key]
 
 
-@pytest.mark.parametrize('size_bytes', [10, log.DELTA_LIMIT_BYTES])
+@pytest.mark.parametrize('arguments', [b'', BIG], ids=['head', 'snapshot'])
 @pytest.mark.parametrize(
     'faults', list(itertools.product(LOSSES, range(6), [1, 2]))
 )
 def test_outcome_of_a_commit_is_true(
-    size_bytes: int, faults: tuple[fakes.Fate, int, int]
+    arguments: bytes, faults: tuple[fakes.Fate, int, int]
 ) -> None:
     """Guards against a commit that is reported otherwise than it ended.
 
@@ -80,9 +87,8 @@
     fate, position, count = faults
     store = fakes.FakeStore()
     writer = Writer(store, 'a').take()
-    writer.tasks['job1/0'] = make_task(1)
-    writer.commit(make_task(1)).finish(store)
-    process = writer.commit(make_task(2, b'x' * size_bytes))
+    writer.store_task(make_task(1, arguments))
+    process = writer.commit(make_task(2))
     for step in range(1000):
         if process.is_done:
             break
@@ -184,19 +190,20 @@
     """Guards against snapshots that pile up after failed commits."""
     store = fakes.FakeStore()
     writer = Writer(store, 'a').take()
-    big = b'x' * log.DELTA_LIMIT_BYTES
-    for number in range(5):
-        process = writer.commit(make_task(number, big))
+    writer.store_task(make_task(0, BIG))
+    for number in range(1, 6):
+        process = writer.commit(make_task(number))
         process.step(fakes.Fate.ANSWERED, store)
         process.step(fakes.Fate.REFUSED, store)
         assert process.error is not None
-    uncertain = writer.commit(make_task(6, big))
+    uncertain = writer.commit(make_task(6))
     uncertain.step(fakes.Fate.LOST_AFTER, store)
     assert uncertain.error is not None
-    crashed = writer.commit(make_task(7, big))
+    crashed = writer.commit(make_task(7))
     crashed.step(fakes.Fate.ANSWERED, store)
     crashed.kill()
-    Writer(store, 'b').take().commit(make_task(8, big)).finish(store)
+    assert len(list_snapshots(store)) == 7
+    Writer(store, 'b').take().commit(make_task(8)).finish(store)
     assert len(list_snapshots(store)) == 1
 
 
@@ -204,17 +211,41 @@
     """Guards against a takeover that reads half of two states."""
     store = fakes.FakeStore()
     writer = Writer(store, 'a').take()
-    big = b'x' * log.DELTA_LIMIT_BYTES
-    writer.commit(make_task(1, big)).finish(store)
+    writer.store_task(make_task(1, BIG))
+    writer.store_task(make_task(2))
     process = Writer(store, 'b').acquire()
     process.step(fakes.Fate.ANSWERED, store)
-    writer.tasks['job1/0'] = make_task(1, big)
-    writer.commit(make_task(2, big)).finish(store)
+    writer.store_task(make_task(3, BIG + BIG))
+    writer.store_task(make_task(4))
     with pytest.raises(errors.BorageshelfError) as caught:
         process.finish(store)
     assert caught.value.code is errors.STORE_CONFLICT
 
 
+def test_bytes_between_snapshots() -> None:
+    """Guards against heads that grow without bound, or too many snapshots.
+
+    Between two snapshots the heads have at least as many bytes as the last
+    one, and at most one head more.
+    """
+    store = fakes.FakeStore()
+    writer = Writer(store, 'a').take()
+    rng = random.Random(2)
+    heads: list[int] = []
+    checked = 0
+    for number in range(600):
+        before = list_snapshots(store)
+        sizes = [len(store.entries[key].value) for key in before]
+        writer.store_task(make_task(number % 50, rng.randbytes(100)))
+        if list_snapshots(store) != before:
+            limit = max([*sizes, log.SNAPSHOT_MIN_BYTES])
+            assert limit < sum(heads) <= limit + heads[-1]
+            heads = []
+            checked += 1
+        heads.append(len(store.entries[log.make_head_key(0)].value))
+    assert checked > 10
+
+
 def test_release_leaves_records_and_horizons() -> None:
     """Guards against a planned stop that loses records or proofs."""
     store = fakes.FakeStore()
