Refuse jobs that would make a shard outgrow a store value

Cause: nothing bounded the bytes of a shard. Ruled out: the runner's refusal of the batch, which drops new jobs but not what the shard already holds.

After: submissions beyond an estimate of 700,000 bytes are answered with OVERLOADED.

Open: a result of more than about 300 KB still fails; the agent must bound results.

--- a/borageshelf/shards/pending.py
+++ b/borageshelf/shards/pending.py
@@ -6,10 +6,15 @@
 """
 
 import dataclasses
+from typing import Final
 
 from borageshelf.shards import log
 from borageshelf.shards import records
 
+# A record without its arguments and result takes about 110 bytes of a
+# snapshot (docs/measurements/commits.md).
+RECORD_BYTES: Final = 150
+
 
 @dataclasses.dataclass(frozen=True)
 class Overlay:
@@ -58,6 +63,9 @@
         self._uncommitted = Overlay()
         self._in_flight = Overlay()
         self._task_ids: dict[str, set[str]] = {}
+        self._sizes: dict[str, int] = {}
+        # Upper estimate of the bytes of all tasks in a snapshot.
+        self.size_bytes = 0
         for task in tasks.values():
             self._index(task)
 
@@ -203,10 +211,19 @@
 
     def _index(self, task: records.TaskRecord) -> None:
         self._task_ids.setdefault(task.job_id, set()).add(task.task_id)
+        size_bytes = estimate_bytes(task)
+        self.size_bytes += size_bytes - self._sizes.get(task.task_id, 0)
+        self._sizes[task.task_id] = size_bytes
 
     def _drop_index(self, task_id: str) -> None:
+        self.size_bytes -= self._sizes.pop(task_id, 0)
         job_id = task_id.rpartition('/')[0]
         task_ids = self._task_ids.get(job_id, set())
         task_ids.discard(task_id)
         if not task_ids:
             self._task_ids.pop(job_id, None)
+
+
+def estimate_bytes(task: records.TaskRecord) -> int:
+    """Return an upper estimate of the bytes of a task in a snapshot."""
+    return RECORD_BYTES + len(task.arguments) + len(task.result)
--- a/borageshelf/shards/requests.py
+++ b/borageshelf/shards/requests.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from typing import Final
 
 from borageshelf import errors
 from borageshelf.shards import effects
@@ -14,6 +15,9 @@
 from borageshelf.shards import transitions
 from borageshelf.shards import waiting
 
+# A store value holds 1 MB; the rest is room for results.
+SIZE_LIMIT_BYTES: Final = 700_000
+
 
 class RequestHandler:
     """Jobs and claims of one shard as callers see them."""
@@ -31,10 +35,23 @@
     def submit(
         self, tasks: tuple[records.TaskRecord, ...], token: int
     ) -> None:
-        """Accept the tasks of a job; repeating a job id changes nothing."""
-        for task in tasks:
-            if self._records.find_task(task.task_id) is None:
-                self._records.change_task(task)
+        """Accept the tasks of a job; repeating a job id changes nothing.
+
+        The reply is ``OVERLOADED`` if the shard would outgrow its snapshot.
+        """
+        added = [
+            task
+            for task in tasks
+            if self._records.find_task(task.task_id) is None
+        ]
+        size_bytes = sum(map(pending.estimate_bytes, added))
+        if added and self._records.size_bytes + size_bytes > SIZE_LIMIT_BYTES:
+            self._immediate.append(
+                effects.Reply(token, errors.OVERLOADED, 'the shard is full')
+            )
+            return
+        for task in added:
+            self._records.change_task(task)
         self._waiting.add_reply(
             effects.Reply(token, errors.PENDING),
             tasks=frozenset(task.task_id for task in tasks),
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -1,9 +1,11 @@
 """Faults of the owner core that need no cluster to show."""
 
 import dataclasses
+import random
 
 from borageshelf import errors
 from borageshelf.model import resources
+from borageshelf.shards import codec
 from borageshelf.shards import effects
 from borageshelf.shards import grants
 from borageshelf.shards import log
@@ -152,3 +154,33 @@
     (task,) = core.find_committed_job('job')
     assert task.failures == failures[:1]
     assert task.phase is records.TaskPhase.QUEUED
+
+
+def test_shard_stays_within_a_store_value() -> None:
+    """Guards against a shard that can no longer be written.
+
+    The arguments do not compress and each is below the limit of the API.
+    """
+    rng = random.Random(1)
+    core = make_owner()
+    codes = []
+    for token in range(100):
+        job_id = f'j{token}'
+        task = dataclasses.replace(
+            TASK,
+            task_id=f'{job_id}/0',
+            job_id=job_id,
+            arguments=rng.randbytes(16_384),
+        )
+        core.submit((task,), token)
+        batch = core.take_batch(0)
+        if batch is None:
+            (reply,) = core.take_effects()
+            assert isinstance(reply, effects.Reply)
+            codes.append(reply.code)
+            continue
+        snapshot = codec.encode_snapshot(core.make_snapshot())
+        assert len(snapshot) < 1_000_000
+        core.confirm_batch(batch, 0)
+    assert set(codes) == {errors.OVERLOADED}
+    assert len(codes) > 50
