Stop only unstarted attempts when a complete report misses them

Wires the shard owner's proof request, its answers after a lost shard and the excuse of failures on a quarantined target into the processes.

--- a/borageshelf/agent/process.py
+++ b/borageshelf/agent/process.py
@@ -356,7 +356,7 @@
     ) -> None:
         if self._tasks is None:
             return
-        status = await self._tasks.stop(stop.attempt, stop.checkpoint)
+        status = await self._tasks.stop(stop)
         if status is not None:
             link.send(stopped=status)
 
--- a/borageshelf/agent/tasks.py
+++ b/borageshelf/agent/tasks.py
@@ -71,12 +71,14 @@
         return inner_pb2.StartAnswer(attempt=attempt, code=errors.OK.number)
 
     async def stop(
-        self, attempt: inner_pb2.Attempt, wants_checkpoint: bool
+        self, stop: inner_pb2.Stop
     ) -> inner_pb2.AttemptStatus | None:
         """Stop an attempt and return the proof.
 
-        :return: None if the request comes from an earlier owner
+        :return: None if the request comes from an earlier owner, or if only
+            an absence was to be proved and the attempt is known
         """
+        attempt = stop.attempt
         key = reservations.AttemptKey(attempt.task_id, attempt.attempt)
         if not self.ledger.observe_epoch(attempt.shard, attempt.epoch):
             return None
@@ -85,10 +87,12 @@
             return inner_pb2.AttemptStatus(
                 attempt=attempt, state=inner_pb2.ATTEMPT_NEVER_STARTED
             )
+        if stop.only_unstarted:
+            return None
         async with self._lock(key):
             held = self.ledger.find(key)
             if held is not None and held.occupies:
-                await self._stop_on_worker(key, wants_checkpoint)
+                await self._stop_on_worker(key, stop.checkpoint)
         held = self.ledger.find(key)
         return convert.pack_held(held) if held is not None else None
 
--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -365,6 +365,9 @@
             self._telemetry.log_state(
                 'target quarantined', target=session.identity.target_id
             )
+            owner.excuse_failures(
+                session.identity.target_id, clock.read_wall_clock_ms()
+            )
 
     def handle_start_answer(
         self,
@@ -486,7 +489,11 @@
         if session is None:
             return False
         attempt = convert.pack_attempt(effect.attempt)
-        stop = inner_pb2.Stop(attempt=attempt, checkpoint=effect.checkpoint)
+        stop = inner_pb2.Stop(
+            attempt=attempt,
+            checkpoint=effect.checkpoint,
+            only_unstarted=effect.only_unstarted,
+        )
         return session.send(stop=stop)
 
     def _send_release(self, effect: effects.SendRelease) -> bool:
--- a/borageshelf/shards/runner.py
+++ b/borageshelf/shards/runner.py
@@ -165,15 +165,8 @@
         if error.code is errors.STORE_CONFLICT:
             self._is_lost = True
             self._is_idle.set()
-            for effect in batch.effects:
-                if isinstance(effect, effects.Reply):
-                    self._dispatch(
-                        effects.Reply(
-                            effect.token,
-                            errors.OUTCOME_UNKNOWN,
-                            'the shard moved to another entry',
-                        )
-                    )
+            for reply in self.owner.abandon(batch):
+                self._dispatch(reply)
             self._on_lost(self)
             return
         for effect in self.owner.refuse_batch(batch):
