--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -365,9 +365,12 @@
             self._telemetry.log_state(
                 'target quarantined', target=session.identity.target_id
             )
-            owner.excuse_failures(
-                session.identity.target_id, clock.read_wall_clock_ms()
-            )
+            for runner in self._runners.values():
+                if runner.owner is not None and runner.is_active:
+                    runner.owner.excuse_failures(
+                        session.identity.target_id, clock.read_wall_clock_ms()
+                    )
+                    runner.wake()
 
     def handle_start_answer(
         self,
