--- /dev/null
+++ b/bench/binary.py
@@ -0,0 +1,343 @@
+"""Measures the built executable; builds nothing itself.
+
+``python -m bench.binary --file dist/borageshelf`` prints Markdown tables:
+start-up time and memory of the executable beside the same code from the
+source tree, and the system calls of an entry and an agent that work with the
+stand-ins, counted by strace.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import dataclasses
+import os
+import pathlib
+import shutil
+import signal
+import statistics
+import sys
+import tempfile
+import time
+from typing import Final
+
+from bench import fleet
+from bench import traces
+
+# A folder in memory, where operators are told to let the file unpack itself.
+MEMORY_FOLDER: Final = pathlib.Path('/dev/shm')
+SETTLE_S: Final = 3.0
+TRACED_S: Final = 6.0
+BYTES_PER_MB: Final = 1_000_000
+MS_PER_S: Final = 1_000
+KB_PER_MB: Final = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Program:
+    """One way to run the system.
+
+    :param command: start of each command line
+    """
+
+    name: str
+    command: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Sample:
+    """A process that was started, looked at and stopped.
+
+    :param ready_ms: time until it reported that it had started
+    """
+
+    ready_ms: float
+    resident_mb: float
+    threads: int
+    exit_status: int
+
+
+class Surroundings:
+    """The stand-ins that an entry and an agent need."""
+
+    def __init__(self, unpack_folder: pathlib.Path) -> None:
+        self.unpack_folder = unpack_folder
+        self.store_url = ''
+        self.worker_url = ''
+        self.executor_url = ''
+        self._processes: list[fleet.Process] = []
+
+    async def __aenter__(self) -> 'Surroundings':
+        self.store_url = await self._start('standins.store')
+        self.worker_url = await self._start('standins.worker')
+        self.executor_url = await self._start('standins.executor')
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await asyncio.gather(*(item.kill() for item in self._processes))
+
+    async def _start(self, module: str) -> str:
+        process, url = await fleet.start_standin(module, module)
+        self._processes.append(process)
+        return url
+
+    def make_entry_flags(self, inner: str) -> list[str]:
+        """Return the arguments of an entry."""
+        caller, admin = fleet.find_free_ports(2)
+        return [
+            'entry',
+            '--entry-id=entry-0',
+            '--region=sierra-centro',
+            '--data-centre=tajo-norte',
+            f'--caller-address={fleet.HOST}:{caller}',
+            f'--inner-address={inner}',
+            f'--admin-address={fleet.HOST}:{admin}',
+            f'--store-url={self.store_url}',
+        ]
+
+    def make_agent_flags(self, inner: str) -> list[str]:
+        """Return the arguments of an agent of that entry."""
+        return [
+            'agent',
+            '--target-id=vm-0',
+            '--data-centre=tajo-norte',
+            '--rack=rack-1',
+            f'--seeds={inner}',
+            f'--worker-url={self.worker_url}',
+            f'--executor-url={self.executor_url}',
+        ]
+
+    def make_environment(self) -> dict[str, str]:
+        """Return the environment of a process."""
+        return {
+            **os.environ,
+            'BORAGESHELF_ADMIN_TOKEN': fleet.TOKEN,
+            'SHIV_ROOT': str(self.unpack_folder),
+        }
+
+    async def launch(self, name: str, command: list[str]) -> fleet.Process:
+        """Start a command whose end the caller waits for."""
+        process = fleet.Process(
+            name,
+            await asyncio.create_subprocess_exec(
+                *command,
+                cwd=fleet.ROOT,
+                env=self.make_environment(),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.STDOUT,
+            ),
+        )
+        self._processes.append(process)
+        return process
+
+
+async def time_command(surroundings: Surroundings, program: Program) -> float:
+    """Return the milliseconds of a run of ``--version``."""
+    started = time.monotonic()
+    process = await surroundings.launch(
+        program.name, [*program.command, '--version']
+    )
+    status = await process.wait()
+    if status != 0:
+        raise RuntimeError(f'{program.name}: {list(process.lines)}')
+    return (time.monotonic() - started) * MS_PER_S
+
+
+async def run_pair(
+    surroundings: Surroundings, program: Program
+) -> tuple[Sample, Sample]:
+    """Run an entry and an agent for a moment."""
+    inner = f'{fleet.HOST}:{fleet.find_free_ports(1)[0]}'
+    entry, entry_ms = await _start_timed(
+        surroundings,
+        program,
+        surroundings.make_entry_flags(inner),
+    )
+    agent, agent_ms = await _start_timed(
+        surroundings, program, surroundings.make_agent_flags(inner)
+    )
+    await asyncio.sleep(SETTLE_S)
+    agent_sample = await _measure_and_stop(agent, agent_ms)
+    entry_sample = await _measure_and_stop(entry, entry_ms)
+    return entry_sample, agent_sample
+
+
+async def _start_timed(
+    surroundings: Surroundings, program: Program, flags: list[str]
+) -> tuple[fleet.Process, float]:
+    started = time.monotonic()
+    process = await surroundings.launch(flags[0], [*program.command, *flags])
+    await process.find_line(f'{flags[0]} started')
+    return process, (time.monotonic() - started) * MS_PER_S
+
+
+async def _measure_and_stop(process: fleet.Process, ready_ms: float) -> Sample:
+    status = _read_status(process.pid)
+    process.send(signal.SIGTERM)
+    return Sample(
+        ready_ms,
+        int(status['VmRSS'].split()[0]) / KB_PER_MB,
+        int(status['Threads']),
+        await process.wait(),
+    )
+
+
+def _read_status(pid: int) -> dict[str, str]:
+    text = pathlib.Path(f'/proc/{pid}/status').read_text()
+    pairs = (line.split(':', 1) for line in text.splitlines())
+    return {name: value.strip() for name, value in pairs}
+
+
+async def trace_pair(
+    surroundings: Surroundings, program: Program, folder: pathlib.Path
+) -> dict[str, tuple[traces.Counts, int]]:
+    """Trace an entry and an agent; returns counts and exit statuses."""
+    inner = f'{fleet.HOST}:{fleet.find_free_ports(1)[0]}'
+    flags = {
+        'entry': surroundings.make_entry_flags(inner),
+        'agent': surroundings.make_agent_flags(inner),
+    }
+    running: dict[str, tuple[fleet.Process, pathlib.Path]] = {}
+    for name, arguments in flags.items():
+        output = folder / f'{name}.trace'
+        process = await surroundings.launch(
+            name,
+            ['strace', '-f', '-qq', '-o', str(output)]
+            + ['-e', f'trace={traces.TRACED}', '-e', 'signal=none']
+            + [*program.command, *arguments],
+        )
+        running[name] = (process, output)
+        await process.find_line(f'{name} started')
+    await asyncio.sleep(TRACED_S)
+    found = {}
+    for name, (process, output) in reversed(running.items()):
+        # strace ends with the status of the process that it traces.
+        lines = output.read_text().splitlines()
+        os.kill(traces.find_first_pid(lines), signal.SIGTERM)
+        status = await process.wait()
+        lines = output.read_text().splitlines()
+        found[name] = (traces.count_calls(lines), status)
+    return found
+
+
+def measure_folder_mb(folder: pathlib.Path) -> float:
+    """Return the size of all files under a folder."""
+    files = (path for path in folder.rglob('*') if path.is_file())
+    return sum(path.stat().st_size for path in files) / BYTES_PER_MB
+
+
+async def measure(file: pathlib.Path, repeats: int) -> None:
+    """Print all tables."""
+    binary = Program('executable', (str(file),))
+    source = Program('source', (sys.executable, '-m', 'borageshelf.main'))
+    with contextlib.ExitStack() as stack:
+        in_memory = _make_folder(stack, MEMORY_FOLDER)
+        print(f'File size: {file.stat().st_size / BYTES_PER_MB:.1f} MB')
+        async with Surroundings(in_memory) as surroundings:
+            first_ms = await time_command(surroundings, binary)
+            print(f'First start, which unpacks: {first_ms:.0f} ms')
+            print(f'Unpacked size: {measure_folder_mb(in_memory):.1f} MB\n')
+            await _print_commands(surroundings, (binary, source), repeats)
+            await _print_pairs(surroundings, (binary, source), repeats)
+        if shutil.which('strace') is None:
+            print('strace is not installed; system calls were not counted.')
+            return
+        # Outside the memory folder, whose use counts as shared memory.
+        on_disk = _make_folder(stack, None)
+        async with Surroundings(on_disk) as surroundings:
+            await time_command(surroundings, binary)
+            counts = await trace_pair(surroundings, binary, on_disk)
+        _print_counts(counts)
+
+
+def _make_folder(
+    stack: contextlib.ExitStack, parent: pathlib.Path | None
+) -> pathlib.Path:
+    if parent is not None and not parent.is_dir():
+        parent = None
+    folder = tempfile.TemporaryDirectory(prefix='borageshelf-', dir=parent)
+    return pathlib.Path(stack.enter_context(folder))
+
+
+async def _print_commands(
+    surroundings: Surroundings, programs: tuple[Program, ...], repeats: int
+) -> None:
+    """Print the times of a command that ends at once, interleaved."""
+    times: dict[str, list[float]] = {item.name: [] for item in programs}
+    for _ in range(repeats):
+        for program in programs:
+            times[program.name].append(
+                await time_command(surroundings, program)
+            )
+    print('| `--version` | median ms | min | max |')
+    print('|---|---|---|---|')
+    for name, found in times.items():
+        print(
+            f'| {name} | {statistics.median(found):.0f} '
+            f'| {min(found):.0f} | {max(found):.0f} |'
+        )
+    print()
+
+
+async def _print_pairs(
+    surroundings: Surroundings, programs: tuple[Program, ...], repeats: int
+) -> None:
+    """Print start-up time and memory of running processes, interleaved."""
+    samples: dict[str, list[Sample]] = {}
+    for _ in range(repeats):
+        for program in programs:
+            entry, agent = await run_pair(surroundings, program)
+            samples.setdefault(f'entry, {program.name}', []).append(entry)
+            samples.setdefault(f'agent, {program.name}', []).append(agent)
+    print(
+        '| process | ready after, median ms | resident MB, max | threads, '
+        'max | exit statuses |'
+    )
+    print('|---|---|---|---|---|')
+    for name, found in samples.items():
+        ready_ms = statistics.median(item.ready_ms for item in found)
+        resident_mb = max(item.resident_mb for item in found)
+        threads = max(item.threads for item in found)
+        statuses = sorted({item.exit_status for item in found})
+        print(
+            f'| {name} | {ready_ms:.0f} | {resident_mb:.1f} | {threads} '
+            f'| {statuses} |'
+        )
+    print()
+
+
+def _print_counts(
+    counts: dict[str, tuple[traces.Counts, int]],
+) -> None:
+    """Print what strace saw."""
+    print(
+        '| process | programs started | processes | threads | io_uring | '
+        'shared memory | exit status |'
+    )
+    print('|---|---|---|---|---|---|---|')
+    for name, (found, status) in counts.items():
+        print(
+            f'| {name} | {len(found.execs)} | {found.processes} '
+            f'| {found.threads} | {found.io_uring} '
+            f'| {len(found.shared_memory)} | {status} |'
+        )
+    for name, (found, _) in counts.items():
+        print(f'\nPrograms of {name}: {", ".join(found.execs)}')
+        for call in found.shared_memory:
+            print(f'Shared memory of {name}: {call}')
+
+
+def main() -> None:
+    """Run the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--file', type=pathlib.Path, default=pathlib.Path('dist/borageshelf')
+    )
+    parser.add_argument('--repeats', type=int, default=5)
+    flags = parser.parse_args()
+    if not flags.file.is_file():
+        parser.error(f'{flags.file} does not exist; run make binary')
+    asyncio.run(measure(flags.file.resolve(), flags.repeats))
+
+
+if __name__ == '__main__':
+    main()
