--- a/bench/calls_model.py
+++ b/bench/calls_model.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -173,6 +174,9 @@
             self.refused_leaving += 1
             self._end(job, 'leaving')
             return
+        if self.leaving:
+            # The naive version does not notice that the target has gone.
+            return
         if self._bounded and self.held >= 60:
             self._end(job, 'refused')
             return
@@ -205,9 +209,8 @@
             ending = 'done'
             if self._failing:
                 duration_ms, ending = 1.0, 'failed'
-            self._events.after(
-                duration_ms, lambda job=job: self._finish(job, ending)
-            )
+            finish = functools.partial(self._finish, job, ending)
+            self._events.after(duration_ms, finish)
 
     def _finish(self, job: Job, ending: str) -> None:
         if job.is_ended:
@@ -258,7 +261,5 @@
     for number in range(EXECUTORS):
         factor = scenario.slow_factor if number < scenario.slow else 1.0
         failing = number < scenario.failing
-        fleet.append(
-            ExecutorModel(events, number, factor, failing, bounded)
-        )
+        fleet.append(ExecutorModel(events, number, factor, failing, bounded))
     return fleet
