Estimate interference with a diagonal Kalman filter

Cause: the quiet latency was the lowest measured one, so noise lowered it and the difference was charged to every family. Change: the quiet latency is a piecewise linear function of the load and is estimated together with the effects, each with its variance.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -21,8 +21,9 @@
 PROCESSES: Final = 6
 DEPLOYMENTS: Final = ('ocre', 'colombo')
 HEADER: Final = (
-    '| variant | p99 ms | batch core-h | evictions | finished | lost '
-    '| failed tries | batch kept % | calls kept % | urgent p99 s | score |'
+    '| variant | p99 ms | batch core-h | moved | preempted | killed '
+    '| evictions | finished | lost | failed tries | batch kept % '
+    '| calls kept % | urgent p99 s | score |'
 )
 
 
@@ -46,7 +47,10 @@
     return {
         'p99 ms': figures.p99_ms,
         'batch core-h': figures.work_millicore_s / 3.6e6,
-        'evictions': figures.evictions,
+        'moved': figures.moves,
+        'preempted': figures.preempted,
+        'killed': figures.killed,
+        'evictions': figures.moves + figures.preempted + figures.killed,
         'finished': figures.finished,
         'lost': figures.lost,
         'failed tries': figures.failed_attempts,
--- a/bench/placement_fleet.py
+++ b/bench/placement_fleet.py
@@ -24,6 +24,8 @@
 LATENCY_LAG_S: Final = 3
 USAGE_LAG_S: Final = 5
 LATENCY_NOISE: Final = 0.08
+# An evicted task can start again after its checkpoint was moved.
+RESTART_S: Final = 5
 
 
 @dataclasses.dataclass
@@ -50,8 +52,10 @@
         """Return the use that reports show, nothing before the lag."""
         if now_s - self.started_s < USAGE_LAG_S:
             return resources.NOTHING
-        return dataclasses.replace(
-            self.true, processor_millicores=round(self.used_millicores)
+        return resources.Resources(
+            round(self.used_millicores),
+            self.true.memory_mb,
+            self.true.accelerators,
         )
 
 
--- a/bench/placement_run.py
+++ b/bench/placement_run.py
@@ -34,7 +34,9 @@
 
     finished: int = 0
     work_millicore_s: float = 0.0
-    evictions: int = 0
+    moves: int = 0
+    preempted: int = 0
+    killed: int = 0
     lost: int = 0
     failed_attempts: int = 0
     p99_ms: float = 0.0
@@ -58,10 +60,12 @@
         self.size_rng = random.Random(seed + 1)
         self.fleet = placement_fleet.make_fleet(variant.is_mixed)
         self.queue: list[placement_fleet.Task] = []
+        self.evicted: list[placement_fleet.Task] = []
         self.figures = Figures()
         self.book = estimates.Book()
         self.pairs = interference.Table()
         self.failures = quarantine.FailureTable()
+        self.run_ms: dict[str, int] = {}
         self.states = {vm.name: control_state.State() for vm in self.fleet}
         self.tables = {vm.name: interference.Table() for vm in self.fleet}
 
@@ -136,9 +140,8 @@
             vm = next(v for v in self.fleet if v.name == answer.target_id)
             self._start(vm, task, answer, now_s)
             targets[vm.name] = self._view(vm, now_s)
-        known = {id(task) for task in waiting}
-        evicted = [t for t in self.queue if t.retry_s == now_s + 1]
-        self.queue = waiting + [t for t in evicted if id(t) not in known]
+        self.queue = waiting + self.evicted
+        self.evicted = []
 
     def _start(
         self,
@@ -181,6 +184,7 @@
         chosen = {victim.task_id for victim in victims or ()}
         for victim in [t for t in vm.tasks if t.task_id in chosen]:
             self._evict(vm, victim, now_s)
+            self.figures.preempted += 1
 
     def _make_candidate(
         self, task: placement_fleet.Task, now_s: int
@@ -191,7 +195,7 @@
             task.reserved.maximum(task.measure(now_s)),
             True,
             (now_s - task.started_s) * 1000,
-            estimates.find_run_ms(self.book, task.family.name)[0],
+            self.run_ms.get(task.family.name, 0),
             task.evictions,
         )
 
@@ -200,11 +204,10 @@
     ) -> None:
         """Checkpoint, stop and queue a task; its progress is kept."""
         vm.tasks.remove(task)
-        self.figures.evictions += 1
         task.evictions += 1
-        task.retry_s = now_s + 1
+        task.retry_s = now_s + placement_fleet.RESTART_S
         task.attempt += 1
-        self.queue.append(task)
+        self.evicted.append(task)
 
     def _advance(self, vm: placement_fleet.Vm, now_s: int) -> None:
         if any(p.name == vm.name for p in self._find_failing(now_s)):
@@ -234,7 +237,7 @@
             return
         task.retry_s = now_s + 1
         task.attempt += 1
-        self.queue.append(task)
+        self.evicted.append(task)
 
     def _note_outcome(
         self,
@@ -265,15 +268,19 @@
             peak,
             (now_s - task.started_s) * 1000,
         )
+        self.run_ms[task.family.name] = estimates.find_run_ms(
+            self.book, task.family.name
+        )[0]
 
     def _kill(
         self, vm: placement_fleet.Vm, task: placement_fleet.Task, now_s: int
     ) -> None:
         """Lose the progress of a task that ran out of memory."""
         self._evict(vm, task, now_s)
+        self.figures.killed += 1
         task.done_millicore_s = 0.0
         if not task.family.is_idempotent:
-            self.queue.remove(task)
+            self.evicted.remove(task)
             self.figures.lost += 1
 
     def _control(self, vm: placement_fleet.Vm, now_s: int) -> None:
@@ -316,6 +323,7 @@
             if isinstance(action, control.Move):
                 if without != 'moving':
                     self._evict(vm, tasks[action.task_id], now_s)
+                    self.figures.moves += 1
             elif without != 'throttling':
                 tasks[action.task_id].speed = action.fraction
 
--- a/borageshelf/decisions/interference.py
+++ b/borageshelf/decisions/interference.py
@@ -1,10 +1,13 @@
 """Effect of each (service, batch family) pair on the service's latency.
 
-The model is ``log(p99 / quiet p99) = sum over families of effect * share``,
+The model is ``log p99 = quiet(load) + sum over families of effect * share``,
 where ``share`` is the part of the VM's processors that the family uses and
-``quiet p99`` is learned per service and load step. Placement reads the
-expected effect and its uncertainty; control reads it to choose what to
-throttle. A ``Table`` is immutable, and every observation returns a new one.
+``quiet`` is piecewise linear in the load of the executor. Each unknown has a
+mean and a variance, updated by a Kalman filter that ignores correlations
+(only the diagonal of the covariance is kept, so an update costs as much as
+the families on one VM). Placement reads the effect and its uncertainty;
+control reads the effect to choose what to throttle. A ``Table`` is
+immutable, and every observation returns a new one.
 
 The latency in an observation was measured some time ago, so the caller pairs
 it with the mix that ran at that time (``find_mix``).
@@ -16,46 +19,43 @@
 import math
 from typing import Final
 
-# Evidence halves in ten minutes, so a pair that was bad in one phase of a
-# job is tried again later.
-HALF_LIFE_MS: Final = 600_000
-# Step size of the normalised least mean squares update (Haykin, Adaptive
-# Filter Theory, chapter 6); below 1 it averages noise out.
-STEP: Final = 0.3
-# Added to the squared shares so that tiny shares do not move the estimate.
-REGULARISATION: Final = 0.01
 # Effect assumed for a family that was never measured beside the service:
 # half of the VM raises the p99 by about a fifth.
 PRIOR_EFFECT: Final = 0.4
-PRIOR_DEVIATION: Final = 0.8
-# Observations with shares that add up to this much count as known.
-KNOWN_EVIDENCE: Final = 1.5
+PRIOR_VARIANCE: Final = 0.64
+# Without measurements the variance returns to the prior in this time, so a
+# pair that was bad in one phase of a job is tried again later.
+FORGET_MS: Final = 600_000
+# Variance of a measured log p99 around the model: the noise of a p99 over
+# a few seconds of calls and the error of the model.
+MEASUREMENT_VARIANCE: Final = 0.0225
+# A pair counts as measured below this variance.
+KNOWN_VARIANCE: Final = 0.1
 LARGEST_EFFECT: Final = 8.0
-LOAD_STEPS: Final = 8
-BASELINE_STEP: Final = 0.1
+# The quiet latency is kept at this many intervals of the load.
+LOAD_STEPS: Final = 16
+QUIET_VARIANCE: Final = 0.5
+# The quiet latency drifts slowly, as code and callers change.
+QUIET_FORGET_MS: Final = 36_000_000
 
 
 @dataclasses.dataclass(frozen=True)
-class PairEstimate:
-    """Effect of one family on one service.
+class Estimate:
+    """Mean and variance of one unknown."""
 
-    :param effect: rise of log p99 per whole VM used by the family
-    :param evidence: decayed sum of observed shares
-    """
-
-    effect: float = PRIOR_EFFECT
-    evidence: float = 0.0
-    updated_at_ms: int = 0
+    mean: float
+    variance: float
+    updated_at_ms: int
 
 
 @dataclasses.dataclass(frozen=True)
 class Table:
-    """All pair estimates and the quiet log p99 per load step."""
+    """Effects by (service, family) and quiet log p99 by (service, step)."""
 
-    pairs: Mapping[tuple[str, str], PairEstimate] = dataclasses.field(
+    pairs: Mapping[tuple[str, str], Estimate] = dataclasses.field(
         default_factory=dict
     )
-    quiet: Mapping[tuple[str, int], float] = dataclasses.field(
+    quiet: Mapping[tuple[str, int], Estimate] = dataclasses.field(
         default_factory=dict
     )
 
@@ -83,9 +83,6 @@
     shares: Mapping[str, float]
 
 
-UNKNOWN: Final = PairEstimate()
-
-
 def find_mix(history: Sequence[Mix], at_ms: int) -> Mapping[str, float]:
     """Return the shares that ran at a time in the past.
 
@@ -99,83 +96,112 @@
     return found
 
 
-def find_evidence(pair: PairEstimate, now_ms: int) -> float:
-    """Return the evidence that is left after its decay."""
-    age_ms = max(now_ms - pair.updated_at_ms, 0)
-    return pair.evidence * math.exp2(-age_ms / HALF_LIFE_MS)
-
-
-def is_known(table: Table, service: str, family: str, now_ms: int) -> bool:
-    """Tell whether the pair was measured enough and recently enough."""
-    pair = table.pairs.get((service, family), UNKNOWN)
-    return find_evidence(pair, now_ms) >= KNOWN_EVIDENCE
-
-
 def find_effect(
     table: Table, service: str, family: str, now_ms: int
 ) -> tuple[float, float]:
     """Return the expected effect and its standard deviation.
 
-    The estimate falls back to the prior as its evidence decays.
+    The estimate returns to the prior if it is not measured any more.
     """
-    pair = table.pairs.get((service, family), UNKNOWN)
-    evidence = find_evidence(pair, now_ms)
-    trust = evidence / (evidence + 0.25)
-    effect = trust * pair.effect + (1.0 - trust) * PRIOR_EFFECT
-    deviation = PRIOR_DEVIATION / math.sqrt(1.0 + 4.0 * evidence)
-    return effect, deviation
+    pair = _find_pair(table, service, family, now_ms)
+    return pair.mean, math.sqrt(pair.variance)
+
+
+def is_known(table: Table, service: str, family: str, now_ms: int) -> bool:
+    """Tell whether the pair was measured enough and recently enough."""
+    pair = _find_pair(table, service, family, now_ms)
+    return pair.variance <= KNOWN_VARIANCE
 
 
 def observe(table: Table, seen: Observation) -> Table:
     """Include one measurement.
 
-    Without batch work the measurement teaches the quiet latency of its load
-    step; otherwise the error of the prediction is divided among the families
-    by their shares.
+    The error of the prediction is divided among the unknowns by their
+    variance and their part in the prediction.
     """
     if seen.p99_ms <= 0:
         return table
     value = math.log(seen.p99_ms)
-    key = (seen.service, find_load_step(seen.load))
-    shares = {name: share for name, share in seen.shares.items() if share > 0}
-    quiet = table.quiet.get(key, value)
-    predicted = sum(
-        share * find_pair(table, seen, family).effect
-        for family, share in shares.items()
+    nodes = {
+        (seen.service, step): (
+            part,
+            _find_quiet(table, seen.service, step, value, seen.measured_at_ms),
+        )
+        for step, part in _split_load(seen.load)
+    }
+    pairs = {
+        (seen.service, family): (
+            share,
+            _find_pair(table, seen.service, family, seen.measured_at_ms),
+        )
+        for family, share in seen.shares.items()
+        if share > 0
+    }
+    terms = [*nodes.values(), *pairs.values()]
+    error = value - sum(part * known.mean for part, known in terms)
+    spread = MEASUREMENT_VARIANCE + sum(
+        part * part * known.variance for part, known in terms
+    )
+    new_quiet = {
+        key: _correct(known, part, error, spread)
+        for key, (part, known) in nodes.items()
+    }
+    new_pairs = {
+        key: _clip(_correct(known, part, error, spread))
+        for key, (part, known) in pairs.items()
+    }
+    return Table({**table.pairs, **new_pairs}, {**table.quiet, **new_quiet})
+
+
+def _correct(
+    known: Estimate, part: float, error: float, spread: float
+) -> Estimate:
+    gain = known.variance * part / spread
+    return Estimate(
+        known.mean + gain * error,
+        known.variance * (1.0 - gain * part),
+        known.updated_at_ms,
     )
-    error = value - quiet - predicted
-    if sum(shares.values()) < 0.02:
-        return _learn_quiet(table, key, quiet + BASELINE_STEP * error)
-    # The quiet latency cannot be above what was measured beside batch work.
-    table = _learn_quiet(table, key, min(quiet, value))
-    return _learn_pairs(table, seen, shares, error)
-
-
-def find_load_step(load: float) -> int:
-    """Return the step of the load for the quiet latency."""
-    return min(max(int(load * LOAD_STEPS), 0), LOAD_STEPS)
 
 
-def find_pair(table: Table, seen: Observation, family: str) -> PairEstimate:
-    """Return the pair's estimate."""
-    return table.pairs.get((seen.service, family), UNKNOWN)
+def _clip(known: Estimate) -> Estimate:
+    mean = min(max(known.mean, 0.0), LARGEST_EFFECT)
+    return dataclasses.replace(known, mean=mean)
 
 
-def _learn_quiet(table: Table, key: tuple[str, int], value: float) -> Table:
-    return dataclasses.replace(table, quiet={**table.quiet, key: value})
+def _split_load(load: float) -> list[tuple[int, float]]:
+    """Return the two nearest steps of the load with their weights."""
+    position = min(max(load, 0.0), 1.0) * LOAD_STEPS
+    step = min(int(position), LOAD_STEPS - 1)
+    part = position - step
+    return [(step, 1.0 - part), (step + 1, part)]
 
 
-def _learn_pairs(
-    table: Table, seen: Observation, shares: Mapping[str, float], error: float
-) -> Table:
-    norm = REGULARISATION + sum(share**2 for share in shares.values())
-    pairs = dict(table.pairs)
-    for family, share in shares.items():
-        pair = find_pair(table, seen, family)
-        effect = pair.effect + STEP * error * share / norm
-        pairs[(seen.service, family)] = PairEstimate(
-            min(max(effect, 0.0), LARGEST_EFFECT),
-            find_evidence(pair, seen.measured_at_ms) + share,
-            max(pair.updated_at_ms, seen.measured_at_ms),
-        )
-    return dataclasses.replace(table, pairs=pairs)
+def _find_pair(
+    table: Table, service: str, family: str, now_ms: int
+) -> Estimate:
+    """Return the pair's estimate as it counts at a time."""
+    known = table.pairs.get((service, family))
+    if known is None:
+        return Estimate(PRIOR_EFFECT, PRIOR_VARIANCE, now_ms)
+    age = max(now_ms - known.updated_at_ms, 0) / FORGET_MS
+    mean = PRIOR_EFFECT + (known.mean - PRIOR_EFFECT) * math.exp(-age)
+    variance = min(known.variance + PRIOR_VARIANCE * age, PRIOR_VARIANCE)
+    return Estimate(mean, variance, max(now_ms, known.updated_at_ms))
+
+
+def _find_quiet(
+    table: Table, service: str, step: int, value: float, now_ms: int
+) -> Estimate:
+    """Return the quiet latency of a step of the load.
+
+    A new one starts as its lower neighbour or, without any, as the value.
+    """
+    known = table.quiet.get((service, step))
+    if known is not None:
+        age = max(now_ms - known.updated_at_ms, 0) / QUIET_FORGET_MS
+        variance = min(known.variance + QUIET_VARIANCE * age, QUIET_VARIANCE)
+        return Estimate(known.mean, variance, now_ms)
+    below = table.quiet.get((service, step - 1))
+    mean = value if below is None else below.mean
+    return Estimate(mean, QUIET_VARIANCE, now_ms)
--- a/borageshelf/decisions/placement.py
+++ b/borageshelf/decisions/placement.py
@@ -24,10 +24,9 @@
 from borageshelf import errors
 from borageshelf.model import resources
 
-# With 20 sampled targets the best one is among the best tenth of the fleet
-# in 88% of decisions.
-LARGEST_SAMPLE: Final = 20
-# Fleets up to this size are examined as a whole.
+# With 16 sampled targets the best one is among the best tenth of the fleet
+# in 81% of decisions.
+LARGEST_SAMPLE: Final = 16
 SMALLEST_WINDOW: Final = 64
 WINDOW_FACTOR: Final = 8
 # Capacity changes with the reports of the agents, once a second by default.
@@ -187,7 +186,7 @@
 ) -> Iterator[list[views.TargetView]]:
     """Yield a small random sample, then a wider window."""
     count = len(targets)
-    if count <= SMALLEST_WINDOW:
+    if count <= LARGEST_SAMPLE:
         yield rng.sample(targets, count)
         return
     yield [targets[i] for i in rng.sample(range(count), LARGEST_SAMPLE)]
@@ -270,14 +269,17 @@
     """Return the target where preemption costs least, or None."""
     best: views.TargetView | None = None
     best_cost = math.inf
-    weight = 1.0 + request.policy.objective.evictions
+    objective = request.policy.objective
+    if request.task.urgency < preemption.find_urgency_gap(objective):
+        return None
+    weight = 1.0 + objective.evictions
     for target in allowed:
         victims = preemption.choose_victims(
             find_need(request, target),
             find_room(request, target),
             request.task.urgency,
             [_make_candidate(running) for running in target.running],
-            request.policy.objective,
+            objective,
         )
         if not victims:
             continue
