--- /dev/null
+++ b/tests/test_propagation.py
@@ -0,0 +1,231 @@
+"""Replayed traces of the propagation of configuration versions."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import pathlib
+from typing import Any
+
+import pytest
+
+from borageshelf.configuration import checks
+from borageshelf.configuration import contents
+from borageshelf.configuration import propagation
+from borageshelf.configuration import publication
+from borageshelf import errors
+from borageshelf.model import objects
+from borageshelf.platform import store as store_interface
+from standins import clocks
+from standins import faults
+from standins import memory_store
+from tests import text_cases
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / 'examples'
+SETS = {
+    name: checks.load_configuration(EXAMPLES / name)
+    for name in ('ocre', 'colombo')
+}
+CASES = text_cases.read_cases('configuration-propagation.test')
+# The clock moves in steps, so that woken coroutines see its time.
+STEP_MS = 50
+
+
+class CutStore:
+    """A store that one entry cannot reach while it is cut off."""
+
+    def __init__(self, store: memory_store.MemoryStore) -> None:
+        self._store = store
+        self.is_cut = False
+
+    async def get(self, key: str) -> store_interface.Entry | None:
+        self._check()
+        return await self._store.get(key)
+
+    async def watch(
+        self, prefix: str, after_revision: int, deadline_ms: int
+    ) -> store_interface.WatchAnswer:
+        self._check()
+        answer = await self._store.watch(prefix, after_revision, deadline_ms)
+        self._check()
+        return answer
+
+    def _check(self) -> None:
+        if self.is_cut:
+            raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, 'cut off')
+
+
+@dataclasses.dataclass
+class RunningEntry:
+    """An entry with its holder and its watcher."""
+
+    holder: propagation.ConfigurationHolder
+    store: CutStore
+    task: asyncio.Task[None]
+    is_damaged: bool = False
+
+
+class Trace:
+    """Replays the steps of one case."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.ManualClock()
+        self.store = memory_store.MemoryStore(self.clock)
+        self.entries: dict[str, RunningEntry] = {}
+        self.agents: dict[str, propagation.ConfigurationHolder] = {}
+        self.base = 0
+        self.lines: list[str] = []
+
+    async def replay(self, text: str) -> str:
+        for line in text.splitlines():
+            name, *arguments = line.split()
+            step: abc.Callable[..., abc.Awaitable[None]] = getattr(
+                self, 'step_' + name.replace('-', '_')
+            )
+            await step(*arguments)
+            self._check_versions()
+        for entry in self.entries.values():
+            entry.task.cancel()
+        return '\n'.join(self.lines)
+
+    def _check_versions(self) -> None:
+        """No holder may ever be ahead of the publications."""
+        for entry in self.entries.values():
+            assert entry.holder.version <= self.base
+
+    async def step_publish(self, name: str) -> None:
+        publisher = publication.Publisher(
+            self.store, self.clock.read_ms, self.clock.pause
+        )
+        request = publication.Request(
+            SETS[name], self.base, 'author', 'reason', f'id-{self.base}'
+        )
+        outcome = await publisher.publish(request)
+        assert isinstance(outcome, publication.Published)
+        self.base = outcome.version
+        self.lines.append(f'publish: version {outcome.version}')
+
+    async def step_entry(self, name: str) -> None:
+        holder = propagation.ConfigurationHolder(self.clock.read_ms)
+        seen: list[int] = []
+
+        def observe(configuration: objects.Configuration) -> None:
+            # Guards against an observer that is called with an old version.
+            assert not seen or configuration.version > seen[-1]
+            seen.append(configuration.version)
+
+        holder.observe(observe)
+
+        async def ask_peers() -> list[bytes]:
+            return [
+                entry.holder.bundle[: -1 if entry.is_damaged else None]
+                for peer, entry in self.entries.items()
+                if peer != name and entry.holder.bundle
+            ]
+
+        store: Any = CutStore(self.store)
+        watcher = propagation.ConfigurationWatcher(
+            store,
+            holder,
+            ask_peers,
+            name,
+            self.clock.read_ms,
+            self.clock.pause,
+        )
+        task = asyncio.ensure_future(watcher.run())
+        self.entries[name] = RunningEntry(holder, store, task)
+
+    async def step_stop(self, name: str) -> None:
+        self.entries.pop(name).task.cancel()
+
+    async def step_agent(self, name: str) -> None:
+        self.agents[name] = propagation.ConfigurationHolder(self.clock.read_ms)
+
+    async def step_part(self, agent: str, entry: str) -> None:
+        part = self.entries[entry].holder.make_part(['dispatch', 'pigment'])
+        self.agents[agent].offer_part(part)
+
+    async def step_report(self, agent: str, entry: str) -> None:
+        self.entries[entry].holder.confirm(self.agents[agent].version)
+
+    async def step_cut(self, name: str) -> None:
+        self.entries[name].store.is_cut = True
+
+    async def step_join(self, name: str) -> None:
+        self.entries[name].store.is_cut = False
+
+    async def step_damage(self, name: str) -> None:
+        self.entries[name].is_damaged = True
+
+    async def step_outage(self, kind: str) -> None:
+        self.store.set_faults(faults.FaultPlan(outage=faults.Outage(kind)))
+
+    async def step_compact(self) -> None:
+        self.store.compact()
+
+    async def step_reset_root(self, version: str) -> None:
+        """Put an older root back, as a store that lost writes would."""
+        entry = await self.store.get(contents.ROOT_KEY)
+        assert entry is not None
+        root = contents.Root(int(version), 'unread', 'unread')
+        data = contents.encode_value(root)
+        await self.store.put(contents.ROOT_KEY, data, entry.revision)
+
+    async def step_wait(self, delay_ms: str) -> None:
+        for _ in range(int(delay_ms) // STEP_MS):
+            await self.clock.advance(STEP_MS)
+
+    async def step_show(self, name: str) -> None:
+        if name in self.agents:
+            version = self.agents[name].version
+            self.lines.append(f'{name}: version {version}')
+            return
+        holder = self.entries[name].holder
+        word = 'confirmed' if holder.is_confirmed() else 'unconfirmed'
+        self.lines.append(f'{name}: version {holder.version} {word}')
+
+
+@pytest.mark.parametrize('case', CASES, ids=text_cases.name_case)
+def test_trace(case: text_cases.Case) -> None:
+    """Guards against a version that goes down, is lost or stays unknown."""
+    result = asyncio.run(Trace().replay(case.inputs['trace']))
+    assert result == case.expected
+
+
+def test_holder_survives_a_failing_observer() -> None:
+    """Guards against one part of a process that stops all others."""
+    holder = propagation.ConfigurationHolder(lambda: 0)
+    seen = []
+
+    def fail(configuration: objects.Configuration) -> None:
+        raise RuntimeError
+
+    holder.observe(fail)
+    holder.observe(lambda configuration: seen.append(configuration.version))
+    assert holder.offer(dataclasses.replace(SETS['ocre'], version=3))
+    assert not holder.offer(dataclasses.replace(SETS['colombo'], version=3))
+    assert not holder.offer(dataclasses.replace(SETS['colombo'], version=2))
+    assert seen == [3]
+    assert holder.configuration.jobs == SETS['ocre'].jobs
+
+
+def test_late_observer_gets_the_version_in_force() -> None:
+    """Guards against a part that starts late and waits for a change."""
+    holder = propagation.ConfigurationHolder(lambda: 0)
+    holder.offer(dataclasses.replace(SETS['ocre'], version=3))
+    seen = []
+    holder.observe(lambda configuration: seen.append(configuration.version))
+    assert seen == [3]
+
+
+def test_part_of_a_target_is_small_and_complete() -> None:
+    """Guards against a part that outgrows an agent's 14 KB a second."""
+    holder = propagation.ConfigurationHolder(lambda: 0)
+    holder.offer(dataclasses.replace(SETS['colombo'], version=3))
+    data = holder.make_part(['dispatch', 'absent'])
+    assert len(data) < 2_000
+    agent = propagation.ConfigurationHolder(lambda: 0)
+    assert agent.offer_part(data) and agent.version == 3
+    assert agent.configuration.services == SETS['colombo'].services
+    assert agent.configuration.limits == SETS['colombo'].limits
+    with pytest.raises(errors.BorageshelfError, match='INTERNAL'):
+        agent.offer_part(data[:-1])
