--- a/borageshelf/configuration/propagation.py
+++ b/borageshelf/configuration/propagation.py
@@ -18,6 +18,7 @@
 from borageshelf import errors
 from borageshelf.model import objects
 from borageshelf.platform import store as store_interface
+from borageshelf import telemetry as telemetry_module
 
 # A watch that stays open this long without a change confirms the version.
 WATCH_MS: Final = 10_000
@@ -155,6 +156,7 @@
     :param ask_peers: returns the bundles of other entries; it may fail
     :param name: identity of the entry; spreads the retries of all entries
     :param pause: awaited with a delay in milliseconds between tries
+    :param telemetry: gets the delay of changes and the failed watches
     """
 
     def __init__(
@@ -165,6 +167,7 @@
         name: str,
         clock: abc.Callable[[], int] = clock_module.read_wall_clock_ms,
         pause: abc.Callable[[int], abc.Awaitable[None]] | None = None,
+        telemetry: telemetry_module.Telemetry | None = None,
     ) -> None:
         self._store = store
         self._holder = holder
@@ -172,8 +175,10 @@
         self._name = name
         self._clock = clock
         self._pause = pause or wait_ms
+        self._telemetry = telemetry
         self._parts: dict[str, bytes] = {}
         self._failures = 0
+        self._root_version = 0
 
     async def run(self) -> None:
         """Watch until the task is cancelled."""
@@ -224,6 +229,8 @@
                 if entry.key == contents.ROOT_KEY and not entry.deleted:
                     await self._load(entry)
             self._note_success()
+            # An answer without a change shows that the root is the same.
+            self._holder.confirm(self._root_version)
             revision = max(revision, answer.revision)
 
     async def _read_root(self) -> int:
@@ -236,6 +243,7 @@
 
     async def _load(self, entry: store_interface.Entry) -> None:
         root = contents.decode_value(entry.value, contents.Root)
+        self._root_version = root.version
         if root.version > self._holder.version:
             bundle = await read_bundle(
                 self._store, root.publication, self._parts
@@ -245,6 +253,7 @@
                 bundle.parts.values(), bundle.publication.version
             )
             self._holder.offer(configuration, contents.encode_bundle(bundle))
+            self._note_delay(bundle.publication)
         elif root.version < self._holder.version:
             # Only a store that lost writes shows this; the version in force
             # stays.
@@ -255,6 +264,12 @@
             )
         self._holder.confirm(root.version)
 
+    def _note_delay(self, publication: contents.Publication) -> None:
+        """Send the delay, which includes the skew of the two clocks."""
+        if self._telemetry is not None:
+            delay_ms = max(self._clock() - publication.published_at_ms, 0)
+            self._telemetry.time(telemetry_module.CONFIG_DELAY, delay_ms)
+
     def _note_success(self) -> None:
         if self._failures:
             logging.info('configuration is read from the store again')
@@ -264,6 +279,8 @@
         if not self._failures:
             logging.warning('configuration watch failed: %r', error)
         self._failures += 1
+        if self._telemetry is not None:
+            self._telemetry.count(telemetry_module.CONFIG_WATCH_ERRORS)
 
 
 async def read_bundle(
--- a/borageshelf/telemetry.py
+++ b/borageshelf/telemetry.py
@@ -78,9 +78,6 @@
     'Time that an admitted call waited for a slot.',
     'service',
 )
-CALLS_QUEUED = register(
-    'calls.queued', Kind.GAUGE, 'calls', 'Calls that wait.', 'service'
-)
 CALLS_RETRIED = register(
     'calls.retried', Kind.COUNTER, 'calls', 'Second tries of calls.', 'service'
 )
@@ -90,52 +87,21 @@
 EXECUTORS_EJECTED = register(
     'executors.ejected', Kind.COUNTER, 'executors', 'Ejections of executors.'
 )
-JOBS_SUBMITTED = register(
-    'jobs.submitted', Kind.COUNTER, 'jobs', 'Jobs accepted.', 'family'
-)
-JOBS_REFUSED = register(
-    'jobs.refused', Kind.COUNTER, 'jobs', 'Jobs refused.', 'result code'
-)
 TASKS_STARTED = register(
     'tasks.started', Kind.COUNTER, 'tasks', 'Attempts started.', 'family'
 )
-TASKS_ENDED = register(
-    'tasks.ended', Kind.COUNTER, 'tasks', 'Tasks ended.', 'result code'
-)
 TASKS_EVICTED = register(
     'tasks.evicted', Kind.COUNTER, 'tasks', 'Evictions.', 'family'
 )
-TASKS_RUNNING = register(
-    'tasks.running', Kind.GAUGE, 'tasks', 'Attempts that run.'
-)
-TASKS_QUEUED = register(
-    'tasks.queued', Kind.GAUGE, 'tasks', 'Tasks that wait for a target.'
-)
-TASK_START_DELAY = register(
-    'tasks.start_delay',
-    Kind.TIMER,
-    'ms',
-    'Time from the submission of a task to its first start.',
-    'urgency',
-)
 TASKS_THROTTLED = register(
     'tasks.throttled', Kind.COUNTER, 'tasks', 'Throttle requests.', 'family'
 )
 SHARDS_OWNED = register(
     'shards.owned', Kind.GAUGE, 'shards', 'Shards that this entry owns.'
 )
-SHARD_COMMITS = register(
-    'shards.commits', Kind.COUNTER, 'commits', 'Group commits.', 'result'
-)
-SHARD_COMMIT_TIME = register(
-    'shards.commit_time', Kind.TIMER, 'ms', 'Duration of a group commit.'
-)
 SHARD_TAKEOVERS = register(
     'shards.takeovers', Kind.COUNTER, 'shards', 'Shards taken over.'
 )
-STORE_CALLS = register(
-    'store.calls', Kind.COUNTER, 'calls', 'Calls to the store.', 'operation'
-)
 STORE_ERRORS = register(
     'store.errors',
     Kind.COUNTER,
@@ -143,9 +109,6 @@
     'Failed calls to the store.',
     'result code',
 )
-STORE_LATENCY = register(
-    'store.latency', Kind.TIMER, 'ms', 'Duration of a store call.', 'operation'
-)
 CONFIG_VERSION = register(
     'config.version', Kind.GAUGE, 'version', 'Configuration in force.'
 )
@@ -167,9 +130,6 @@
 TARGETS_QUARANTINED = register(
     'targets.quarantined', Kind.COUNTER, 'targets', 'Quarantined targets.'
 )
-STREAMS_BROKEN = register(
-    'streams.broken', Kind.COUNTER, 'streams', 'Broken internal streams.'
-)
 ADMIN_REQUESTS = register(
     'admin.requests',
     Kind.COUNTER,
@@ -177,12 +137,6 @@
     'Requests to the administration API.',
     'HTTP status',
 )
-LOOP_DELAY = register(
-    'process.loop_delay',
-    Kind.TIMER,
-    'ms',
-    'Delay of a timer in the event loop, which shows a blocked process.',
-)
 
 
 class Telemetry:
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -60,7 +60,7 @@
         for _ in range(2000):
             sender.count(telemetry.TASKS_STARTED, 'ledgers')
         sender.close()
-        sender.gauge(telemetry.TASKS_RUNNING, 1)
+        sender.gauge(telemetry.SHARDS_OWNED, 1)
     assert time.monotonic() - start < 10
 
 
