Read back after every conflict of the root's swap

A repeat with the publication id of an earlier, still delayed try was refused as a lost race although the earlier try came into force. The audit trail has its own module, and refusals are listed in groups by time.

--- a/borageshelf/commands/publish.py
+++ b/borageshelf/commands/publish.py
@@ -86,6 +86,9 @@
         )
         if checked.configuration is None:
             return self._refuse(request, checked)
+        # Named before anything is written, so that an interrupted command
+        # can be repeated with it.
+        self.print_error(f'publication id {request.publication_id}')
         outcome: publication.Published | publication.LostRace = (
             self.use_publisher(lambda publisher: publisher.publish(request))
         )
@@ -127,7 +130,7 @@
         if not version:
             raise base.UsageError('version 0 is no published version')
         earlier: objects.Configuration = self.use_publisher(
-            lambda publisher: publisher.read_version(version)
+            lambda publisher: publisher.trail.read_version(version)
         )
         text = rendering.render_document(earlier).encode()
         return checks.check_texts([markup.Text(f'version {version}', text)])
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -11,6 +11,7 @@
 from borageshelf.configuration import checks
 from borageshelf.configuration import contents
 from borageshelf.configuration import publication
+from borageshelf.configuration import trail
 from borageshelf import errors
 from borageshelf.model import objects
 from tests import fakes
@@ -55,14 +56,16 @@
 
     def read_chain(self) -> list[str]:
         """Return the ids in the audit trail, oldest first."""
-        process = fakes.Process(self.make_publisher().read_history(1000))
+        process = fakes.Process(self.make_publisher().trail.read_history(1000))
         found = process.finish(self.store)
         versions = [item.version for item in reversed(found)]
         assert versions == list(range(1, len(found) + 1))
         return [item.publication_id for item in reversed(found)]
 
     def read(self, version: int = 0) -> objects.Configuration:
-        process = fakes.Process(self.make_publisher().read_version(version))
+        process = fakes.Process(
+            self.make_publisher().trail.read_version(version)
+        )
         found: objects.Configuration = process.finish(self.store)
         return found
 
@@ -88,6 +91,15 @@
             self.store.deliver()
 
 
+def run_to_swap(process: fakes.Process, bench: Bench) -> fakes.Process:
+    """Run a publication up to the swap of the root."""
+    while process.call is None or (
+        (process.call.name, process.call.key) != ('put', contents.ROOT_KEY)
+    ):
+        process.step(fakes.Fate.ANSWERED, bench.store)
+    return process
+
+
 def test_publications_form_a_chain() -> None:
     """Guards against a trail that differs from what is in force."""
     bench = Bench()
@@ -111,7 +123,7 @@
     assert isinstance(lost, publication.LostRace) and lost.is_recorded
     assert lost.base == dataclasses.replace(OCRE, version=1)
     assert lost.found == dataclasses.replace(COLOMBO, version=2)
-    process = fakes.Process(bench.make_publisher().read_refusals())
+    process = fakes.Process(bench.make_publisher().trail.read_refusals(9))
     (refusal,) = process.finish(bench.store)
     found = (refusal.publication_id, refusal.base_version)
     assert (*found, refusal.found_version) == ('c', 1, 2)
@@ -169,14 +181,9 @@
     """Guards against a second version from a repeated publication."""
     bench = Bench()
     bench.publish('base', OCRE, 0)
-    process = bench.start('own', COLOMBO, 1)
-    while not process.is_done:
-        is_swap = process.call and process.call.key == contents.ROOT_KEY
-        is_swap = is_swap and process.call and process.call.name == 'put'
-        if is_swap:
-            bench.now_ms += publication.TIME_LIMIT_MS
-        fate = fakes.Fate.LOST_AFTER if is_swap else fakes.Fate.ANSWERED
-        process.step(fate, bench.store)
+    process = run_to_swap(bench.start('own', COLOMBO, 1), bench)
+    bench.now_ms += trail.TIME_LIMIT_MS
+    process.step(fakes.Fate.LOST_AFTER, bench.store)
     assert process.error is not None
     assert process.error.code is errors.OUTCOME_UNKNOWN
     repeated = bench.publish('own', COLOMBO, 1)
@@ -184,6 +191,38 @@
     assert bench.read_chain() == ['base', 'own']
 
 
+def test_repeat_while_the_first_try_is_still_under_way() -> None:
+    """Guards against a refusal of a set that is in force.
+
+    The first swap is delayed and arrives just before that of the repeat,
+    whose only try then conflicts with it.
+    """
+    bench = Bench()
+    bench.publish('base', OCRE, 0)
+    first = run_to_swap(bench.start('own', COLOMBO, 1), bench)
+    bench.now_ms += trail.TIME_LIMIT_MS
+    first.step(fakes.Fate.DELAYED, bench.store)
+    assert first.error is not None
+    repeated = run_to_swap(bench.start('own', COLOMBO, 1), bench)
+    bench.settle()
+    outcome = repeated.finish(bench.store)
+    assert isinstance(outcome, publication.Published)
+    assert outcome.version == 2
+    assert bench.read_chain() == ['base', 'own']
+
+
+def test_refusals_are_listed_newest_first() -> None:
+    """Guards against a list that outgrows one answer of the store."""
+    bench = Bench()
+    bench.publish('a', OCRE, 0)
+    for day in range(5):
+        bench.now_ms = day * 24 * 3600 * 1000
+        bench.publish(f'refused-{day}', COLOMBO, 0)
+    process = fakes.Process(bench.make_publisher().trail.read_refusals(3))
+    found = [item.publication_id for item in process.finish(bench.store)]
+    assert found == ['refused-4', 'refused-3', 'refused-2']
+
+
 @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
 @hypothesis.given(
     strategies.lists(
@@ -211,7 +250,7 @@
             if bench.store.delayed:
                 bench.store.deliver()
         elif action == 'deadline':
-            bench.now_ms += publication.TIME_LIMIT_MS // 2
+            bench.now_ms += trail.TIME_LIMIT_MS // 2
         elif not processes[number].is_done:
             processes[number].step(action, bench.store)
     for process in processes:
