--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -17,9 +17,11 @@
 from cryptography import x509
 import pytest
 
+from borageshelf.commands import http_documents
 from borageshelf.entry import admin
 from borageshelf.entry import admin_channel
 from borageshelf.entry import admin_documents
+from borageshelf import errors
 from borageshelf import options
 from borageshelf import telemetry
 from standins import http_server
@@ -112,7 +114,7 @@
             for token in ('', 'wrong', TOKEN[:-1], TOKEN + 'x', 'ü'):
                 status, document = await server.ask('/v1/versions', token)
                 assert (status, document['code']) == (401, 106)
-                # An unknown path must not differ without the token.
+            # An unknown path must not differ without the token.
             async with serve() as other:
                 assert (await other.ask('/v1/nothing', 'wrong'))[0] == 401
                 assert (await other.ask('/v1/nothing'))[0] == 404
@@ -288,6 +290,14 @@
         writer.write((AUTHORIZED + 'Connection: close\r\n\r\n').encode())
         assert b'200 OK' in await reader.read()
         writer.close()
+        client = http_documents.Client(
+            f'https://127.0.0.1:{number}', TOKEN, str(certificate)
+        )
+        answer = await asyncio.to_thread(client.send, 'GET', '/v1/versions')
+        assert (answer.status, answer.document['version']) == (200, 7)
+        distrustful = http_documents.Client(f'https://127.0.0.1:{number}')
+        with pytest.raises(errors.BorageshelfError, match='NO_TARGET'):
+            await asyncio.to_thread(distrustful.send, 'GET', '/v1/health')
         await port.stopListening().asFuture(asyncio.get_running_loop())
 
     loopback.run(check())
