Align the live view and document the administration API

Probes of load balancers are not rate-limited any more: a refusal costs as much as the answer, and a flood could make the balancer drop an entry.

--- a/borageshelf/commands/base.py
+++ b/borageshelf/commands/base.py
@@ -72,6 +72,18 @@
         """Return what an error says about the work."""
         return code.category.value
 
+    def describe_error(
+        self, error: errors.BorageshelfError
+    ) -> dict[str, object]:
+        """Return the JSON document of an error."""
+        return {
+            'code': error.code.number,
+            'code_name': error.code.name,
+            'work': self.describe_work(error.code),
+            'detail': error.detail,
+            'retry_deadline_ms': error.retry_deadline_ms,
+        }
+
     def read_options(self, kind: type[OptionsType]) -> OptionsType:
         """Return the options from flags and environment.
 
@@ -120,15 +132,7 @@
     def report_error(self, error: errors.BorageshelfError) -> None:
         """Print an error, as JSON if that was asked for."""
         if self.wants_json():
-            self.print_json(
-                {
-                    'code': error.code.number,
-                    'code_name': error.code.name,
-                    'work': self.describe_work(error.code),
-                    'detail': error.detail,
-                    'retry_deadline_ms': error.retry_deadline_ms,
-                }
-            )
+            self.print_json(self.describe_error(error))
             return
         detail = error.detail or error.code.description
         self.print_error(f'{error.code.name}: {detail}')
--- a/borageshelf/commands/publish.py
+++ b/borageshelf/commands/publish.py
@@ -20,6 +20,7 @@
 from borageshelf.configuration import markup
 from borageshelf.configuration import publication
 from borageshelf.configuration import rendering
+from borageshelf import errors
 from borageshelf.model import objects
 from borageshelf import options as options_module
 
@@ -68,6 +69,8 @@
         *base.make_flags(options_module.OperatorOptions),
     ]
 
+    _publication_id = ''
+
     def execute_command(self) -> int:
         """Publish and report the outcome."""
         self._check_arguments()
@@ -86,6 +89,7 @@
         )
         if checked.configuration is None:
             return self._refuse(request, checked)
+        self._publication_id = request.publication_id
         # Named before anything is written, so that an interrupted command
         # can be repeated with it.
         self.print_error(f'publication id {request.publication_id}')
@@ -96,6 +100,13 @@
             return self._report_lost_race(request, outcome)
         return self._report_published(outcome, wait_limit_ms)
 
+    def describe_error(
+        self, error: errors.BorageshelfError
+    ) -> dict[str, object]:
+        """Return the JSON document of an error, with the id to repeat."""
+        document = super().describe_error(error)
+        return {**document, 'publication_id': self._publication_id}
+
     def _check_arguments(self) -> None:
         """Report all wrong arguments together.
 
--- a/borageshelf/commands/top.py
+++ b/borageshelf/commands/top.py
@@ -17,6 +17,8 @@
 DOCUMENTS: Final = ('health', 'queues', 'quotas', 'shards', 'targets')
 TARGETS_SHOWN: Final = 30
 
+Row = tuple[str, ...]
+
 _CLEAR_SCREEN: Final = '\x1b[H\x1b[2J'
 
 
@@ -96,24 +98,18 @@
 
     Targets, teams and shards are known to several entries and shown once.
     """
-    lines = ['ENTRY  STATE  VERSION  OWNED SHARDS']
+    entries: list[Row] = [
+        ('ENTRY', 'STATE', 'VERSION', 'OWNED SHARDS', 'REMARKS')
+    ]
+    queues: list[Row] = [('ENTRY', 'QUEUE', 'WAITING', 'RUNNING', 'LIMIT')]
     targets: dict[str, Any] = {}
     quotas: dict[str, Any] = {}
-    queues: list[tuple[str, Any]] = []
     for url, state in states.items():
         if 'error' in state:
-            lines.append(f'{url}  {state["error"]}')
+            entries.append((url, 'no answer', '', '', state['error']))
             continue
-        health = state['health']
-        entry = health['entry_id']
-        shards = state['shards']['shards']
-        owned = sum(shard['owner'] == entry for shard in shards)
-        lines.append(
-            f'{entry}  {health["state"]}  '
-            f'{health["configuration_version"]}  {owned}'
-        )
-        lines.extend(f'  {reason}' for reason in health['reasons'])
-        queues.extend((entry, item) for item in state['queues']['queues'])
+        entries.append(_describe_entry(state))
+        queues.extend(_describe_queues(state))
         for item in state['targets']['targets']:
             known = targets.get(item['target_id'], item)
             newer = max(known, item, key=lambda one: one['reported_at_ms'])
@@ -121,40 +117,81 @@
         for item in state['quotas']['quotas']:
             quotas.setdefault(item['team'], item)
     return [
-        *lines,
-        *_render_queues(queues),
-        *_render_quotas(quotas),
-        *_render_targets(targets),
+        *_align(entries),
+        '',
+        *_align(queues),
+        '',
+        *_align(_describe_quotas(quotas)),
+        '',
+        *_align(_describe_targets(targets)),
     ]
 
 
-def _render_queues(queues: abc.Sequence[tuple[str, Any]]) -> list[str]:
-    lines = ['', 'ENTRY  QUEUE  WAITING  RUNNING  LIMIT']
-    lines.extend(
-        f'{entry}  {item["kind"]}/{item["name"]}  {item["waiting"]}  '
-        f'{item["running"]}  {item["limit"]}'
-        for entry, item in queues
-        if item['waiting'] or item['running']
+def _describe_entry(state: abc.Mapping[str, Any]) -> Row:
+    health = state['health']
+    entry_id = health['entry_id']
+    shards = state['shards']['shards']
+    owned = sum(shard['owner'] == entry_id for shard in shards)
+    return (
+        entry_id,
+        health['state'],
+        str(health['configuration_version']),
+        str(owned),
+        '; '.join(health['reasons']),
     )
-    return lines
 
 
-def _render_quotas(quotas: abc.Mapping[str, Any]) -> list[str]:
-    lines = ['', 'TEAM  CORES USED/QUOTA  GB USED/QUOTA  ACCELERATORS']
+def _describe_queues(
+    state: abc.Mapping[str, Any],
+) -> abc.Iterator[Row]:
+    for item in state['queues']['queues']:
+        if item['waiting'] or item['running']:
+            yield (
+                state['health']['entry_id'],
+                f'{item["kind"]}/{item["name"]}',
+                str(item['waiting']),
+                str(item['running']),
+                str(item['limit']),
+            )
+
+
+def _describe_quotas(
+    quotas: abc.Mapping[str, Any],
+) -> list[Row]:
+    rows: list[Row] = [
+        ('TEAM', 'CORES USED', 'QUOTA', 'GB USED', 'QUOTA', 'ACC.', 'QUOTA')
+    ]
     for team, item in sorted(quotas.items()):
         used, quota = item['used'], item['quota']
-        lines.append(
-            f'{team}  {used["processor_millicores"] / 1000:g}/'
-            f'{quota["processor_millicores"] / 1000:g}  '
-            f'{used["memory_mb"] / 1000:g}/{quota["memory_mb"] / 1000:g}  '
-            f'{used["accelerators"]}/{quota["accelerators"]}'
+        rows.append(
+            (
+                team,
+                f'{used["processor_millicores"] / 1000:g}',
+                f'{quota["processor_millicores"] / 1000:g}',
+                f'{used["memory_mb"] / 1000:g}',
+                f'{quota["memory_mb"] / 1000:g}',
+                str(used['accelerators']),
+                str(quota['accelerators']),
+            )
         )
-    return lines
+    return rows
 
 
-def _render_targets(targets: abc.Mapping[str, Any]) -> list[str]:
+def _describe_targets(
+    targets: abc.Mapping[str, Any],
+) -> list[Row]:
     """Return the targets with the least free processor time first."""
-    lines = ['', 'TARGET  DATA CENTRE  FREE CORES  TASKS  CALLS  P99 MS']
+    rows: list[Row] = [
+        (
+            'TARGET',
+            'DATA CENTRE',
+            'FREE CORES',
+            'TASKS',
+            'CALLS',
+            'P99 MS',
+            'REMARKS',
+        )
+    ]
     ordered = sorted(
         targets.values(),
         key=lambda item: (
@@ -163,17 +200,36 @@
         ),
     )
     for item in ordered[:TARGETS_SHOWN]:
-        marks = ' leaving' if item['is_leaving'] else ''
-        marks += ' quarantined' if _is_quarantined(item) else ''
-        lines.append(
-            f'{item["target_id"]}  {item["data_centre"]}  '
-            f'{item["free"]["processor_millicores"] / 1000:g}  '
-            f'{item["running_tasks"]}  {item["running_calls"]}  '
-            f'{item["service_p99_ms"]:g}{marks}'
+        remarks = ['leaving'] if item['is_leaving'] else []
+        remarks += ['quarantined'] if _is_quarantined(item) else []
+        rows.append(
+            (
+                item['target_id'],
+                item['data_centre'],
+                f'{item["free"]["processor_millicores"] / 1000:g}',
+                str(item['running_tasks']),
+                str(item['running_calls']),
+                f'{item["service_p99_ms"]:g}',
+                ', '.join(remarks),
+            )
         )
     if len(ordered) > TARGETS_SHOWN:
-        lines.append(f'and {len(ordered) - TARGETS_SHOWN} more')
-    return lines
+        rows.append((f'and {len(ordered) - TARGETS_SHOWN} more',))
+    return rows
+
+
+def _align(rows: abc.Sequence[Row]) -> list[str]:
+    """Return lines whose columns are as wide as their widest cell."""
+    widths = [
+        max(len(row[column]) for row in rows if column < len(row))
+        for column in range(len(rows[0]))
+    ]
+    return [
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=False)
+        ).rstrip()
+        for row in rows
+    ]
 
 
 def _is_quarantined(target: Any) -> bool:
--- a/borageshelf/configuration/fields.py
+++ b/borageshelf/configuration/fields.py
@@ -133,7 +133,7 @@
             'parent',
             'parent',
             values.Reference('teams'),
-            'Team whose quota bounds this one.',
+            'Team whose quota this one may not exceed.',
         ),
     ),
 )
--- a/borageshelf/configuration/propagation.py
+++ b/borageshelf/configuration/propagation.py
@@ -199,6 +199,11 @@
             logging.warning('peers gave no configuration: %s', error)
             return
         for bundle in bundles:
+            if bundle == self._holder.bundle:
+                # Entries encode a publication in the same way. Decoding all
+                # bundles at each retry would cost more than 1% of a core.
+                self._holder.confirm(self._holder.version)
+                continue
             try:
                 publication = contents.decode_bundle(bundle).publication
                 self._holder.offer_bundle(bundle)
--- a/borageshelf/entry/admin.py
+++ b/borageshelf/entry/admin.py
@@ -32,8 +32,6 @@
 
 # An operator's view polls a handful of documents every two seconds.
 REQUESTS_PER_SECOND: Final = 50
-# Load balancers probe each entry from several places.
-PROBES_PER_SECOND: Final = 100
 # Bounds guessing; a wrong token is a mistake that repeats slowly.
 WRONG_TOKENS_PER_SECOND: Final = 5
 
@@ -87,7 +85,6 @@
         self._token_digest = _digest(token)
         self._telemetry = telemetry
         self._requests = RateBound(REQUESTS_PER_SECOND, clock)
-        self._probes = RateBound(PROBES_PER_SECOND, clock)
         self._wrong_tokens = RateBound(WRONG_TOKENS_PER_SECOND, clock)
 
     def render(self, request: server.Request) -> bytes:
@@ -129,12 +126,12 @@
     def _answer_probe(
         self, request: server.Request, path: str
     ) -> tuple[int, object]:
-        has_token = self._has_token(request)
-        _take(self._requests if has_token else self._probes)
+        # A refusal would cost as much as the answer, and a flood of requests
+        # could then make the load balancer drop the entry.
         _check_method(request)
         health = self._provider.describe_health()
         is_failing = path == '/v1/ready' and not health.is_ready
-        if not has_token:
+        if not self._has_token(request):
             health = admin_documents.Health(
                 '', '', health.state, health.is_ready
             )
--- a/borageshelf/model/objects.py
+++ b/borageshelf/model/objects.py
@@ -29,7 +29,7 @@
     :param quota: most resources its running tasks may hold together
     :param calls_share: guaranteed share of call capacity, 0 to 1
     :param batch_share: guaranteed share of batch capacity, 0 to 1
-    :param parent: team whose quota also bounds this one, or ''
+    :param parent: team whose quota this one may not exceed, or ''
     """
 
     name: str
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -330,10 +330,11 @@
     text = '\n'.join(
         top.render_states({'a': documents, 'b': other, 'c': {'error': 'down'}})
     )
-    assert 'vm-1  north  4  1  0  1.5 leaving' in text
+    lines = [' '.join(line.split()) for line in text.splitlines()]
+    assert 'vm-1 north 4 1 0 1.5 leaving' in lines
     assert text.count('vm-1') == 1
-    assert 'e1  serving  3  1' in text and 'store down' in text
-    assert 'c  down' in text and 'mill  4/4' in text
+    assert 'e1 serving 3 1 store down' in lines
+    assert 'c no answer down' in lines and 'mill 4 4 0 0 0 0' in lines
     monkeypatch.setenv('BORAGESHELF_ADMIN_TOKEN', TOKEN)
     unreachable = ['--admin-urls', 'http://127.0.0.1:9', '--once']
     assert run('top', *unreachable)[0] == 5
