Scope entries and shards by region; tell owners about store outages

Each region keeps its entries and shards under its own prefix, so that the regions go on alone while they are apart. The plan of moves is now shards.ownership.plan_shards.

--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -8,7 +8,6 @@
 from typing import Any, Final
 
 from borageshelf import clock
-from borageshelf.decisions import assignment
 from borageshelf.decisions import placement
 from borageshelf.decisions import views
 from borageshelf.entry import learning as learning_module
@@ -26,6 +25,7 @@
 from borageshelf.shards import grants
 from borageshelf.shards import log
 from borageshelf.shards import owner as owner_module
+from borageshelf.shards import ownership
 from borageshelf.shards import records
 from borageshelf.shards import runner as runner_module
 from borageshelf import telemetry as telemetry_module
@@ -138,6 +138,7 @@
         await asyncio.sleep(JOIN_PAUSE_MS / 1000)
         while True:
             self._changed.clear()
+            self._note_store()
             await self._reconcile()
             try:
                 await asyncio.wait_for(
@@ -146,6 +147,13 @@
             except asyncio.TimeoutError:
                 continue
 
+    def _note_store(self) -> None:
+        assert self._membership is not None
+        is_reachable = self._membership.is_store_reachable
+        for runner in self._runners.values():
+            if runner.owner is not None:
+                runner.owner.note_store(is_reachable)
+
     async def _reconcile(self) -> None:
         """Acquire shards without a live owner; release those that move."""
         assert self._membership is not None
@@ -161,17 +169,15 @@
             for member in self._membership.list_members()
             if not member.leaving
         ]
-        wanted = assignment.assign_shards(
-            self._options.shards, owners, members
+        plan = ownership.plan_shards(
+            self._options.entry_id,
+            self._options.shards,
+            owners,
+            members,
+            self._runners.keys(),
         )
-        own_id = self._options.entry_id
-        moves = []
-        for shard, entry_id in wanted.items():
-            is_own = shard in self._runners
-            if entry_id == own_id and not is_own and shard not in owners:
-                moves.append(self._acquire(shard))
-            elif entry_id != own_id and is_own:
-                moves.append(self._release(shard))
+        moves = [self._acquire(shard) for shard in plan.acquire]
+        moves += [self._release(shard) for shard in plan.release]
         if moves:
             await asyncio.gather(*moves)
             self._announce()
--- a/borageshelf/entry/membership.py
+++ b/borageshelf/entry/membership.py
@@ -23,6 +23,8 @@
 LEASE_TTL_MS: Final = 10_000
 RENEW_INTERVAL_MS: Final = 3_000
 WATCH_LENGTH_MS: Final = 30_000
+# One failure may be a lost answer.
+FAILURES_OF_OUTAGE: Final = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +69,12 @@
         self._dirty.set()
         self._background = loop.TaskGroup()
         self._has_view = False
+        self._failures = 0
+
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the last renewals of the lease did not all fail."""
+        return self._failures < FAILURES_OF_OUTAGE
 
     @property
     def has_view(self) -> bool:
@@ -134,19 +142,18 @@
 
     async def _keep(self) -> None:
         """Renew the lease and write the key when it has changed."""
-        failures = 0
         while True:
             try:
                 await self._renew()
                 await self._publish()
-                failures = 0
+                self._failures = 0
             except errors.BorageshelfError as error:
-                failures += 1
+                self._failures += 1
                 if error.code is errors.LEASE_LOST:
                     self._lease = None
                 self._published = None
                 delay_ms = retries.find_backoff_ms(
-                    self._own.entry_id, failures
+                    self._own.entry_id, self._failures
                 )
                 await asyncio.sleep(min(delay_ms, RENEW_INTERVAL_MS) / 1000)
                 continue
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -28,6 +28,7 @@
 from borageshelf.model import objects
 from borageshelf import options as options_module
 from borageshelf.platform import http_store
+from borageshelf.platform import scoped_store
 from borageshelf import telemetry as telemetry_module
 
 CLAIM_LIFETIME_MS: Final = 24 * 3600 * 1000
@@ -50,18 +51,21 @@
         self._aborting = asyncio.Event()
         self._background = loop_module.TaskGroup()
         self._store = http_store.HttpStore(options.store_url)
+        regional_store = scoped_store.ScopedStore(
+            self._store, f'regions/{options.region}/'
+        )
         self._holder = propagation.ConfigurationHolder()
         self._registry = sessions_module.SessionRegistry()
         self._peers = peers_module.Peers()
         self._batch = batch_module.BatchService(
             options,
-            self._store,
+            regional_store,
             self._registry,
             self._find_configuration,
             telemetry,
         )
         self._membership = membership_module.Membership(
-            self._store,
+            regional_store,
             membership_module.Member(
                 options.entry_id,
                 self._boot_id,
