Hold takeovers for a moment after an outage of the store

Cause: leases end during an outage that is longer than 10 s. Each entry then saw the keys of the others vanish and took their shards over, so that all shards changed hands. Ruled out: a longer lease, which delays the takeover from a lost VM. Change: while the store is not reachable and for 5 s after, nothing is acquired. Before: shards without an owner after the outage in the new test; after: the epochs of all shards are unchanged.

--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -34,6 +34,10 @@
 # A new entry waits for one watch answer before it takes shards, so that
 # entries that start together share them at once.
 JOIN_PAUSE_MS: Final = 500
+# After an outage of the store all leases may have ended. Entries announce
+# themselves again within RENEW_INTERVAL_MS of membership; until then a
+# missing owner proves nothing.
+REJOIN_PAUSE_MS: Final = 5_000
 # Bounds the time that one shard holds the event loop in a surge of jobs.
 PLACED_PER_TICK: Final = 32
 
@@ -73,6 +77,7 @@
         self._background = loop.TaskGroup()
         self._changed = asyncio.Event()
         self._leaving = False
+        self._hold_deadline_ms = 0
         self._dispatch = functools.singledispatch(self._dispatch_unknown)
         for kind, handle in (
             (effects.SendStart, self._send_start),
@@ -150,6 +155,9 @@
     def _note_store(self) -> None:
         assert self._membership is not None
         is_reachable = self._membership.is_store_reachable
+        if not is_reachable:
+            now_ms = clock.read_wall_clock_ms()
+            self._hold_deadline_ms = now_ms + REJOIN_PAUSE_MS
         for runner in self._runners.values():
             if runner.owner is not None:
                 runner.owner.note_store(is_reachable)
@@ -159,6 +167,8 @@
         assert self._membership is not None
         if not self._membership.has_view:
             return
+        if clock.read_wall_clock_ms() < self._hold_deadline_ms:
+            return
         owners: dict[int, str] = {}
         for shard in range(self._options.shards):
             member = self._membership.find_owner(shard)
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -4,6 +4,8 @@
 import signal
 
 from bench import fleet as fleet_module
+from borageshelf.entry import batch
+from borageshelf.entry import membership
 from standins import audits
 from tests import process_support
 
@@ -161,3 +163,35 @@
             assert answer == (200, b'after')
 
     process_support.run_fleet(scenario)
+
+
+async def read_epochs(fleet: fleet_module.Fleet) -> dict[int, int]:
+    """Return the epoch of each shard as its owner knows it."""
+    headers = {'Authorization': f'Bearer {fleet_module.TOKEN}'}
+    _, answer = await fleet.request(
+        'GET', f'{fleet.entries[0].admin_url}/v1/shards', headers=headers
+    )
+    return {item['shard']: item['epoch'] for item in answer['shards']}
+
+
+def test_store_outage_beyond_the_leases_moves_no_shard() -> None:
+    """Guards against takeovers when all leases have ended in an outage.
+
+    After such an outage each entry sees the others' keys vanish; without a
+    pause each would take over all shards.
+    """
+
+    async def scenario(fleet: fleet_module.Fleet) -> None:
+        await wait_for_owners(
+            fleet, {entry.entry_id for entry in fleet.entries}
+        )
+        before = await read_epochs(fleet)
+        await fleet.set_store_faults(outage='refusing')
+        await asyncio.sleep(membership.LEASE_TTL_MS / 1000 + 2)
+        await fleet.set_store_faults()
+        job_id = await process_support.submit(fleet, 'ledgers', run_ms=50)
+        await process_support.wait_for_end(fleet, job_id)
+        await asyncio.sleep(batch.REJOIN_PAUSE_MS / 1000 + 2)
+        assert await read_epochs(fleet) == before
+
+    process_support.run_fleet(scenario)
