--- a/tests/batch_checks.py
+++ b/tests/batch_checks.py
@@ -7,11 +7,11 @@
 from borageshelf.shards import effects
 from borageshelf.shards import log
 from borageshelf.shards import records
-from tests import batch_agent
+from tests import batch_worker
 from tests import fakes
 
 Key = reservations.AttemptKey
-Violation = batch_agent.Violation
+Violation = batch_worker.Violation
 
 
 class Checks:
@@ -91,7 +91,7 @@
             raise Violation(f'{task_id} is accepted but not stored')
 
     def refuse(
-        self, task_id: str, executions: list[batch_agent.Execution]
+        self, task_id: str, executions: list[batch_worker.Execution]
     ) -> None:
         """Note a job that was refused as not run."""
         self._not_run.add(task_id)
@@ -120,7 +120,7 @@
 
     def look(
         self,
-        executions: list[batch_agent.Execution],
+        executions: list[batch_worker.Execution],
         capacity: resources.Resources,
     ) -> None:
         """Check what runs now and what was reported about the past."""
@@ -146,7 +146,7 @@
     def _check_success(
         self,
         task: records.TaskRecord,
-        executions: list[batch_agent.Execution],
+        executions: list[batch_worker.Execution],
     ) -> None:
         results = [
             item.result
@@ -158,8 +158,8 @@
 
     def check_start(
         self,
-        execution: batch_agent.Execution,
-        executions: list[batch_agent.Execution],
+        execution: batch_worker.Execution,
+        executions: list[batch_worker.Execution],
     ) -> None:
         """Check that a start is allowed by what ran before."""
         task_id = execution.key.task_id
--- a/tests/batch_search.py
+++ b/tests/batch_search.py
@@ -9,8 +9,8 @@
 import random
 from typing import Final
 
-from tests import batch_agent
 from tests import batch_removals
+from tests import batch_worker
 from tests import batch_world
 
 Step = tuple[str, ...]
@@ -88,7 +88,7 @@
         for step in steps:
             world.perform(*step)
         world.heal()
-    except batch_agent.Violation as violation:
+    except batch_worker.Violation as violation:
         return str(violation)
     return ''
 
--- /dev/null
+++ b/tests/batch_state.py
@@ -0,0 +1,122 @@
+"""State of the test world: entries, streams, agents, workers, the store.
+
+``batch_entries`` and ``batch_world`` add what happens to it.
+"""
+
+import collections
+import dataclasses
+from typing import Any, Final
+
+from borageshelf.agent import reservations
+from borageshelf import errors
+from borageshelf.model import resources
+from borageshelf.shards import grants
+from borageshelf.shards import log
+from borageshelf.shards import owner
+from tests import batch_agent
+from tests import batch_checks
+from tests import batch_worker
+from tests import fakes
+
+ENTRIES: Final = ('e1', 'e2')
+TARGETS: Final = ('t1', 't2')
+SHARDS: Final = 2
+TICK_MS: Final = 500
+LEASE_MS: Final = 10_000
+REPORT_MS: Final = 2_000
+SKEW_LIMIT_MS: Final = 1_000
+# Two tasks fit on a VM.
+CAPACITY: Final = resources.Resources(2000, 2000)
+DECLARED: Final = resources.Resources(1000, 1000)
+# Short horizons, so that runs pass them.
+POLICY: Final = grants.GrantPolicy(30_000, 60_000, 90_000, 2_000)
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """The classes under test, which a test may replace by broken ones."""
+
+    owner_type: type[owner.ShardOwner] = owner.ShardOwner
+    log_type: type[log.ShardLog] = log.ShardLog
+    ledger_type: type[reservations.Reservations] = reservations.Reservations
+
+
+class Link:
+    """One stream between an agent process and an entry process."""
+
+    def __init__(self, entry: 'Entry', agent: batch_agent.Agent) -> None:
+        self.entry = entry
+        self.agent = agent
+        self.to_entry: collections.deque[Any] = collections.deque()
+        self.to_agent: collections.deque[Any] = collections.deque()
+        self.is_open = True
+        self.to_entry.append(batch_agent.Hello(agent.identity))
+
+    def break_off(self, keeps: bool) -> None:
+        """End the stream; keep what the receivers already have if wanted."""
+        self.is_open = False
+        if not keeps:
+            self.to_entry.clear()
+            self.to_agent.clear()
+
+
+class Shard:
+    """A shard that an entry owns or acquires."""
+
+    def __init__(self, engine: log.ShardLog, process: fakes.Process) -> None:
+        self.log = engine
+        self.process: fakes.Process | None = process
+        self.owner: owner.ShardOwner | None = None
+        self.batch: owner.Batch | None = None
+        self.is_releasing = False
+
+
+class Entry:
+    """One entry process."""
+
+    def __init__(self, entry_id: str) -> None:
+        self.entry_id = entry_id
+        self.shards: dict[int, Shard] = {}
+        self.sessions: dict[str, Link] = {}
+        self.lease_deadline_ms = 0
+        self.announced: set[int] = set()
+
+
+class State:
+    """Everything that the actions change."""
+
+    def __init__(self, parts: Parts | None = None) -> None:
+        self.parts = parts or Parts()
+        self.now_ms = 1_000_000
+        self.store = fakes.FakeStore()
+        self.checks = batch_checks.Checks(self.store)
+        self.skews: dict[str, int] = {}
+        self.paused: set[str] = set()
+        self.blocked: set[tuple[str, str]] = set()
+        self.fates: dict[str, list[fakes.Fate]] = {}
+        self.entries = {name: Entry(name) for name in ENTRIES}
+        self.workers: dict[str, batch_worker.FakeWorker] = {}
+        self.agents: dict[str, batch_agent.Agent] = {}
+        self.dead_agents: list[batch_agent.Agent] = []
+        self.links: list[Link] = []
+        self.jobs: list[str] = []
+        self.tokens = 0
+        self.requests: dict[int, str] = {}
+        self.replies: dict[int, errors.ResultCode] = {}
+        self.executions: list[batch_worker.Execution] = []
+        self.reported_at_ms: dict[str, int] = {}
+        self.placements = 0
+        self.policy = POLICY
+        # Targets that take new work.
+        self.placeable = set(TARGETS)
+
+    def _read_clock(self, node: str) -> int:
+        return self.now_ms + self.skews.get(node, 0)
+
+    def _hash(self, job_id: str) -> int:
+        return int(job_id[1:]) % SHARDS
+
+    def _find_owned(self, entry_id: str, number: int) -> Shard | None:
+        if entry_id in self.paused:
+            return None
+        return self.entries[entry_id].shards.get(number)
--- a/tests/test_batch_properties.py
+++ b/tests/test_batch_properties.py
@@ -10,8 +10,8 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from tests import batch_agent
 from tests import batch_search
+from tests import batch_worker
 from tests import batch_world
 
 ENTRY = strategies.sampled_from(batch_world.ENTRIES)
@@ -40,7 +40,7 @@
     def act(self, name: str, *arguments: str) -> None:
         try:
             self.world.perform(name, *arguments)
-        except batch_agent.Violation:
+        except batch_worker.Violation:
             self.is_broken = True
             raise
 
