--- a/tests/batch_search.py
+++ b/tests/batch_search.py
@@ -1,14 +1,18 @@
 """Random search for violations; prints the shortest trace that it finds.
 
 ``python -m tests.batch_search --seeds 0:200 [--without NAME]`` runs random
-actions, with one safeguard removed if a name is given.
+actions, with one safeguard removed if a name is given. With ``--property``
+it runs the property test instead of seeds.
 """
 
 import argparse
 from collections import abc
+import importlib
 import random
 from typing import Final
 
+from hypothesis import stateful
+
 from tests import batch_removals
 from tests import batch_worker
 from tests import batch_world
@@ -54,6 +58,7 @@
         (2, lambda: ('acquire', entry, shard)),
         (2, lambda: ('release', entry, shard)),
         (20, lambda: ('run', str(rng.choice((500, 1500, 3500, 35000))))),
+        (14, lambda: ('sprint', str(rng.choice((1, 2, 4, 8))))),
         (8, lambda: ('deliver', *pair)),
         (3, lambda: ('connect',)),
         (3, lambda: ('late',)),
@@ -115,9 +120,20 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', default='0:200')
     parser.add_argument('--without', choices=sorted(batch_removals.REMOVALS))
+    parser.add_argument('--property', action='store_true')
     arguments = parser.parse_args()
     first, last = map(int, arguments.seeds.split(':'))
     with batch_removals.remove(arguments.without) as parts:
+        if arguments.property:
+            # That module imports this one.
+            properties = importlib.import_module('tests.test_batch_properties')
+            properties.BatchMachine.parts = parts
+            stateful.run_state_machine_as_test(
+                properties.BatchMachine,
+                settings=properties.BatchMachine.TestCase.settings,
+            )
+            print('the property test passes')
+            return
         for seed in range(first, last):
             steps = draw_trace(seed)
             if not find_violation(steps, parts):
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -176,17 +176,25 @@
         """Run everything that is not paused or blocked."""
         for _ in range(int(duration_ms) // batch_state.TICK_MS):
             self.do_skip(str(batch_state.TICK_MS))
-            for target in list(self.agents):
-                self.do_work(target)
-            for link in list(self.links):
-                while self._deliver(link, False):
-                    continue
-                while link.is_open and self._deliver(link, True):
-                    continue
-            for entry_id in self.entries:
-                self.do_step(entry_id)
-            self._reconnect()
-            self.checks.look(self.executions, CAPACITY)
+            self._run_once()
+
+    def do_sprint(self, rounds: str) -> None:
+        """Run as fast as it goes, so that no deadline passes."""
+        for _ in range(int(rounds)):
+            self._run_once()
+
+    def _run_once(self) -> None:
+        for target in list(self.agents):
+            self.do_work(target)
+        for link in list(self.links):
+            while self._deliver(link, False):
+                continue
+            while link.is_open and self._deliver(link, True):
+                continue
+        for entry_id in self.entries:
+            self.do_step(entry_id)
+        self._reconnect()
+        self.checks.look(self.executions, CAPACITY)
 
     def do_work(self, target: str) -> None:
         """Let an agent and its worker go on."""
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from borageshelf.decisions import assignment
+from borageshelf.shards import ownership
 
 NAMES = ('a', 'b', 'c', 'd', 'e')
 
@@ -52,3 +53,36 @@
 def test_no_members_own_nothing() -> None:
     """Guards against an assignment to an entry that is gone."""
     assert assignment.assign_shards(4, {0: 'a'}, ()) == {}
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.integers(0, 15), strategies.sampled_from(NAMES[:3])
+    )
+)
+def test_plans_lead_to_one_owner_each(held: dict[int, str]) -> None:
+    """Guards against shards that nobody acquires or two entries want.
+
+    All entries see the same members and carry out their plans at once.
+    """
+    members = NAMES[:3]
+    for _ in range(3):
+        plans = {
+            name: ownership.plan_shards(
+                name,
+                16,
+                held,
+                members,
+                {shard for shard, owner in held.items() if owner == name},
+            )
+            for name in members
+        }
+        acquired = [x for plan in plans.values() for x in plan.acquire]
+        assert len(acquired) == len(set(acquired))
+        assert not set(acquired) & set(held)
+        for name, plan in plans.items():
+            for shard in plan.release:
+                del held[shard]
+            held.update((shard, name) for shard in plan.acquire)
+    assert sorted(held) == list(range(16))
--- a/tests/test_batch_properties.py
+++ b/tests/test_batch_properties.py
@@ -32,9 +32,11 @@
 class BatchMachine(stateful.RuleBasedStateMachine):
     """Draws actions; heals everything at the end."""
 
+    parts: batch_world.Parts | None = None
+
     def __init__(self) -> None:
         super().__init__()
-        self.world = batch_world.World()
+        self.world = batch_world.World(self.parts)
         self.is_broken = False
 
     def act(self, name: str, *arguments: str) -> None:
@@ -130,6 +132,10 @@
     def run_world(self, duration_ms: int) -> None:
         self.act('run', str(duration_ms))
 
+    @stateful.rule(rounds=strategies.sampled_from([1, 2, 4, 8]))
+    def sprint(self, rounds: int) -> None:
+        self.act('sprint', str(rounds))
+
     def teardown(self) -> None:
         if not self.is_broken:
             self.world.heal()
