--- a/borageshelf/configuration/contents.py
+++ b/borageshelf/configuration/contents.py
@@ -1,9 +1,10 @@
 """Stored forms of a configuration: parts, publications, root and bundles.
 
-A set is cut into parts of one section each, which are stored under the hash
-of their bytes. A publication names its parts and its parent; the root names
-the publication in force. A bundle is a publication together with its parts,
-as it is handed from one process to another when the store is down.
+A set is cut into parts of one section each, which are stored compressed under
+the hash of their plain bytes. A publication names its parts and its parent;
+the root names the publication in force. A bundle is a publication together
+with its parts, as it is handed from one process to another when the store is
+down.
 """
 
 from collections import abc
@@ -23,13 +24,15 @@
 PUBLICATION_PREFIX: Final = 'config/publication/'
 REFUSED_PREFIX: Final = 'config/refused/'
 
-# A change rewrites the parts that hold the changed objects. At the two-year
-# size, 1900 changes a day of 16 KB each add 30 MB a day to the store.
+# A change adds the part that holds the changed object and a publication with
+# the hashes of all parts; smaller parts make the second larger.
 PART_TARGET_BYTES: Final = 16_000
+# 128 bits of SHA-256; the hashes make up most of a publication.
+HASH_CHARACTERS: Final = 32
 # The store holds values up to 1 MB.
 VALUE_LIMIT_BYTES: Final = 1_000_000
-# Bound of an unpacked bundle, against a damaged or hostile one.
-BUNDLE_LIMIT_BYTES: Final = 64_000_000
+# Bound of an unpacked value, against a damaged or hostile one.
+UNPACKED_LIMIT_BYTES: Final = 64_000_000
 
 _NAMED_SECTIONS: Final = (
     'data_centres',
@@ -102,7 +105,31 @@
 
 def compute_hash(data: bytes) -> str:
     """Return the content hash of a value."""
-    return hashlib.sha256(data).hexdigest()
+    return hashlib.sha256(data).hexdigest()[:HASH_CHARACTERS]
+
+
+def pack(data: bytes) -> bytes:
+    """Return the compressed form in which a value is stored."""
+    return zlib.compress(data)
+
+
+def unpack(data: bytes) -> bytes:
+    """Return the plain form of a compressed value.
+
+    :raises BorageshelfError: ``INTERNAL`` if it is damaged or too large
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        unpacked = unpacker.decompress(data, UNPACKED_LIMIT_BYTES)
+    except zlib.error as error:
+        raise errors.BorageshelfError(
+            errors.INTERNAL, f'stored configuration is damaged: {error}'
+        ) from error
+    if not unpacker.eof:
+        raise errors.BorageshelfError(
+            errors.INTERNAL, 'stored configuration is cut off or too large'
+        )
+    return unpacked
 
 
 def encode_parts(configuration: objects.Configuration) -> dict[str, bytes]:
@@ -166,7 +193,7 @@
 def encode_bundle(bundle: Bundle) -> bytes:
     """Return the compressed form of a bundle."""
     parts = tuple(part.decode() for part in bundle.parts.values())
-    return zlib.compress(encode_value((bundle.publication, parts)))
+    return pack(encode_value((bundle.publication, parts)))
 
 
 def decode_bundle(data: bytes) -> Bundle:
@@ -174,19 +201,8 @@
 
     :raises BorageshelfError: ``INTERNAL`` if it is damaged
     """
-    unpacker = zlib.decompressobj()
-    try:
-        unpacked = unpacker.decompress(data, BUNDLE_LIMIT_BYTES)
-    except zlib.error as error:
-        raise errors.BorageshelfError(
-            errors.INTERNAL, f'bundle is damaged: {error}'
-        ) from error
-    if not unpacker.eof:
-        raise errors.BorageshelfError(
-            errors.INTERNAL, 'bundle is truncated or too large'
-        )
     publication, texts = decode_value(
-        unpacked, tuple[Publication, tuple[str, ...]]
+        unpack(data), tuple[Publication, tuple[str, ...]]
     )
     parts = {compute_hash(text.encode()): text.encode() for text in texts}
     if set(parts) != set(publication.parts):
--- a/borageshelf/configuration/propagation.py
+++ b/borageshelf/configuration/propagation.py
@@ -333,11 +333,12 @@
         raise errors.BorageshelfError(
             errors.INTERNAL, f'{prefix}{expected_hash} is missing'
         )
-    if contents.compute_hash(entry.value) != expected_hash:
+    data = contents.unpack(entry.value)
+    if contents.compute_hash(data) != expected_hash:
         raise errors.BorageshelfError(
             errors.INTERNAL, f'{prefix}{expected_hash} is damaged'
         )
-    return entry.value
+    return data
 
 
 def _notify(observer: Observer, configuration: objects.Configuration) -> None:
--- a/borageshelf/configuration/publication.py
+++ b/borageshelf/configuration/publication.py
@@ -146,7 +146,8 @@
         for part_hash, data in parts.items():
             if part_hash not in known:
                 key = contents.CONTENT_PREFIX + part_hash
-                await self.trail.write_once(key, data, deadline_ms)
+                packed = contents.pack(data)
+                await self.trail.write_once(key, packed, deadline_ms)
         data = contents.encode_value(
             contents.Publication(
                 root.version + 1,
@@ -160,7 +161,7 @@
         )
         name = contents.compute_hash(data)
         key = contents.PUBLICATION_PREFIX + name
-        await self.trail.write_once(key, data, deadline_ms)
+        await self.trail.write_once(key, contents.pack(data), deadline_ms)
         return contents.Root(root.version + 1, name, request.publication_id)
 
     async def _refuse(
