--- a/borageshelf/commands/processes.py
+++ b/borageshelf/commands/processes.py
@@ -17,6 +17,11 @@
     def execute_command(self) -> int:
         """Run until a planned stop."""
         settings = self.read_options(options_module.EntryOptions)
+        if settings.admin_certificate_path:
+            # A wrong file is a wrong setting, to be reported before the
+            # process listens anywhere.
+            admin: Any = importlib.import_module('borageshelf.entry.admin')
+            admin.make_tls_context(settings)
         return _run_process('borageshelf.entry.process', settings)
 
 
@@ -36,8 +41,8 @@
 def _run_process(module_name: str, settings: options_module.Options) -> int:
     """Run a process module.
 
-    It is imported here because it installs the event loop's reactor, which
-    other commands do not need.
+    It is imported here because it brings the event loop, which other commands
+    do not need.
     """
     module: Any = importlib.import_module(module_name)
     status: int = module.run(settings)
--- a/borageshelf/commands/publish.py
+++ b/borageshelf/commands/publish.py
@@ -205,10 +205,7 @@
             )
         else:
             word = 'published' if outcome.is_new else 'unchanged'
-            self.print_text(
-                f'{word}: version {outcome.version}, publication id '
-                f'{outcome.publication_id}'
-            )
+            self.print_text(f'{word}: version {outcome.version}')
             if state is not None:
                 self._print_state(state)
         if state is not None and state.missing:
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -1,5 +1,7 @@
 """Settings of processes, and what is reported when they are wrong."""
 
+import pathlib
+
 import pytest
 
 from borageshelf import main
@@ -67,6 +69,22 @@
         settings.parse_address(text)
 
 
+def test_wrong_certificate_exits_with_status_2(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a certificate that fails after the entry has joined."""
+    flags = [f'--{name}={value}' for name, value in ENTRY_FLAGS.items()]
+    for name in ('certificate', 'key'):
+        flags.append(f'--admin-{name}-path={tmp_path / name}')
+    monkeypatch.setattr('sys.argv', ['borageshelf', 'entry', *flags])
+    for name, value in TOKEN.items():
+        monkeypatch.setenv(name, value)
+    assert main.main() == 2
+    assert 'admin-certificate-path' in capsys.readouterr().err
+
+
 @pytest.mark.parametrize(
     ('arguments', 'text'),
     [
