Keep cancellations that arrive together with an event

Cause: asyncio.wait_for of Python 3.11 swallows a cancellation when the awaited event is set in the same step. The last announcement of a leaving entry woke the membership task just as it was cancelled, so the process never ended; seen with two entries and 32 shards, where the planned stop hit its limit of 60 s. Ruled out: open streams of agents, and the release of shards, which had ended.

--- a/borageshelf/agent/links.py
+++ b/borageshelf/agent/links.py
@@ -98,10 +98,10 @@
             stub = inner_grpc.InnerStub(channel)
             async with stub.Attach.open() as stream:
                 hello = self._links.make_hello()
-                await asyncio.wait_for(
-                    stream.send_message(inner_pb2.AgentMessage(hello=hello)),
-                    CONNECT_TIMEOUT_MS / 1000,
-                )
+                async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                    await stream.send_message(
+                        inner_pb2.AgentMessage(hello=hello)
+                    )
                 self._queue = asyncio.Queue(QUEUE_LIMIT)
                 self._hear()
                 await self._exchange(stream)
--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -145,12 +145,7 @@
             self._changed.clear()
             self._note_store()
             await self._reconcile()
-            try:
-                await asyncio.wait_for(
-                    self._changed.wait(), RECONCILE_INTERVAL_MS / 1000
-                )
-            except asyncio.TimeoutError:
-                continue
+            await loop.wait_for_event(self._changed, RECONCILE_INTERVAL_MS)
 
     def _note_store(self) -> None:
         assert self._membership is not None
@@ -271,10 +266,9 @@
         runner.wake()
         wait_ms = max(deadline_ms - clock.read_wall_clock_ms(), 0)
         try:
-            reply: effects.Reply = await asyncio.wait_for(
-                future, wait_ms / 1000
-            )
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(wait_ms / 1000):
+                reply: effects.Reply = await future
+        except TimeoutError:
             raise errors.BorageshelfError(
                 errors.OUTCOME_UNKNOWN, 'the commit is not confirmed yet'
             ) from None
--- a/borageshelf/entry/membership.py
+++ b/borageshelf/entry/membership.py
@@ -157,12 +157,7 @@
                 )
                 await asyncio.sleep(min(delay_ms, RENEW_INTERVAL_MS) / 1000)
                 continue
-            try:
-                await asyncio.wait_for(
-                    self._dirty.wait(), RENEW_INTERVAL_MS / 1000
-                )
-            except asyncio.TimeoutError:
-                continue
+            await loop.wait_for_event(self._dirty, RENEW_INTERVAL_MS)
 
     async def _renew(self) -> None:
         now_ms = clock.read_wall_clock_ms()
--- a/borageshelf/loop.py
+++ b/borageshelf/loop.py
@@ -74,6 +74,20 @@
         loop.add_signal_handler(number, handle)
 
 
+async def wait_for_event(event: asyncio.Event, timeout_ms: int) -> bool:
+    """Wait for an event; tell whether it was set before the timeout.
+
+    ``asyncio.wait_for`` of Python 3.11 loses a cancellation that arrives
+    together with the event, and the cancelled task then runs on for ever.
+    """
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 class TaskGroup:
     """Background tasks of a component; a failure is logged, not lost."""
 
--- a/borageshelf/shards/runner.py
+++ b/borageshelf/shards/runner.py
@@ -133,10 +133,7 @@
     async def _wait(self) -> None:
         """Wait for work, at least one tick and at most an idle one."""
         await asyncio.sleep(self._tick_ms / 1000)
-        try:
-            await asyncio.wait_for(self._wake.wait(), IDLE_TICK_MS / 1000)
-        except asyncio.TimeoutError:
-            return
+        await loop.wait_for_event(self._wake, IDLE_TICK_MS)
 
     async def _commit(self, batch: owner_module.Batch) -> None:
         assert self.owner is not None
