Cut the cost of admission under overload

Cause: each offer summed the service times of all waiting calls one by one, and each pump scanned the queue for expired calls. Change: calls ahead are found by bisection and counted by kind, expiry runs in the tick only, and use is kept only for groups with a share.

--- a/bench/calls_model.py
+++ b/bench/calls_model.py
@@ -5,6 +5,7 @@
 decision code under a simulated clock; it is no simulator of the cluster.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import functools
@@ -160,7 +161,7 @@
         self._factor = factor
         self._failing = failing
         self._bounded = bounded
-        self._queue: list[Job] = []
+        self._queue: collections.deque[Job] = collections.deque()
         self._running = 0
 
     @property
@@ -182,7 +183,7 @@
             return
         self._queue.append(job)
         if self._bounded:
-            self._queue.sort(key=_rank)
+            self._queue = collections.deque(sorted(self._queue, key=_rank))
         self._start()
 
     def cancel(self, job: Job) -> None:
@@ -197,7 +198,7 @@
 
     def _start(self) -> None:
         while self._queue and self._running < SLOTS:
-            job = self._queue.pop(0)
+            job = self._queue.popleft()
             now_ms = self._events.now_ms
             if self._bounded and now_ms >= job.arrival.deadline_ms:
                 self._end(job, 'refused')
--- a/bench/calls_versions.py
+++ b/bench/calls_versions.py
@@ -99,8 +99,6 @@
     def pump(self) -> None:
         """Send waiting calls while executors are open."""
         now_ms = self.clock()
-        for queued in self.pool.expire(now_ms):
-            self._refuse(self._calls[queued.call_id])
         for call in list(self._retrying):
             target_id = None
             if not call.is_ended:
@@ -127,6 +125,8 @@
                 self._cancel_jobs(call)
             elif call.hedge_at_ms is not None and now_ms >= call.hedge_at_ms:
                 self._hedge(call, now_ms)
+        for queued in self.pool.expire(now_ms):
+            self._refuse(self._calls[queued.call_id])
         self.pump()
 
     def report(self, target_id: str, held: int, leaving: bool) -> None:
--- a/borageshelf/decisions/admission.py
+++ b/borageshelf/decisions/admission.py
@@ -7,16 +7,18 @@
 """
 
 import bisect
-from collections.abc import Iterator
+import collections
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import math
+import operator
 from typing import Final
 
+from borageshelf.decisions import call_groups
 from borageshelf.decisions import service_times
 from borageshelf import errors
 
-QUEUE_LIMIT: Final = 256
 # Shares are measured over this half-life. It is longer than a call and
 # shorter than a caller's patience.
 USE_HALF_LIFE_MS: Final = 2_000
@@ -28,32 +30,11 @@
 UNRESERVED_FLOOR: Final = 0.05
 
 
-@dataclasses.dataclass(frozen=True)
-class QueuedCall:
-    """What admission knows about one call."""
-
-    call_id: str
-    team: str
-    kind: str
-    urgency: int
-    deadline_ms: int
-    offered_at_ms: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Limits:
-    """Bounds of one service in one entry.
-
-    :param queue_limit: most calls that wait
-    :param kind_shares: guaranteed share of the slots per kind, 0 to 1
-    :param team_shares: guaranteed share of the slots per team, 0 to 1
-    :param team_quotas: most calls a team may have queued and running
-    """
+_KIND: Final = operator.attrgetter('kind')
 
-    queue_limit: int = QUEUE_LIMIT
-    kind_shares: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    team_shares: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    team_quotas: Mapping[str, int] = dataclasses.field(default_factory=dict)
+QueuedCall = call_groups.QueuedCall
+Limits = call_groups.Limits
+Group = call_groups.Group
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,11 +49,6 @@
     charged_ms: float
 
 
-# A group is ('kind', name) or ('team', name).
-Group = tuple[str, str]
-TOTAL: Final[Group] = ('total', '')
-
-
 @dataclasses.dataclass(frozen=True)
 class AdmissionState:
     """Queue, running calls and recent use of one service.
@@ -145,17 +121,17 @@
     before others; otherwise the most urgent call with the nearest deadline.
     Calls past their deadline are skipped; ``expire`` returns them.
     """
-    alive = [call for call in state.queue if call.deadline_ms > now_ms]
-    if not alive:
-        return state, None
     use_ms = _decay_use(state, now_ms)
-    call = _choose_next(state.limits, alive, use_ms)
+    place = _choose_next(state, use_ms, now_ms)
+    if place is None:
+        return state, None
+    call = state.queue[place]
     charged_ms = max(_estimate(state, call.kind).mean_ms, 1.0)
-    _charge(use_ms, call, charged_ms)
+    _charge(use_ms, state.limits, call, charged_ms)
     taken = RunningCall(call, now_ms, charged_ms)
     state = dataclasses.replace(
         state,
-        queue=tuple(other for other in state.queue if other is not call),
+        queue=state.queue[:place] + state.queue[place + 1 :],
         running={**state.running, call.call_id: taken},
         use_ms=use_ms,
         use_at_ms=now_ms,
@@ -178,7 +154,7 @@
     del running[call.call_id]
     elapsed_ms = float(max(now_ms - taken.taken_at_ms, 0))
     use_ms = _decay_use(state, now_ms)
-    _charge(use_ms, call, elapsed_ms - taken.charged_ms)
+    _charge(use_ms, state.limits, call, elapsed_ms - taken.charged_ms)
     estimates = state.estimates
     if ran:
         learned = service_times.learn(_estimate(state, call.kind), elapsed_ms)
@@ -200,10 +176,13 @@
     A call whose remaining time is below the mean service time would hold a
     slot for an answer that most likely comes too late.
     """
+    means_ms = {
+        kind: estimate.mean_ms for kind, estimate in state.estimates.items()
+    }
     expired = tuple(
         call
         for call in state.queue
-        if call.deadline_ms - now_ms <= _estimate(state, call.kind).mean_ms
+        if call.deadline_ms - now_ms <= means_ms.get(call.kind, 0.0)
         and call.offered_at_ms < now_ms
     )
     if not expired:
@@ -234,19 +213,15 @@
     """
     if len(state.running) < state.slots and not state.queue:
         return 0.0
-    ahead = [other for other in state.queue if _rank(other) <= _rank(call)]
-    groups = set(_find_groups(state.limits, call))
-    reserved = sum(
-        share
-        for kind, share in state.limits.kind_shares.items()
-        if ('kind', kind) not in groups
-        and any(other.kind == kind for other in state.queue)
-    )
-    open_slots = state.slots * max(1.0 - reserved, UNRESERVED_FLOOR)
+    place = bisect.bisect_right(state.queue, _rank(call), key=_rank)
+    ahead = state.queue[:place]
+    groups = set(call_groups.find_groups(state.limits, call))
+    open_share = 1.0 - _find_reserved_share(state, groups)
+    open_slots = state.slots * max(open_share, UNRESERVED_FLOOR)
     waits_ms = [_find_work_ms(state, ahead) / open_slots]
     for group in groups:
-        own = [other for other in ahead if _is_member(other, group)]
-        own_slots = state.slots * _find_share(state.limits, group)
+        own = [other for other in ahead if call_groups.is_member(other, group)]
+        own_slots = state.slots * call_groups.find_share(state.limits, group)
         waits_ms.append(_find_work_ms(state, own) / own_slots)
     first_free_ms = _estimate(state, call.kind).mean_ms / state.slots
     return min(waits_ms) + first_free_ms
@@ -287,16 +262,21 @@
     are never displaced, and a call within them displaces others of any
     urgency.
     """
-    counts: dict[Group, int] = {}
-    for other in state.queue:
-        for group in _find_groups(state.limits, other):
-            counts[group] = counts.get(group, 0) + 1
+    if not state.limits.kind_shares and not state.limits.team_shares:
+        last = state.queue[-1]
+        return last if _rank(call) < _rank(last) else None
+    counts = collections.Counter(
+        group
+        for other in state.queue
+        for group in call_groups.find_groups(state.limits, other)
+    )
 
     def is_reserved(candidate: QueuedCall, extra: int) -> bool:
         return any(
-            counts.get(group, 0) + extra
-            <= _find_share(state.limits, group) * state.limits.queue_limit
-            for group in _find_groups(state.limits, candidate)
+            counts[group] + extra
+            <= call_groups.find_share(state.limits, group)
+            * state.limits.queue_limit
+            for group in call_groups.find_groups(state.limits, candidate)
         )
 
     is_entitled = is_reserved(call, 1)
@@ -309,43 +289,43 @@
 
 
 def _choose_next(
-    limits: Limits, alive: list[QueuedCall], use_ms: Mapping[Group, float]
-) -> QueuedCall:
-    total_ms = use_ms.get(TOTAL, 0.0)
-    best = alive[0]
-    best_ratio = 1.0
-    seen: set[Group] = set()
-    for call in alive:
-        for group in _find_groups(limits, call):
-            if group in seen:
-                continue
-            seen.add(group)
-            due_ms = _find_share(limits, group) * total_ms
-            ratio = use_ms.get(group, 0.0) / due_ms if due_ms > 0 else 0.0
-            if ratio < best_ratio:
-                best, best_ratio = call, ratio
-    return best
-
-
-def _rank(call: QueuedCall) -> tuple[int, int, int]:
-    return (-call.urgency, call.deadline_ms, call.offered_at_ms)
-
-
-def _find_groups(limits: Limits, call: QueuedCall) -> Iterator[Group]:
-    """Yield the groups of a call that have a guaranteed share."""
-    if limits.kind_shares.get(call.kind):
-        yield ('kind', call.kind)
-    if limits.team_shares.get(call.team):
-        yield ('team', call.team)
+    state: AdmissionState, use_ms: Mapping[Group, float], now_ms: int
+) -> int | None:
+    """Return the place of the next call in the queue."""
+    ratios = sorted(
+        (use_ms.get(group, 0.0) / (share * use_ms[call_groups.TOTAL]), group)
+        for group, share in call_groups.list_shares(state.limits)
+        if share > 0 and use_ms.get(call_groups.TOTAL, 0.0) > 0
+    )
+    for ratio, group in ratios:
+        if ratio >= 1.0:
+            break
+        for place, call in enumerate(state.queue):
+            if (
+                call_groups.is_member(call, group)
+                and call.deadline_ms > now_ms
+            ):
+                return place
+    for place, call in enumerate(state.queue):
+        if call.deadline_ms > now_ms:
+            return place
+    return None
 
 
-def _find_share(limits: Limits, group: Group) -> float:
-    by_type = {'kind': limits.kind_shares, 'team': limits.team_shares}
-    return by_type[group[0]][group[1]]
+def _find_reserved_share(state: AdmissionState, groups: set[Group]) -> float:
+    """Return the part of the slots that waiting calls of others may claim."""
+    if not state.limits.kind_shares:
+        return 0.0
+    waiting = {call.kind for call in state.queue}
+    return sum(
+        share
+        for kind, share in state.limits.kind_shares.items()
+        if ('kind', kind) not in groups and kind in waiting
+    )
 
 
-def _is_member(call: QueuedCall, group: Group) -> bool:
-    return group in (('kind', call.kind), ('team', call.team))
+def _rank(call: QueuedCall) -> tuple[int, int, int]:
+    return (-call.urgency, call.deadline_ms, call.offered_at_ms)
 
 
 def _count_team(state: AdmissionState, team: str) -> int:
@@ -360,13 +340,17 @@
     return state.estimates.get(kind, service_times.ServiceEstimate())
 
 
-def _find_work_ms(state: AdmissionState, calls: list[QueuedCall]) -> float:
-    return sum(_estimate(state, call.kind).mean_ms for call in calls)
+def _find_work_ms(state: AdmissionState, calls: Sequence[QueuedCall]) -> float:
+    counts = collections.Counter(map(_KIND, calls))
+    return sum(
+        _estimate(state, kind).mean_ms * count
+        for kind, count in counts.items()
+    )
 
 
 def _find_drain_ms(state: AdmissionState) -> int:
     """Return the time in which a tenth of the queue, or a call, ends."""
-    work_ms = _find_work_ms(state, list(state.queue)) / 10
+    work_ms = _find_work_ms(state, state.queue) / 10
     return max(math.ceil(work_ms / state.slots), 1)
 
 
@@ -377,7 +361,10 @@
 
 
 def _charge(
-    use_ms: dict[Group, float], call: QueuedCall, amount_ms: float
+    use_ms: dict[Group, float],
+    limits: Limits,
+    call: QueuedCall,
+    amount_ms: float,
 ) -> None:
-    for group in (TOTAL, ('kind', call.kind), ('team', call.team)):
+    for group in (call_groups.TOTAL, *call_groups.find_groups(limits, call)):
         use_ms[group] = max(use_ms.get(group, 0.0) + amount_ms, 0.0)
--- a/borageshelf/entry/call_dispatch.py
+++ b/borageshelf/entry/call_dispatch.py
@@ -90,10 +90,9 @@
         if service is None:
             return
         self.find_pool(service).leave(target_id)
-        for item in list(self._links.tries.values()):
-            if item.target_id == target_id:
-                code = errors.OUTCOME_UNKNOWN
-                self._end_try(item, code, True, 'the stream broke')
+        code = errors.OUTCOME_UNKNOWN
+        for item in self._links.find_tries(target_id):
+            self._end_try(item, code, True, 'the stream broke')
         self.pump(service)
 
     def receive_report(self, target_id: str, report: inner_pb2.Report) -> None:
@@ -102,8 +101,8 @@
         if service is None:
             return
         pool = self.find_pool(service)
-        held = report.queued_calls + report.running_calls
-        pool.report(target_id, held, self._clock())
+        held_calls = report.queued_calls + report.running_calls
+        pool.report(target_id, held_calls, self._clock())
         if report.leaving:
             pool.mark_leaving(target_id)
         self.pump(service)
@@ -168,17 +167,11 @@
         """Send waiting calls while executors are open."""
         now_ms = self._clock()
         pool = self.find_pool(service)
-        for queued in pool.expire(now_ms):
-            code = errors.DEADLINE_TOO_CLOSE
-            if queued.deadline_ms <= now_ms:
-                code = errors.DEADLINE_PASSED
-            self.refuse(self.calls[queued.call_id], code, 'while queued')
         self._send_retries(service, now_ms)
         while taken := pool.take(now_ms):
             call = self.calls[taken[0].call_id]
             waited_ms = now_ms - call.queued.offered_at_ms
-            metric = telemetry.CALL_QUEUE_WAIT
-            self._metrics.time(metric, waited_ms, service)
+            self._metrics.time(telemetry.CALL_QUEUE_WAIT, waited_ms, service)
             self._send_try(call, taken[1])
 
     def cancel(self, call: call_tries.ActiveCall) -> None:
@@ -233,6 +226,7 @@
             if now_ms >= deadline_ms + FORGET_MS:
                 self._end_try(item, errors.OUTCOME_UNKNOWN, True, 'forgotten')
         for service in list(self.pools):
+            self._expire(service, now_ms)
             self.pump(service)
 
     def return_credit(
@@ -252,6 +246,15 @@
         elif call.hedge_at_ms is not None and now_ms >= call.hedge_at_ms:
             self._hedge(call, now_ms)
 
+    def _expire(self, service: str, now_ms: int) -> None:
+        """Refuse the waiting calls that cannot end in time."""
+        pool = self.find_pool(service)
+        for queued in pool.expire(now_ms):
+            code = errors.DEADLINE_TOO_CLOSE
+            if queued.deadline_ms <= now_ms:
+                code = errors.DEADLINE_PASSED
+            self.refuse(self.calls[queued.call_id], code, 'while queued')
+
     def _hedge(self, call: call_tries.ActiveCall, now_ms: int) -> None:
         pool = self.find_pool(call.submission.service)
         if call.winner is not None or call.is_cancelled:
@@ -393,5 +396,6 @@
 
     def _count_ejections(self, ejections: tuple[object, ...]) -> None:
         if ejections:
-            metric = telemetry.EXECUTORS_EJECTED
-            self._metrics.count(metric, amount=len(ejections))
+            self._metrics.count(
+                telemetry.EXECUTORS_EJECTED, '', len(ejections)
+            )
--- a/borageshelf/entry/call_links.py
+++ b/borageshelf/entry/call_links.py
@@ -60,6 +60,12 @@
             return None
         return item
 
+    def find_tries(self, target_id: str) -> list[call_tries.Try]:
+        """Return the open tries on a target."""
+        return [
+            item for item in self.tries.values() if item.target_id == target_id
+        ]
+
     def open_try(
         self, call: call_tries.ActiveCall, target_id: str, now_ms: int
     ) -> call_tries.Try:
