--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,219 @@
+"""Property and differential tests of routing and ejection."""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from borageshelf.decisions import ejection
+from borageshelf.decisions import hedging
+from borageshelf.decisions import naive_calls
+from borageshelf.decisions import retries
+from borageshelf.decisions import routing
+
+NOW_MS = 1_000_000
+repeatable = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=200
+)
+
+
+@strategies.composite
+def fleets(draw: strategies.DrawFn) -> list[routing.ExecutorView]:
+    """Draw executors with stale, missing and fresh reports."""
+    times = strategies.sampled_from([0, NOW_MS - 60_000, NOW_MS - 500, NOW_MS])
+    views = strategies.builds(
+        routing.ExecutorView,
+        target_id=strategies.just(''),
+        data_centre=strategies.sampled_from(['north', 'south']),
+        slots=strategies.just(8),
+        outstanding=strategies.integers(0, 60),
+        reported_queue=strategies.integers(0, 60),
+        reported_at_ms=times,
+        joined_at_ms=times,
+        leaving=strategies.booleans(),
+        ejected_until_deadline_ms=strategies.sampled_from([0, NOW_MS + 9_000]),
+    )
+    drawn = draw(strategies.lists(views, max_size=12))
+    return [
+        dataclasses.replace(view, target_id=f'target-{number}')
+        for number, view in enumerate(drawn)
+    ]
+
+
+@repeatable
+@hypothesis.given(fleets(), strategies.randoms(use_true_random=False))
+def test_choice_is_never_leaving_ejected_or_full(
+    fleet: list[routing.ExecutorView], rng: random.Random
+) -> None:
+    """Guards against new work on a target that must not get any."""
+    chosen = routing.choose_executor(fleet, 'north', NOW_MS, rng)
+    if chosen is None:
+        return
+    assert not chosen.leaving
+    assert chosen.outstanding <= chosen.slots
+    healthy = [
+        view
+        for view in fleet
+        if not view.leaving and view.ejected_until_deadline_ms <= NOW_MS
+    ]
+    assert not healthy or chosen in healthy
+
+
+@repeatable
+@hypothesis.given(fleets(), strategies.randoms(use_true_random=False))
+def test_an_idle_healthy_executor_is_never_left_out(
+    fleet: list[routing.ExecutorView], rng: random.Random
+) -> None:
+    """Guards against calls that wait because of a stale report."""
+    idle = routing.ExecutorView(
+        'idle', 'north', 8, 0, reported_queue=60, reported_at_ms=NOW_MS
+    )
+    chosen = routing.choose_executor([*fleet, idle], 'north', NOW_MS, rng)
+    assert chosen is not None
+
+
+def find_peak_load(chooser: str) -> int:
+    """Return the highest load after placing 40 calls on ten executors."""
+    rng = random.Random(7)
+    choose = {
+        'product': routing.choose_executor,
+        'naive': naive_calls.choose_executor,
+    }[chooser]
+    fleet = [
+        routing.ExecutorView(f'target-{number}', 'north', 8, 0)
+        for number in range(10)
+    ]
+    for _ in range(40):
+        chosen = choose(fleet, 'north', NOW_MS, rng)
+        assert chosen is not None
+        place = fleet.index(chosen)
+        fleet[place] = dataclasses.replace(
+            chosen, outstanding=chosen.outstanding + 1
+        )
+    return max(view.outstanding for view in fleet)
+
+
+def test_two_choices_balance_better_than_a_random_target() -> None:
+    """Guards against uneven load (differential, against the naive choice)."""
+    assert find_peak_load('product') <= 5 < find_peak_load('naive')
+
+
+def test_near_data_centre_first_until_it_is_overloaded() -> None:
+    """Guards against needless latency and against a full data centre."""
+    rng = random.Random(1)
+    near = routing.ExecutorView('near', 'north', 8, 7)
+    far = routing.ExecutorView('far', 'south', 8, 0)
+    chosen = routing.choose_executor([near, far], 'north', NOW_MS, rng)
+    assert chosen == near
+    near = dataclasses.replace(near, outstanding=8)
+    chosen = routing.choose_executor([near, far], 'north', NOW_MS, rng)
+    assert chosen == far
+
+
+def test_slow_start_limits_a_new_target_only_beside_warm_ones() -> None:
+    """Guards against a cold target that gets a full load at once."""
+    rng = random.Random(1)
+    new = routing.ExecutorView('new', 'north', 8, 2, joined_at_ms=NOW_MS)
+    warm = routing.ExecutorView('warm', 'north', 8, 8)
+    args = ('north', NOW_MS, rng)
+    chosen = routing.choose_executor([new, warm], *args)
+    assert chosen is not None and chosen.target_id == 'warm'
+    assert routing.choose_executor([new], *args) == new
+
+
+outcomes = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 8),
+        strategies.booleans(),
+        strategies.floats(1, 1_000),
+    ),
+    max_size=300,
+)
+
+
+@repeatable
+@hypothesis.given(outcomes, strategies.integers(1, 9))
+def test_ejections_keep_two_thirds(
+    plan: list[tuple[int, bool, float]], size: int
+) -> None:
+    """Guards against an ejection that takes the service down."""
+    fleet = [ejection.OutcomeStatistics(f't{n}') for n in range(size)]
+    for step, (number, failed, service_ms) in enumerate(plan):
+        now_ms = NOW_MS + step * 20
+        place = number % size
+        fleet[place] = ejection.record_outcome(
+            fleet[place], failed, service_ms, now_ms
+        )
+        for item in ejection.choose_ejections(fleet, now_ms):
+            place = int(item.target_id[1:])
+            fleet[place] = ejection.apply_ejection(fleet[place], item, now_ms)
+        ejected = [
+            one for one in fleet if one.ejected_until_deadline_ms > now_ms
+        ]
+        assert len(ejected) <= size // 3
+
+
+@pytest.mark.parametrize(
+    ('bad', 'failed', 'service_ms', 'reasons'),
+    [
+        ({0}, True, 1.0, ['failing']),
+        ({0}, False, 250.0, ['slow']),
+        (set(range(9)), True, 1.0, []),
+        (set(range(9)), False, 250.0, []),
+    ],
+)
+def test_only_outliers_are_ejected(
+    bad: set[int], failed: bool, service_ms: float, reasons: list[str]
+) -> None:
+    """Guards against blaming an executor for a fault of the calls."""
+    fleet = []
+    for number in range(9):
+        stats = ejection.OutcomeStatistics(f't{number}')
+        for step in range(30):
+            is_bad = number in bad
+            stats = ejection.record_outcome(
+                stats,
+                failed and is_bad,
+                service_ms if is_bad else 50.0,
+                NOW_MS + step,
+            )
+        fleet.append(stats)
+    found = ejection.choose_ejections(fleet, NOW_MS + 30)
+    assert [item.reason for item in found] == reasons
+
+
+@repeatable
+@hypothesis.given(strategies.lists(strategies.booleans(), max_size=400))
+def test_retries_stay_within_a_tenth(plan: list[bool]) -> None:
+    """Guards against a retry storm; the naive version has no bound."""
+    budget = retries.Budget()
+    firsts = spent = 0
+    for is_first in plan:
+        if is_first:
+            firsts += 1
+            budget = retries.earn_budget(budget)
+            continue
+        rest = retries.spend_budget(budget)
+        if rest is not None:
+            spent += 1
+            budget = rest
+    assert spent <= 1 + retries.RETRY_SHARE * firsts + 1e-6
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+@pytest.mark.parametrize('ran', [True, False])
+def test_second_run_needs_proof_or_idempotence(
+    idempotent: bool, ran: bool
+) -> None:
+    """Guards against running a non-idempotent call twice."""
+    args = (idempotent, ran, 0, NOW_MS, NOW_MS + 1)
+    assert retries.may_retry(*args) is (idempotent or not ran)
+    assert naive_calls.may_retry(*args)
+    assert not retries.may_retry(idempotent, ran, 1, NOW_MS, NOW_MS + 1)
+    estimate = hedging.LatencyEstimate(50.0)
+    hedge_ms = hedging.find_hedge_time_ms(
+        estimate, idempotent, 1, NOW_MS, NOW_MS + 1_000
+    )
+    assert hedge_ms == (NOW_MS + 50 if idempotent else None)
