Throttle by predicted relief and restore speed without relapse delays

Change: a step slows an attempt as far as its predicted rise requires and only if its effect is worth the throughput; half of the headroom is given back per step; the delay after a relapse is removed; work starts slowly on a VM that is slow; the mean processor use is reserved with the error of the mean; only work that still harms at the lowest speed is moved.

--- a/bench/placement_run.py
+++ b/bench/placement_run.py
@@ -304,8 +304,6 @@
         state = self.states[vm.name]
         if without == 'wave recognition':
             state = dataclasses.replace(state, waves=0)
-        if without == 'calm after relapse':
-            state = dataclasses.replace(state, calm_needed_ms=0)
         view = control.VmView(
             vm.capacity,
             [self._view_attempt(task, now_s) for task in vm.tasks],
--- a/bench/placement_variants.py
+++ b/bench/placement_variants.py
@@ -70,7 +70,6 @@
     'moving',
     'exploration at half speed',
     'wave recognition',
-    'calm after relapse',
     'quarantine',
     'failed targets avoided',
     'preemption',
--- a/borageshelf/decisions/control.py
+++ b/borageshelf/decisions/control.py
@@ -7,7 +7,8 @@
 
 Three rules prevent oscillation: no step is taken on a measurement from
 before the last step took effect; speed is restored only well below the
-threshold, slowly, and more slowly after a relapse; moves draw on a budget.
+threshold, after a calm time and by a part of the headroom; moves draw on a
+budget.
 Slow phases that end by themselves within a known time (noisy waves) are
 waited out under the throttle.
 
@@ -28,20 +29,28 @@
 # A throttle shows in the latency after about this time: the queue drains,
 # then a whole measurement window must pass.
 SETTLE_MS: Final = 3_000
-LOWEST_SPEED: Final = 0.1
-SPEED_STEP_DOWN: Final = 0.5
+LOWEST_SPEED: Final = 0.05
 SPEED_STEP_UP: Final = 1.5
 # Speed is restored below this part of the threshold.
 RELEASE_SHARE: Final = 0.85
 CALM_MS: Final = 5_000
-LONGEST_CALM_MS: Final = 160_000
-# A violation this soon after a restored speed was caused by it.
-RELAPSE_MS: Final = 10_000
 # At the lowest speed for this long, an attempt is moved; the weight of
 # evictions lengthens the time.
-MOVE_AFTER_MS: Final = 30_000
-# Attempts that cause less than this part of the harm are not moved.
-SMALLEST_BLAME_SHARE: Final = 0.3
+MOVE_AFTER_MS: Final = 60_000
+# A family is throttled only if its effect, times the weight of tail latency
+# and the square of the excess, is at least this multiple of the weight of
+# batch throughput. Below it, slowing the family down costs more throughput
+# than it saves latency. The square is there because the worst minutes decide
+# the p99 of the whole.
+BREAK_EVEN_EFFECT: Final = 0.4
+# One step gives back at most this part of the headroom.
+HEADROOM_SHARE: Final = 0.5
+# Bounds the step for an attempt that hardly matters.
+SMALLEST_RISE: Final = 0.001
+# An attempt is moved only if it still raises log p99 by this much at its
+# lowest speed. In a surge of calls the service is slow on every VM, and moving
+# work that hardly matters would cost evictions for nothing.
+SMALLEST_MOVED_RISE: Final = 0.03
 FULL_MEMORY_SHARE: Final = 0.98
 # Work from this urgency on is throttled after all other work.
 URGENT: Final = 5
@@ -110,18 +119,19 @@
 
     attempt: AttemptView
     speed: float
+    effect: float
     rise: float
 
 
 def find_threshold(objective: objects.Objective) -> float:
     """Return the p99 over the goal from which work is throttled.
 
-    It is 0.8 if only tail latency counts and 1.1 if it has no weight, so
+    It is 0.9 if only tail latency counts and 1.1 if it has no weight, so
     an operator with callers on the line acts before the goal is missed.
     """
     total = objective.tail_latency + objective.batch_throughput
     share = objective.tail_latency / total if total > 0 else 0.5
-    return 1.1 - 0.3 * share
+    return 1.1 - 0.2 * share
 
 
 def decide(
@@ -150,10 +160,10 @@
     threshold = find_threshold(objective)
     blames = _find_blames(state, view, table, now_ms)
     if ratio > threshold:
-        state = control_state.note_slow(
-            state, view.measured_at_ms, RELAPSE_MS, CALM_MS, LONGEST_CALM_MS
+        state = control_state.note_slow(state, view.measured_at_ms)
+        actions = _slow_down(
+            view, blames, ratio / threshold, objective, limits
         )
-        actions = _slow_down(state, view, blames, ratio / threshold, limits)
         if not actions:
             return _move_culprit(state, blames, objective, now_ms)
         return control_state.apply_speeds(state, _list(actions), now_ms), (
@@ -161,14 +171,13 @@
         )
     state = control_state.note_fast(state, view.measured_at_ms)
     if ratio > threshold * RELEASE_SHARE:
-        return control_state.note_borderline(state, view.measured_at_ms), ()
+        return state, ()
     if not control_state.is_calm(state, view.measured_at_ms, CALM_MS):
         return state, ()
     actions = _speed_up(blames, threshold / ratio)
     if not actions:
         return state, ()
-    state = control_state.apply_speeds(state, _list(actions), now_ms)
-    return control_state.note_raised(state, now_ms), actions
+    return control_state.apply_speeds(state, _list(actions), now_ms), actions
 
 
 def _list(actions: Sequence[Throttle]) -> dict[str, float]:
@@ -226,7 +235,7 @@
         )
         share = attempt.used.processor_millicores / capacity
         speed = state.speeds.get(attempt.task_id, 1.0)
-        blames.append(Blame(attempt, speed, effect * share))
+        blames.append(Blame(attempt, speed, effect, effect * share))
     blames.sort(
         key=lambda blame: (
             blame.attempt.urgency >= URGENT,
@@ -238,13 +247,13 @@
 
 
 def _slow_down(
-    state: control_state.State,
     view: VmView,
     blames: Sequence[Blame],
     excess: float,
+    objective: objects.Objective,
     limits: objects.Limits,
 ) -> tuple[Throttle, ...]:
-    """Halve the speed of the attempts that explain the excess.
+    """Slow the attempts that explain the excess as far as it requires.
 
     Batch work keeps its guaranteed share of the VM however slow the service
     is.
@@ -260,7 +269,10 @@
     for blame in blames:
         if missing <= 0 or used <= kept:
             break
-        speed = max(blame.speed * SPEED_STEP_DOWN, LOWEST_SPEED)
+        if not _is_worth_throttling(blame, excess, objective):
+            continue
+        part = min(missing / max(blame.rise, SMALLEST_RISE), 1.0)
+        speed = max(blame.speed * (1.0 - part), LOWEST_SPEED)
         if speed >= blame.speed:
             continue
         part = 1.0 - speed / blame.speed
@@ -272,6 +284,13 @@
     return tuple(actions)
 
 
+def _is_worth_throttling(
+    blame: Blame, excess: float, objective: objects.Objective
+) -> bool:
+    gain = objective.tail_latency * blame.effect * excess**2
+    return gain >= objective.batch_throughput * BREAK_EVEN_EFFECT
+
+
 def _speed_up(
     blames: Sequence[Blame], headroom: float
 ) -> tuple[Throttle, ...]:
@@ -279,12 +298,14 @@
 
     :param headroom: threshold over p99, above 1
     """
-    left = math.log(headroom)
+    left = math.log(headroom) * HEADROOM_SHARE
     actions: list[Throttle] = []
     for blame in reversed(blames):
         if blame.speed >= 1.0:
             continue
-        speed = min(blame.speed * SPEED_STEP_UP, 1.0)
+        factor = 1.0 + left / max(blame.rise, SMALLEST_RISE)
+        factor = max(factor, SPEED_STEP_UP)
+        speed = min(blame.speed * factor, 1.0)
         left -= blame.rise * (speed / blame.speed - 1.0)
         if left < 0 and actions:
             break
@@ -306,7 +327,6 @@
     wait_ms = MOVE_AFTER_MS * (0.5 + weight)
     if not control_state.has_been_slow(state, now_ms, wait_ms):
         return state, ()
-    total = sum(blame.rise for blame in blames)
     for blame in blames:
         attempt = blame.attempt
         nearly_done = (
@@ -314,9 +334,9 @@
             >= preemption.NEARLY_DONE_SHARE * attempt.expected_run_ms
             and attempt.expected_run_ms > 0
         )
-        if blame.rise < SMALLEST_BLAME_SHARE * total or nearly_done:
+        if nearly_done or not attempt.is_movable:
             continue
-        if not attempt.is_movable:
+        if blame.speed > LOWEST_SPEED or blame.rise < SMALLEST_MOVED_RISE:
             continue
         spent = control_state.spend_eviction(state, now_ms)
         if spent is None:
--- a/borageshelf/decisions/control_state.py
+++ b/borageshelf/decisions/control_state.py
@@ -26,13 +26,8 @@
 
     :param speeds: fraction of each throttled attempt by task
     :param changed_at_ms: time of the last action
-    :param raised_at_ms: time of the last restored speed
     :param slow_since_ms: start of the present slow phase, or 0
-    :param calm_since_ms: time from which the service was well below the
-        threshold
-    :param calm_needed_ms: calm that a restored speed needs; 0 before the
-        first relapse
-    :param has_relapsed: whether a relapse followed the last restored speed
+    :param calm_since_ms: end of the last slow phase
     :param waves: slow phases that ended without a move
     :param wave_ms: their usual length
     :param moved_in_phase: whether an attempt was moved in the slow phase
@@ -41,11 +36,8 @@
 
     speeds: Mapping[str, float] = dataclasses.field(default_factory=dict)
     changed_at_ms: int = 0
-    raised_at_ms: int = 0
     slow_since_ms: int = 0
     calm_since_ms: int = 0
-    calm_needed_ms: int = 0
-    has_relapsed: bool = False
     waves: int = 0
     wave_ms: float = 0.0
     moved_in_phase: bool = False
@@ -86,47 +78,13 @@
     return dataclasses.replace(state, speeds=speeds, changed_at_ms=now_ms)
 
 
-def note_slow(
-    state: State,
-    at_ms: int,
-    relapse_ms: int,
-    calm_ms: int,
-    longest_calm_ms: int,
-) -> State:
-    """Note a measurement above the threshold.
-
-    A slow phase that starts soon after a restored speed is a relapse and
-    doubles the calm that the next restored speed needs.
-    """
-    calm_needed_ms = state.calm_needed_ms
-    relapsed = (
-        state.slow_since_ms == 0
-        and state.raised_at_ms > 0
-        and at_ms - state.raised_at_ms <= relapse_ms
-    )
-    if relapsed:
-        doubled_ms = max(calm_needed_ms, calm_ms) * 2
-        calm_needed_ms = min(doubled_ms, longest_calm_ms)
+def note_slow(state: State, at_ms: int) -> State:
+    """Note a measurement above the threshold."""
     return dataclasses.replace(
         state,
         slow_since_ms=state.slow_since_ms or at_ms,
         moved_in_phase=state.moved_in_phase and state.slow_since_ms > 0,
         calm_since_ms=0,
-        calm_needed_ms=calm_needed_ms,
-        has_relapsed=state.has_relapsed or relapsed,
-    )
-
-
-def note_raised(state: State, now_ms: int) -> State:
-    """Note a restored speed; one without a relapse halves the calm."""
-    calm_needed_ms = state.calm_needed_ms
-    if not state.has_relapsed:
-        calm_needed_ms //= 2
-    return dataclasses.replace(
-        state,
-        raised_at_ms=now_ms,
-        calm_needed_ms=calm_needed_ms,
-        has_relapsed=False,
     )
 
 
@@ -151,16 +109,10 @@
     )
 
 
-def note_borderline(state: State, at_ms: int) -> State:
-    """Note a measurement between both thresholds; calm starts anew."""
-    return dataclasses.replace(state, calm_since_ms=at_ms)
-
-
 def is_calm(state: State, at_ms: int, calm_ms: int) -> bool:
     """Tell whether the service was fast long enough to restore speed."""
-    needed_ms = max(state.calm_needed_ms, calm_ms)
-    since_ms = max(state.calm_since_ms, state.raised_at_ms)
-    return state.calm_since_ms > 0 and at_ms - since_ms >= needed_ms
+    since_ms = max(state.calm_since_ms, state.changed_at_ms)
+    return state.calm_since_ms > 0 and at_ms - since_ms >= calm_ms
 
 
 def has_been_slow(state: State, now_ms: int, wait_ms: float) -> bool:
--- a/borageshelf/decisions/estimates.py
+++ b/borageshelf/decisions/estimates.py
@@ -20,8 +20,9 @@
 # The weight of a task halves every 20 tasks, so a family whose size changes
 # is learned again within a few dozen tasks.
 DECAY_PER_TASK: Final = 0.966
-# Processor time above the reservation only slows tasks down, but memory
-# above it kills them, so memory is reserved further out.
+# Processor time is shared by the tasks of a VM and their deviations cancel
+# out, so the mean is reserved with the error of the mean itself. Memory above
+# the reservation kills tasks, so it is reserved by the spread of one task.
 PROCESSOR_DEVIATIONS: Final = 1.0
 MEMORY_DEVIATIONS: Final = 3.0
 MEMORY_MARGIN: Final = 1.1
@@ -101,6 +102,14 @@
 UNKNOWN: Final = FamilyEstimate()
 
 
+def find_mean_upper(moments: Moments, deviations: float) -> float:
+    """Return the mean plus deviations of the estimated mean."""
+    if moments.weight <= 0:
+        return 0.0
+    error = math.sqrt(moments.variance / moments.weight)
+    return moments.mean + deviations * error
+
+
 def has_history(book: Book, family: str) -> bool:
     """Tell whether enough tasks finished for the spread to be known."""
     known = book.find(family)
@@ -120,7 +129,9 @@
     known = book.find(family)
     if not has_history(book, family):
         return declared.maximum(known.running_peak)
-    processor = known.processor_millicores.find_upper(PROCESSOR_DEVIATIONS)
+    processor = find_mean_upper(
+        known.processor_millicores, PROCESSOR_DEVIATIONS
+    )
     memory = max(
         known.memory_mb.find_upper(MEMORY_DEVIATIONS),
         known.memory_peak_mb * MEMORY_MARGIN,
--- a/borageshelf/decisions/placement.py
+++ b/borageshelf/decisions/placement.py
@@ -33,16 +33,19 @@
 RETRY_MS: Final = 1_000
 QUIET_RETRY_MS: Final = 2_000
 # Rise of the p99, times the weights, that a task accepts when it has just
-# arrived; the bound doubles for each further patience.
+# arrived; the bound doubles for each further patience, which is multiplied by
+# the weight of tail latency over that of throughput.
 ACCEPTED_HARM: Final = 0.5
 PATIENCE_MS: Final = 20_000
+LARGEST_PATIENCE_FACTOR: Final = 8.0
 # A task waits at most this long for a quieter target.
-LONGEST_QUIET_WAIT_MS: Final = 120_000
+LONGEST_QUIET_WAIT_MS: Final = 600_000
 # From this urgency on, work does not wait for a quieter target.
 URGENT: Final = 5
 # An unmeasured pair starts at half speed; control raises it when the service
 # stays fast.
 EXPLORATION_THROTTLE: Final = 0.5
+SLOWEST_START: Final = 0.05
 
 
 def choose_target(
@@ -226,9 +229,13 @@
     if task.urgency >= URGENT or waited_ms >= LONGEST_QUIET_WAIT_MS:
         return True
     objective = request.policy.objective
+    if objective.batch_throughput <= 0:
+        return objective.tail_latency <= 0
+    weight = objective.tail_latency / objective.batch_throughput
+    patience_ms = PATIENCE_MS * min(weight, LARGEST_PATIENCE_FACTOR)
+    doublings = max(waited_ms, 0) / max(patience_ms, 1.0)
     harm = placement_cost.find_harm(request, target)
-    bound = ACCEPTED_HARM * math.exp2(max(waited_ms, 0) / PATIENCE_MS)
-    return objective.tail_latency * harm <= objective.batch_throughput * bound
+    return weight * harm <= ACCEPTED_HARM * math.exp2(min(doublings, 64.0))
 
 
 def _place(
@@ -256,7 +263,12 @@
     kept = 1.0 - policy.limits.calls_minimum_share
     if request.need.processor_millicores > kept * capacity:
         speed = kept
-    if task.urgency < URGENT and not interference.is_known(
+    if task.urgency >= URGENT:
+        return speed
+    # A start at full speed would add to a slow phase until control sees it.
+    pressure = max(target.service_p99_ratio, 1.0)
+    speed = max(min(speed, pressure**-2), SLOWEST_START)
+    if not interference.is_known(
         policy.interference, target.service, task.family, request.now_ms
     ):
         speed = min(speed, EXPLORATION_THROTTLE)
