--- a/borageshelf/agent/links.py
+++ b/borageshelf/agent/links.py
@@ -42,6 +42,7 @@
         self.address = address
         self.entry_id = ''
         self.epochs: dict[int, int] = {}
+        self.usage_fingerprint = b''
         self.is_connected = False
         self.report_interval_ms = DEFAULT_REPORT_INTERVAL_MS
         self._links = links
@@ -97,10 +98,10 @@
             stub = inner_grpc.InnerStub(channel)
             async with stub.Attach.open() as stream:
                 hello = self._links.make_hello()
-                await asyncio.wait_for(
-                    stream.send_message(inner_pb2.AgentMessage(hello=hello)),
-                    CONNECT_TIMEOUT_MS / 1000,
-                )
+                async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                    await stream.send_message(
+                        inner_pb2.AgentMessage(hello=hello)
+                    )
                 self._queue = asyncio.Queue(QUEUE_LIMIT)
                 self._hear()
                 await self._exchange(stream)
@@ -163,6 +164,7 @@
     def _detach(self) -> None:
         self._queue = None
         self.is_connected = False
+        self.usage_fingerprint = b''
         self.epochs.clear()
         self._links.handle_detached(self)
 
--- a/borageshelf/agent/tasks.py
+++ b/borageshelf/agent/tasks.py
@@ -50,6 +50,8 @@
         self._clock = clock
         self._clock_skew_ms = clock_skew_ms
         self.objective = objects.Objective()
+        # Reduced speeds with which attempts were started, for control.
+        self.speeds: dict[reservations.AttemptKey, float] = {}
         self._locks: dict[reservations.AttemptKey, asyncio.Lock] = {}
 
     async def start(self, message: inner_pb2.Start) -> inner_pb2.StartAnswer:
@@ -69,12 +71,14 @@
         return inner_pb2.StartAnswer(attempt=attempt, code=errors.OK.number)
 
     async def stop(
-        self, attempt: inner_pb2.Attempt, wants_checkpoint: bool
+        self, stop: inner_pb2.Stop
     ) -> inner_pb2.AttemptStatus | None:
         """Stop an attempt and return the proof.
 
-        :return: None if the request comes from an earlier owner
+        :return: None if the request comes from an earlier owner, or if only
+            an absence was to be proved and the attempt is known
         """
+        attempt = stop.attempt
         key = reservations.AttemptKey(attempt.task_id, attempt.attempt)
         if not self.ledger.observe_epoch(attempt.shard, attempt.epoch):
             return None
@@ -83,10 +87,12 @@
             return inner_pb2.AttemptStatus(
                 attempt=attempt, state=inner_pb2.ATTEMPT_NEVER_STARTED
             )
+        if stop.only_unstarted:
+            return None
         async with self._lock(key):
             held = self.ledger.find(key)
             if held is not None and held.occupies:
-                await self._stop_on_worker(key, wants_checkpoint)
+                await self._stop_on_worker(key, stop.checkpoint)
         held = self.ledger.find(key)
         return convert.pack_held(held) if held is not None else None
 
@@ -114,6 +120,7 @@
         if not self.ledger.release(key, attempt.shard, attempt.epoch):
             return
         self._locks.pop(key, None)
+        self.speeds.pop(key, None)
         try:
             await self._worker.release(key.task_id, key.attempt)
         except errors.BorageshelfError:
@@ -171,7 +178,11 @@
     async def _measure(self) -> None:
         for sample in await self._worker.usage():
             key = reservations.AttemptKey(sample.task_id, sample.attempt)
-            self.ledger.update(key, used=sample.used)
+            held = self.ledger.find(key)
+            if held is not None and held.occupies:
+                self.ledger.update(
+                    key, used=sample.used, peak=held.peak.maximum(sample.used)
+                )
 
     async def _make_room(self, offer: reservations.StartOffer) -> None:
         """Evict less urgent attempts if a more urgent one does not fit."""
@@ -222,7 +233,7 @@
         request = worker_interface.StartRequest(
             offer.key.task_id,
             offer.key.attempt,
-            reservations.format_owner(offer.shard, offer.epoch),
+            reservations.format_owner(offer),
             offer.family,
             offer.declared,
             offer.grant_deadline_ms,
@@ -240,6 +251,9 @@
                 await self._resolve_start(offer)
             return
         self.ledger.update(offer.key, state=reservations.HeldState.RUNNING)
+        if 0 < message.speed < 1:
+            self.speeds[offer.key] = message.speed
+            await self.throttle(message.grant.attempt, message.speed)
 
     async def _resolve_start(self, offer: reservations.StartOffer) -> None:
         """Find out whether an unanswered start took effect.
--- a/borageshelf/configuration/propagation.py
+++ b/borageshelf/configuration/propagation.py
@@ -18,6 +18,7 @@
 from borageshelf import errors
 from borageshelf.model import objects
 from borageshelf.platform import store as store_interface
+from borageshelf import telemetry as telemetry_module
 
 # A watch that stays open this long without a change confirms the version.
 WATCH_MS: Final = 10_000
@@ -113,6 +114,7 @@
             version=self.version,
             services={name: known[name] for name in services if name in known},
             limits=self._configuration.limits,
+            objective=self._configuration.objective,
         )
         return contents.encode_value(part)
 
@@ -154,6 +156,7 @@
     :param ask_peers: returns the bundles of other entries; it may fail
     :param name: identity of the entry; spreads the retries of all entries
     :param pause: awaited with a delay in milliseconds between tries
+    :param telemetry: gets the delay of changes and the failed watches
     """
 
     def __init__(
@@ -164,6 +167,7 @@
         name: str,
         clock: abc.Callable[[], int] = clock_module.read_wall_clock_ms,
         pause: abc.Callable[[int], abc.Awaitable[None]] | None = None,
+        telemetry: telemetry_module.Telemetry | None = None,
     ) -> None:
         self._store = store
         self._holder = holder
@@ -171,8 +175,10 @@
         self._name = name
         self._clock = clock
         self._pause = pause or wait_ms
+        self._telemetry = telemetry
         self._parts: dict[str, bytes] = {}
         self._failures = 0
+        self._root_version = 0
 
     async def run(self) -> None:
         """Watch until the task is cancelled."""
@@ -193,6 +199,11 @@
             logging.warning('peers gave no configuration: %s', error)
             return
         for bundle in bundles:
+            if bundle == self._holder.bundle:
+                # Entries encode a publication in the same way. Decoding all
+                # bundles at each retry would cost more than 1% of a core.
+                self._holder.confirm(self._holder.version)
+                continue
             try:
                 publication = contents.decode_bundle(bundle).publication
                 self._holder.offer_bundle(bundle)
@@ -223,6 +234,8 @@
                 if entry.key == contents.ROOT_KEY and not entry.deleted:
                     await self._load(entry)
             self._note_success()
+            # An answer without a change shows that the root is the same.
+            self._holder.confirm(self._root_version)
             revision = max(revision, answer.revision)
 
     async def _read_root(self) -> int:
@@ -235,6 +248,7 @@
 
     async def _load(self, entry: store_interface.Entry) -> None:
         root = contents.decode_value(entry.value, contents.Root)
+        self._root_version = root.version
         if root.version > self._holder.version:
             bundle = await read_bundle(
                 self._store, root.publication, self._parts
@@ -244,6 +258,7 @@
                 bundle.parts.values(), bundle.publication.version
             )
             self._holder.offer(configuration, contents.encode_bundle(bundle))
+            self._note_delay(bundle.publication)
         elif root.version < self._holder.version:
             # Only a store that lost writes shows this; the version in force
             # stays.
@@ -254,6 +269,12 @@
             )
         self._holder.confirm(root.version)
 
+    def _note_delay(self, publication: contents.Publication) -> None:
+        """Send the delay, which includes the skew of the two clocks."""
+        if self._telemetry is not None:
+            delay_ms = max(self._clock() - publication.published_at_ms, 0)
+            self._telemetry.time(telemetry_module.CONFIG_DELAY, delay_ms)
+
     def _note_success(self) -> None:
         if self._failures:
             logging.info('configuration is read from the store again')
@@ -263,6 +284,8 @@
         if not self._failures:
             logging.warning('configuration watch failed: %r', error)
         self._failures += 1
+        if self._telemetry is not None:
+            self._telemetry.count(telemetry_module.CONFIG_WATCH_ERRORS)
 
 
 async def read_bundle(
@@ -310,11 +333,12 @@
         raise errors.BorageshelfError(
             errors.INTERNAL, f'{prefix}{expected_hash} is missing'
         )
-    if contents.compute_hash(entry.value) != expected_hash:
+    data = contents.unpack(entry.value)
+    if contents.compute_hash(data) != expected_hash:
         raise errors.BorageshelfError(
             errors.INTERNAL, f'{prefix}{expected_hash} is damaged'
         )
-    return entry.value
+    return data
 
 
 def _notify(observer: Observer, configuration: objects.Configuration) -> None:
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -22,11 +22,13 @@
 from borageshelf.entry import service as service_module
 from borageshelf.entry import sessions as sessions_module
 from borageshelf.entry import status as status_module
+from borageshelf.entry import watchdog
 from borageshelf import errors
 from borageshelf import loop as loop_module
 from borageshelf.model import objects
 from borageshelf import options as options_module
 from borageshelf.platform import http_store
+from borageshelf.platform import scoped_store
 from borageshelf import telemetry as telemetry_module
 
 CLAIM_LIFETIME_MS: Final = 24 * 3600 * 1000
@@ -49,18 +51,21 @@
         self._aborting = asyncio.Event()
         self._background = loop_module.TaskGroup()
         self._store = http_store.HttpStore(options.store_url)
+        regional_store = scoped_store.ScopedStore(
+            self._store, f'regions/{options.region}/'
+        )
         self._holder = propagation.ConfigurationHolder()
         self._registry = sessions_module.SessionRegistry()
         self._peers = peers_module.Peers()
         self._batch = batch_module.BatchService(
             options,
-            self._store,
+            regional_store,
             self._registry,
             self._find_configuration,
             telemetry,
         )
         self._membership = membership_module.Membership(
-            self._store,
+            regional_store,
             membership_module.Member(
                 options.entry_id,
                 self._boot_id,
@@ -69,6 +74,9 @@
             ),
             self._note_members,
         )
+        self._watchdog = watchdog.Watchdog(
+            options.entry_id, self._membership, self._peers, telemetry
+        )
         self._jobs = jobs_module.JobService(
             self._batch,
             self._peers,
@@ -126,6 +134,7 @@
         self._background.start(self._calls.serve())
         self._membership.start()
         self._batch.start(self._membership)
+        self._background.start(self._watchdog.run())
         self._listen()
         self._telemetry.log_state('entry started', entry=self._boot_id)
         await self._stopping.wait()
--- a/borageshelf/shards/runner.py
+++ b/borageshelf/shards/runner.py
@@ -133,10 +133,7 @@
     async def _wait(self) -> None:
         """Wait for work, at least one tick and at most an idle one."""
         await asyncio.sleep(self._tick_ms / 1000)
-        try:
-            await asyncio.wait_for(self._wake.wait(), IDLE_TICK_MS / 1000)
-        except asyncio.TimeoutError:
-            return
+        await loop.wait_for_event(self._wake, IDLE_TICK_MS)
 
     async def _commit(self, batch: owner_module.Batch) -> None:
         assert self.owner is not None
@@ -165,15 +162,8 @@
         if error.code is errors.STORE_CONFLICT:
             self._is_lost = True
             self._is_idle.set()
-            for effect in batch.effects:
-                if isinstance(effect, effects.Reply):
-                    self._dispatch(
-                        effects.Reply(
-                            effect.token,
-                            errors.OUTCOME_UNKNOWN,
-                            'the shard moved to another entry',
-                        )
-                    )
+            for reply in self.owner.abandon(batch):
+                self._dispatch(reply)
             self._on_lost(self)
             return
         for effect in self.owner.refuse_batch(batch):
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,188 @@
+"""The whole path as separate processes on loopback.
+
+Waits for events with generous limits; nothing is timed.
+"""
+
+import asyncio
+from collections import abc
+import json
+import signal
+from typing import Any
+
+import pytest
+
+from bench import demo_plans
+from bench import fleet as fleet_module
+from standins import audits
+from tests import process_support
+
+
+def test_call_and_job_from_end_to_end() -> None:
+    """Guards against a path that does not connect all its parts."""
+
+    async def scenario(fleet: fleet_module.Fleet) -> None:
+        assert await process_support.call(fleet, b'hello') == (200, b'hello')
+        job_id = await process_support.submit(
+            fleet, 'ledgers', run_ms=100, result='sum 7'
+        )
+        job = await process_support.wait_for_end(fleet, job_id)
+        assert (job['code_name'], job['result']) == ('OK', 'sum 7')
+
+    process_support.run_fleet(scenario)
+
+
+def test_key_of_non_idempotent_call_runs_once() -> None:
+    """Guards against a second run through another entry."""
+
+    async def scenario(fleet: fleet_module.Fleet) -> None:
+        headers = {'call_key': 'invoice-1', 'call_idempotent': 'false'}
+        assert await process_support.call(fleet, b'bill', **headers) == (
+            200,
+            b'bill',
+        )
+        fleet.entries.reverse()
+        status, content = await process_support.call(fleet, b'bill', **headers)
+        assert status == 409
+        assert json.loads(content)['code_name'] == 'DUPLICATE_KEY'
+
+    process_support.run_fleet(scenario)
+
+
+def test_job_survives_the_death_of_all_its_owners() -> None:
+    """Guards against a lost or repeated task when entries are replaced."""
+
+    async def scenario(fleet: fleet_module.Fleet) -> None:
+        job_id = await process_support.submit(
+            fleet, 'ledgers', run_ms=6_000, result='kept'
+        )
+        await process_support.wait_for_run(fleet, job_id)
+        for entry in list(fleet.entries):
+            await entry.process.kill()
+        fleet.entries.clear()
+        await fleet.start_entry('test-entry-9', 'molino-alto')
+        for vm in fleet.vms.values():
+            # Seeds are replaced with the entries, as the platform does.
+            await vm.agent.kill()
+            vm.agent = await fleet.start_agent(
+                vm.plan, vm.worker_url, vm.executor_url
+            )
+        job = await process_support.wait_for_end(fleet, job_id)
+        assert (job['code_name'], job['result']) == ('OK', 'kept')
+        intervals = await process_support.read_intervals(fleet)
+        assert not audits.find_overlaps(intervals)
+        assert not audits.find_repeated_completions(intervals)
+
+    process_support.run_fleet(scenario)
+
+
+def test_drained_vm_moves_its_task_with_a_checkpoint() -> None:
+    """Guards against work that is lost or repeated by a planned stop."""
+
+    async def scenario(fleet: fleet_module.Fleet) -> None:
+        job_id = await process_support.submit(
+            fleet, 'ledgers', run_ms=20_000, result='moved'
+        )
+        place = await process_support.wait_for_run(fleet, job_id)
+        fleet.vms[place].agent.send(signal.SIGTERM)
+        assert await fleet.vms[place].agent.wait() == 0
+        job = await process_support.wait_for_end(fleet, job_id)
+        assert (job['code_name'], job['result']) == ('OK', 'moved')
+        assert job['tasks'][0]['evictions'] == 1
+        mine = [
+            item
+            for item in await process_support.read_intervals(fleet)
+            if item.task_id.startswith(job_id)
+        ]
+        assert [item.work_from_ms > 0 for item in mine].count(True) == 1
+        assert not audits.find_overlaps(mine)
+
+    process_support.run_fleet(scenario)
+
+
+def test_store_outage_keeps_work_running() -> None:
+    """Guards against untrue acceptance and lost completions."""
+
+    async def scenario(fleet: fleet_module.Fleet) -> None:
+        job_id = await process_support.submit(
+            fleet, 'ledgers', run_ms=3_000, result='held'
+        )
+        await process_support.wait_for_run(fleet, job_id)
+        await fleet.set_store_faults(outage='refusing')
+        assert await process_support.call(fleet, b'still') == (200, b'still')
+        headers = {'call_key': 'plan-1', 'call_idempotent': 'false'}
+        status, content = await process_support.call(fleet, b'plan', **headers)
+        assert json.loads(content)['work'] == 'not run', status
+        status, answer = await fleet.submit(fleet.entries[-1], 'ledgers', '{}')
+        assert answer['work'] == 'not run', status
+
+        async def has_finished() -> bool:
+            intervals = await process_support.read_intervals(fleet)
+            return any(item.ended_as == 'succeeded' for item in intervals)
+
+        await fleet_module.wait_until(has_finished, 'end during the outage')
+        await fleet.set_store_faults()
+        job = await process_support.wait_for_end(fleet, job_id)
+        assert (job['code_name'], job['result']) == ('OK', 'held')
+
+    process_support.run_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'code'),
+    [
+        ('POST', '/v1/services/nosuch/calls', b'', 'UNKNOWN_SERVICE'),
+        ('GET', '/v1/services/pigment/calls', b'', 'WRONG_METHOD'),
+        ('POST', '/v1/jobs', b'{"job": 7}', 'BAD_REQUEST'),
+        ('POST', '/v1/jobs', b'not json', 'BAD_REQUEST'),
+        ('POST', '/v1/jobs', b'{"job": "nosuch"}', 'UNKNOWN_JOB'),
+        ('GET', '/v1/jobs/nosuch', b'', 'UNKNOWN_JOB'),
+        ('DELETE', '/v1/jobs/nosuch', b'', 'UNKNOWN_JOB'),
+        ('GET', '/v1/nothing', b'', 'NOT_FOUND'),
+        ('POST', '/v1/jobs', b'x' * 1_000_001, 'BODY_TOO_LARGE'),
+    ],
+)
+def test_bad_requests_get_their_code(
+    shared_fleet: 'SharedFleet', method: str, path: str, body: bytes, code: str
+) -> None:
+    """Guards against unclear answers to wrong requests."""
+    status, answer = shared_fleet.request(method, path, body)
+    assert answer['code_name'] == code, status
+    assert answer['work'] == 'not run'
+
+
+class SharedFleet:
+    """A fleet for requests that change nothing."""
+
+    def __init__(self) -> None:
+        self._runner = asyncio.Runner()
+        self._fleet = fleet_module.Fleet(process_support.PLAN)
+        self._runner.run(self._start())
+
+    def request(
+        self, method: str, path: str, body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        """Send a request to an entry."""
+        url = f'{self._fleet.entries[0].caller_url}{path}'
+        found: tuple[int, dict[str, Any]] = self._runner.run(
+            self._fleet.request(method, url, data=body)
+        )
+        return found
+
+    def stop(self) -> None:
+        """End the processes."""
+        self._runner.run(self._fleet.__aexit__())
+        self._runner.close()
+
+    async def _start(self) -> None:
+        await self._fleet.__aenter__()
+        await demo_plans.publish(self._fleet, demo_plans.EXAMPLES / 'ocre')
+
+
+@pytest.fixture(scope='module')
+def shared_fleet() -> abc.Iterator[SharedFleet]:
+    """Yield one fleet for all bad requests."""
+    fleet = SharedFleet()
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
