--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,15 @@
 format: $(VENV)/.installed
 	$(BIN)/ruff format .
 
+# The folder is rebuilt each time, because modules that no longer exist would
+# stay in it. Test packages of the libraries are left out: every VM unpacks
+# the file into memory.
 binary: $(VENV)/.installed
+	rm -rf build
 	mkdir -p dist
-	$(BIN)/shiv -q -c borageshelf -o dist/borageshelf -p "/usr/bin/env python3" .
+	$(BIN)/pip install -q --no-compile --target build/site .
+	find build/site -type d '(' -name test -o -name tests ')' -prune -exec rm -rf {} +
+	$(BIN)/shiv --reproducible --site-packages build/site -c borageshelf -o dist/borageshelf -p "/usr/bin/env python3"
 
 # Regenerates the committed protocol code from inner.proto.
 protocol: $(VENV)/.installed
--- a/bench/binary.py
+++ b/bench/binary.py
@@ -48,6 +48,7 @@
     """A process that was started, looked at and stopped.
 
     :param ready_ms: time until it reported that it had started
+    :param exit_status: a negative number is the signal that ended it
     """
 
     ready_ms: float
@@ -177,10 +178,19 @@
         ready_ms,
         int(status['VmRSS'].split()[0]) / KB_PER_MB,
         int(status['Threads']),
-        await process.wait(),
+        await _find_exit_status(process),
     )
 
 
+async def _find_exit_status(process: fleet.Process) -> int:
+    """Return the exit status; a process that does not stop is killed."""
+    try:
+        return await process.wait()
+    except TimeoutError:
+        await process.kill()
+        return process.process.returncode or 0
+
+
 def _read_status(pid: int) -> dict[str, str]:
     text = pathlib.Path(f'/proc/{pid}/status').read_text()
     pairs = (line.split(':', 1) for line in text.splitlines())
@@ -213,7 +223,7 @@
         # strace ends with the status of the process that it traces.
         lines = output.read_text().splitlines()
         os.kill(traces.find_first_pid(lines), signal.SIGTERM)
-        status = await process.wait()
+        status = await _find_exit_status(process)
         lines = output.read_text().splitlines()
         found[name] = (traces.count_calls(lines), status)
     return found
