--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -8,7 +8,6 @@
 from typing import Any, Final
 
 from borageshelf import clock
-from borageshelf.decisions import assignment
 from borageshelf.decisions import placement
 from borageshelf.decisions import views
 from borageshelf.entry import learning as learning_module
@@ -26,6 +25,7 @@
 from borageshelf.shards import grants
 from borageshelf.shards import log
 from borageshelf.shards import owner as owner_module
+from borageshelf.shards import ownership
 from borageshelf.shards import records
 from borageshelf.shards import runner as runner_module
 from borageshelf import telemetry as telemetry_module
@@ -34,6 +34,10 @@
 # A new entry waits for one watch answer before it takes shards, so that
 # entries that start together share them at once.
 JOIN_PAUSE_MS: Final = 500
+# After an outage of the store all leases may have ended. Entries announce
+# themselves again within RENEW_INTERVAL_MS of membership; until then a
+# missing owner proves nothing.
+REJOIN_PAUSE_MS: Final = 5_000
 # Bounds the time that one shard holds the event loop in a surge of jobs.
 PLACED_PER_TICK: Final = 32
 
@@ -73,6 +77,7 @@
         self._background = loop.TaskGroup()
         self._changed = asyncio.Event()
         self._leaving = False
+        self._hold_deadline_ms = 0
         self._dispatch = functools.singledispatch(self._dispatch_unknown)
         for kind, handle in (
             (effects.SendStart, self._send_start),
@@ -138,6 +143,7 @@
         await asyncio.sleep(JOIN_PAUSE_MS / 1000)
         while True:
             self._changed.clear()
+            self._note_store()
             await self._reconcile()
             try:
                 await asyncio.wait_for(
@@ -146,11 +152,23 @@
             except asyncio.TimeoutError:
                 continue
 
+    def _note_store(self) -> None:
+        assert self._membership is not None
+        is_reachable = self._membership.is_store_reachable
+        if not is_reachable:
+            now_ms = clock.read_wall_clock_ms()
+            self._hold_deadline_ms = now_ms + REJOIN_PAUSE_MS
+        for runner in self._runners.values():
+            if runner.owner is not None:
+                runner.owner.note_store(is_reachable)
+
     async def _reconcile(self) -> None:
         """Acquire shards without a live owner; release those that move."""
         assert self._membership is not None
         if not self._membership.has_view:
             return
+        if clock.read_wall_clock_ms() < self._hold_deadline_ms:
+            return
         owners: dict[int, str] = {}
         for shard in range(self._options.shards):
             member = self._membership.find_owner(shard)
@@ -161,17 +179,15 @@
             for member in self._membership.list_members()
             if not member.leaving
         ]
-        wanted = assignment.assign_shards(
-            self._options.shards, owners, members
+        plan = ownership.plan_shards(
+            self._options.entry_id,
+            self._options.shards,
+            owners,
+            members,
+            self._runners.keys(),
         )
-        own_id = self._options.entry_id
-        moves = []
-        for shard, entry_id in wanted.items():
-            is_own = shard in self._runners
-            if entry_id == own_id and not is_own and shard not in owners:
-                moves.append(self._acquire(shard))
-            elif entry_id != own_id and is_own:
-                moves.append(self._release(shard))
+        moves = [self._acquire(shard) for shard in plan.acquire]
+        moves += [self._release(shard) for shard in plan.release]
         if moves:
             await asyncio.gather(*moves)
             self._announce()
@@ -365,6 +381,12 @@
             self._telemetry.log_state(
                 'target quarantined', target=session.identity.target_id
             )
+            for runner in self._runners.values():
+                if runner.owner is not None and runner.is_active:
+                    runner.owner.excuse_failures(
+                        session.identity.target_id, clock.read_wall_clock_ms()
+                    )
+                    runner.wake()
 
     def handle_start_answer(
         self,
@@ -486,7 +508,11 @@
         if session is None:
             return False
         attempt = convert.pack_attempt(effect.attempt)
-        stop = inner_pb2.Stop(attempt=attempt, checkpoint=effect.checkpoint)
+        stop = inner_pb2.Stop(
+            attempt=attempt,
+            checkpoint=effect.checkpoint,
+            only_unstarted=effect.only_unstarted,
+        )
         return session.send(stop=stop)
 
     def _send_release(self, effect: effects.SendRelease) -> bool:
