--- a/bench/binary.py
+++ b/bench/binary.py
@@ -27,6 +27,9 @@
 MEMORY_FOLDER: Final = pathlib.Path('/dev/shm')
 SETTLE_S: Final = 3.0
 TRACED_S: Final = 6.0
+DRAIN_MS: Final = 5_000
+# The drain time and as much again, for a loaded machine.
+STOP_LIMIT_S: Final = 10.0
 BYTES_PER_MB: Final = 1_000_000
 MS_PER_S: Final = 1_000
 KB_PER_MB: Final = 1_000
@@ -93,6 +96,7 @@
             f'--inner-address={inner}',
             f'--admin-address={fleet.HOST}:{admin}',
             f'--store-url={self.store_url}',
+            f'--drain-ms={DRAIN_MS}',
         ]
 
     def make_agent_flags(self, inner: str) -> list[str]:
@@ -105,6 +109,7 @@
             f'--seeds={inner}',
             f'--worker-url={self.worker_url}',
             f'--executor-url={self.executor_url}',
+            f'--drain-ms={DRAIN_MS}',
         ]
 
     def make_environment(self) -> dict[str, str]:
@@ -182,13 +187,16 @@
     )
 
 
-async def _find_exit_status(process: fleet.Process) -> int:
-    """Return the exit status; a process that does not stop is killed."""
-    try:
-        return await process.wait()
-    except TimeoutError:
-        await process.kill()
-        return process.process.returncode or 0
+async def _find_exit_status(process: fleet.Process, pid: int = 0) -> int:
+    """Return the exit status; a process that does not stop is killed.
+
+    :param pid: the process behind strace, which ends with its status
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(STOP_LIMIT_S):
+            return await process.wait()
+    os.kill(pid or process.pid, signal.SIGKILL)
+    return await process.wait()
 
 
 def _read_status(pid: int) -> dict[str, str]:
@@ -222,8 +230,9 @@
     for name, (process, output) in reversed(running.items()):
         # strace ends with the status of the process that it traces.
         lines = output.read_text().splitlines()
-        os.kill(traces.find_first_pid(lines), signal.SIGTERM)
-        status = await _find_exit_status(process)
+        pid = traces.find_first_pid(lines)
+        os.kill(pid, signal.SIGTERM)
+        status = await _find_exit_status(process, pid)
         lines = output.read_text().splitlines()
         found[name] = (traces.count_calls(lines), status)
     return found
@@ -346,6 +355,8 @@
     flags = parser.parse_args()
     if not flags.file.is_file():
         parser.error(f'{flags.file} does not exist; run make binary')
+    # SIGTERM ends the processes that were started, like an interrupt.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     asyncio.run(measure(flags.file.resolve(), flags.repeats))
 
 
