--- a/borageshelf/agent/calls.py
+++ b/borageshelf/agent/calls.py
@@ -18,11 +18,13 @@
 
 from borageshelf.agent import held_calls
 from borageshelf import errors
+from borageshelf import loop
 from borageshelf.platform import executor as executor_interface
 from borageshelf.protocol import inner_pb2
 from borageshelf.protocol import limits
 
 TICK_MS: Final = 20
+IDLE_TICK_MS: Final = 1_000
 # Ids of calls are remembered for this long after the deadline. A repeat that
 # arrives later is refused because of its deadline; the margin is the bound
 # on clock skew.
@@ -87,6 +89,7 @@
         )
         self._idle = asyncio.Event()
         self._idle.set()
+        self._wakeup = asyncio.Event()
 
     def attach(self, entry_id: str, send: Send) -> None:
         """Register the stream to an entry; a new one replaces the old."""
@@ -149,8 +152,11 @@
                 del memory[key]
 
     async def serve(self) -> None:
-        """Call ``tick`` until cancelled."""
+        """Call ``tick`` until cancelled; seldom while there is no call."""
         while True:
+            if not self._held:
+                await loop.wait_for_event(self._wakeup, IDLE_TICK_MS)
+            self._wakeup.clear()
             await asyncio.sleep(TICK_MS / 1000)
             self.tick()
 
@@ -187,6 +193,7 @@
         if call_id in self._held or call_id in self._started:
             # A repeated message: the first one is answered.
             return
+        self._wakeup.set()
         held = held_calls.HeldCall(entry_id, call)
         refusal = self._find_refusal(call)
         if refusal is not None:
--- a/borageshelf/entry/calls.py
+++ b/borageshelf/entry/calls.py
@@ -21,11 +21,14 @@
 from borageshelf.entry import call_pools
 from borageshelf.entry import call_tries
 from borageshelf import errors
+from borageshelf import loop
 from borageshelf.protocol import inner_pb2
 from borageshelf.protocol import limits as protocol_limits
 from borageshelf import telemetry
 
 TICK_MS: Final = 20
+# Fifty ticks a second without a call used half of the processor budget.
+IDLE_TICK_MS: Final = 1_000
 
 PassChunk = Callable[[bytes], Awaitable[None]]
 Send = call_links.Send
@@ -89,6 +92,7 @@
         self._running: set[str] = set()
         self._idle = asyncio.Event()
         self._idle.set()
+        self._wakeup = asyncio.Event()
 
     @property
     def pools(self) -> Mapping[str, call_pools.CallPool]:
@@ -134,6 +138,7 @@
             speed limits the executor's through credits
         """
         started_ms = self._clock()
+        self._wakeup.set()
         self._metrics.count(telemetry.CALLS_RECEIVED, submission.service)
         result = self._check(submission)
         if result is None:
@@ -157,8 +162,11 @@
         self._dispatcher.tick()
 
     async def serve(self) -> None:
-        """Call ``tick`` until cancelled."""
+        """Call ``tick`` until cancelled; seldom while there is no call."""
         while True:
+            if not self._dispatcher.calls:
+                await loop.wait_for_event(self._wakeup, IDLE_TICK_MS)
+            self._wakeup.clear()
             await asyncio.sleep(TICK_MS / 1000)
             self.tick()
 
