Tell agents about new entries; place stored jobs in the next tick

Entries now tell their agents when the members change. Cause of 1.15 s for an urgent start: after the commit of a job its shard waited for the idle tick.

Agent processes now use the first lease and the settling time of their reservations.

--- a/bench/demo_plans.py
+++ b/bench/demo_plans.py
@@ -112,7 +112,9 @@
 )
 
 
-async def publish(fleet: fleet_module.Fleet, folder: pathlib.Path) -> None:
+async def publish(
+    fleet: fleet_module.Fleet, folder: pathlib.Path, base_version: int = 0
+) -> None:
     """Publish a folder and wait until it is in force everywhere.
 
     :raises RuntimeError: if the publication fails
@@ -127,7 +129,7 @@
         f'--admin-urls={admin_urls}',
         '--author=demo',
         '--reason=first version',
-        '--base-version=0',
+        f'--base-version={base_version}',
         '--wait',
         environment={'BORAGESHELF_ADMIN_TOKEN': fleet_module.TOKEN},
     )
--- a/borageshelf/agent/process.py
+++ b/borageshelf/agent/process.py
@@ -105,6 +105,7 @@
         await self._connect_worker()
         await self._connect_executor()
         self._links.start()
+        self._background.start(self._settle())
         self._background.start(self._poll())
 
     async def _connect_worker(self) -> None:
@@ -118,7 +119,9 @@
                 break
             except errors.BorageshelfError:
                 await asyncio.sleep(START_PAUSE_MS / 1000)
-        ledger = reservations.Reservations(self._description.capacity)
+        ledger = reservations.Reservations(
+            self._description.capacity, is_settled=False
+        )
         ledger.adopt(adopted)
         self._worker = worker
         self._tasks = tasks.TaskManager(
@@ -156,6 +159,22 @@
         )
         self._background.start(self._calls.serve())
 
+    async def _settle(self) -> None:
+        """Take starts once those of an earlier process can't arrive."""
+        if self._tasks is None or self._worker is None:
+            return
+        await asyncio.sleep(reservations.SETTLE_MS / 1000)
+        while True:
+            try:
+                listed = await self._worker.list()
+                break
+            except errors.BorageshelfError:
+                await asyncio.sleep(START_PAUSE_MS / 1000)
+        self._tasks.ledger.adopt(listed)
+        self._tasks.ledger.settle()
+        for link in self._links.list_connected():
+            link.send(report=self._make_report(link))
+
     async def _poll(self) -> None:
         next_expiry_ms = 0
         for number in itertools.count():
@@ -333,10 +352,11 @@
     async def _renew(
         self, link: links.EntryLink, renew: inner_pb2.Renew
     ) -> None:
-        if self._tasks is None:
-            return
+        self._links.learn(renew.entries)
         if renew.report_interval_ms:
             link.report_interval_ms = renew.report_interval_ms
+        if self._tasks is None:
+            return
         fresh = []
         for item in renew.epochs:
             if self._tasks.ledger.observe_epoch(item.shard, item.epoch):
--- a/borageshelf/agent/tasks.py
+++ b/borageshelf/agent/tasks.py
@@ -245,7 +245,7 @@
             reservations.format_owner(offer),
             offer.family,
             offer.declared,
-            offer.grant_deadline_ms,
+            reservations.find_first_lease_ms(offer, self._clock()),
             message.checkpoint,
             message.arguments,
         )
@@ -256,21 +256,43 @@
                 self._end(
                     offer.key, reservations.HeldState.FAILED, code=error.code
                 )
-            else:
-                await self._resolve_start(offer)
-            return
+                return
+            if not await self._resolve_start(offer, request):
+                return
         self.ledger.update(offer.key, state=reservations.HeldState.RUNNING)
+        await self._extend_first_lease(offer.key)
         if 0 < message.speed < 1:
             self.speeds[offer.key] = message.speed
             await self.throttle(message.grant.attempt, message.speed)
 
-    async def _resolve_start(self, offer: reservations.StartOffer) -> None:
+    async def _extend_first_lease(self, key: reservations.AttemptKey) -> None:
+        """Extend the short lease of a start to its grant."""
+        while True:
+            held = self.ledger.find(key)
+            if held is None or self._clock() >= held.grant_deadline_ms:
+                return
+            try:
+                await self._worker.renew(
+                    key.task_id, key.attempt, held.grant_deadline_ms
+                )
+                return
+            except errors.BorageshelfError as error:
+                if error.code is errors.WORKER_REFUSED:
+                    # The attempt has ended; the next poll finds out how.
+                    return
+                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+
+    async def _resolve_start(
+        self,
+        offer: reservations.StartOffer,
+        request: worker_interface.StartRequest,
+    ) -> bool:
         """Find out whether an unanswered start took effect.
 
         The worker may still act on the request until the lease in it ends,
         so an absent attempt counts as dead only after that.
         """
-        limit_ms = offer.grant_deadline_ms + self._clock_skew_ms
+        limit_ms = request.lease_deadline_ms + self._clock_skew_ms
         while True:
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
             now_ms = self._clock()
@@ -280,17 +302,14 @@
                 continue
             keys = {(task.task_id, task.attempt) for task in tasks}
             if (offer.key.task_id, offer.key.attempt) in keys:
-                self.ledger.update(
-                    offer.key, state=reservations.HeldState.RUNNING
-                )
-                return
+                return True
             if now_ms > limit_ms:
                 self._end(
                     offer.key,
                     reservations.HeldState.FAILED,
                     code=errors.WORKER_UNAVAILABLE,
                 )
-                return
+                return False
 
     async def _stop_on_worker(
         self, key: reservations.AttemptKey, wants_checkpoint: bool
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -190,6 +190,7 @@
 
     def _note_members(self) -> None:
         self._batch.note_members()
+        self._service.broadcast_entries()
         self._configure_calls()
 
     def _apply_configuration(
--- a/borageshelf/entry/service.py
+++ b/borageshelf/entry/service.py
@@ -42,6 +42,7 @@
         self._calls = calls
         self._holder = holder
         self._telemetry = telemetry
+        self._addresses: list[inner_pb2.EntryAddress] = []
 
     # Streams from agents.
 
@@ -77,19 +78,33 @@
             )
         )
 
-    def _greet(self, session: sessions_module.AgentSession) -> None:
-        addresses = [
+    def broadcast_entries(self) -> None:
+        """Tell every agent the entries, so that it attaches to new ones."""
+        addresses = self._list_addresses()
+        if addresses == self._addresses:
+            return
+        self._addresses = addresses
+        renew = inner_pb2.Renew(entries=addresses)
+        self._registry.broadcast(
+            lambda session: inner_pb2.EntryMessage(renew=renew)
+        )
+
+    def _list_addresses(self) -> list[inner_pb2.EntryAddress]:
+        return [
             inner_pb2.EntryAddress(
                 entry_id=member.entry_id,
                 address=member.address,
                 data_centre=member.data_centre,
             )
             for member in self._membership.list_members()
+            if not member.leaving
         ]
+
+    def _greet(self, session: sessions_module.AgentSession) -> None:
         session.send(
             welcome=inner_pb2.Welcome(
                 entry_id=self._entry_id,
-                entries=addresses,
+                entries=self._list_addresses(),
                 report_interval_ms=self._registry.find_report_interval_ms(),
                 config=self._make_part(session),
             )
--- a/borageshelf/shards/runner.py
+++ b/borageshelf/shards/runner.py
@@ -150,6 +150,9 @@
             await self._handle_failure(batch, error)
             return
         now_ms = self._clock()
+        if batch.changes.tasks:
+            # A stored job can be placed in the next tick.
+            self._wake.set()
         for effect in self.owner.confirm_batch(batch, now_ms):
             is_sent = self._dispatch(effect)
             if not is_sent and isinstance(effect, effects.SendStart):
