--- a/bench/binary.py
+++ b/bench/binary.py
@@ -20,16 +20,27 @@
 import time
 from typing import Final
 
+from bench import binary_load
 from bench import fleet
 from bench import traces
 
 # A folder in memory, where operators are told to let the file unpack itself.
 MEMORY_FOLDER: Final = pathlib.Path('/dev/shm')
 SETTLE_S: Final = 3.0
-TRACED_S: Final = 6.0
 DRAIN_MS: Final = 5_000
 # The drain time and as much again, for a loaded machine.
 STOP_LIMIT_S: Final = 10.0
+# Starts one thread and one process and shares one mapping, to show that the
+# trace sees them.
+CONTROL: Final = (
+    'import mmap, os, threading\n'
+    'mmap.mmap(-1, 4096)\n'
+    'thread = threading.Thread(target=int)\n'
+    'thread.start()\n'
+    'thread.join()\n'
+    'os.posix_spawn("/bin/true", ["true"], {})\n'
+    'os.wait()\n'
+)
 BYTES_PER_MB: Final = 1_000_000
 MS_PER_S: Final = 1_000
 KB_PER_MB: Final = 1_000
@@ -68,25 +79,31 @@
         self.store_url = ''
         self.worker_url = ''
         self.executor_url = ''
+        self.caller_url = ''
+        self.admin_url = ''
         self._processes: list[fleet.Process] = []
 
     async def __aenter__(self) -> 'Surroundings':
         self.store_url = await self._start('standins.store')
         self.worker_url = await self._start('standins.worker')
-        self.executor_url = await self._start('standins.executor')
+        self.executor_url = await self._start(
+            'standins.executor', f'--service={binary_load.SERVICE}'
+        )
         return self
 
     async def __aexit__(self, *_: object) -> None:
         await asyncio.gather(*(item.kill() for item in self._processes))
 
-    async def _start(self, module: str) -> str:
-        process, url = await fleet.start_standin(module, module)
+    async def _start(self, module: str, *flags: str) -> str:
+        process, url = await fleet.start_standin(module, module, *flags)
         self._processes.append(process)
         return url
 
     def make_entry_flags(self, inner: str) -> list[str]:
         """Return the arguments of an entry."""
         caller, admin = fleet.find_free_ports(2)
+        self.caller_url = f'http://{fleet.HOST}:{caller}'
+        self.admin_url = f'http://{fleet.HOST}:{admin}'
         return [
             'entry',
             '--entry-id=entry-0',
@@ -219,13 +236,16 @@
         output = folder / f'{name}.trace'
         process = await surroundings.launch(
             name,
-            ['strace', '-f', '-qq', '-o', str(output)]
-            + ['-e', f'trace={traces.TRACED}', '-e', 'signal=none']
-            + [*program.command, *arguments],
+            [*_make_trace_command(output), *program.command, *arguments],
         )
         running[name] = (process, output)
         await process.find_line(f'{name} started')
-    await asyncio.sleep(TRACED_S)
+    await binary_load.publish(surroundings.store_url, surroundings.admin_url)
+    outcome = await binary_load.drive(surroundings.caller_url)
+    print(
+        f'Traced load: {outcome.calls} of {binary_load.CALLS} calls and '
+        f'{outcome.jobs} of {binary_load.JOBS} jobs succeeded\n'
+    )
     found = {}
     for name, (process, output) in reversed(running.items()):
         # strace ends with the status of the process that it traces.
@@ -238,6 +258,31 @@
     return found
 
 
+async def trace_control(
+    surroundings: Surroundings, folder: pathlib.Path
+) -> tuple[traces.Counts, int]:
+    """Trace a program that makes the calls which are looked for."""
+    output = folder / 'control.trace'
+    command = [*_make_trace_command(output), sys.executable, '-c', CONTROL]
+    process = await surroundings.launch('control', command)
+    status = await process.wait()
+    return traces.count_calls(output.read_text().splitlines()), status
+
+
+def _make_trace_command(output: pathlib.Path) -> list[str]:
+    return [
+        'strace',
+        '-f',
+        '-qq',
+        '-o',
+        str(output),
+        '-e',
+        f'trace={traces.TRACED}',
+        '-e',
+        'signal=none',
+    ]
+
+
 def measure_folder_mb(folder: pathlib.Path) -> float:
     """Return the size of all files under a folder."""
     files = (path for path in folder.rglob('*') if path.is_file())
@@ -265,6 +310,8 @@
         async with Surroundings(on_disk) as surroundings:
             await time_command(surroundings, binary)
             counts = await trace_pair(surroundings, binary, on_disk)
+            control = await trace_control(surroundings, on_disk)
+            counts['control program'] = control
         _print_counts(counts)
 
 
