--- a/borageshelf/entry/call_dispatch.py
+++ b/borageshelf/entry/call_dispatch.py
@@ -66,9 +66,8 @@
     def find_pool(self, service: str) -> call_pools.CallPool:
         """Return the pool of a service, created when it is new."""
         if service not in self.pools:
-            self.pools[service] = call_pools.CallPool(
-                self._data_centre, self._rng
-            )
+            pool = call_pools.CallPool(self._data_centre, self._rng)
+            self.pools[service] = pool
         return self.pools[service]
 
     def attach(self, target: call_links.Target, send: call_links.Send) -> None:
@@ -90,10 +89,9 @@
         if service is None:
             return
         self.find_pool(service).leave(target_id)
-        for item in list(self._links.tries.values()):
-            if item.target_id == target_id:
-                code = errors.OUTCOME_UNKNOWN
-                self._end_try(item, code, True, 'the stream broke')
+        code = errors.OUTCOME_UNKNOWN
+        for item in self._links.find_tries(target_id):
+            self._end_try(item, code, True, 'the stream broke')
         self.pump(service)
 
     def receive_report(self, target_id: str, report: inner_pb2.Report) -> None:
@@ -102,8 +100,8 @@
         if service is None:
             return
         pool = self.find_pool(service)
-        held = report.queued_calls + report.running_calls
-        pool.report(target_id, held, self._clock())
+        held_calls = report.queued_calls + report.running_calls
+        pool.report(target_id, held_calls, self._clock())
         if report.leaving:
             pool.mark_leaving(target_id)
         self.pump(service)
@@ -168,17 +166,11 @@
         """Send waiting calls while executors are open."""
         now_ms = self._clock()
         pool = self.find_pool(service)
-        for queued in pool.expire(now_ms):
-            code = errors.DEADLINE_TOO_CLOSE
-            if queued.deadline_ms <= now_ms:
-                code = errors.DEADLINE_PASSED
-            self.refuse(self.calls[queued.call_id], code, 'while queued')
         self._send_retries(service, now_ms)
         while taken := pool.take(now_ms):
             call = self.calls[taken[0].call_id]
             waited_ms = now_ms - call.queued.offered_at_ms
-            metric = telemetry.CALL_QUEUE_WAIT
-            self._metrics.time(metric, waited_ms, service)
+            self._metrics.time(telemetry.CALL_QUEUE_WAIT, waited_ms, service)
             self._send_try(call, taken[1])
 
     def cancel(self, call: call_tries.ActiveCall) -> None:
@@ -214,9 +206,8 @@
             # A target that does not answer in time counts as failing.
             item.recorded = True
             elapsed_ms = now_ms - item.sent_at_ms
-            self._count_ejections(
-                pool.record(item.target_id, True, elapsed_ms, now_ms)
-            )
+            condemned = pool.record(item.target_id, True, elapsed_ms, now_ms)
+            self._count_ejections(condemned)
         code = errors.OUTCOME_UNKNOWN
         if call.passed_bytes or call.buffer:
             code = errors.ANSWER_TRUNCATED
@@ -233,6 +224,7 @@
             if now_ms >= deadline_ms + FORGET_MS:
                 self._end_try(item, errors.OUTCOME_UNKNOWN, True, 'forgotten')
         for service in list(self.pools):
+            self._expire(service, now_ms)
             self.pump(service)
 
     def return_credit(
@@ -252,6 +244,15 @@
         elif call.hedge_at_ms is not None and now_ms >= call.hedge_at_ms:
             self._hedge(call, now_ms)
 
+    def _expire(self, service: str, now_ms: int) -> None:
+        """Refuse the waiting calls that cannot end in time."""
+        pool = self.find_pool(service)
+        for queued in pool.expire(now_ms):
+            code = errors.DEADLINE_TOO_CLOSE
+            if queued.deadline_ms <= now_ms:
+                code = errors.DEADLINE_PASSED
+            self.refuse(self.calls[queued.call_id], code, 'while queued')
+
     def _hedge(self, call: call_tries.ActiveCall, now_ms: int) -> None:
         pool = self.find_pool(call.submission.service)
         if call.winner is not None or call.is_cancelled:
@@ -321,6 +322,7 @@
         self._record_try(item, code, ran, service_ms)
         if call.result is not None:
             return
+        call.service_ms = service_ms or None
         if code is errors.OK and call.winner in (None, item):
             self._cancel_losers(call, item)
             done = call_tries.Outcome.DONE
@@ -388,10 +390,11 @@
         del self.calls[call.submission.call_id]
         ran = result.outcome is not call_tries.Outcome.NOT_RUN
         pool = self.find_pool(call.submission.service)
-        pool.finish(call.queued, self._clock(), ran)
+        pool.finish(call.queued, self._clock(), ran, call.service_ms)
         self._on_end(call)
 
     def _count_ejections(self, ejections: tuple[object, ...]) -> None:
         if ejections:
-            metric = telemetry.EXECUTORS_EJECTED
-            self._metrics.count(metric, amount=len(ejections))
+            self._metrics.count(
+                telemetry.EXECUTORS_EJECTED, '', len(ejections)
+            )
