--- a/bench/binary.py
+++ b/bench/binary.py
@@ -21,13 +21,13 @@
 from typing import Final
 
 from bench import binary_load
+from bench import binary_surroundings
 from bench import fleet
 from bench import traces
 
 # A folder in memory, where operators are told to let the file unpack itself.
 MEMORY_FOLDER: Final = pathlib.Path('/dev/shm')
 SETTLE_S: Final = 3.0
-DRAIN_MS: Final = 5_000
 # The drain time and as much again, for a loaded machine.
 STOP_LIMIT_S: Final = 10.0
 # Starts one thread and one process and shares one mapping, to show that the
@@ -46,17 +46,6 @@
 KB_PER_MB: Final = 1_000
 
 
-@dataclasses.dataclass(frozen=True)
-class Program:
-    """One way to run the system.
-
-    :param command: start of each command line
-    """
-
-    name: str
-    command: tuple[str, ...]
-
-
 @dataclasses.dataclass(frozen=True)
 class Sample:
     """A process that was started, looked at and stopped.
@@ -71,92 +60,13 @@
     exit_status: int
 
 
-class Surroundings:
-    """The stand-ins that an entry and an agent need."""
-
-    def __init__(self, unpack_folder: pathlib.Path) -> None:
-        self.unpack_folder = unpack_folder
-        self.store_url = ''
-        self.worker_url = ''
-        self.executor_url = ''
-        self.caller_url = ''
-        self.admin_url = ''
-        self._processes: list[fleet.Process] = []
-
-    async def __aenter__(self) -> 'Surroundings':
-        self.store_url = await self._start('standins.store')
-        self.worker_url = await self._start('standins.worker')
-        self.executor_url = await self._start(
-            'standins.executor', f'--service={binary_load.SERVICE}'
-        )
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        await asyncio.gather(*(item.kill() for item in self._processes))
-
-    async def _start(self, module: str, *flags: str) -> str:
-        process, url = await fleet.start_standin(module, module, *flags)
-        self._processes.append(process)
-        return url
-
-    def make_entry_flags(self, inner: str) -> list[str]:
-        """Return the arguments of an entry."""
-        caller, admin = fleet.find_free_ports(2)
-        self.caller_url = f'http://{fleet.HOST}:{caller}'
-        self.admin_url = f'http://{fleet.HOST}:{admin}'
-        return [
-            'entry',
-            '--entry-id=entry-0',
-            '--region=sierra-centro',
-            '--data-centre=tajo-norte',
-            f'--caller-address={fleet.HOST}:{caller}',
-            f'--inner-address={inner}',
-            f'--admin-address={fleet.HOST}:{admin}',
-            f'--store-url={self.store_url}',
-            f'--drain-ms={DRAIN_MS}',
-        ]
-
-    def make_agent_flags(self, inner: str) -> list[str]:
-        """Return the arguments of an agent of that entry."""
-        return [
-            'agent',
-            '--target-id=vm-0',
-            '--data-centre=tajo-norte',
-            '--rack=rack-1',
-            f'--seeds={inner}',
-            f'--worker-url={self.worker_url}',
-            f'--executor-url={self.executor_url}',
-            f'--drain-ms={DRAIN_MS}',
-        ]
-
-    def make_environment(self) -> dict[str, str]:
-        """Return the environment of a process."""
-        return {
-            **os.environ,
-            'BORAGESHELF_ADMIN_TOKEN': fleet.TOKEN,
-            'SHIV_ROOT': str(self.unpack_folder),
-        }
-
-    async def launch(self, name: str, command: list[str]) -> fleet.Process:
-        """Start a command whose end the caller waits for."""
-        process = fleet.Process(
-            name,
-            await asyncio.create_subprocess_exec(
-                *command,
-                cwd=fleet.ROOT,
-                env=self.make_environment(),
-                stdout=asyncio.subprocess.PIPE,
-                stderr=asyncio.subprocess.STDOUT,
-            ),
-        )
-        self._processes.append(process)
-        return process
-
-
-async def time_command(surroundings: Surroundings, program: Program) -> float:
+async def time_command(
+    around: binary_surroundings.Surroundings,
+    program: binary_surroundings.Program,
+) -> float:
     """Return the milliseconds of a run of ``--version``."""
     started = time.monotonic()
-    process = await surroundings.launch(
+    process = await around.launch(
         program.name, [*program.command, '--version']
     )
     status = await process.wait()
@@ -166,17 +76,18 @@
 
 
 async def run_pair(
-    surroundings: Surroundings, program: Program
+    around: binary_surroundings.Surroundings,
+    program: binary_surroundings.Program,
 ) -> tuple[Sample, Sample]:
     """Run an entry and an agent for a moment."""
     inner = f'{fleet.HOST}:{fleet.find_free_ports(1)[0]}'
     entry, entry_ms = await _start_timed(
-        surroundings,
+        around,
         program,
-        surroundings.make_entry_flags(inner),
+        around.make_entry_flags(inner),
     )
     agent, agent_ms = await _start_timed(
-        surroundings, program, surroundings.make_agent_flags(inner)
+        around, program, around.make_agent_flags(inner)
     )
     await asyncio.sleep(SETTLE_S)
     agent_sample = await _measure_and_stop(agent, agent_ms)
@@ -185,10 +96,12 @@
 
 
 async def _start_timed(
-    surroundings: Surroundings, program: Program, flags: list[str]
+    around: binary_surroundings.Surroundings,
+    program: binary_surroundings.Program,
+    flags: list[str],
 ) -> tuple[fleet.Process, float]:
     started = time.monotonic()
-    process = await surroundings.launch(flags[0], [*program.command, *flags])
+    process = await around.launch(flags[0], [*program.command, *flags])
     await process.find_line(f'{flags[0]} started')
     return process, (time.monotonic() - started) * MS_PER_S
 
@@ -223,25 +136,27 @@
 
 
 async def trace_pair(
-    surroundings: Surroundings, program: Program, folder: pathlib.Path
+    around: binary_surroundings.Surroundings,
+    program: binary_surroundings.Program,
+    folder: pathlib.Path,
 ) -> dict[str, tuple[traces.Counts, int]]:
     """Trace an entry and an agent; returns counts and exit statuses."""
     inner = f'{fleet.HOST}:{fleet.find_free_ports(1)[0]}'
     flags = {
-        'entry': surroundings.make_entry_flags(inner),
-        'agent': surroundings.make_agent_flags(inner),
+        'entry': around.make_entry_flags(inner),
+        'agent': around.make_agent_flags(inner),
     }
     running: dict[str, tuple[fleet.Process, pathlib.Path]] = {}
     for name, arguments in flags.items():
         output = folder / f'{name}.trace'
-        process = await surroundings.launch(
+        process = await around.launch(
             name,
             [*_make_trace_command(output), *program.command, *arguments],
         )
         running[name] = (process, output)
         await process.find_line(f'{name} started')
-    await binary_load.publish(surroundings.store_url, surroundings.admin_url)
-    outcome = await binary_load.drive(surroundings.caller_url)
+    await binary_load.publish(around.store_url, around.admin_url)
+    outcome = await binary_load.drive(around.caller_url)
     print(
         f'Traced load: {outcome.calls} of {binary_load.CALLS} calls and '
         f'{outcome.jobs} of {binary_load.JOBS} jobs succeeded\n'
@@ -259,12 +174,12 @@
 
 
 async def trace_control(
-    surroundings: Surroundings, folder: pathlib.Path
+    around: binary_surroundings.Surroundings, folder: pathlib.Path
 ) -> tuple[traces.Counts, int]:
     """Trace a program that makes the calls which are looked for."""
     output = folder / 'control.trace'
     command = [*_make_trace_command(output), sys.executable, '-c', CONTROL]
-    process = await surroundings.launch('control', command)
+    process = await around.launch('control', command)
     status = await process.wait()
     return traces.count_calls(output.read_text().splitlines()), status
 
@@ -291,26 +206,28 @@
 
 async def measure(file: pathlib.Path, repeats: int) -> None:
     """Print all tables."""
-    binary = Program('executable', (str(file),))
-    source = Program('source', (sys.executable, '-m', 'borageshelf.main'))
+    binary = binary_surroundings.Program('executable', (str(file),))
+    source = binary_surroundings.Program(
+        'source', (sys.executable, '-m', 'borageshelf.main')
+    )
     with contextlib.ExitStack() as stack:
         in_memory = _make_folder(stack, MEMORY_FOLDER)
         print(f'File size: {file.stat().st_size / BYTES_PER_MB:.1f} MB')
-        async with Surroundings(in_memory) as surroundings:
-            first_ms = await time_command(surroundings, binary)
+        async with binary_surroundings.Surroundings(in_memory) as around:
+            first_ms = await time_command(around, binary)
             print(f'First start, which unpacks: {first_ms:.0f} ms')
             print(f'Unpacked size: {measure_folder_mb(in_memory):.1f} MB\n')
-            await _print_commands(surroundings, (binary, source), repeats)
-            await _print_pairs(surroundings, (binary, source), repeats)
+            await _print_commands(around, (binary, source), repeats)
+            await _print_pairs(around, (binary, source), repeats)
         if shutil.which('strace') is None:
             print('strace is not installed; system calls were not counted.')
             return
         # Outside the memory folder, whose use counts as shared memory.
         on_disk = _make_folder(stack, None)
-        async with Surroundings(on_disk) as surroundings:
-            await time_command(surroundings, binary)
-            counts = await trace_pair(surroundings, binary, on_disk)
-            control = await trace_control(surroundings, on_disk)
+        async with binary_surroundings.Surroundings(on_disk) as around:
+            await time_command(around, binary)
+            counts = await trace_pair(around, binary, on_disk)
+            control = await trace_control(around, on_disk)
             counts['control program'] = control
         _print_counts(counts)
 
@@ -325,15 +242,15 @@
 
 
 async def _print_commands(
-    surroundings: Surroundings, programs: tuple[Program, ...], repeats: int
+    around: binary_surroundings.Surroundings,
+    programs: tuple[binary_surroundings.Program, ...],
+    repeats: int,
 ) -> None:
     """Print the times of a command that ends at once, interleaved."""
     times: dict[str, list[float]] = {item.name: [] for item in programs}
     for _ in range(repeats):
         for program in programs:
-            times[program.name].append(
-                await time_command(surroundings, program)
-            )
+            times[program.name].append(await time_command(around, program))
     print('| `--version` | median ms | min | max |')
     print('|---|---|---|---|')
     for name, found in times.items():
@@ -345,13 +262,15 @@
 
 
 async def _print_pairs(
-    surroundings: Surroundings, programs: tuple[Program, ...], repeats: int
+    around: binary_surroundings.Surroundings,
+    programs: tuple[binary_surroundings.Program, ...],
+    repeats: int,
 ) -> None:
     """Print start-up time and memory of running processes, interleaved."""
     samples: dict[str, list[Sample]] = {}
     for _ in range(repeats):
         for program in programs:
-            entry, agent = await run_pair(surroundings, program)
+            entry, agent = await run_pair(around, program)
             samples.setdefault(f'entry, {program.name}', []).append(entry)
             samples.setdefault(f'agent, {program.name}', []).append(agent)
     print(
--- /dev/null
+++ b/bench/binary_surroundings.py
@@ -0,0 +1,112 @@
+"""What an entry and an agent need while the executable is measured.
+
+Stand-ins on free ports, command lines and the environment. Every process
+that is started here is also ended here.
+"""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+from typing import Final
+
+from bench import binary_load
+from bench import fleet
+
+DRAIN_MS: Final = 5_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Program:
+    """One way to run the system.
+
+    :param command: start of each command line
+    """
+
+    name: str
+    command: tuple[str, ...]
+
+
+class Surroundings:
+    """The stand-ins that an entry and an agent need."""
+
+    def __init__(self, unpack_folder: pathlib.Path) -> None:
+        self.unpack_folder = unpack_folder
+        self.store_url = ''
+        self.worker_url = ''
+        self.executor_url = ''
+        self.caller_url = ''
+        self.admin_url = ''
+        self._processes: list[fleet.Process] = []
+
+    async def __aenter__(self) -> 'Surroundings':
+        self.store_url = await self._start('standins.store')
+        self.worker_url = await self._start('standins.worker')
+        self.executor_url = await self._start(
+            'standins.executor', f'--service={binary_load.SERVICE}'
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await asyncio.gather(*(item.kill() for item in self._processes))
+
+    async def _start(self, module: str, *flags: str) -> str:
+        process, url = await fleet.start_standin(module, module, *flags)
+        self._processes.append(process)
+        return url
+
+    def make_entry_flags(self, inner: str) -> list[str]:
+        """Return the arguments of an entry."""
+        caller, admin = fleet.find_free_ports(2)
+        self.caller_url = f'http://{fleet.HOST}:{caller}'
+        self.admin_url = f'http://{fleet.HOST}:{admin}'
+        return [
+            'entry',
+            '--entry-id=entry-0',
+            '--region=sierra-centro',
+            '--data-centre=tajo-norte',
+            f'--caller-address={fleet.HOST}:{caller}',
+            f'--inner-address={inner}',
+            f'--admin-address={fleet.HOST}:{admin}',
+            f'--store-url={self.store_url}',
+            f'--drain-ms={DRAIN_MS}',
+        ]
+
+    def make_agent_flags(self, inner: str) -> list[str]:
+        """Return the arguments of an agent of that entry."""
+        return [
+            'agent',
+            '--target-id=vm-0',
+            '--data-centre=tajo-norte',
+            '--rack=rack-1',
+            f'--seeds={inner}',
+            f'--worker-url={self.worker_url}',
+            f'--executor-url={self.executor_url}',
+            f'--drain-ms={DRAIN_MS}',
+        ]
+
+    def make_environment(self) -> dict[str, str]:
+        """Return the environment of a process."""
+        environment = {
+            **os.environ,
+            'BORAGESHELF_ADMIN_TOKEN': fleet.TOKEN,
+            'SHIV_ROOT': str(self.unpack_folder),
+        }
+        # Without cached byte code every start would compile all modules.
+        environment.pop('PYTHONDONTWRITEBYTECODE', None)
+        return environment
+
+    async def launch(self, name: str, command: list[str]) -> fleet.Process:
+        """Start a command whose end the caller waits for."""
+        process = fleet.Process(
+            name,
+            await asyncio.create_subprocess_exec(
+                *command,
+                cwd=fleet.ROOT,
+                env=self.make_environment(),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.STDOUT,
+            ),
+        )
+        self._processes.append(process)
+        return process
