--- a/bench/binary.py
+++ b/bench/binary.py
@@ -61,12 +61,12 @@
 
 
 async def time_command(
-    around: binary_surroundings.Surroundings,
+    surroundings: binary_surroundings.Surroundings,
     program: binary_surroundings.Program,
 ) -> float:
     """Return the milliseconds of a run of ``--version``."""
     started = time.monotonic()
-    process = await around.launch(
+    process = await surroundings.launch(
         program.name, [*program.command, '--version']
     )
     status = await process.wait()
@@ -76,18 +76,18 @@
 
 
 async def run_pair(
-    around: binary_surroundings.Surroundings,
+    surroundings: binary_surroundings.Surroundings,
     program: binary_surroundings.Program,
 ) -> tuple[Sample, Sample]:
     """Run an entry and an agent for a moment."""
     inner = f'{fleet.HOST}:{fleet.find_free_ports(1)[0]}'
     entry, entry_ms = await _start_timed(
-        around,
+        surroundings,
         program,
-        around.make_entry_flags(inner),
+        surroundings.make_entry_flags(inner),
     )
     agent, agent_ms = await _start_timed(
-        around, program, around.make_agent_flags(inner)
+        surroundings, program, surroundings.make_agent_flags(inner)
     )
     await asyncio.sleep(SETTLE_S)
     agent_sample = await _measure_and_stop(agent, agent_ms)
@@ -96,12 +96,12 @@
 
 
 async def _start_timed(
-    around: binary_surroundings.Surroundings,
+    surroundings: binary_surroundings.Surroundings,
     program: binary_surroundings.Program,
     flags: list[str],
 ) -> tuple[fleet.Process, float]:
     started = time.monotonic()
-    process = await around.launch(flags[0], [*program.command, *flags])
+    process = await surroundings.launch(flags[0], [*program.command, *flags])
     await process.find_line(f'{flags[0]} started')
     return process, (time.monotonic() - started) * MS_PER_S
 
@@ -136,27 +136,27 @@
 
 
 async def trace_pair(
-    around: binary_surroundings.Surroundings,
+    surroundings: binary_surroundings.Surroundings,
     program: binary_surroundings.Program,
     folder: pathlib.Path,
 ) -> dict[str, tuple[traces.Counts, int]]:
     """Trace an entry and an agent; returns counts and exit statuses."""
     inner = f'{fleet.HOST}:{fleet.find_free_ports(1)[0]}'
     flags = {
-        'entry': around.make_entry_flags(inner),
-        'agent': around.make_agent_flags(inner),
+        'entry': surroundings.make_entry_flags(inner),
+        'agent': surroundings.make_agent_flags(inner),
     }
     running: dict[str, tuple[fleet.Process, pathlib.Path]] = {}
     for name, arguments in flags.items():
         output = folder / f'{name}.trace'
-        process = await around.launch(
+        process = await surroundings.launch(
             name,
             [*_make_trace_command(output), *program.command, *arguments],
         )
         running[name] = (process, output)
         await process.find_line(f'{name} started')
-    await binary_load.publish(around.store_url, around.admin_url)
-    outcome = await binary_load.drive(around.caller_url)
+    await binary_load.publish(surroundings.store_url, surroundings.admin_url)
+    outcome = await binary_load.drive(surroundings.caller_url)
     print(
         f'Traced load: {outcome.calls} of {binary_load.CALLS} calls and '
         f'{outcome.jobs} of {binary_load.JOBS} jobs succeeded\n'
@@ -174,12 +174,12 @@
 
 
 async def trace_control(
-    around: binary_surroundings.Surroundings, folder: pathlib.Path
+    surroundings: binary_surroundings.Surroundings, folder: pathlib.Path
 ) -> tuple[traces.Counts, int]:
     """Trace a program that makes the calls which are looked for."""
     output = folder / 'control.trace'
     command = [*_make_trace_command(output), sys.executable, '-c', CONTROL]
-    process = await around.launch('control', command)
+    process = await surroundings.launch('control', command)
     status = await process.wait()
     return traces.count_calls(output.read_text().splitlines()), status
 
@@ -213,21 +213,23 @@
     with contextlib.ExitStack() as stack:
         in_memory = _make_folder(stack, MEMORY_FOLDER)
         print(f'File size: {file.stat().st_size / BYTES_PER_MB:.1f} MB')
-        async with binary_surroundings.Surroundings(in_memory) as around:
-            first_ms = await time_command(around, binary)
-            print(f'First start, which unpacks: {first_ms:.0f} ms')
-            print(f'Unpacked size: {measure_folder_mb(in_memory):.1f} MB\n')
-            await _print_commands(around, (binary, source), repeats)
-            await _print_pairs(around, (binary, source), repeats)
+        async with binary_surroundings.Surroundings(in_memory) as surroundings:
+            first_ms = await time_command(surroundings, binary)
+            print(f'First start, which unpacks: {first_ms:.0f} ms\n')
+            await _print_commands(surroundings, (binary, source), repeats)
+            await _print_pairs(surroundings, (binary, source), repeats)
+            # Byte code is written beside the modules as they are imported.
+            unpacked_mb = measure_folder_mb(in_memory)
+            print(f'Unpacked, with byte code: {unpacked_mb:.1f} MB\n')
         if shutil.which('strace') is None:
             print('strace is not installed; system calls were not counted.')
             return
         # Outside the memory folder, whose use counts as shared memory.
         on_disk = _make_folder(stack, None)
-        async with binary_surroundings.Surroundings(on_disk) as around:
-            await time_command(around, binary)
-            counts = await trace_pair(around, binary, on_disk)
-            control = await trace_control(around, on_disk)
+        async with binary_surroundings.Surroundings(on_disk) as surroundings:
+            await time_command(surroundings, binary)
+            counts = await trace_pair(surroundings, binary, on_disk)
+            control = await trace_control(surroundings, on_disk)
             counts['control program'] = control
         _print_counts(counts)
 
@@ -242,7 +244,7 @@
 
 
 async def _print_commands(
-    around: binary_surroundings.Surroundings,
+    surroundings: binary_surroundings.Surroundings,
     programs: tuple[binary_surroundings.Program, ...],
     repeats: int,
 ) -> None:
@@ -250,7 +252,9 @@
     times: dict[str, list[float]] = {item.name: [] for item in programs}
     for _ in range(repeats):
         for program in programs:
-            times[program.name].append(await time_command(around, program))
+            times[program.name].append(
+                await time_command(surroundings, program)
+            )
     print('| `--version` | median ms | min | max |')
     print('|---|---|---|---|')
     for name, found in times.items():
@@ -262,7 +266,7 @@
 
 
 async def _print_pairs(
-    around: binary_surroundings.Surroundings,
+    surroundings: binary_surroundings.Surroundings,
     programs: tuple[binary_surroundings.Program, ...],
     repeats: int,
 ) -> None:
@@ -270,7 +274,7 @@
     samples: dict[str, list[Sample]] = {}
     for _ in range(repeats):
         for program in programs:
-            entry, agent = await run_pair(around, program)
+            entry, agent = await run_pair(surroundings, program)
             samples.setdefault(f'entry, {program.name}', []).append(entry)
             samples.setdefault(f'agent, {program.name}', []).append(agent)
     print(
