--- a/borageshelf/decisions/control.py
+++ b/borageshelf/decisions/control.py
@@ -30,7 +30,12 @@
 # then a whole measurement window must pass.
 SETTLE_MS: Final = 3_000
 LOWEST_SPEED: Final = 0.05
-SPEED_STEP_UP: Final = 1.5
+# One measurement this far above the threshold is no noise.
+CLEARLY_SLOW: Final = 1.2
+# A smaller raise is not worth a message and would follow the noise.
+SMALLEST_STEP_UP: Final = 1.1
+# A throttle aims below the threshold, between it and the release.
+AIM_SHARE: Final = 0.93
 # Speed is restored below this part of the threshold.
 RELEASE_SHARE: Final = 0.85
 CALM_MS: Final = 5_000
@@ -136,6 +141,11 @@
     return 1.1 - 0.2 * share
 
 
+def is_slow(smooth_ratio: float, ratio: float, threshold: float) -> bool:
+    """Tell whether the service is slow, by more than the noise of one p99."""
+    return smooth_ratio > threshold or ratio > threshold * CLEARLY_SLOW
+
+
 def is_worth_throttling(
     effect: float, excess: float, objective: objects.Objective
 ) -> bool:
@@ -171,24 +181,25 @@
     if view.measured_at_ms < state.changed_at_ms + SETTLE_MS:
         return state, ()
     ratio = view.p99_ms / view.target_p99_ms
+    state = control_state.note_ratio(state, ratio)
     threshold = find_threshold(objective)
     blames = _find_blames(state, view, table, now_ms)
-    if ratio > threshold:
+    if is_slow(state.smooth_ratio, ratio, threshold):
         state = control_state.note_slow(state, view.measured_at_ms)
-        actions = _slow_down(
-            view, blames, ratio / threshold, objective, limits
-        )
+        excess = max(state.smooth_ratio / threshold, 1.0)
+        actions = _slow_down(view, blames, excess, objective, limits)
         if not actions:
             return _move_culprit(state, blames, objective, now_ms)
         return control_state.apply_speeds(state, _list(actions), now_ms), (
             actions
         )
     state = control_state.note_fast(state, view.measured_at_ms)
-    if ratio > threshold * RELEASE_SHARE:
+    if state.smooth_ratio > threshold * RELEASE_SHARE:
         return state, ()
     if not control_state.is_calm(state, view.measured_at_ms, CALM_MS):
         return state, ()
-    actions = _speed_up(blames, threshold / ratio)
+    aim = threshold * AIM_SHARE
+    actions = _speed_up(blames, aim / state.smooth_ratio)
     if not actions:
         return state, ()
     return control_state.apply_speeds(state, _list(actions), now_ms), actions
@@ -274,7 +285,7 @@
 
     :param excess: p99 over the threshold, above 1
     """
-    missing = math.log(excess)
+    missing = math.log(excess / AIM_SHARE)
     kept = view.capacity.processor_millicores * limits.batch_minimum_share
     used = float(
         sum(blame.attempt.used.processor_millicores for blame in blames)
@@ -303,7 +314,7 @@
 ) -> tuple[Throttle, ...]:
     """Raise the least harmful attempts as far as the headroom allows.
 
-    :param headroom: threshold over p99, above 1
+    :param headroom: aim over the smoothed p99, above 1
     """
     left = math.log(headroom) * HEADROOM_SHARE
     actions: list[Throttle] = []
@@ -311,8 +322,9 @@
         if blame.speed >= 1.0:
             continue
         factor = 1.0 + left / max(blame.rise, SMALLEST_RISE)
-        factor = max(factor, SPEED_STEP_UP)
         speed = min(blame.speed * factor, 1.0)
+        if factor < SMALLEST_STEP_UP:
+            continue
         left -= blame.rise * (speed / blame.speed - 1.0)
         if left < 0 and actions:
             break
--- a/borageshelf/decisions/control_state.py
+++ b/borageshelf/decisions/control_state.py
@@ -18,6 +18,9 @@
 # A wave is waited out for this multiple of its usual length.
 WAVE_PATIENCE: Final = 2.0
 WAVE_GAIN: Final = 0.3
+# Part of the newest measurement in the smoothed p99; a single low one must
+# not restore speed.
+SMOOTHING_GAIN: Final = 0.3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,6 +31,7 @@
     :param changed_at_ms: time of the last action
     :param slow_since_ms: start of the present slow phase, or 0
     :param calm_since_ms: end of the last slow phase
+    :param smooth_ratio: smoothed p99 over the goal since the last action
     :param waves: slow phases that ended without a move
     :param wave_ms: their usual length
     :param moved_in_phase: whether an attempt was moved in the slow phase
@@ -38,6 +42,7 @@
     changed_at_ms: int = 0
     slow_since_ms: int = 0
     calm_since_ms: int = 0
+    smooth_ratio: float = 0.0
     waves: int = 0
     wave_ms: float = 0.0
     moved_in_phase: bool = False
@@ -75,7 +80,16 @@
         for task_id, speed in {**state.speeds, **changes}.items()
         if speed < 1.0
     }
-    return dataclasses.replace(state, speeds=speeds, changed_at_ms=now_ms)
+    return dataclasses.replace(
+        state, speeds=speeds, changed_at_ms=now_ms, smooth_ratio=0.0
+    )
+
+
+def note_ratio(state: State, ratio: float) -> State:
+    """Include a p99 over the goal that was measured after the last action."""
+    smooth = state.smooth_ratio or ratio
+    smooth += SMOOTHING_GAIN * (ratio - smooth)
+    return dataclasses.replace(state, smooth_ratio=smooth)
 
 
 def note_slow(state: State, at_ms: int) -> State:
