--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,10 +1,13 @@
 """Placement compared with the naive version and with its stated rules."""
 
 import dataclasses
+import math
 import random
+import typing
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from borageshelf.decisions import naive_placement
 from borageshelf.decisions import placement
@@ -201,3 +204,41 @@
     placed = [a for a in answers if isinstance(a, views.Placed)]
     assert placed
     assert {answer.target_id for answer in placed} == {'t1234'}
+
+
+class CountingList(list[views.TargetView]):
+    """A list that counts how many of its items are read."""
+
+    reads = 0
+
+    def __getitem__(self, index: typing.Any) -> typing.Any:
+        """Return an item and count it."""
+        self.reads += 1
+        return super().__getitem__(index)
+
+
+@pytest.mark.parametrize('count', [46, 460, 4600])
+def test_work_per_decision_grows_slower_than_the_fleet(count: int) -> None:
+    """Guards against a decision that examines the whole fleet."""
+    reads = []
+    for free in (resources.NOTHING, resources.Resources(60_000, 250_000)):
+        target = views.TargetView(
+            target_id='t',
+            data_centre='tajo-norte',
+            rack='r1',
+            vm_boot_id='vm',
+            agent_boot_id='agent',
+            capacity=resources.Resources(60_000, 250_000),
+            free=free,
+        )
+        targets = CountingList([target] * count)
+        task = views.TaskView(
+            'job/0', 'ledger', 'ledgers', resources.Resources(1000, 1000)
+        )
+        placement.choose_target(
+            task, targets, views.Policy(), NOW_MS, random.Random(1)
+        )
+        reads.append(targets.reads)
+    full, empty = reads
+    assert empty == 16
+    assert full <= 16 + max(64, 8 * math.isqrt(count))
