--- a/borageshelf/decisions/control.py
+++ b/borageshelf/decisions/control.py
@@ -30,7 +30,12 @@
 # then a whole measurement window must pass.
 SETTLE_MS: Final = 3_000
 LOWEST_SPEED: Final = 0.05
-SPEED_STEP_UP: Final = 1.5
+# One measurement this far above the threshold is no noise.
+CLEARLY_SLOW: Final = 1.2
+# A smaller raise is not worth a message and would follow the noise.
+SMALLEST_STEP_UP: Final = 1.1
+# A throttle aims below the threshold, between it and the release.
+AIM_SHARE: Final = 0.93
 # Speed is restored below this part of the threshold.
 RELEASE_SHARE: Final = 0.85
 CALM_MS: Final = 5_000
@@ -38,11 +43,13 @@
 # evictions lengthens the time.
 MOVE_AFTER_MS: Final = 60_000
 # A family is throttled only if its effect, times the weight of tail latency
-# and the square of the excess, is at least this multiple of the weight of
-# batch throughput. Below it, slowing the family down costs more throughput
-# than it saves latency. The square is there because the worst minutes decide
-# the p99 of the whole.
-BREAK_EVEN_EFFECT: Final = 0.4
+# and a power of the excess, is at least this multiple of the weight of batch
+# throughput. Below it, slowing the family down costs more throughput than it
+# saves latency. The power is there because the worst minutes decide the p99
+# of the whole: in the committed traces 94% of the slowest calls fall into
+# the surge of calls.
+BREAK_EVEN_EFFECT: Final = 1.0
+EXCESS_EXPONENT: Final = 4
 # One step gives back at most this part of the headroom.
 HEADROOM_SHARE: Final = 0.5
 # Bounds the step for an attempt that hardly matters.
@@ -134,6 +141,23 @@
     return 1.1 - 0.2 * share
 
 
+def is_slow(smooth_ratio: float, ratio: float, threshold: float) -> bool:
+    """Tell whether the service is slow, by more than the noise of one p99."""
+    return smooth_ratio > threshold or ratio > threshold * CLEARLY_SLOW
+
+
+def is_worth_throttling(
+    effect: float, excess: float, objective: objects.Objective
+) -> bool:
+    """Tell whether slowing a family saves more than it costs.
+
+    :param effect: rise of log p99 if the family used the whole VM
+    :param excess: p99 over the threshold
+    """
+    gain = objective.tail_latency * effect * excess**EXCESS_EXPONENT
+    return gain >= objective.batch_throughput * BREAK_EVEN_EFFECT
+
+
 def decide(
     state: control_state.State,
     view: VmView,
@@ -157,24 +181,25 @@
     if view.measured_at_ms < state.changed_at_ms + SETTLE_MS:
         return state, ()
     ratio = view.p99_ms / view.target_p99_ms
+    state = control_state.note_ratio(state, ratio)
     threshold = find_threshold(objective)
     blames = _find_blames(state, view, table, now_ms)
-    if ratio > threshold:
+    if is_slow(state.smooth_ratio, ratio, threshold):
         state = control_state.note_slow(state, view.measured_at_ms)
-        actions = _slow_down(
-            view, blames, ratio / threshold, objective, limits
-        )
+        excess = max(state.smooth_ratio / threshold, 1.0)
+        actions = _slow_down(view, blames, excess, objective, limits)
         if not actions:
             return _move_culprit(state, blames, objective, now_ms)
         return control_state.apply_speeds(state, _list(actions), now_ms), (
             actions
         )
     state = control_state.note_fast(state, view.measured_at_ms)
-    if ratio > threshold * RELEASE_SHARE:
+    if state.smooth_ratio > threshold * RELEASE_SHARE:
         return state, ()
     if not control_state.is_calm(state, view.measured_at_ms, CALM_MS):
         return state, ()
-    actions = _speed_up(blames, threshold / ratio)
+    aim = threshold * AIM_SHARE
+    actions = _speed_up(blames, aim / state.smooth_ratio)
     if not actions:
         return state, ()
     return control_state.apply_speeds(state, _list(actions), now_ms), actions
@@ -260,7 +285,7 @@
 
     :param excess: p99 over the threshold, above 1
     """
-    missing = math.log(excess)
+    missing = math.log(excess / AIM_SHARE)
     kept = view.capacity.processor_millicores * limits.batch_minimum_share
     used = float(
         sum(blame.attempt.used.processor_millicores for blame in blames)
@@ -269,7 +294,7 @@
     for blame in blames:
         if missing <= 0 or used <= kept:
             break
-        if not _is_worth_throttling(blame, excess, objective):
+        if not is_worth_throttling(blame.effect, excess, objective):
             continue
         part = min(missing / max(blame.rise, SMALLEST_RISE), 1.0)
         speed = max(blame.speed * (1.0 - part), LOWEST_SPEED)
@@ -284,19 +309,12 @@
     return tuple(actions)
 
 
-def _is_worth_throttling(
-    blame: Blame, excess: float, objective: objects.Objective
-) -> bool:
-    gain = objective.tail_latency * blame.effect * excess**2
-    return gain >= objective.batch_throughput * BREAK_EVEN_EFFECT
-
-
 def _speed_up(
     blames: Sequence[Blame], headroom: float
 ) -> tuple[Throttle, ...]:
     """Raise the least harmful attempts as far as the headroom allows.
 
-    :param headroom: threshold over p99, above 1
+    :param headroom: aim over the smoothed p99, above 1
     """
     left = math.log(headroom) * HEADROOM_SHARE
     actions: list[Throttle] = []
@@ -304,8 +322,9 @@
         if blame.speed >= 1.0:
             continue
         factor = 1.0 + left / max(blame.rise, SMALLEST_RISE)
-        factor = max(factor, SPEED_STEP_UP)
         speed = min(blame.speed * factor, 1.0)
+        if factor < SMALLEST_STEP_UP:
+            continue
         left -= blame.rise * (speed / blame.speed - 1.0)
         if left < 0 and actions:
             break
