Bound the expected wait to a quarter of the remaining time

Cause: admission filled the queue up to the deadline, so under overload each answered call waited about half a second for no gain in goodput.

--- a/borageshelf/agent/calls.py
+++ b/borageshelf/agent/calls.py
@@ -27,6 +27,8 @@
 # arrives later is refused because of its deadline; the margin is the bound
 # on clock skew.
 MEMORY_MARGIN_MS: Final = 2_000
+# The remembered ids are looked through once a second, not in each tick.
+FORGET_INTERVAL_MS: Final = 1_000
 # A cancellation without a deadline keeps its tombstone this long.
 TOMBSTONE_MS: Final = 600_000
 # Beyond this many tombstones a cancellation gets no proof, so that a burst
@@ -82,6 +84,7 @@
         self._running = 0
         self._started: dict[str, int] = {}
         self._tombstones: dict[str, int] = {}
+        self._forget_at_ms = 0
         self._samples: collections.deque[tuple[int, float]] = (
             collections.deque(maxlen=SAMPLES_LIMIT)
         )
@@ -112,13 +115,13 @@
 
     def receive(self, entry_id: str, message: inner_pb2.EntryMessage) -> None:
         """Handle one message of an entry."""
-        kind = message.WhichOneof('kind')
-        if kind == 'call':
-            self._receive_call(entry_id, message.call)
-        elif kind == 'call_cancel':
-            self._receive_cancel(entry_id, message.call_cancel)
-        elif kind == 'call_credit':
-            self._receive_credit(message.call_credit)
+        match message.WhichOneof('kind'):
+            case 'call':
+                self._receive_call(entry_id, message.call)
+            case 'call_cancel':
+                self._receive_cancel(entry_id, message.call_cancel)
+            case 'call_credit':
+                self._receive_credit(message.call_credit)
 
     def find_load(self) -> held_calls.CallLoad:
         """Return the figures for the next report."""
@@ -141,6 +144,9 @@
         ]
         for held in late:
             self._refuse(held, errors.DEADLINE_PASSED)
+        if now_ms < self._forget_at_ms:
+            return
+        self._forget_at_ms = now_ms + FORGET_INTERVAL_MS
         for memory in (self._started, self._tombstones):
             old = [
                 key for key, until_ms in memory.items() if until_ms < now_ms
@@ -160,7 +166,7 @@
         Calls that still wait at the deadline are refused with proof; those
         that still run are cut off and reported as unknown.
 
-        :return: whether every call had ended by the deadline
+        :return: whether every call ended in time
         """
         self.leaving = True
         remaining_ms = max(deadline_ms - self._clock(), 0)
@@ -183,13 +189,11 @@
         return finished
 
     def _receive_call(self, entry_id: str, call: inner_pb2.Call) -> None:
-        call_id = call.call_id
-        if call_id in self._held or call_id in self._started:
+        if call.call_id in self._held or call.call_id in self._started:
             # A repeated message: the first one is answered.
             return
         held = held_calls.HeldCall(entry_id, call)
-        refusal = self._find_refusal(call)
-        if refusal is not None:
+        if refusal := self._find_refusal(call):
             self._send_refusal(held, refusal)
             return
         if len(self._held) >= self._connections:
@@ -198,7 +202,7 @@
                 self._send_refusal(held, errors.OVERLOADED)
                 return
             self._refuse(displaced, errors.OVERLOADED)
-        self._held[call_id] = held
+        self._held[call.call_id] = held
         self._idle.clear()
         bisect.insort(self._queue, held, key=lambda other: other.rank)
         self._start_calls()
@@ -254,8 +258,7 @@
                 continue
             self._running += 1
             call = held.call
-            until_ms = call.deadline_ms + MEMORY_MARGIN_MS
-            self._started[call.call_id] = until_ms
+            self._started[call.call_id] = call.deadline_ms + MEMORY_MARGIN_MS
             held.started_at_ms = self._clock()
             held.task = asyncio.get_running_loop().create_task(self._run(held))
             held.task.add_done_callback(functools.partial(self._finish, held))
@@ -353,8 +356,8 @@
 
         The tombstone makes this true if the request arrives (again) later.
         """
-        until_ms = held.call.deadline_ms + MEMORY_MARGIN_MS
-        self._tombstones[held.call.call_id] = until_ms
+        call = held.call
+        self._tombstones[call.call_id] = call.deadline_ms + MEMORY_MARGIN_MS
         self._send_end(held, code, ran=False)
 
     def _drop(self, held: held_calls.HeldCall) -> None:
--- a/borageshelf/decisions/admission.py
+++ b/borageshelf/decisions/admission.py
@@ -26,6 +26,10 @@
 # exponential service times this is the 98th percentile; work that ends after
 # its deadline is wasted capacity under overload.
 SERVICE_DEVIATIONS: Final = 4.0
+# Longest expected wait behind other calls as a share of the time that
+# remains. A longer queue adds delay but no goodput: the slots are busy with a
+# short one, too.
+WAIT_SHARE: Final = 0.25
 # Least part of the slots assumed for calls without a guaranteed share.
 UNRESERVED_FLOOR: Final = 0.05
 
@@ -255,9 +259,11 @@
     )
     # An idle service tries every call: the estimate may be out of date, and
     # only calls that run correct it.
-    if wait_ms > 0 and needed_ms > remaining_ms:
+    limit_ms = WAIT_SHARE * remaining_ms + estimate.mean_ms / state.slots
+    if wait_ms > 0 and (needed_ms > remaining_ms or wait_ms > limit_ms):
         detail = f'expected wait {wait_ms:.0f} ms'
-        retry_ms = now_ms + math.ceil(min(needed_ms - remaining_ms, wait_ms))
+        excess_ms = max(needed_ms - remaining_ms, wait_ms - limit_ms)
+        retry_ms = now_ms + math.ceil(min(excess_ms, wait_ms))
         return Refused(errors.DEADLINE_TOO_CLOSE, detail, retry_ms)
     return None
 
--- a/borageshelf/decisions/ejection.py
+++ b/borageshelf/decisions/ejection.py
@@ -5,9 +5,9 @@
 a fault of the calls themselves, which shows everywhere, ejects nobody.
 """
 
+import bisect
 from collections.abc import Sequence
 import dataclasses
-import statistics
 from typing import Final
 
 HALF_LIFE_MS: Final = 5_000
@@ -110,12 +110,19 @@
     ]
     already = len(fleet) - len(active)
     room = max(len(fleet) // EJECTED_FRACTION - already, 0)
+    rates = sorted(outcomes.failure_rate for outcomes in active)
+    means_ms = sorted(
+        outcomes.mean_service_ms
+        for outcomes in active
+        if outcomes.mean_service_ms is not None
+        and outcomes.calls >= PROBATION_CALLS
+    )
     failing = sorted(
-        (outcomes for outcomes in active if _is_failing(outcomes, active)),
+        (outcomes for outcomes in active if _is_failing(outcomes, rates)),
         key=lambda outcomes: -outcomes.failure_rate,
     )
     slow = sorted(
-        (outcomes for outcomes in active if _is_slow(outcomes, active)),
+        (outcomes for outcomes in active if _is_slow(outcomes, means_ms)),
         key=lambda outcomes: -(outcomes.mean_service_ms or 0.0),
     )
     ejections: dict[str, Ejection] = {}
@@ -144,38 +151,43 @@
     )
 
 
-def _is_failing(
-    outcomes: OutcomeStatistics, active: Sequence[OutcomeStatistics]
-) -> bool:
+def _is_failing(outcomes: OutcomeStatistics, rates: list[float]) -> bool:
     in_row = outcomes.consecutive_failures >= CONSECUTIVE_FAILURES
     rated = _has_evidence(outcomes) and outcomes.failure_rate >= FAILURE_RATE
     if not in_row and not rated:
         return False
-    rates = [
-        other.failure_rate
-        for other in active
-        if other.target_id != outcomes.target_id
-    ]
-    common_rate = statistics.median(rates) if rates else 1.0
+    common_rate = _find_median_of_others(rates, outcomes.failure_rate)
+    if common_rate is None:
+        return False
     return outcomes.failure_rate >= OUTLIER_RATIO * common_rate
 
 
-def _is_slow(
-    outcomes: OutcomeStatistics, active: Sequence[OutcomeStatistics]
-) -> bool:
+def _is_slow(outcomes: OutcomeStatistics, means_ms: list[float]) -> bool:
     mean_ms = outcomes.mean_service_ms
     if mean_ms is None or not _has_evidence(outcomes):
         return False
-    others_ms = [
-        other.mean_service_ms
-        for other in active
-        if other.target_id != outcomes.target_id
-        and other.mean_service_ms is not None
-        and other.calls >= PROBATION_CALLS
-    ]
-    if not others_ms:
-        return False
-    return mean_ms > SLOW_RATIO * statistics.median(others_ms)
+    common_ms = _find_median_of_others(means_ms, mean_ms)
+    return common_ms is not None and mean_ms > SLOW_RATIO * common_ms
+
+
+def _find_median_of_others(
+    values: list[float], own_value: float
+) -> float | None:
+    """Return the median of sorted values without one's own.
+
+    It is found by position, because a fleet is judged after each call.
+    """
+    place = bisect.bisect_left(values, own_value)
+    is_member = place < len(values) and values[place] == own_value
+    count = len(values) - is_member
+    if count == 0:
+        return None
+
+    def find_value(position: int) -> float:
+        skipped = is_member and position >= place
+        return values[position + skipped]
+
+    return (find_value((count - 1) // 2) + find_value(count // 2)) / 2
 
 
 def _has_evidence(outcomes: OutcomeStatistics) -> bool:
