--- a/bench/calls.py
+++ b/bench/calls.py
@@ -26,11 +26,18 @@
 SHARE = 0.2
 
 
-def find_percentiles(tally: calls_model.Tally) -> tuple[float, float, float]:
-    """Return p50, p99 and p99.9 of the answered calls in milliseconds."""
+def find_percentiles(
+    tally: calls_model.Tally, kind: str = ''
+) -> tuple[float, float, float]:
+    """Return p50, p99 and p99.9 of the answered calls in milliseconds.
+
+    :param kind: kind of the calls, or '' for all
+    """
     values = histogram.HdrHistogram(1, 3_600_000_000, 3)
-    for latency_ms in tally.latencies_ms:
-        values.record_value(max(int(latency_ms * 1000), 1))
+    for name, latencies_ms in tally.latencies_ms.items():
+        for latency_ms in latencies_ms:
+            if kind in ('', name):
+                values.record_value(max(int(latency_ms * 1000), 1))
     p50, p99, p999 = (
         values.get_value_at_percentile(percentile) / 1000
         for percentile in (50, 99, 99.9)
@@ -88,6 +95,10 @@
             print_row(f'{load:.0%} {name}', tally, scenario)
             goodput[name, load] = find_goodput(tally, scenario)
             p99_ms[name, load] = find_percentiles(tally)[1]
+    for load in (0.8, 3.0):
+        scenario = dataclasses.replace(make_plain(load), entries=1)
+        tally = calls_versions.run_pools(scenario, seed)
+        print_row(f'{load:.0%} through one entry of three', tally, scenario)
     ratio = p99_ms['borageshelf', 0.8] / p99_ms['ideal', 0.8]
     peak = max(goodput['borageshelf', load] for load in LOADS)
     kept = goodput['borageshelf', 3.0] / peak
@@ -150,6 +161,8 @@
             for name in ('borageshelf',) if by_team else tuple(VERSIONS)[:2]:
                 tally = VERSIONS[name](scenario, seed)
                 print_row(f'{label} {name}, by {group}', tally, scenario)
+                p99_ms = find_percentiles(tally, 'other')[1]
+                print(f'| ... only the other {group} | | {p99_ms:.0f} |')
                 measured_s = (scenario.duration_ms - scenario.warm_ms) / 1000
                 good = tally.good.get('other', 0) / measured_s
                 share = good / calls_model.CAPACITY_PER_S
--- a/bench/calls_model.py
+++ b/bench/calls_model.py
@@ -47,6 +47,7 @@
     :param slow: executors (from the first) that take ``slow_factor`` longer
     :param failing: executors that fail each call in 1 ms
     :param leaving: executors that leave in the middle of the run
+    :param entries: entries that receive calls, of three
     """
 
     kinds: tuple[Kind, ...]
@@ -56,6 +57,7 @@
     slow_factor: float = 5.0
     failing: int = 0
     leaving: int = 0
+    entries: int = len(DATA_CENTRES)
     kind_shares: tuple[tuple[str, float], ...] = ()
     team_shares: tuple[tuple[str, float], ...] = ()
 
@@ -116,7 +118,7 @@
                     kind=kind,
                     service_ms=rng.expovariate(1 / MEAN_SERVICE_MS),
                     idempotent=rng.random() < 0.5,
-                    entry=rng.randrange(len(DATA_CENTRES)),
+                    entry=rng.randrange(scenario.entries),
                 )
             )
             at_ms += rng.expovariate(per_ms)
@@ -238,7 +240,9 @@
 class Tally:
     """What one run of one version gave."""
 
-    latencies_ms: list[float] = dataclasses.field(default_factory=list)
+    latencies_ms: dict[str, list[float]] = dataclasses.field(
+        default_factory=dict
+    )
     good: dict[str, int] = dataclasses.field(default_factory=dict)
     arrived: int = 0
     refused: int = 0
@@ -250,11 +254,11 @@
     def record(self, arrival: Arrival, ended_at_ms: float) -> None:
         """Count an answer; only those before the deadline are good."""
         latency_ms = ended_at_ms - arrival.at_ms
-        self.latencies_ms.append(latency_ms)
+        name = arrival.kind.name
+        self.latencies_ms.setdefault(name, []).append(latency_ms)
         if latency_ms > DEADLINE_MS:
             self.late += 1
             return
-        name = arrival.kind.name
         self.good[name] = self.good.get(name, 0) + 1
 
 
