--- a/borageshelf/agent/tasks.py
+++ b/borageshelf/agent/tasks.py
@@ -20,6 +20,9 @@
 from borageshelf.protocol import inner_pb2
 
 RETRY_PAUSE_MS: Final = 200
+# Results are kept for a day in the shard's value of at most 1 MB; larger
+# ones belong into the caller's own storage.
+RESULT_LIMIT_BYTES: Final = 16_384
 
 _ENDED: Final = {
     worker_interface.TaskState.SUCCEEDED: reservations.HeldState.SUCCEEDED,
@@ -254,7 +257,9 @@
         except errors.BorageshelfError as error:
             if error.code is errors.WORKER_REFUSED:
                 self._end(
-                    offer.key, reservations.HeldState.FAILED, code=error.code
+                    offer.key,
+                    reservations.HeldState.NEVER_STARTED,
+                    code=error.code,
                 )
                 return
             if not await self._resolve_start(offer, request):
@@ -306,7 +311,7 @@
             if now_ms > limit_ms:
                 self._end(
                     offer.key,
-                    reservations.HeldState.FAILED,
+                    reservations.HeldState.NEVER_STARTED,
                     code=errors.WORKER_UNAVAILABLE,
                 )
                 return False
@@ -347,6 +352,9 @@
         checkpoint: str = '',
         code: errors.ResultCode | None = None,
     ) -> None:
+        if len(result) > RESULT_LIMIT_BYTES:
+            state, result = reservations.HeldState.FAILED, b''
+            code = errors.RESULT_TOO_LARGE
         held = self.ledger.update(
             key,
             state=state,
--- a/borageshelf/entry/jobs.py
+++ b/borageshelf/entry/jobs.py
@@ -31,6 +31,7 @@
 COMMIT_TIMEOUT_MS: Final = 3000
 REQUEST_TIMEOUT_MS: Final = 8000
 ROUTE_PAUSE_MS: Final = 150
+OVERLOAD_PAUSE_MS: Final = 5_000
 RETRIED_CODES: Final = frozenset({errors.NOT_OWNER, errors.OUTCOME_UNKNOWN})
 
 Answer = TypeVar('Answer')
@@ -94,6 +95,7 @@
         tasks = msgspec.msgpack.decode(
             message.document, type=tuple[records.TaskRecord, ...]
         )
+        self._check_queue(message.shard, tasks[0].job_id)
         reply = await self._batch.request(
             message.shard,
             lambda owner, token: owner.submit(tasks, token),
@@ -243,6 +245,25 @@
             code=reply.code.number, granted=True, outcome=message.outcome
         )
 
+    def _check_queue(self, shard: int, job_id: str) -> None:
+        """Refuse a new job if too many wait; a repeated one is known.
+
+        :raises BorageshelfError: ``OVERLOADED``
+        """
+        owner = self._batch.find_owner(shard)
+        if owner is None or owner.find_job(job_id):
+            return
+        waiting = sum(
+            task.phase is records.TaskPhase.QUEUED
+            for task in owner.list_tasks()
+        )
+        if waiting >= self._holder.configuration.limits.jobs_queued:
+            raise errors.BorageshelfError(
+                errors.OVERLOADED,
+                f'{waiting} tasks wait in shard {shard}',
+                clock.read_wall_clock_ms() + OVERLOAD_PAUSE_MS,
+            )
+
     def _check(self, request: documents.JobRequest) -> objects.Job:
         configuration = self._holder.configuration
         if not configuration.version:
--- a/borageshelf/entry/learning.py
+++ b/borageshelf/entry/learning.py
@@ -77,7 +77,11 @@
                 convert.unpack_resources(status.used),
                 max(now_ms - status.started_at_ms, 1),
             )
-        if not has_succeeded and status.state != inner_pb2.ATTEMPT_FAILED:
+        was_refused = (
+            status.state == inner_pb2.ATTEMPT_NEVER_STARTED and status.code
+        )
+        has_failed = status.state == inner_pb2.ATTEMPT_FAILED or was_refused
+        if not has_succeeded and not has_failed:
             return False
         before_ms = self.find_quarantine(target_id)
         self.failures = quarantine.observe(
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -35,6 +35,9 @@
 # A bundle of 10 KB from each of 11 peers every 4 s would use up the budget
 # of 14 KB a second.
 PEERS_ASKED: Final = 3
+# Twisted's default of 50 drops connections of a burst, which a caller notices
+# only after a second.
+BACKLOG: Final = 1024
 # A balancer needs a moment to notice that an entry is not ready any more.
 BALANCER_PAUSE_MS: Final = 500
 
@@ -156,7 +159,9 @@
         ).make_site()
         address = self._options.caller_address
         self._listeners.append(
-            reactor.listenTCP(address.port, site, interface=address.host)
+            reactor.listenTCP(
+                address.port, site, backlog=BACKLOG, interface=address.host
+            )
         )
         admin.listen(reactor, self._options, self._status, self._telemetry)
 
--- a/borageshelf/errors.py
+++ b/borageshelf/errors.py
@@ -242,6 +242,14 @@
     'The answer broke off before its end.',
 )
 
+RESULT_TOO_LARGE = register(
+    308,
+    'RESULT_TOO_LARGE',
+    Category.FAILED,
+    409,
+    'The task finished, but its result exceeds the limit.',
+)
+
 # Platform services.
 STORE_UNAVAILABLE = register(
     400,
--- a/borageshelf/protocol/convert.py
+++ b/borageshelf/protocol/convert.py
@@ -139,6 +139,8 @@
     if state == inner_pb2.ATTEMPT_FAILED:
         code = message.code or errors.TASK_FAILED.number
         return transitions.Failed(attempt, code)
+    if state == inner_pb2.ATTEMPT_NEVER_STARTED and message.code:
+        return transitions.Refused(attempt, message.code)
     if state == inner_pb2.ATTEMPT_NEVER_STARTED:
         return transitions.NeverStarted(attempt)
     return transitions.Stopped(attempt, message.checkpoint)
--- a/borageshelf/shards/owner.py
+++ b/borageshelf/shards/owner.py
@@ -208,7 +208,7 @@
             self.shard, self.epoch, task_id, event.attempt
         )
         release = effects.SendRelease(agent.target_id, identity)
-        if isinstance(event, transitions.NeverStarted):
+        if isinstance(event, transitions.NeverStarted | transitions.Refused):
             if not self._is_proof(task, agent):
                 return
         if task is not None:
--- a/borageshelf/shards/records.py
+++ b/borageshelf/shards/records.py
@@ -71,6 +71,7 @@
     :param may_have_run: whether any attempt so far may have started
     :param not_before_ms: earliest time of the next attempt (backoff)
     :param expires_deadline_ms: time after which a finished record is removed
+    :param excused: failures for which a target was found to be at fault
     :param code: number of the result code, once terminal
     """
 
@@ -96,6 +97,7 @@
     not_before_ms: int = 0
     failures: tuple[Failure, ...] = ()
     evictions: int = 0
+    excused: int = 0
     code: int = 1
     result: bytes = b''
     expires_deadline_ms: int = 0
--- a/borageshelf/shards/transitions.py
+++ b/borageshelf/shards/transitions.py
@@ -17,6 +17,9 @@
 RETENTION_MS: Final = 24 * 3600 * 1000
 # A job that failed on this many different targets is at fault itself.
 DISTINCT_TARGETS_LIMIT: Final = 3
+# Bounds the attempts of a job that makes every target look faulty, as in a
+# fleet of one: without it such a job was started again without end.
+EXCUSED_FACTOR: Final = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +36,14 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The worker refused the attempt, so nothing ran and nothing will."""
+
+    attempt: int
+    code: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Succeeded:
     """The attempt finished with a result."""
@@ -86,7 +97,7 @@
     target_id: str
 
 
-AttemptEvent = NeverStarted | Succeeded | Failed | Stopped | Lost
+AttemptEvent = NeverStarted | Refused | Succeeded | Failed | Stopped | Lost
 
 
 @functools.singledispatch
@@ -151,8 +162,35 @@
         task = dataclasses.replace(task, failures=failures)
     if task.cancel_requested:
         return _end_cancelled(task, now_ms)
+    if event.code == errors.RESULT_TOO_LARGE.number:
+        return _end(
+            task, records.TaskPhase.FAILED, errors.RESULT_TOO_LARGE, now_ms
+        )
     if not task.idempotent:
         return _end(task, records.TaskPhase.FAILED, errors.TASK_FAILED, now_ms)
+    return _retry(task, now_ms)
+
+
+@advance.register
+def _(
+    event: Refused, task: records.TaskRecord, now_ms: int
+) -> records.TaskRecord:
+    if not _is_current(task, event.attempt):
+        return task
+    assert task.assignment is not None
+    failure = records.Failure(task.assignment.target_id, event.code)
+    task = dataclasses.replace(task, failures=(*task.failures, failure))
+    if task.cancel_requested:
+        return _end_cancelled(task, now_ms)
+    if len(task.failures) >= task.attempts_limit and not task.may_have_run:
+        return _end(
+            task, records.TaskPhase.FAILED, errors.WORKER_REFUSED, now_ms
+        )
+    return _retry(task, now_ms)
+
+
+def _retry(task: records.TaskRecord, now_ms: int) -> records.TaskRecord:
+    """Queue a task again after a failure, or end it."""
     blamed = {failure.target_id for failure in task.failures}
     if len(blamed) >= DISTINCT_TARGETS_LIMIT:
         return _end(
@@ -161,7 +199,9 @@
             errors.JOB_FAILS_EVERYWHERE,
             now_ms,
         )
-    if len(task.failures) >= task.attempts_limit:
+    tried = len(task.failures) + task.excused
+    is_over = len(task.failures) >= task.attempts_limit
+    if is_over or tried >= EXCUSED_FACTOR * task.attempts_limit:
         return _end(task, records.TaskPhase.FAILED, errors.TASK_FAILED, now_ms)
     delay_ms = retries.find_backoff_ms(task.task_id, len(task.failures))
     return _requeue(task, now_ms, delay_ms)
@@ -231,14 +271,13 @@
 ) -> records.TaskRecord:
     if task.is_terminal:
         return task
-    return dataclasses.replace(
-        task,
-        failures=tuple(
-            failure
-            for failure in task.failures
-            if failure.target_id != event.target_id
-        ),
+    kept = tuple(
+        failure
+        for failure in task.failures
+        if failure.target_id != event.target_id
     )
+    excused = task.excused + len(task.failures) - len(kept)
+    return dataclasses.replace(task, failures=kept, excused=excused)
 
 
 def _is_current(task: records.TaskRecord, attempt: int) -> bool:
--- /dev/null
+++ b/tests/test_transitions.py
@@ -0,0 +1,70 @@
+"""Transitions of one task that the random search reaches seldom."""
+
+import dataclasses
+
+from borageshelf import errors
+from borageshelf.model import resources
+from borageshelf.shards import records
+from borageshelf.shards import transitions
+
+PLACE = records.Assignment('vm-1', 'boot', 'agent', 'here', 'rack', 1)
+
+
+def make_task(**fields: object) -> records.TaskRecord:
+    """Return an assigned task."""
+    task = records.TaskRecord(
+        task_id='job/0',
+        job_id='job',
+        family='family',
+        team='team',
+        declared=resources.Resources(100, 100),
+        submitted_at_ms=0,
+        phase=records.TaskPhase.ASSIGNED,
+        assignment=PLACE,
+    )
+    return dataclasses.replace(task, **fields)  # type: ignore[arg-type]
+
+
+def assign_again(task: records.TaskRecord) -> records.TaskRecord:
+    """Assign a queued task to the same place."""
+    return transitions.advance(transitions.Assigned(PLACE), task, 0)
+
+
+def test_refused_start_of_non_idempotent_task_is_not_run() -> None:
+    """Guards against "failed" for work that the worker never started."""
+    task = make_task(idempotent=False, attempts_limit=1)
+    event = transitions.Refused(1, errors.WORKER_REFUSED.number)
+    ended = transitions.advance(event, task, 0)
+    assert errors.find(ended.code).category is errors.Category.NOT_RUN
+    assert not ended.may_have_run
+
+
+def test_refused_start_is_tried_elsewhere() -> None:
+    """Guards against a job that ends because one worker refuses it."""
+    event = transitions.Refused(1, errors.WORKER_REFUSED.number)
+    queued = transitions.advance(event, make_task(idempotent=False), 0)
+    assert queued.phase is records.TaskPhase.QUEUED
+    assert queued.attempt == 2
+
+
+def test_excused_failures_are_bounded() -> None:
+    """Guards against a job that is started again without end.
+
+    In a fleet of one a bad job made its target look faulty, and each
+    quarantine of the target excused the failures of the job.
+    """
+    task = make_task(attempts_limit=2)
+    for _ in range(transitions.EXCUSED_FACTOR * 2):
+        event = transitions.Failed(task.attempt, errors.TASK_FAILED.number)
+        task = transitions.advance(event, task, 0)
+        task = transitions.advance(transitions.Excused('vm-1'), task, 0)
+        if not task.is_terminal:
+            task = assign_again(task)
+    assert task.code == errors.TASK_FAILED.number
+
+
+def test_result_beyond_the_limit_ends_the_task() -> None:
+    """Guards against runs that are repeated for a result never kept."""
+    event = transitions.Failed(1, errors.RESULT_TOO_LARGE.number)
+    ended = transitions.advance(event, make_task(), 0)
+    assert ended.code == errors.RESULT_TOO_LARGE.number
