--- a/tests/calls_support.py
+++ b/tests/calls_support.py
@@ -30,7 +30,7 @@
 
 
 class FakeExecutor:
-    """Answers each call with its body, once its gate is open."""
+    """Answers each call with its body in two parts, once its gate is open."""
 
     def __init__(self) -> None:
         self.started: list[str] = []
@@ -55,7 +55,8 @@
         await self.gate.wait()
         if self.statuses:
             return self.statuses.pop(0)
-        for data in self.answer or [request.body]:
+        halves = [request.body[:4], request.body[4:]]
+        for data in self.answer or halves:
             await on_chunk(data)
         return executor_interface.CallStatus(errors.OK.number, True)
 
@@ -99,6 +100,7 @@
 
     def __init__(self, targets: int = 1, slots: int = 8) -> None:
         self.clock = FakeClock()
+        self.slots = slots
         self.claims = FakeClaims()
         self.executors: dict[str, FakeExecutor] = {}
         self.agents: dict[str, agent_calls.AgentCalls] = {}
@@ -119,19 +121,24 @@
         )
         self.engine.configure({'service': admission.Limits()}, 1)
         for number in range(targets):
-            self.add_target(f'target-{number}', slots)
+            self.add_target(f'target-{number}')
 
-    def add_target(self, target_id: str, slots: int = 8) -> None:
+    def add_target(self, target_id: str) -> None:
         """Attach one agent with its executor."""
         executor = FakeExecutor()
-        agent = agent_calls.AgentCalls(executor, slots, 60, self.clock)
+        agent = agent_calls.AgentCalls(executor, self.slots, 60, self.clock)
         self.executors[target_id] = executor
         self.agents[target_id] = agent
+        self.connect(target_id)
+
+    def connect(self, target_id: str) -> None:
+        """Open a stream between the entry and an agent."""
+        agent = self.agents[target_id]
         agent.attach(
             'entry-1', lambda message: self._to_entry(target_id, message)
         )
         self.engine.attach(
-            entry_calls.Target(target_id, 'north', 'service', slots, 60),
+            entry_calls.Target(target_id, 'north', 'service', self.slots, 60),
             lambda message: self._to_agent(target_id, message),
         )
 
