--- a/Makefile
+++ b/Makefile
@@ -35,4 +35,4 @@
 
 # Regenerates the committed protocol code from inner.proto.
 protocol: $(VENV)/.installed
-	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. borageshelf/protocol/inner.proto
+	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. borageshelf/protocol/inner.proto
--- a/borageshelf/entry/admin.py
+++ b/borageshelf/entry/admin.py
@@ -216,6 +216,13 @@
     '/v1/targets': functools.partial(
         _list, 'targets', lambda provider: provider.list_targets()
     ),
+    '/v1/drains': functools.partial(
+        _list,
+        'drains',
+        lambda provider: [
+            target for target in provider.list_targets() if target.is_leaving
+        ],
+    ),
     '/v1/shards': functools.partial(
         _list, 'shards', lambda provider: provider.list_shards()
     ),
