Split placement and effects from the entry's batch service

Tasks that were refused now wait for their retry time, so that they no longer take all decisions of a tick from feasible tasks behind them. JOB_NEVER_FITS can be found once as many workers are attached as are declared.

--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -2,16 +2,14 @@
 
 import asyncio
 from collections import abc
-import functools
-import itertools
 import random
-from typing import Any, Final
+from typing import Final
 
 from borageshelf import clock
-from borageshelf.decisions import placement
-from borageshelf.decisions import views
+from borageshelf.entry import effect_sender
 from borageshelf.entry import learning as learning_module
 from borageshelf.entry import membership as membership_module
+from borageshelf.entry import placer
 from borageshelf.entry import sessions as sessions_module
 from borageshelf.entry import targets
 from borageshelf import errors
@@ -38,8 +36,6 @@
 # themselves again within RENEW_INTERVAL_MS of membership; until then a
 # missing owner proves nothing.
 REJOIN_PAUSE_MS: Final = 5_000
-# Bounds the time that one shard holds the event loop in a surge of jobs.
-PLACED_PER_TICK: Final = 32
 
 
 class BatchService:
@@ -59,7 +55,6 @@
         self._options = options
         self._store = store
         self._registry = registry
-        self._find_configuration = find_configuration
         self._telemetry = telemetry
         self.learning = learning_module.Learning()
         self.board = targets.TargetBoard(
@@ -69,24 +64,20 @@
             grant_length_ms=options.grant_ms,
             clock_skew_bound_ms=options.clock_skew_ms,
         )
-        self._random = random.Random(options.entry_id)
+        self._sender = effect_sender.EffectSender(registry, telemetry)
+        self._placer = placer.Placer(
+            registry,
+            self.board,
+            self.learning,
+            find_configuration,
+            random.Random(options.entry_id),
+        )
         self._runners: dict[int, runner_module.ShardRunner] = {}
-        self._replies: dict[int, asyncio.Future[effects.Reply]] = {}
-        self._tokens = itertools.count(1)
         self._membership: membership_module.Membership | None = None
         self._background = loop.TaskGroup()
         self._changed = asyncio.Event()
         self._leaving = False
         self._hold_deadline_ms = 0
-        self._dispatch = functools.singledispatch(self._dispatch_unknown)
-        for kind, handle in (
-            (effects.SendStart, self._send_start),
-            (effects.SendStop, self._send_stop),
-            (effects.SendRelease, self._send_release),
-            (effects.SendGrants, self._send_grants),
-            (effects.Reply, self._reply),
-        ):
-            self._dispatch.register(kind, handle)
 
     # Ownership of shards.
 
@@ -192,8 +183,8 @@
             shard,
             log.ShardLog(self._store, shard, self._options.entry_id),
             self._policy,
-            self._dispatch,
-            self._place,
+            self._sender.dispatch,
+            self._placer.place,
             self._handle_lost,
             clock.read_wall_clock_ms,
             self._options.tick_ms,
@@ -259,9 +250,7 @@
             raise errors.BorageshelfError(
                 errors.NOT_OWNER, f'shard {shard} is not owned here'
             )
-        token = next(self._tokens)
-        future = asyncio.get_running_loop().create_future()
-        self._replies[token] = future
+        token, future = self._sender.expect_reply()
         ask(runner.owner, token)
         runner.wake()
         wait_ms = max(deadline_ms - clock.read_wall_clock_ms(), 0)
@@ -273,7 +262,7 @@
                 errors.OUTCOME_UNKNOWN, 'the commit is not confirmed yet'
             ) from None
         finally:
-            self._replies.pop(token, None)
+            self._sender.forget_reply(token)
         return reply
 
     # Messages from agents.
@@ -395,144 +384,6 @@
         )
         self.handle_status(session, status)
 
-    # Placement.
-
-    def _place(self, owner: owner_module.ShardOwner) -> None:
-        """Assign queued tasks as far as targets can take them."""
-        now_ms = clock.read_wall_clock_ms()
-        startable = owner.list_startable(now_ms)
-        if not startable:
-            return
-        policy = self._make_policy()
-        for task in startable[:PLACED_PER_TICK]:
-            choice = placement.choose_target(
-                self._view_task(owner, task),
-                self.board.list_views(now_ms),
-                policy,
-                now_ms,
-                self._random,
-            )
-            if isinstance(choice, views.Placed):
-                self._assign(owner, task, choice, now_ms)
-                policy = self._make_policy()
-            elif choice.code is errors.JOB_NEVER_FITS:
-                owner.reject(task.task_id, now_ms)
-
-    def _assign(
-        self,
-        owner: owner_module.ShardOwner,
-        task: records.TaskRecord,
-        choice: views.Placed,
-        now_ms: int,
-    ) -> None:
-        session = self._registry.find(choice.target_id)
-        if session is None:
-            return
-        self.board.note_promise(
-            choice.target_id, task.task_id, task.team, choice.expected_use
-        )
-        owner.assign(
-            task.task_id,
-            records.Assignment(
-                choice.target_id,
-                session.identity.vm_boot_id,
-                session.identity.agent_boot_id,
-                session.hello.data_centre,
-                session.hello.rack,
-                owner.epoch,
-                choice.expected_use,
-                choice.throttle,
-            ),
-            now_ms,
-        )
-
-    def _view_task(
-        self, owner: owner_module.ShardOwner, task: records.TaskRecord
-    ) -> views.TaskView:
-        siblings = [
-            other.assignment
-            for other in owner.find_job(task.job_id)
-            if other.assignment is not None
-        ]
-        return views.TaskView(
-            task_id=task.task_id,
-            family=task.family,
-            team=task.team,
-            declared=task.declared,
-            urgency=task.urgency,
-            data_centres=task.data_centres,
-            spread=task.spread,
-            sibling_data_centres=tuple(item.data_centre for item in siblings),
-            sibling_racks=tuple(item.rack for item in siblings),
-            failed_targets=tuple(item.target_id for item in task.failures),
-            waiting_since_ms=max(task.submitted_at_ms, task.not_before_ms),
-        )
-
-    def _make_policy(self) -> views.Policy:
-        configuration = self._find_configuration()
-        return views.Policy(
-            objective=configuration.objective,
-            limits=configuration.limits,
-            quotas={
-                name: team.quota for name, team in configuration.teams.items()
-            },
-            team_usage=self.board.find_team_usage(),
-            estimates=self.learning.book,
-            interference=self.learning.table,
-        )
-
-    # Effects.
-
-    def _dispatch_unknown(self, effect: Any) -> bool:
-        raise TypeError(f'no handler for {type(effect).__name__}')
-
-    def _send_start(self, effect: effects.SendStart) -> bool:
-        session = self._registry.find(effect.target_id)
-        if session is None:
-            return False
-        if session.identity.agent_boot_id != effect.agent_boot_id:
-            return False
-        self._telemetry.count(
-            telemetry_module.TASKS_STARTED, effect.task.family
-        )
-        return session.send(start=convert.pack_start(effect))
-
-    def _send_stop(self, effect: effects.SendStop) -> bool:
-        session = self._registry.find(effect.target_id)
-        if session is None:
-            return False
-        attempt = convert.pack_attempt(effect.attempt)
-        stop = inner_pb2.Stop(
-            attempt=attempt,
-            checkpoint=effect.checkpoint,
-            only_unstarted=effect.only_unstarted,
-        )
-        return session.send(stop=stop)
-
-    def _send_release(self, effect: effects.SendRelease) -> bool:
-        session = self._registry.find(effect.target_id)
-        if session is None:
-            return False
-        attempt = convert.pack_attempt(effect.attempt)
-        return session.send(release=inner_pb2.Release(attempt=attempt))
-
-    def _send_grants(self, effect: effects.SendGrants) -> bool:
-        session = self._registry.find(effect.target_id)
-        if session is None:
-            return False
-        renew = inner_pb2.Renew(
-            grants=[convert.pack_grant(grant) for grant in effect.grants],
-            report_interval_ms=self._registry.find_report_interval_ms(),
-        )
-        return session.send(renew=renew)
-
-    def _reply(self, effect: effects.Reply) -> bool:
-        future = self._replies.get(effect.token)
-        if future is None or future.done():
-            return False
-        future.set_result(effect)
-        return True
-
 
 def _is_current(
     owner: owner_module.ShardOwner, attempt: inner_pb2.Attempt
--- /dev/null
+++ b/borageshelf/entry/placer.py
@@ -0,0 +1,159 @@
+"""Places the queued tasks of owned shards on targets."""
+
+from collections import abc
+import random
+from typing import Final
+
+from borageshelf import clock
+from borageshelf.decisions import placement
+from borageshelf.decisions import views
+from borageshelf.entry import learning as learning_module
+from borageshelf.entry import sessions as sessions_module
+from borageshelf.entry import targets
+from borageshelf import errors
+from borageshelf.model import objects
+from borageshelf.shards import owner as owner_module
+from borageshelf.shards import records
+
+# Bounds the time that one shard holds the event loop in a surge of jobs.
+DECISIONS_PER_TICK: Final = 32
+REMEMBERED_REFUSALS: Final = 4096
+
+
+class Placer:
+    """Asks the placement decision for each task that may start.
+
+    :param find_configuration: returns the configuration in force
+    """
+
+    def __init__(
+        self,
+        registry: sessions_module.SessionRegistry,
+        board: targets.TargetBoard,
+        learning: learning_module.Learning,
+        find_configuration: abc.Callable[[], objects.Configuration],
+        rng: random.Random,
+    ) -> None:
+        self._registry = registry
+        self._board = board
+        self._learning = learning
+        self._find_configuration = find_configuration
+        self._random = rng
+        self._retry_deadlines_ms: dict[str, int] = {}
+
+    def place(self, owner: owner_module.ShardOwner) -> None:
+        """Assign queued tasks as far as targets can take them."""
+        now_ms = clock.read_wall_clock_ms()
+        startable = [
+            task
+            for task in owner.list_startable(now_ms)
+            if self._retry_deadlines_ms.get(task.task_id, 0) <= now_ms
+        ]
+        if not startable:
+            return
+        policy = self._make_policy()
+        for task in startable[:DECISIONS_PER_TICK]:
+            choice = placement.choose_target(
+                self._view_task(owner, task),
+                self._board.list_views(now_ms),
+                policy,
+                now_ms,
+                self._random,
+            )
+            if isinstance(choice, views.Placed):
+                self._assign(owner, task, choice, now_ms)
+                policy = self._make_policy()
+                continue
+            if choice.code is errors.JOB_NEVER_FITS:
+                owner.reject(task.task_id, now_ms)
+            self._note_refusal(task.task_id, choice, now_ms)
+
+    def _assign(
+        self,
+        owner: owner_module.ShardOwner,
+        task: records.TaskRecord,
+        choice: views.Placed,
+        now_ms: int,
+    ) -> None:
+        session = self._registry.find(choice.target_id)
+        if session is None:
+            return
+        self._board.note_promise(
+            choice.target_id, task.task_id, task.team, choice.expected_use
+        )
+        owner.assign(
+            task.task_id,
+            records.Assignment(
+                choice.target_id,
+                session.identity.vm_boot_id,
+                session.identity.agent_boot_id,
+                session.hello.data_centre,
+                session.hello.rack,
+                owner.epoch,
+                choice.expected_use,
+                choice.throttle,
+            ),
+            now_ms,
+        )
+
+    def _note_refusal(
+        self, task_id: str, refused: views.Refused, now_ms: int
+    ) -> None:
+        """Let other tasks have the next decisions of the shard.
+
+        Otherwise tasks that fit nowhere now would keep those behind them
+        from being looked at.
+        """
+        if len(self._retry_deadlines_ms) > REMEMBERED_REFUSALS:
+            self._retry_deadlines_ms = {
+                key: deadline_ms
+                for key, deadline_ms in self._retry_deadlines_ms.items()
+                if deadline_ms > now_ms
+            }
+        self._retry_deadlines_ms[task_id] = refused.retry_deadline_ms
+
+    def _view_task(
+        self, owner: owner_module.ShardOwner, task: records.TaskRecord
+    ) -> views.TaskView:
+        siblings = [
+            other.assignment
+            for other in owner.find_job(task.job_id)
+            if other.assignment is not None
+        ]
+        return views.TaskView(
+            task_id=task.task_id,
+            family=task.family,
+            team=task.team,
+            declared=task.declared,
+            urgency=task.urgency,
+            data_centres=task.data_centres,
+            spread=task.spread,
+            sibling_data_centres=tuple(item.data_centre for item in siblings),
+            sibling_racks=tuple(item.rack for item in siblings),
+            failed_targets=tuple(item.target_id for item in task.failures),
+            waiting_since_ms=max(task.submitted_at_ms, task.not_before_ms),
+        )
+
+    def _make_policy(self) -> views.Policy:
+        configuration = self._find_configuration()
+        return views.Policy(
+            objective=configuration.objective,
+            limits=configuration.limits,
+            quotas={
+                name: team.quota for name, team in configuration.teams.items()
+            },
+            team_usage=self._board.find_team_usage(),
+            estimates=self._learning.book,
+            interference=self._learning.table,
+            covers_fleet=self._covers_fleet(configuration),
+        )
+
+    def _covers_fleet(self, configuration: objects.Configuration) -> bool:
+        """Tell whether as many workers are attached as are declared.
+
+        Only then a job that fits none of them can never run.
+        """
+        declared = sum(
+            shape.count for shape in configuration.worker_shapes.values()
+        )
+        return 0 < declared <= self._board.count
--- a/borageshelf/entry/targets.py
+++ b/borageshelf/entry/targets.py
@@ -38,6 +38,11 @@
         self._promised_team: dict[str, dict[str, resources.Resources]] = {}
         self._swept_at_ms = 0
 
+    @property
+    def count(self) -> int:
+        """Number of targets that can run batch tasks."""
+        return len(self._views)
+
     def list_views(self, now_ms: int) -> abc.Sequence[views.TargetView]:
         """Return the views; silent targets are shown as leaving."""
         if now_ms >= self._swept_at_ms + SWEEP_INTERVAL_MS:
