--- /dev/null
+++ b/borageshelf/agent/parts.py
@@ -0,0 +1,46 @@
+"""The parts of an agent process that its modules share."""
+
+import asyncio
+import dataclasses
+
+from borageshelf.agent import calls as calls_module
+from borageshelf.agent import tasks as tasks_module
+from borageshelf import options as options_module
+from borageshelf.platform import executor as executor_interface
+from borageshelf.platform import worker as worker_interface
+
+
+@dataclasses.dataclass
+class Parts:
+    """State of one agent process.
+
+    :param boot_id: identity of this run of the process
+    :param description: the VM as its worker describes it
+    :param service: the service of the executor, if there is one
+    :param config_version: version of the configuration part in force
+    :param stopping: set when a planned stop begins
+    :param aborting: set when the process must end at once
+    """
+
+    options: options_module.AgentOptions
+    boot_id: str
+    description: worker_interface.WorkerDescription
+    service: executor_interface.ExecutorDescription | None = None
+    tasks: tasks_module.TaskManager | None = None
+    calls: calls_module.AgentCalls | None = None
+    config_version: int = 0
+    stopping: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    aborting: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def has_calls(self) -> bool:
+        """Tell whether any call waits or runs."""
+        if self.calls is None:
+            return False
+        load = self.calls.find_load()
+        return load.queued + load.running > 0
+
+    def has_running_tasks(self) -> bool:
+        """Tell whether any attempt may use the VM."""
+        if self.tasks is None:
+            return False
+        return any(held.occupies for held in self.tasks.ledger.list_held())
--- /dev/null
+++ b/borageshelf/agent/reports.py
@@ -0,0 +1,82 @@
+"""Makes the hello and the reports that an agent sends to entries."""
+
+from borageshelf.agent import links
+from borageshelf.agent import parts as parts_module
+from borageshelf.agent import usage as usage_module
+from borageshelf import clock
+from borageshelf.protocol import convert
+from borageshelf.protocol import inner_pb2
+
+
+class ReportMaker:
+    """Describes the target to the entries."""
+
+    def __init__(self, parts: parts_module.Parts) -> None:
+        self._parts = parts
+
+    def make_hello(self) -> inner_pb2.Hello:
+        hello = inner_pb2.Hello(
+            target_id=self._parts.options.target_id,
+            vm_boot_id=self._parts.description.boot_id,
+            agent_boot_id=self._parts.boot_id,
+            data_centre=self._parts.options.data_centre,
+            rack=self._parts.description.rack or self._parts.options.rack,
+            capacity=convert.pack_resources(self._parts.description.capacity),
+            config_version=self._parts.config_version,
+            report=self._make_base_report(),
+        )
+        if self._parts.service is not None:
+            hello.service.CopyFrom(
+                inner_pb2.ServiceSlots(
+                    service=self._parts.service.service,
+                    slots=self._parts.service.slots,
+                    connections=self._parts.service.connections,
+                )
+            )
+        return hello
+
+    def _make_base_report(self) -> inner_pb2.Report:
+        report = inner_pb2.Report(
+            leaving=self._parts.stopping.is_set(),
+            config_version=self._parts.config_version,
+        )
+        if self._parts.tasks is not None:
+            free = self._parts.tasks.ledger.find_free()
+            report.free.CopyFrom(convert.pack_resources(free))
+        if self._parts.calls is not None:
+            load = self._parts.calls.find_load()
+            report.queued_calls = load.queued
+            report.running_calls = load.running
+            report.service_p99_ms = load.service_p99_ms
+            report.service_measured_at_ms = clock.read_wall_clock_ms()
+        return report
+
+    def make_report(self, link: links.EntryLink) -> inner_pb2.Report:
+        """Return the report for one entry: only attempts of its shards."""
+        report = self._make_base_report()
+        if self._parts.tasks is None:
+            return report
+        self._add_usage(link, report)
+        for held in self._parts.tasks.ledger.list_held():
+            shard = held.offer.shard
+            if self._obeys(link, shard):
+                report.attempts.append(convert.pack_held(held))
+        return report
+
+    def _add_usage(
+        self, link: links.EntryLink, report: inner_pb2.Report
+    ) -> None:
+        """Add what the attempts hold, if this entry does not know it."""
+        assert self._parts.tasks is not None
+        usage = usage_module.summarise(self._parts.tasks.ledger.list_held())
+        fingerprint = usage_module.make_fingerprint(usage)
+        if fingerprint == link.usage_fingerprint:
+            return
+        link.usage_fingerprint = fingerprint
+        report.has_usage = True
+        report.usage.extend(usage)
+
+    def _obeys(self, link: links.EntryLink, shard: int) -> bool:
+        assert self._parts.tasks is not None
+        epoch = link.epochs.get(shard, -1)
+        return epoch == self._parts.tasks.ledger.find_epoch(shard)
--- a/borageshelf/agent/vm_control.py
+++ b/borageshelf/agent/vm_control.py
@@ -7,6 +7,7 @@
 import functools
 from typing import Any
 
+from borageshelf.agent import calls
 from borageshelf.agent import reservations
 from borageshelf.agent import tasks as tasks_module
 from borageshelf import clock
@@ -46,6 +47,9 @@
     ) -> None:
         """Take the next step.
 
+        The latency counts as measured in the middle of its window, so that
+        no step is taken on calls from before the last step.
+
         :param load: share of the executor's slots in use
         """
         now_ms = clock.read_wall_clock_ms()
@@ -64,7 +68,7 @@
             service=service,
             target_p99_ms=goal.target_p99_ms if goal is not None else 0.0,
             p99_ms=p99_ms,
-            measured_at_ms=now_ms,
+            measured_at_ms=now_ms - calls.SAMPLE_WINDOW_MS // 2,
         )
         self._state, actions = control.decide(
             self._state,
--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import random
 from typing import Final
 
@@ -26,6 +27,7 @@
 from borageshelf.shards import ownership
 from borageshelf.shards import records
 from borageshelf.shards import runner as runner_module
+from borageshelf.shards import transitions
 from borageshelf import telemetry as telemetry_module
 
 RECONCILE_INTERVAL_MS: Final = 1000
@@ -336,6 +338,13 @@
         if owner is None or event is None:
             return
         self._learn_end(session, owner, status)
+        if isinstance(event, transitions.Failed):
+            is_excused = self.learning.is_target_to_blame(
+                session.identity.target_id,
+                status.family,
+                clock.read_wall_clock_ms(),
+            )
+            event = dataclasses.replace(event, blame_target=is_excused)
         owner.handle_event(
             session.identity,
             status.attempt.task_id,
--- a/borageshelf/entry/learning.py
+++ b/borageshelf/entry/learning.py
@@ -18,6 +18,9 @@
 # A mix older than this is not needed by any measurement that still arrives.
 MIX_HISTORY: Final = 16
 MIX_LIFETIME_MS: Final = 120_000
+# Without other evidence the blame is one half each; then a failure counts
+# for the job.
+TARGET_BLAME_SHARE: Final = 0.75
 
 
 class Learning:
@@ -93,6 +96,16 @@
         )
         return self.find_quarantine(target_id) > before_ms
 
+    def is_target_to_blame(
+        self, target_id: str, family: str, now_ms: int
+    ) -> bool:
+        """Tell whether a failure is the target's fault rather than the job's.
+
+        Without this, three broken workers could end a good job.
+        """
+        blame = quarantine.find_blame(self.failures, target_id, family, now_ms)
+        return blame >= TARGET_BLAME_SHARE
+
     def find_quarantine(self, target_id: str) -> int:
         """Return the time until which a target gets no work, or 0."""
         state = quarantine.find_state(self.failures, target_id)
--- a/borageshelf/shards/transitions.py
+++ b/borageshelf/shards/transitions.py
@@ -157,7 +157,9 @@
     assert task.assignment is not None
     failure = records.Failure(task.assignment.target_id, event.code)
     task = dataclasses.replace(task, may_have_run=True)
-    if not event.blame_target:
+    if event.blame_target:
+        task = dataclasses.replace(task, excused=task.excused + 1)
+    else:
         failures = (*task.failures, failure)
         task = dataclasses.replace(task, failures=failures)
     if task.cancel_requested:
--- a/tests/test_transitions.py
+++ b/tests/test_transitions.py
@@ -68,3 +68,17 @@
     event = transitions.Failed(1, errors.RESULT_TOO_LARGE.number)
     ended = transitions.advance(event, make_task(), 0)
     assert ended.code == errors.RESULT_TOO_LARGE.number
+
+
+def test_failures_of_broken_targets_do_not_end_a_job() -> None:
+    """Guards against three broken workers that end a good job."""
+    task = make_task(attempts_limit=5)
+    for number in range(3):
+        place = dataclasses.replace(PLACE, target_id=f'vm-{number}')
+        task = dataclasses.replace(task, assignment=place)
+        event = transitions.Failed(
+            task.attempt, errors.TASK_FAILED.number, blame_target=True
+        )
+        task = transitions.advance(event, task, 0)
+        assert task.phase is records.TaskPhase.QUEUED
+        task = assign_again(task)
