--- a/bench/placement_trace.py
+++ b/bench/placement_trace.py
@@ -14,7 +14,7 @@
 from borageshelf.model import objects
 from borageshelf.model import resources
 
-FOLDER: Final = pathlib.Path(__file__).parents[1] / 'test-data'
+FOLDER: Final = pathlib.Path(__file__).parent / 'data'
 SEED: Final = 20260
 LENGTH_S: Final = 3600
 SLOTS: Final = 80
