Take reports without news as heartbeats; watch silence with one timer

Cause: at 40 idle agents an entry spent 22.8 ms/s, 0.55 ms a report; perf shows 84% of it in the interpreter, and the profile names the handling of reports that say nothing new and one timer for each stream.

--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -368,6 +368,7 @@
             len(self._registry.list_open()),
             clock.read_wall_clock_ms(),
         )
+        self.board.refresh(session, clock.read_wall_clock_ms())
         if is_quarantined:
             self._telemetry.count(telemetry_module.TARGETS_QUARANTINED)
             self._telemetry.log_state(
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -139,6 +139,7 @@
         )
         self._background.start(watcher.run())
         self._background.start(self._calls.serve())
+        self._background.start(self._service.watch_silence())
         self._membership.start()
         self._batch.start(self._membership)
         self._background.start(self._watchdog.run())
--- a/borageshelf/entry/service.py
+++ b/borageshelf/entry/service.py
@@ -60,7 +60,7 @@
         tasks = [
             asyncio.ensure_future(self._receive(session, stream)),
             asyncio.ensure_future(self._send(session, stream)),
-            asyncio.ensure_future(self._watch_silence(session)),
+            asyncio.ensure_future(session.wait_closed()),
         ]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -154,15 +154,18 @@
             message = await session.next_message()
             await stream.send_message(message)
 
-    async def _watch_silence(
-        self, session: sessions_module.AgentSession
-    ) -> None:
-        """End the stream of an agent that is cut off without a reset."""
-        while session.is_open:
+    async def watch_silence(self) -> None:
+        """End the streams of agents that are cut off without a reset.
+
+        One timer serves all streams; one for each cost as much processor
+        time as a fifth of the reports.
+        """
+        while True:
             await asyncio.sleep(sessions_module.MIN_REPORT_INTERVAL_MS / 1000)
             interval_ms = self._registry.find_report_interval_ms()
-            if session.is_silent(2 * interval_ms):
-                return
+            for session in self._registry.list_open():
+                if session.is_silent(2 * interval_ms):
+                    session.close()
 
     def _handle(
         self,
@@ -189,14 +192,20 @@
         message: inner_pb2.AgentMessage,
     ) -> None:
         report = message.report
+        self._holder.confirm(report.config_version)
+        if session.note_unchanged(report):
+            self._send_heartbeat(session)
+            return
         was_leaving = session.is_leaving
         session.apply_report(report)
-        self._holder.confirm(report.config_version)
         self._batch.handle_report(session, report)
         if session.hello.service.service:
             self._calls.receive(session.identity.target_id, message)
         if session.is_leaving and not was_leaving:
             self._note_attached(session, 'target leaves')
+        self._send_heartbeat(session)
+
+    def _send_heartbeat(self, session: sessions_module.AgentSession) -> None:
         if session.needs_heartbeat():
             interval_ms = self._registry.find_report_interval_ms()
             session.send(renew=inner_pb2.Renew(report_interval_ms=interval_ms))
--- a/borageshelf/entry/sessions.py
+++ b/borageshelf/entry/sessions.py
@@ -41,7 +41,20 @@
             QUEUE_LIMIT
         )
         self._promised: dict[str, resources.Resources] = {}
-        self.is_open = True
+        self._closed = asyncio.Event()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream is in use."""
+        return not self._closed.is_set()
+
+    def close(self) -> None:
+        """End the use of the stream."""
+        self._closed.set()
+
+    async def wait_closed(self) -> None:
+        """Wait until the stream is no longer in use."""
+        await self._closed.wait()
 
     @property
     def is_leaving(self) -> bool:
@@ -59,7 +72,7 @@
         try:
             self._queue.put_nowait(message)
         except asyncio.QueueFull:
-            self.is_open = False
+            self.close()
             return False
         self._sent_at_ms = self._clock()
         return True
@@ -72,6 +85,17 @@
         """Wait for the next message to send."""
         return await self._queue.get()
 
+    def note_unchanged(self, report: inner_pb2.Report) -> bool:
+        """Take a report that says nothing new as a heartbeat.
+
+        :return: False if the report must be handled
+        """
+        is_news = report.attempts or report.has_usage or report.complete
+        if is_news or self._promised or report != self.report:
+            return False
+        self.reported_at_ms = self._clock()
+        return True
+
     def apply_report(self, report: inner_pb2.Report) -> None:
         """Keep the newest report."""
         self.report = report
@@ -111,12 +135,12 @@
         target_id = session.identity.target_id
         older = self._sessions.get(target_id)
         if older is not None:
-            older.is_open = False
+            older.close()
         self._sessions[target_id] = session
 
     def remove(self, session: AgentSession) -> bool:
         """Forget a stream; tell whether it was the target's current one."""
-        session.is_open = False
+        session.close()
         target_id = session.identity.target_id
         if self._sessions.get(target_id) is not session:
             return False
--- a/borageshelf/entry/targets.py
+++ b/borageshelf/entry/targets.py
@@ -63,12 +63,19 @@
         if report.has_usage:
             self._running[target_id] = tuple(map(_view_usage, report.usage))
         self._promised_team.pop(target_id, None)
-        view = self._make_view(session, now_ms)
-        if target_id in self._places:
-            self._views[self._places[target_id]] = view
-        else:
+        if target_id not in self._places:
             self._places[target_id] = len(self._views)
-            self._views.append(view)
+            self._views.append(self._make_view(session, now_ms))
+        else:
+            self.refresh(session, now_ms)
+
+    def refresh(
+        self, session: sessions_module.AgentSession, now_ms: int
+    ) -> None:
+        """Make the view of a known target anew, after failures on it."""
+        place = self._places.get(session.identity.target_id)
+        if place is not None:
+            self._views[place] = self._make_view(session, now_ms)
 
     def note_promise(
         self,
@@ -118,9 +125,11 @@
         interval_ms = self._registry.find_report_interval_ms()
         for place, view in enumerate(self._views):
             session = self._registry.find(view.target_id)
-            is_gone = session is None or session.is_silent(interval_ms)
-            if is_gone and not view.leaving:
+            if session is None or session.is_silent(interval_ms):
                 self._views[place] = dataclasses.replace(view, leaving=True)
+            elif view.failure_share or view.leaving:
+                # Blame fades with time, also while no report has news.
+                self._views[place] = self._make_view(session, now_ms)
 
     def _make_view(
         self, session: sessions_module.AgentSession, now_ms: int
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -120,6 +120,21 @@
     assert found == {'vm-2': 1000, 'vm-3': 900}
 
 
+def test_report_without_news_is_a_heartbeat() -> None:
+    """Guards against an agent that is taken for silent, or news ignored."""
+    parts = EntryParts(['vm-1'])
+    session = parts.registry.find('vm-1')
+    assert session is not None
+    session.reported_at_ms = 0
+    assert session.note_unchanged(inner_pb2.Report(free=CAPACITY))
+    assert session.reported_at_ms == NOW_MS
+    assert not session.note_unchanged(
+        inner_pb2.Report(free=CAPACITY, leaving=True)
+    )
+    session.promise('job/0', resources.Resources(100, 100))
+    assert not session.note_unchanged(inner_pb2.Report(free=CAPACITY))
+
+
 def test_broken_target_is_blamed_and_quarantined() -> None:
     """Guards against jobs that pay for a worker that fails everything."""
     learning = learning_module.Learning()
