List running attempts only when their grants are due

Cause: with 5,900 tasks on 40 agents an entry spent 145 ms/s and 135 KB/s, because each report listed every running attempt. A running attempt is now listed from a third of its grant on; ended ones until they are released, and all of them for a new owner.

--- a/borageshelf/agent/process.py
+++ b/borageshelf/agent/process.py
@@ -299,7 +299,7 @@
                 link.epochs[item.shard] = item.epoch
                 fresh.append(item)
         if fresh:
-            report = self._reports.make_report(link)
+            report = self._reports.make_report(link, is_complete=True)
             report.complete.extend(fresh)
             link.send(report=report)
         await self._parts.tasks.renew(renew.grants)
--- a/borageshelf/agent/reports.py
+++ b/borageshelf/agent/reports.py
@@ -1,18 +1,30 @@
 """Makes the hello and the reports that an agent sends to entries."""
 
+import dataclasses
+
 from borageshelf.agent import links
 from borageshelf.agent import parts as parts_module
+from borageshelf.agent import reservations
 from borageshelf.agent import usage as usage_module
 from borageshelf import clock
 from borageshelf.protocol import convert
 from borageshelf.protocol import inner_pb2
 
 
+@dataclasses.dataclass(frozen=True)
+class _Due:
+    """When the grant of an attempt is to be renewed."""
+
+    grant_deadline_ms: int
+    renew_at_ms: int
+
+
 class ReportMaker:
     """Describes the target to the entries."""
 
     def __init__(self, parts: parts_module.Parts) -> None:
         self._parts = parts
+        self._due: dict[reservations.AttemptKey, _Due] = {}
 
     def make_hello(self) -> inner_pb2.Hello:
         hello = inner_pb2.Hello(
@@ -51,18 +63,50 @@
             report.service_measured_at_ms = clock.read_wall_clock_ms()
         return report
 
-    def make_report(self, link: links.EntryLink) -> inner_pb2.Report:
-        """Return the report for one entry: only attempts of its shards."""
+    def make_report(
+        self, link: links.EntryLink, is_complete: bool = False
+    ) -> inner_pb2.Report:
+        """Return the report for one entry.
+
+        It lists attempts of the entry's shards only: those that have ended
+        and those whose grant is due for renewal, or all of them.
+        """
         report = self._make_base_report()
         if self._parts.tasks is None:
             return report
         self._add_usage(link, report)
-        for held in self._parts.tasks.ledger.list_held():
-            shard = held.offer.shard
-            if self._obeys(link, shard):
+        now_ms = clock.read_wall_clock_ms()
+        held_attempts = self._parts.tasks.ledger.list_held()
+        self._forget(held_attempts)
+        for held in held_attempts:
+            if not self._obeys(link, held.offer.shard):
+                continue
+            if is_complete or self._is_due(held, now_ms):
                 report.attempts.append(convert.pack_held(held))
         return report
 
+    def _is_due(self, held: reservations.Held, now_ms: int) -> bool:
+        """Tell whether the owner must hear of an attempt now.
+
+        A running one is listed from a third of its grant on. Listing all of
+        them in each report cost an entry 145 ms/s with 5,900 tasks.
+        """
+        if not held.occupies:
+            return True
+        due = self._due.get(held.offer.key)
+        if due is None or due.grant_deadline_ms != held.grant_deadline_ms:
+            left_ms = held.grant_deadline_ms - now_ms
+            due = _Due(held.grant_deadline_ms, now_ms + left_ms // 3)
+            self._due[held.offer.key] = due
+        return now_ms >= due.renew_at_ms
+
+    def _forget(self, held_attempts: tuple[reservations.Held, ...]) -> None:
+        """Drop the times of attempts that were released."""
+        if len(self._due) <= len(held_attempts):
+            return
+        keys = {held.offer.key for held in held_attempts}
+        self._due = {key: due for key, due in self._due.items() if key in keys}
+
     def _add_usage(
         self, link: links.EntryLink, report: inner_pb2.Report
     ) -> None:
