--- a/borageshelf/entry/placer.py
+++ b/borageshelf/entry/placer.py
@@ -12,6 +12,7 @@
 from borageshelf.entry import targets
 from borageshelf import errors
 from borageshelf.model import objects
+from borageshelf.model import resources
 from borageshelf.shards import owner as owner_module
 from borageshelf.shards import records
 
@@ -51,18 +52,20 @@
         ]
         if not startable:
             return
-        policy = self._make_policy()
+        # Summed once a pass, because the sum is linear in the fleet.
+        usage = self._board.find_team_usage()
         for task in startable[:DECISIONS_PER_TICK]:
             choice = placement.choose_target(
                 self._view_task(owner, task),
                 self._board.list_views(now_ms),
-                policy,
+                self._make_policy(usage),
                 now_ms,
                 self._random,
             )
             if isinstance(choice, views.Placed):
                 self._assign(owner, task, choice, now_ms)
-                policy = self._make_policy()
+                used = usage.get(task.team, resources.NOTHING)
+                usage[task.team] = used.plus(choice.expected_use)
                 continue
             if choice.code is errors.JOB_NEVER_FITS:
                 owner.reject(task.task_id, now_ms)
@@ -134,7 +137,9 @@
             waiting_since_ms=max(task.submitted_at_ms, task.not_before_ms),
         )
 
-    def _make_policy(self) -> views.Policy:
+    def _make_policy(
+        self, usage: abc.Mapping[str, resources.Resources]
+    ) -> views.Policy:
         configuration = self._find_configuration()
         return views.Policy(
             objective=configuration.objective,
@@ -142,7 +147,7 @@
             quotas={
                 name: team.quota for name, team in configuration.teams.items()
             },
-            team_usage=self._board.find_team_usage(),
+            team_usage=usage,
             estimates=self._learning.book,
             interference=self._learning.table,
             covers_fleet=self._covers_fleet(configuration),
