--- a/bench/failover.py
+++ b/bench/failover.py
@@ -20,6 +20,7 @@
 
 from bench import demo_plans
 from bench import fleet as fleet_module
+from borageshelf.agent import reservations
 
 PLAN: Final = fleet_module.FleetPlan(
     name='failover',
@@ -166,6 +167,8 @@
     async with fleet_module.Fleet(PLAN) as fleet:
         await demo_plans.publish(fleet, demo_plans.EXAMPLES / 'ocre')
         failover = Failover(fleet)
+        # All agents have just started and take no tasks yet.
+        await asyncio.sleep(2 * reservations.SETTLE_MS / 1000)
         for number in range(rounds):
             await note('urgent job started', failover.start_urgent())
             await note(
