--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,6 @@
 """Measures how the cost of entries, agents and the store grows.
 
-``python -m bench.capacity agents|tasks|starts|calls`` runs one sweep with
+``python -m bench.capacity agents|tasks|starts|changes`` runs one sweep with
 real processes on loopback and prints a table. The slopes are the input of
 docs/CAPACITY.md.
 """
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import pathlib
+import statistics
 import sys
 import tempfile
 import time
@@ -24,6 +25,7 @@
 SUBMISSIONS_AT_ONCE: Final = 32
 ENTRIES: Final = 3
 SHARDS: Final = 32
+CHANGES: Final = 5
 
 CONFIGURATION: Final = """
 data_centres:
@@ -94,9 +96,9 @@
         """Measure one window and print its row."""
         entries = [entry.process.pid for entry in self.fleet.entries]
         agents = [agent.pid for agent in self._agents]
-        before, started = await self._count_calls(), time.monotonic()
+        before, started = await self.count_calls(), time.monotonic()
         costs = await process_costs.measure(entries + agents, WINDOW_S)
-        after, elapsed_s = await self._count_calls(), time.monotonic()
+        after, elapsed_s = await self.count_calls(), time.monotonic()
         elapsed_s -= started
         entry = process_costs.average([costs[pid] for pid in entries])
         agent = process_costs.average([costs[pid] for pid in agents])
@@ -144,7 +146,8 @@
             total += sum(item['assigned'] for item in answer['shards'])
         return total
 
-    async def _count_calls(self) -> tuple[int, int]:
+    async def count_calls(self) -> tuple[int, int]:
+        """Return the reads and writes of the store so far."""
         counters = (await self.fleet.count_store_calls())['calls']
         writes = sum(
             counters.get(name, 0) for name in ('put', 'delete', 'renew_lease')
@@ -213,7 +216,41 @@
         await driving
 
 
+async def sweep_changes(bench: Bench) -> None:
+    """Measure how long a change takes and what it costs the store."""
+    print('| agents | changes | median s | longest s | reads | writes |')
+    print('|---|---|---|---|---|---|')
+    version = 1
+    for count in (10, 40, 160):
+        await bench.start_agents(count)
+        await asyncio.sleep(SETTLE_S)
+        before = await bench.count_calls()
+        times_s = []
+        for _ in range(CHANGES):
+            started = time.monotonic()
+            await publish_limit(bench.fleet, version)
+            times_s.append(time.monotonic() - started)
+            version += 1
+        after = await bench.count_calls()
+        reads = (after[0] - before[0]) / CHANGES
+        writes = (after[1] - before[1]) / CHANGES
+        print(
+            f'| {count} | {CHANGES} | {statistics.median(times_s):.2f} '
+            f'| {max(times_s):.2f} | {reads:.1f} | {writes:.1f} |',
+            flush=True,
+        )
+
+
+async def publish_limit(fleet: fleet_module.Fleet, version: int) -> None:
+    """Publish the configuration with another limit and wait for it."""
+    with tempfile.TemporaryDirectory() as folder:
+        text = CONFIGURATION.replace('8000', str(8000 + version))
+        (pathlib.Path(folder) / 'bench.yaml').write_text(text)
+        await demo_plans.publish(fleet, pathlib.Path(folder), version)
+
+
 SWEEPS: Final = {
+    'changes': sweep_changes,
     'agents': sweep_agents,
     'tasks': sweep_tasks,
     'starts': sweep_starts,
@@ -236,7 +273,8 @@
             await demo_plans.publish(fleet, pathlib.Path(folder))
         bench = Bench(fleet)
         try:
-            print(HEADER)
+            if name != 'changes':
+                print(HEADER)
             await SWEEPS[name](bench)
         finally:
             await bench.stop()
