--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -195,3 +195,34 @@
         assert await read_epochs(fleet) == before
 
     process_support.run_fleet(scenario)
+
+
+def test_agents_learn_entries_that_start_later() -> None:
+    """Guards against targets that no new entry can reach.
+
+    Agents learned the entries only when they attached, so after all entries
+    of that time had been replaced no job was started any more.
+    """
+
+    async def scenario(fleet: fleet_module.Fleet) -> None:
+        first = list(fleet.entries)
+        await fleet.start_entry('test-entry-8', 'molino-alto')
+        headers = {'Authorization': f'Bearer {fleet_module.TOKEN}'}
+
+        async def are_attached() -> bool:
+            _, answer = await fleet.request(
+                'GET',
+                f'{fleet.entries[-1].admin_url}/v1/targets',
+                headers=headers,
+            )
+            return len(answer['targets']) == len(fleet.vms)
+
+        await fleet_module.wait_until(are_attached, 'agents at the new entry')
+        for entry in first:
+            await entry.process.kill()
+            fleet.entries.remove(entry)
+        job_id = await process_support.submit(fleet, 'ledgers', run_ms=50)
+        job = await process_support.wait_for_end(fleet, job_id)
+        assert job['code_name'] == 'OK'
+
+    process_support.run_fleet(scenario)
