--- /dev/null
+++ b/bench/outage.py
@@ -0,0 +1,97 @@
+"""Keeps tasks running through an outage of the store.
+
+``python -m bench.outage --seconds N`` starts tasks, makes the store refuse
+every call for the time, and checks that the tasks ran on without a break and
+that their results are committed afterwards.
+"""
+
+import argparse
+import asyncio
+import json
+import sys
+import time
+from typing import Final
+
+from bench import demo_plans
+from bench import fleet as fleet_module
+
+TASKS: Final = 12
+PLAN: Final = fleet_module.FleetPlan(
+    name='outage',
+    region='sierra-centro',
+    entries=('tajo-norte', 'tajo-sur'),
+    vms=(
+        fleet_module.VmPlan('vm-1', 'tajo-norte', 'norte-1'),
+        fleet_module.VmPlan('vm-2', 'molino-alto', 'molino-1'),
+    ),
+)
+
+
+async def run(outage_s: float) -> int:
+    """Run the outage; return the number of tasks that were disturbed."""
+    async with fleet_module.Fleet(PLAN) as fleet:
+        await demo_plans.publish(fleet, demo_plans.EXAMPLES / 'ocre')
+        arguments = json.dumps({'run_ms': round((outage_s + 5) * 1000)})
+        job_ids = []
+        for number in range(TASKS):
+            _, answer = await fleet.submit(
+                fleet.entries[0], 'ledgers', arguments, str(number)
+            )
+            job_ids.append(answer['job_id'])
+
+        async def are_running() -> bool:
+            return await _count_running(fleet) == TASKS
+
+        await fleet_module.wait_until(are_running, 'start of all tasks')
+        await fleet.set_store_faults(outage='refusing')
+        lowest = TASKS
+        end = time.monotonic() + outage_s
+        while time.monotonic() < end:
+            lowest = min(lowest, await _count_running(fleet))
+            await asyncio.sleep(1)
+        await fleet.set_store_faults()
+        started = time.monotonic()
+        attempts = []
+        for job_id in job_ids:
+            attempts.append(await _wait_for_end(fleet, job_id))
+        print(
+            f'outage of {outage_s:.0f} s: at least {lowest} of {TASKS} tasks '
+            f'ran throughout; attempts {sorted(set(attempts))}; all results '
+            f'committed {time.monotonic() - started:.1f} s after its end'
+        )
+        return TASKS - lowest + sum(attempt > 1 for attempt in attempts)
+
+
+async def _count_running(fleet: fleet_module.Fleet) -> int:
+    total = 0
+    for vm in fleet.vms.values():
+        _, audit = await fleet.request('GET', f'{vm.worker_url}/control/audit')
+        total += sum(not item['end_ms'] for item in audit['intervals'])
+    return total
+
+
+async def _wait_for_end(fleet: fleet_module.Fleet, job_id: str) -> int:
+    """Wait for the result of a job and return its number of attempts."""
+    attempt = 0
+
+    async def has_ended() -> bool:
+        nonlocal attempt
+        status, answer = await fleet.find_job(fleet.entries[0], job_id)
+        if status != 200 or answer['code_name'] == 'PENDING':
+            return False
+        attempt = answer['tasks'][0]['attempt']
+        return bool(answer['code_name'] == 'OK')
+
+    await fleet_module.wait_until(has_ended, f'end of {job_id}')
+    return attempt
+
+
+def main() -> int:
+    """Run the outage of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=75)
+    return 1 if asyncio.run(run(parser.parse_args().seconds)) else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
