--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -2,10 +2,14 @@
 
 import random
 
+import pytest
+
+from borageshelf.agent import reservations
 from borageshelf.entry import learning as learning_module
 from borageshelf.entry import placer as placer_module
 from borageshelf.entry import sessions as sessions_module
 from borageshelf.entry import targets as targets_module
+from borageshelf import errors
 from borageshelf.model import objects
 from borageshelf.model import resources
 from borageshelf.protocol import inner_pb2
@@ -164,3 +168,28 @@
     assert quarantined.count(True) == 1
     assert learning.is_target_to_blame('bad', 'family', NOW_MS)
     assert learning.find_quarantine('bad') > NOW_MS
+
+
+def test_leaving_target_gets_no_task() -> None:
+    """Guards against starts that are sent to a target on its way out."""
+    parts = EntryParts(['vm-1'])
+    session = parts.registry.find('vm-1')
+    assert session is not None
+    report = inner_pb2.Report(free=CAPACITY, leaving=True)
+    session.apply_report(report)
+    parts.board.note_report(session, report, NOW_MS)
+    owner = make_owner([make_task(1, 100)])
+    parts.placer.place(owner)
+    assert owner.find_job('job1')[0].phase is records.TaskPhase.QUEUED
+
+
+def test_leaving_agent_refuses_starts_at_once() -> None:
+    """Guards against a start that crosses the news of the planned stop."""
+    size = resources.Resources(1000, 1000)
+    ledger = reservations.Reservations(size)
+    ledger.leave()
+    key = reservations.AttemptKey('job/0', 1)
+    offer = reservations.StartOffer(key, 0, 1, 'f', size, NOW_MS + 1)
+    with pytest.raises(errors.BorageshelfError) as refusal:
+        ledger.offer_start(offer, NOW_MS)
+    assert refusal.value.code is errors.LEAVING
