--- a/bench/binary.py
+++ b/bench/binary.py
@@ -25,8 +25,6 @@
 from bench import fleet
 from bench import traces
 
-# A folder in memory, where operators are told to let the file unpack itself.
-MEMORY_FOLDER: Final = pathlib.Path('/dev/shm')
 SETTLE_S: Final = 3.0
 # The drain time and as much again, for a loaded machine.
 STOP_LIMIT_S: Final = 10.0
@@ -139,6 +137,7 @@
     surroundings: binary_surroundings.Surroundings,
     program: binary_surroundings.Program,
     folder: pathlib.Path,
+    memory_folder: pathlib.Path,
 ) -> dict[str, tuple[traces.Counts, int]]:
     """Trace an entry and an agent; returns counts and exit statuses."""
     inner = f'{fleet.HOST}:{fleet.find_free_ports(1)[0]}'
@@ -169,19 +168,22 @@
         os.kill(pid, signal.SIGTERM)
         status = await _find_exit_status(process, pid)
         lines = output.read_text().splitlines()
-        found[name] = (traces.count_calls(lines), status)
+        found[name] = (traces.count_calls(lines, str(memory_folder)), status)
     return found
 
 
 async def trace_control(
-    surroundings: binary_surroundings.Surroundings, folder: pathlib.Path
+    surroundings: binary_surroundings.Surroundings,
+    folder: pathlib.Path,
+    memory_folder: pathlib.Path,
 ) -> tuple[traces.Counts, int]:
     """Trace a program that makes the calls which are looked for."""
     output = folder / 'control.trace'
     command = [*_make_trace_command(output), sys.executable, '-c', CONTROL]
     process = await surroundings.launch('control', command)
     status = await process.wait()
-    return traces.count_calls(output.read_text().splitlines()), status
+    lines = output.read_text().splitlines()
+    return traces.count_calls(lines, str(memory_folder)), status
 
 
 def _make_trace_command(output: pathlib.Path) -> list[str]:
@@ -204,14 +206,20 @@
     return sum(path.stat().st_size for path in files) / BYTES_PER_MB
 
 
-async def measure(file: pathlib.Path, repeats: int) -> None:
-    """Print all tables."""
+async def measure(
+    file: pathlib.Path, repeats: int, memory_folder: pathlib.Path
+) -> None:
+    """Print all tables.
+
+    :param memory_folder: folder in memory, where operators are told to let
+        the file unpack itself, and where shared memory would lie
+    """
     binary = binary_surroundings.Program('executable', (str(file),))
     source = binary_surroundings.Program(
         'source', (sys.executable, '-m', 'borageshelf.main')
     )
     with contextlib.ExitStack() as stack:
-        in_memory = _make_folder(stack, MEMORY_FOLDER)
+        in_memory = _make_folder(stack, memory_folder)
         print(f'File size: {file.stat().st_size / BYTES_PER_MB:.1f} MB')
         async with binary_surroundings.Surroundings(in_memory) as surroundings:
             first_ms = await time_command(surroundings, binary)
@@ -228,8 +236,10 @@
         on_disk = _make_folder(stack, None)
         async with binary_surroundings.Surroundings(on_disk) as surroundings:
             await time_command(surroundings, binary)
-            counts = await trace_pair(surroundings, binary, on_disk)
-            control = await trace_control(surroundings, on_disk)
+            counts = await trace_pair(
+                surroundings, binary, on_disk, memory_folder
+            )
+            control = await trace_control(surroundings, on_disk, memory_folder)
             counts['control program'] = control
         _print_counts(counts)
 
@@ -322,12 +332,15 @@
         '--file', type=pathlib.Path, default=pathlib.Path('dist/borageshelf')
     )
     parser.add_argument('--repeats', type=int, default=5)
+    parser.add_argument('--memory-folder', type=pathlib.Path, required=True)
     flags = parser.parse_args()
     if not flags.file.is_file():
         parser.error(f'{flags.file} does not exist; run make binary')
     # SIGTERM ends the processes that were started, like an interrupt.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    asyncio.run(measure(flags.file.resolve(), flags.repeats))
+    asyncio.run(
+        measure(flags.file.resolve(), flags.repeats, flags.memory_folder)
+    )
 
 
 if __name__ == '__main__':
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -13,7 +13,6 @@
     'clone,clone3,fork,vfork,execve,execveat,io_uring_setup,io_uring_enter,'
     'io_uring_register,shmget,shmat,shmctl,memfd_create,mmap,openat,mq_open'
 )
-SHARED_MEMORY_FOLDER: Final = '"/dev/shm/'
 # Calls that are always of interest, by name.
 IO_URING: Final = ('io_uring_setup', 'io_uring_enter', 'io_uring_register')
 SHARED_MEMORY: Final = ('shmget', 'shmat', 'shmctl', 'memfd_create', 'mq_open')
@@ -38,22 +37,26 @@
     shared_memory: list[str] = dataclasses.field(default_factory=list)
 
 
-def count_calls(lines: abc.Iterable[str]) -> Counts:
+def count_calls(lines: abc.Iterable[str], shared_folder: str) -> Counts:
     """Count the calls in the output of strace.
 
     A call that another thread interrupts is printed in two lines; the first
     has its name and arguments and is the one that counts.
+
+    :param shared_folder: folder whose files are memory of several processes
     """
     counts = Counts()
     for line in lines:
         found = _CALL.match(line)
         if found is None or _RESUMED.match(line) or _FAILED.search(line):
             continue
-        _count_call(counts, found['name'], found['rest'])
+        _count_call(counts, found['name'], found['rest'], shared_folder)
     return counts
 
 
-def _count_call(counts: Counts, name: str, rest: str) -> None:
+def _count_call(
+    counts: Counts, name: str, rest: str, shared_folder: str
+) -> None:
     if name in ('clone', 'clone3'):
         if 'CLONE_THREAD' in rest:
             counts.threads += 1
@@ -65,18 +68,18 @@
         counts.execs.append(rest.split(', [')[0])
     elif name in IO_URING:
         counts.io_uring += 1
-    elif name in SHARED_MEMORY or _shares_memory(name, rest):
+    elif name in SHARED_MEMORY or _shares_memory(name, rest, shared_folder):
         counts.shared_memory.append(f'{name}({rest}')
 
 
-def _shares_memory(name: str, rest: str) -> bool:
+def _shares_memory(name: str, rest: str, shared_folder: str) -> bool:
     """Tell whether memory becomes visible to other processes.
 
     A shared mapping that cannot be written is a file that is read.
     """
     if name == 'mmap':
         return 'MAP_SHARED' in rest and 'PROT_WRITE' in rest
-    return name == 'openat' and SHARED_MEMORY_FOLDER in rest
+    return name == 'openat' and f'"{shared_folder}/' in rest
 
 
 def find_first_pid(lines: abc.Iterable[str]) -> int:
--- a/borageshelf/agent/calls.py
+++ b/borageshelf/agent/calls.py
@@ -19,7 +19,7 @@
 from borageshelf.agent import held_calls
 from borageshelf import errors
 from borageshelf import loop
-from borageshelf.platform import executor as executor_interface
+from borageshelf.ports import executor as executor_interface
 from borageshelf.protocol import inner_pb2
 from borageshelf.protocol import limits
 
--- a/borageshelf/agent/parts.py
+++ b/borageshelf/agent/parts.py
@@ -6,8 +6,8 @@
 from borageshelf.agent import calls as calls_module
 from borageshelf.agent import tasks as tasks_module
 from borageshelf import options as options_module
-from borageshelf.platform import executor as executor_interface
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import executor as executor_interface
+from borageshelf.ports import worker as worker_interface
 
 
 @dataclasses.dataclass
--- a/borageshelf/agent/process.py
+++ b/borageshelf/agent/process.py
@@ -23,9 +23,9 @@
 from borageshelf import loop as loop_module
 from borageshelf.model import resources
 from borageshelf import options as options_module
-from borageshelf.platform import http_executor
-from borageshelf.platform import http_worker
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import http_executor
+from borageshelf.ports import http_worker
+from borageshelf.ports import worker as worker_interface
 from borageshelf.protocol import inner_pb2
 from borageshelf import telemetry as telemetry_module
 
--- a/borageshelf/agent/reservations.py
+++ b/borageshelf/agent/reservations.py
@@ -18,7 +18,7 @@
 
 from borageshelf import errors
 from borageshelf.model import resources
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import worker as worker_interface
 
 # A start that is delayed beyond the longest horizon is refused because its
 # grant has expired, so older tombstones are not needed.
--- a/borageshelf/agent/tasks.py
+++ b/borageshelf/agent/tasks.py
@@ -15,7 +15,7 @@
 from borageshelf import errors
 from borageshelf.model import objects
 from borageshelf.model import resources
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import worker as worker_interface
 from borageshelf.protocol import convert
 from borageshelf.protocol import inner_pb2
 
--- /dev/null
+++ b/borageshelf/agent/workflows/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process of the workflow scheduler."""
--- a/borageshelf/commands/operators.py
+++ b/borageshelf/commands/operators.py
@@ -55,7 +55,7 @@
         url = self.find_store_url()
 
         async def run() -> Any:
-            from borageshelf.platform import http_store
+            from borageshelf.ports import http_store
 
             store = http_store.HttpStore(url)
             try:
--- a/borageshelf/configuration/propagation.py
+++ b/borageshelf/configuration/propagation.py
@@ -17,7 +17,7 @@
 from borageshelf.decisions import retries
 from borageshelf import errors
 from borageshelf.model import objects
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 from borageshelf import telemetry as telemetry_module
 
 # A watch that stays open this long without a change confirms the version.
--- a/borageshelf/configuration/publication.py
+++ b/borageshelf/configuration/publication.py
@@ -17,7 +17,7 @@
 from borageshelf.configuration import trail as trail_module
 from borageshelf import errors
 from borageshelf.model import objects
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 
 
 @dataclasses.dataclass(frozen=True)
--- a/borageshelf/configuration/trail.py
+++ b/borageshelf/configuration/trail.py
@@ -14,7 +14,7 @@
 from borageshelf.decisions import retries
 from borageshelf import errors
 from borageshelf.model import objects
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 
 # Operators wait at a terminal; a store outage of this length is reported.
 TIME_LIMIT_MS: Final = 30_000
--- a/borageshelf/entry/batch.py
+++ b/borageshelf/entry/batch.py
@@ -17,7 +17,7 @@
 from borageshelf import loop
 from borageshelf.model import objects
 from borageshelf import options as options_module
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 from borageshelf.protocol import convert
 from borageshelf.protocol import inner_pb2
 from borageshelf.shards import effects
--- a/borageshelf/entry/callers.py
+++ b/borageshelf/entry/callers.py
@@ -17,6 +17,7 @@
 from twisted.web import server
 
 from borageshelf import clock
+from borageshelf.entry import bounded_site
 from borageshelf.entry import call_tries
 from borageshelf.entry import calls as calls_module
 from borageshelf.entry import documents
@@ -24,7 +25,6 @@
 from borageshelf import errors
 from borageshelf.model import objects
 
-BODY_LIMIT_BYTES: Final = 1_000_000
 WAIT_LIMIT_MS: Final = 60_000
 WAIT_PAUSE_MS: Final = 200
 IDLE_TIMEOUT_S: Final = 120
@@ -91,7 +91,7 @@
     def make_site(self) -> server.Site:
         """Return the site to listen with."""
         root = Router(self._route)
-        site: Any = BoundedSite
+        site: Any = bounded_site.BoundedSite
         made: server.Site = site(root, timeout=IDLE_TIMEOUT_S)
         return made
 
@@ -226,48 +226,6 @@
         return self._route(names) or Endpoint(_NO_RESOURCE)
 
 
-class BoundedRequest(server.Request):
-    """A request that refuses a body above the limit before reading it."""
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Close the connection of a caller that announces too much."""
-        if length is not None and length > BODY_LIMIT_BYTES:
-            self._refuse()
-            return
-        server.Request.gotLength(self, length)
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Bound bodies whose length is not announced."""
-        received = self.content.tell() if self.content is not None else 0
-        if received + len(data) > BODY_LIMIT_BYTES:
-            self._refuse()
-            return
-        server.Request.handleContentChunk(self, data)
-
-    def _refuse(self) -> None:
-        channel: Any = self.channel
-        if channel is None:
-            return
-        error = errors.BorageshelfError(
-            errors.BODY_TOO_LARGE, f'the limit is {BODY_LIMIT_BYTES} bytes'
-        )
-        body = msgspec.json.encode(documents.describe_error(error))
-        head = (
-            b'HTTP/1.1 413 Content Too Large\r\n'
-            b'content-type: application/json\r\n'
-            b'connection: close\r\n'
-            b'content-length: %d\r\n\r\n' % len(body)
-        )
-        channel.transport.write(head + body)
-        channel.loseConnection()
-
-
-class BoundedSite(server.Site):
-    """A site whose requests are bounded."""
-
-    requestFactory = BoundedRequest  # noqa: N815
-
-
 async def _not_found(request: server.Request) -> None:
     path = request.path.decode('latin-1')
     raise errors.BorageshelfError(errors.NOT_FOUND, path)
--- a/borageshelf/entry/membership.py
+++ b/borageshelf/entry/membership.py
@@ -17,7 +17,7 @@
 from borageshelf.decisions import retries
 from borageshelf import errors
 from borageshelf import loop
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 
 PREFIX: Final = 'entries/'
 LEASE_TTL_MS: Final = 10_000
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -27,8 +27,8 @@
 from borageshelf import loop as loop_module
 from borageshelf.model import objects
 from borageshelf import options as options_module
-from borageshelf.platform import http_store
-from borageshelf.platform import scoped_store
+from borageshelf.ports import http_store
+from borageshelf.ports import scoped_store
 from borageshelf import telemetry as telemetry_module
 
 CLAIM_LIFETIME_MS: Final = 24 * 3600 * 1000
--- /dev/null
+++ b/borageshelf/entry/workflows/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process of the workflow scheduler."""
--- a/borageshelf/loop.py
+++ b/borageshelf/loop.py
@@ -74,6 +74,13 @@
         loop.add_signal_handler(number, handle)
 
 
+def watch_reload(
+    loop: asyncio.AbstractEventLoop, on_reload: abc.Callable[[], None]
+) -> None:
+    """Call ``on_reload`` at each SIGHUP."""
+    loop.add_signal_handler(signal.SIGHUP, on_reload)
+
+
 async def wait_for_event(event: asyncio.Event, timeout_ms: int) -> bool:
     """Wait for an event; tell whether it was set before the timeout.
 
--- a/borageshelf/main.py
+++ b/borageshelf/main.py
@@ -11,6 +11,7 @@
 from borageshelf.commands import processes
 from borageshelf.commands import publish
 from borageshelf.commands import top
+from borageshelf.commands import workflows
 from borageshelf import options
 
 VERSION: Final = '0.1.0'
@@ -19,7 +20,14 @@
 def make_application() -> cleo.application.Application:
     """Return the command line with all commands."""
     application = cleo.application.Application('borageshelf', VERSION)
-    for module in (processes, operators, publish, callers, top):
+    for module in (
+        processes,
+        workflows,
+        operators,
+        publish,
+        callers,
+        top,
+    ):
         for command in module.COMMANDS:
             application.add(command())
     application.auto_exits(False)
--- /dev/null
+++ b/borageshelf/measurements.py
@@ -0,0 +1,100 @@
+"""Counters and latency histograms of the workflow scheduler.
+
+They are served as text on the metrics address; ``docs/metrics.md`` lists
+them and is tested against this registry.
+"""
+
+from typing import Final
+
+import prometheus_client
+from twisted.web import resource
+from twisted.web import server
+
+REGISTRY: Final = prometheus_client.CollectorRegistry()
+_PREFIX: Final = 'borageshelf'
+# From a message between processes to a whole objective.
+_BUCKETS_S: Final = (
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
+
+
+def _counter(
+    name: str, description: str, labels: tuple[str, ...] = ()
+) -> prometheus_client.Counter:
+    return prometheus_client.Counter(
+        name, description, labels, namespace=_PREFIX, registry=REGISTRY
+    )
+
+
+def _histogram(
+    name: str, description: str, labels: tuple[str, ...] = ()
+) -> prometheus_client.Histogram:
+    return prometheus_client.Histogram(
+        name,
+        description,
+        labels,
+        namespace=_PREFIX,
+        registry=REGISTRY,
+        buckets=_BUCKETS_S,
+    )
+
+
+def _gauge(name: str, description: str) -> prometheus_client.Gauge:
+    return prometheus_client.Gauge(
+        name, description, namespace=_PREFIX, registry=REGISTRY
+    )
+
+
+REQUESTS = _counter('requests', 'Requests of callers.', ('method', 'status'))
+REQUEST_SECONDS = _histogram(
+    'request_seconds', 'Time of a request of a caller.', ('method',)
+)
+COMMITS = _counter('commits', 'Commits to the store.', ('result',))
+COMMIT_SECONDS = _histogram('commit_seconds', 'Time of a commit.')
+TAKEOVERS = _counter('takeovers', 'Times this entry became the owner.')
+RUNS_STARTED = _counter('runs_started', 'Runs that an owner ordered.')
+FIRST_START_SECONDS = _histogram(
+    'first_start_seconds',
+    'Time from the acceptance of a workflow to its first order.',
+)
+RUNS_ENDED = _counter('runs_ended', 'Ends that an agent saw.', ('how',))
+STARTS_REFUSED = _counter(
+    'starts_refused', 'Starts that an agent or executor refused.', ('reason',)
+)
+EXECUTOR_FAILURES = _counter(
+    'executor_failures', 'Calls to the executor without an answer.'
+)
+STORE_FAILURES = _counter(
+    'store_failures', 'Calls to the store that failed.', ('code',)
+)
+TARGETS = _gauge('targets', 'Targets that are attached to this owner.')
+WORKFLOWS = _gauge('workflows', 'Workflows that have not ended.')
+CONFIGURATION_VERSION = _gauge(
+    'configuration_version', 'Version of the configuration in force.'
+)
+LOG_LINES_DROPPED = _gauge(
+    'log_lines_dropped', 'Log lines that nobody read in time.'
+)
+
+
+class MetricsPage(resource.Resource):
+    """Serves all metrics as text."""
+
+    isLeaf = True  # noqa: N815
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        """Return the page."""
+        request.setHeader(
+            b'content-type', prometheus_client.CONTENT_TYPE_LATEST.encode()
+        )
+        return prometheus_client.generate_latest(REGISTRY)
--- a/borageshelf/options.py
+++ b/borageshelf/options.py
@@ -281,12 +281,22 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeOptions(Options):
+    """Settings of the processes of the workflow scheduler."""
+
+    node_file: str = define_setting(
+        settings.parse_path, 'settings file of the process'
+    )
+
+
 OptionsType = TypeVar('OptionsType', bound=Options)
 KINDS: Final[tuple[type[Options], ...]] = (
     EntryOptions,
     AgentOptions,
     OperatorOptions,
     CallerOptions,
+    NodeOptions,
 )
 
 
--- a/borageshelf/platform/__init__.py
+++ b/borageshelf/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Interfaces and adapters of the platform services."""
+"""Adapters of the users' platform: names, formats and calls only."""
--- a/borageshelf/platform/executor.py
+++ b/borageshelf/platform/executor.py
@@ -1,55 +1,233 @@
-"""Interface of a service executor on a target VM."""
-
-from collections import abc
-import dataclasses
-from typing import Protocol
-
-
-@dataclasses.dataclass(frozen=True)
-class ExecutorDescription:
-    """The service that runs here and its bounds."""
+"""Adapter of the executor that runs tasks on the agent's VM."""
+
+from typing import Any, Final
+
+import msgspec
+
+from borageshelf.ports import http_client
+from borageshelf.ports import task_executor
+
+# An order that is answered late is carried out 2 s later or more (the site
+# files' troubles), so waiting longer than this rarely helps.
+TIMEOUT_MS: Final = 800
+CONNECTIONS: Final = 12
+ANSWER_LIMIT_BYTES: Final = 4_000_000
+WAIT_LIMIT_MS: Final = 2_000
+
+_END_KINDS: Final = {
+    'done': task_executor.EndKind.DONE,
+    'failed': task_executor.EndKind.FAILED,
+    'stopped': task_executor.EndKind.STOPPED,
+    'lapsed': task_executor.EndKind.LEASE_EXPIRED,
+    'broken': task_executor.EndKind.GANG_BROKEN,
+    'alone': task_executor.EndKind.GANG_INCOMPLETE,
+}
+_REFUSALS: Final = {
+    'fence': task_executor.StartOutcome.FENCED,
+    'old': task_executor.StartOutcome.SUPERSEDED,
+    'late': task_executor.StartOutcome.TOO_LATE,
+    'room': task_executor.StartOutcome.NO_ROOM,
+    'ticket': task_executor.StartOutcome.NO_TICKET,
+}
+
+
+class _Start(msgspec.Struct, rename='pascal', omit_defaults=True):
+    """An order to start; ``DeadlineMs`` is the lease on the executor's clock.
+
+    It extends the lease of everything that runs there.
+    """
 
-    service: str
-    slots: int
-    connections: int
+    task: str
+    attempt: int
+    spec: str
+    deadline_ms: int
+    fencing_token: int
+    checkpoint: str = ''
 
 
-@dataclasses.dataclass(frozen=True)
-class CallRequest:
-    """One call to the service; the deadline is Unix milliseconds."""
+class _Stop(msgspec.Struct, rename='pascal'):
+    task: str
+    attempt: int
+    fencing_token: int
 
-    call_id: str
-    service: str
-    deadline_ms: int
-    body: bytes
 
+class _Pace(msgspec.Struct, rename='pascal'):
+    task: str
+    attempt: int
+    percent: int
+    fencing_token: int
 
-@dataclasses.dataclass(frozen=True)
-class CallStatus:
-    """How a call ended.
 
-    :param code: number of a registered result code
-    :param ran: whether the executor may have run the call
-    """
+class _Hold(msgspec.Struct, rename='pascal', omit_defaults=True):
+    """``LastSeen`` acknowledges ends up to that number."""
 
-    code: int
-    ran: bool
-    detail: str = ''
+    fencing_token: int
+    last_seen: int
+    deadline_ms: int = 0
+    wait_ms: int = 0
 
 
-class Executor(Protocol):
-    """The executor beside the agent."""
+class _HoldAnswer(msgspec.Struct, rename='pascal'):
+    """Rows of ``Running``: task, attempt, checkpoint, percent, measured.
 
-    async def describe(self) -> ExecutorDescription:
-        """Return the service and its bounds."""
+    Rows of ``EndedRuns``: number, task, attempt, how, checkpoint.
+    """
 
-    async def call(
+    clock_ms: int
+    running: list[list[Any]]
+    ended_runs: list[list[Any]]
+    born: int = msgspec.field(name='born', default=0)
+
+
+class _Refusal(msgspec.Struct, rename='pascal'):
+    reason: str = ''
+
+
+class PlatformExecutor:
+    """The executor; implements ``task_executor.TaskExecutor``."""
+
+    def __init__(self, address: str) -> None:
+        self._client = http_client.HttpClient(f'http://{address}', CONNECTIONS)
+
+    async def start(
+        self, instance_id: str, order: task_executor.StartOrder
+    ) -> task_executor.StartOutcome:
+        """Start an attempt; see the interface."""
+        answer = await self._send(
+            '/-/run-start',
+            instance_id,
+            _Start(
+                order.task,
+                order.attempt,
+                order.spec,
+                order.lease_deadline_ms,
+                order.token,
+                order.checkpoint,
+            ),
+        )
+        return _find_outcome(answer)
+
+    async def stop(
+        self, instance_id: str, task: str, attempt: int, token: int
+    ) -> None:
+        """Stop an attempt; see the interface."""
+        _check(
+            await self._send(
+                '/-/run-stop', instance_id, _Stop(task, attempt, token)
+            )
+        )
+
+    async def inspect(
+        self,
+        instance_id: str,
+        token: int,
+        acknowledged: int,
+        lease_deadline_ms: int,
+        wait_ms: int,
+    ) -> task_executor.Inspection:
+        """List runs and ends; see the interface."""
+        wait_ms = min(wait_ms, WAIT_LIMIT_MS)
+        answer = await self._send(
+            '/-/hold',
+            instance_id,
+            _Hold(token, acknowledged, lease_deadline_ms, wait_ms),
+            TIMEOUT_MS + wait_ms,
+        )
+        _check(answer)
+        try:
+            found = msgspec.json.decode(answer.body, type=_HoldAnswer)
+            return task_executor.Inspection(
+                found.clock_ms,
+                found.born,
+                tuple(_read_running(row) for row in found.running),
+                tuple(_read_ended(row) for row in found.ended_runs),
+            )
+        except (msgspec.MsgspecError, IndexError, KeyError) as error:
+            raise task_executor.ExecutorLost(repr(error)) from error
+
+    async def pace(
+        self,
+        instance_id: str,
+        task: str,
+        attempt: int,
+        percent: int,
+        token: int,
+    ) -> None:
+        """Let a task work at a share of its speed; see the interface."""
+        _check(
+            await self._send(
+                '/-/pace', instance_id, _Pace(task, attempt, percent, token)
+            )
+        )
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._client.close()
+
+    async def _send(
         self,
-        request: CallRequest,
-        on_chunk: abc.Callable[[bytes], abc.Awaitable[None]],
-    ) -> CallStatus:
-        """Run a call; chunks of the answer are passed on in order.
-
-        :param on_chunk: awaited for each chunk, which slows the executor
-            down to the reader's speed
-        """
+        path: str,
+        instance_id: str,
+        request: object,
+        timeout_ms: int = TIMEOUT_MS,
+    ) -> http_client.Answer:
+        headers = {'Content-Type': 'application/json'}
+        if instance_id:
+            headers['Target-Instance'] = instance_id
+        try:
+            return await self._client.send(
+                b'POST',
+                path,
+                headers,
+                msgspec.json.encode(request),
+                timeout_ms,
+                ANSWER_LIMIT_BYTES,
+            )
+        except http_client.CallFailed as error:
+            raise task_executor.ExecutorLost(
+                f'{path}: {error.detail}', error.is_refused
+            ) from error
+
+
+def _find_outcome(answer: http_client.Answer) -> task_executor.StartOutcome:
+    if answer.status == 200:
+        return task_executor.StartOutcome.STARTED
+    if answer.status == 409:
+        try:
+            refusal = msgspec.json.decode(answer.body, type=_Refusal)
+        except msgspec.MsgspecError:
+            return task_executor.StartOutcome.INVALID
+        return _REFUSALS.get(
+            refusal.reason, task_executor.StartOutcome.INVALID
+        )
+    if answer.status == 421:
+        return task_executor.StartOutcome.OTHER_INSTANCE
+    if answer.status in (429, 503):
+        return task_executor.StartOutcome.UNHEALTHY
+    if answer.status == 400:
+        return task_executor.StartOutcome.INVALID
+    raise task_executor.ExecutorLost(f'status {answer.status}')
+
+
+def _check(answer: http_client.Answer) -> None:
+    """Raise what an answer other than 200 says."""
+    outcome = _find_outcome(answer)
+    if outcome is not task_executor.StartOutcome.STARTED:
+        raise task_executor.OrderRefused(outcome)
+
+
+def _read_running(row: list[Any]) -> task_executor.RunningTask:
+    measured = int(row[4]) if len(row) > 4 else 0
+    return task_executor.RunningTask(
+        str(row[0]), int(row[1]), str(row[2] or ''), int(row[3]), measured
+    )
+
+
+def _read_ended(row: list[Any]) -> task_executor.EndedRun:
+    return task_executor.EndedRun(
+        int(row[0]),
+        str(row[1]),
+        int(row[2]),
+        _END_KINDS[row[3]],
+        str(row[4] or ''),
+    )
--- /dev/null
+++ b/borageshelf/platform/front.py
@@ -0,0 +1,232 @@
+"""HTTP interface of callers and of the balancer's readiness check."""
+
+import asyncio
+from collections import abc
+from typing import Any, Final
+
+import msgspec
+from twisted.web import resource
+from twisted.web import server
+
+from borageshelf import clock
+from borageshelf.entry import bounded_site
+from borageshelf.entry.workflows import requests as requests_module
+from borageshelf import events as events_module
+from borageshelf import measurements
+from borageshelf.model import workflows
+from borageshelf.platform import documents
+from borageshelf.workflows import effects
+from borageshelf.workflows import messages
+
+READY_PATH: Final = b'/-/ready'
+# Idle connections are kept longer than clients do, so that a request never
+# meets a connection that is just being closed.
+IDLE_TIMEOUT_S: Final = 60
+ID_LENGTH: Final = 16
+_ID_DIGITS: Final = frozenset('0123456789abcdefABCDEF')
+_STATUS: Final = {
+    effects.Outcome.ACCEPTED: 200,
+    effects.Outcome.FOUND: 200,
+    effects.Outcome.ABSENT: 410,
+    effects.Outcome.REFUSED: 503,
+    effects.Outcome.INVALID: 400,
+    # The caller asks again with the same id, at any entry.
+    effects.Outcome.UNKNOWN: 504,
+}
+
+
+class PlatformSite:
+    """The sites of an entry; see ``entry.workflows.process.CallerSite``."""
+
+    def __init__(
+        self,
+        requests: requests_module.RequestService,
+        find_configuration: abc.Callable[[], workflows.QueueConfiguration],
+        is_ready: abc.Callable[[], bool],
+        events: events_module.EventLog,
+    ) -> None:
+        self._requests = requests
+        self._find_configuration = find_configuration
+        self._is_ready = is_ready
+        self._events = events
+        self.is_leaving = False
+        self.active_requests = 0
+
+    def make_site(self) -> Any:
+        """Return the callers' site."""
+        site: Any = bounded_site.BoundedSite
+        return site(_Page(self._serve), timeout=IDLE_TIMEOUT_S)
+
+    def make_ready_site(self) -> Any:
+        """Return the site of the readiness check."""
+        site: Any = bounded_site.BoundedSite
+        return site(_Page(self._serve_ready), timeout=IDLE_TIMEOUT_S)
+
+    async def _serve_ready(self, request: server.Request) -> None:
+        status = 200 if self._is_ready() else 503
+        if request.path != READY_PATH:
+            status = 404
+        self._write(request, status, b'{}')
+
+    async def _serve(self, request: server.Request) -> None:
+        self.active_requests += 1
+        begun_at_ms = clock.read_elapsed_ms()
+        method = request.method.decode('latin-1')
+        status = 0
+        try:
+            status = await self._answer(request, method, begun_at_ms)
+        finally:
+            self.active_requests -= 1
+            took_ms = clock.read_elapsed_ms() - begun_at_ms
+            measurements.REQUESTS.labels(method, str(status)).inc()
+            measurements.REQUEST_SECONDS.labels(method).observe(took_ms / 1000)
+            self._events.record(
+                'request answered',
+                method=method,
+                path=request.path.decode('latin-1'),
+                status=status,
+                version=self._find_configuration().version,
+                took_ms=took_ms,
+            )
+
+    async def _answer(
+        self, request: server.Request, method: str, now_ms: int
+    ) -> int:
+        configuration = self._find_configuration()
+        if not configuration.version:
+            return self._write(request, 503, b'{}', retry_after_s=1)
+        host = (request.getHeader('host') or '').partition(':')[0]
+        path = request.path.decode('latin-1')
+        queue = configuration.find_queue(host, path)
+        if queue is None:
+            return self._write(
+                request, 404, documents.write_refusal('no such queue')
+            )
+        workflow_id = path[len(queue.path_prefix) :]
+        deadline_ms = now_ms + _read_timeout_ms(request, queue)
+        if not workflow_id and method == 'GET':
+            answer = await self._requests.count(queue.name, deadline_ms)
+            body = documents.write_pending(answer.count)
+            return self._write_answer(request, answer, body)
+        if not _is_id(workflow_id):
+            return self._write(
+                request, 404, documents.write_refusal('no such path')
+            )
+        if method == 'POST':
+            return await self._submit(request, queue, workflow_id, deadline_ms)
+        if method == 'GET':
+            answer = await self._requests.find(workflow_id, deadline_ms)
+            body = documents.write_state(answer.state)
+            return self._write_answer(request, answer, body)
+        if method == 'DELETE':
+            answer = await self._requests.cancel(workflow_id, deadline_ms)
+            return self._write_answer(request, answer, b'{}')
+        return self._write(
+            request, 405, documents.write_refusal('no such method')
+        )
+
+    async def _submit(
+        self,
+        request: server.Request,
+        queue: workflows.Queue,
+        workflow_id: str,
+        deadline_ms: int,
+    ) -> int:
+        assert request.content is not None
+        body = request.content.read()
+        limit_bytes = self._find_configuration().limits.body_bytes
+        if len(body) > limit_bytes:
+            return self._write(
+                request, 413, documents.write_refusal('body too large')
+            )
+        try:
+            workflow = documents.read_workflow(workflow_id, body)
+        except (msgspec.MsgspecError, ValueError) as error:
+            return self._write(
+                request, 400, documents.write_refusal(str(error))
+            )
+        problem = workflows.find_problem(workflow)
+        if problem:
+            return self._write(request, 400, documents.write_refusal(problem))
+        answer = await self._requests.submit(workflow, queue, deadline_ms)
+        return self._write_answer(request, answer, b'{}')
+
+    def _write_answer(
+        self,
+        request: server.Request,
+        answer: messages.RequestAnswer,
+        body: bytes,
+    ) -> int:
+        status = _STATUS[answer.outcome]
+        if status != 200:
+            body = documents.write_refusal(answer.outcome.name.lower())
+        return self._write(request, status, body, answer.retry_after_s)
+
+    def _write(
+        self,
+        request: server.Request,
+        status: int,
+        body: bytes,
+        retry_after_s: int = 0,
+    ) -> int:
+        channel: Any = request.channel
+        if channel is None or request._disconnected:
+            return status
+        request.setResponseCode(status)
+        request.setHeader(b'content-type', b'application/json')
+        request.setHeader(b'content-length', str(len(body)).encode())
+        if retry_after_s:
+            request.setHeader(b'retry-after', str(retry_after_s).encode())
+        if self.is_leaving:
+            request.setHeader(b'connection', b'close')
+            channel.persistent = False
+        request.write(body)
+        request.finish()
+        return status
+
+
+class _Page(resource.Resource):
+    """Hands every request to one coroutine function."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self,
+        serve: abc.Callable[[server.Request], abc.Coroutine[Any, Any, None]],
+    ) -> None:
+        resource.Resource.__init__(self)
+        self._serve = serve
+
+    def render(self, request: server.Request) -> int:
+        """Start the handler of a request."""
+        task = asyncio.ensure_future(self._run(request))
+        finished = request.notifyFinish()
+        # The caller has hung up; the request is carried out all the same.
+        finished.addErrback(lambda _: None)
+        _running.add(task)
+        task.add_done_callback(_running.discard)
+        return server.NOT_DONE_YET
+
+    async def _run(self, request: server.Request) -> None:
+        try:
+            await self._serve(request)
+        except Exception:
+            if not request._disconnected:
+                request.setResponseCode(500)
+                request.finish()
+            raise
+
+
+# The event loop itself holds only weak references to tasks.
+_running: Final[set[asyncio.Task[None]]] = set()
+
+
+def _is_id(text: str) -> bool:
+    return len(text) == ID_LENGTH and _ID_DIGITS.issuperset(text)
+
+
+def _read_timeout_ms(request: server.Request, queue: workflows.Queue) -> int:
+    text = request.getHeader('deadline-ms') or ''
+    if text.isascii() and text.isdigit() and len(text) < 8:
+        return int(text)
+    return queue.timeout_ms
--- a/borageshelf/platform/store.py
+++ b/borageshelf/platform/store.py
@@ -1,65 +1,138 @@
-"""Interface of the platform's key-value service.
+"""Adapter of the platform's key-value service.
 
-Only this interface is used elsewhere, so that another adapter can replace
-the HTTP one. Deadlines are Unix milliseconds.
+Translates the calls of ``ports.store.TransactionalStore`` into the platform's
+HTTP calls. Lease ids are numbers on the wire and text inside.
 """
 
-import dataclasses
-from typing import Protocol
+import base64
+from collections import abc
+from typing import Final, TypeVar
 
-MUST_NOT_EXIST = 0
+import msgspec
 
+from borageshelf import clock
+from borageshelf import errors
+from borageshelf.ports import http_client
+from borageshelf.ports import store as store_interface
 
-@dataclasses.dataclass(frozen=True)
-class Entry:
-    """One key with its value; revision numbers grow with each write.
+# A slow store takes 80 times its usual 4 ms (the site files' troubles).
+TIMEOUT_MS: Final = 900
+# A watch answers at the end of its wait; this bounds how much later.
+WATCH_GRACE_MS: Final = 600
+WATCH_LIMIT_MS: Final = 30_000
+CONNECTIONS: Final = 8
+# A page of a listing has about a megabyte before its encoding.
+ANSWER_LIMIT_BYTES: Final = 4_000_000
 
-    :param deleted: set in watch answers for a key that no longer exists
+Document = TypeVar('Document')
+
+
+class _Item(msgspec.Struct, rename='pascal'):
+    """An item, or in a watch the removal of one.
+
+    :param tombstone: the key was removed
     """
 
     key: str
-    value: bytes
     revision: int
-    lease_id: str = ''
-    deleted: bool = False
+    value: str = ''
+    lease: int = 0
+    tombstone: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
-class Lease:
-    """A lease; its keys vanish when the deadline passes unrenewed."""
+class _KeyAnswer(_Item):
+    """Answer of a read of one key; ``AtRev`` is the store's revision."""
 
-    lease_id: str
-    deadline_ms: int
+    at_rev: int = 0
 
 
-@dataclasses.dataclass(frozen=True)
-class WatchAnswer:
-    """Changes under a prefix after a revision.
+class _RangeAnswer(msgspec.Struct):
+    """One page of a listing."""
 
-    :param revision: revision up to which the answer is complete
-    :param entries: the newest state of each changed key; intermediate
-        revisions may be skipped
-    :param compacted: the changes are gone; list the prefix again
-    """
+    items: list[_Item]
+    at_rev: int = msgspec.field(name='AtRev')
+    has_more: bool = msgspec.field(name='HasMore', default=False)
+
+
+class _WatchAnswer(msgspec.Struct):
+    """Changes after a revision; continue from ``AtRev``."""
 
+    events: list[_Item]
+    at_rev: int = msgspec.field(name='AtRev')
+
+
+class _Condition(msgspec.Struct, rename='pascal'):
+    key: str
     revision: int
-    entries: tuple[Entry, ...]
-    compacted: bool = False
 
 
-class Store(Protocol):
-    """The key-value service.
+class _Write(msgspec.Struct, rename='pascal', omit_defaults=True):
+    key: str
+    value: str
+    lease: int = 0
 
-    Every call may raise ``BorageshelfError`` with ``STORE_UNAVAILABLE`` (not
-    applied), and every write also with ``STORE_UNCERTAIN`` (may have been
-    applied).
-    """
 
-    async def get(self, key: str) -> Entry | None:
+class _Transaction(msgspec.Struct, rename='pascal'):
+    """A conditional change; ``Remove`` lists keys."""
+
+    expected_rev: list[_Condition]
+    writes: list[_Write]
+    remove: list[str]
+
+
+class _TransactionAnswer(msgspec.Struct, rename='pascal'):
+    revision: int
+
+
+class _LeaseRequest(msgspec.Struct, rename='pascal'):
+    ttl_ms: int
+
+
+class _LeaseAnswer(msgspec.Struct, rename='pascal'):
+    ttl_ms: int
+    lease: int = 0
+
+
+class PlatformStore:
+    """The platform's store; implements ``store.TransactionalStore``."""
+
+    def __init__(self, address: str, timeout_ms: int = TIMEOUT_MS) -> None:
+        self._client = http_client.HttpClient(f'http://{address}', CONNECTIONS)
+        self._timeout_ms = timeout_ms
+
+    async def get(self, key: str) -> store_interface.Entry | None:
         """Return the entry, or None."""
+        answer = await self._read('/-/kv-key', {'Key': key})
+        if answer.status == 404:
+            return None
+        return _make_entry(_decode(answer, _KeyAnswer))
+
+    async def list(self, prefix: str) -> tuple[store_interface.Entry, ...]:
+        """Return all entries under the prefix."""
+        return (await self.scan(prefix)).entries
+
+    async def scan(self, prefix: str) -> store_interface.Listing:
+        """Return all entries under the prefix, and where to watch from.
 
-    async def list(self, prefix: str) -> tuple[Entry, ...]:
-        """Return all entries whose key starts with the prefix."""
+        Pages are no snapshot, so the watch has to start at the first one.
+        """
+        entries: dict[str, store_interface.Entry] = {}
+        revision = -1
+        after = ''
+        while True:
+            arguments = {'PathPrefix': prefix}
+            if after:
+                arguments['After'] = after
+            answer = await self._read('/-/kv-range', arguments)
+            page = _decode(answer, _RangeAnswer)
+            revision = page.at_rev if revision < 0 else revision
+            for item in page.items:
+                entries[item.key] = _make_entry(item)
+            if not page.has_more or not page.items:
+                return store_interface.Listing(
+                    revision, tuple(entries.values())
+                )
+            after = page.items[-1].key
 
     async def put(
         self,
@@ -68,32 +141,183 @@
         expected_revision: int,
         lease_id: str = '',
     ) -> int:
-        """Write if the key has the expected revision; return the new one.
-
-        :param expected_revision: ``MUST_NOT_EXIST`` for a new key
-        :raises BorageshelfError: ``STORE_CONFLICT``, ``VALUE_TOO_LARGE``,
-            ``LEASE_LOST``
-        """
+        """Write by compare-and-swap; see the interface."""
+        return await self.commit(
+            store_interface.Transaction(
+                ((key, expected_revision),),
+                (store_interface.Write(key, value, lease_id),),
+            )
+        )
 
     async def delete(self, key: str, expected_revision: int) -> None:
-        """Delete the key if it has the expected revision.
+        """Delete by compare-and-swap; see the interface."""
+        await self.commit(
+            store_interface.Transaction(
+                ((key, expected_revision),), (), (key,)
+            )
+        )
 
-        :raises BorageshelfError: ``STORE_CONFLICT``
-        """
-
-    async def grant_lease(self, ttl_ms: int) -> Lease:
-        """Create a lease."""
+    async def commit(self, transaction: store_interface.Transaction) -> int:
+        """Apply a transaction; see the interface."""
+        request = _Transaction(
+            [
+                _Condition(key, revision)
+                for key, revision in transaction.expected_revisions
+            ],
+            [
+                _Write(
+                    write.key,
+                    base64.b64encode(write.value).decode(),
+                    int(write.lease_id or 0),
+                )
+                for write in transaction.writes
+            ],
+            list(transaction.removed),
+        )
+        answer = await self._write('/-/kv-txn', request)
+        return _decode_write(answer, _TransactionAnswer).revision
 
-    async def renew_lease(self, lease_id: str) -> Lease:
-        """Extend a lease by its time to live.
+    async def grant_lease(self, ttl_ms: int) -> store_interface.Lease:
+        """Create a lease; its deadline counts from before the call."""
+        now_ms = clock.read_wall_clock_ms()
+        answer = await self._write('/-/kv-lease', _LeaseRequest(ttl_ms))
+        lease = _decode_write(answer, _LeaseAnswer)
+        return store_interface.Lease(str(lease.lease), now_ms + lease.ttl_ms)
 
-        :raises BorageshelfError: ``LEASE_LOST``
-        """
+    async def renew_lease(self, lease_id: str) -> store_interface.Lease:
+        """Extend a lease; see the interface."""
+        now_ms = clock.read_wall_clock_ms()
+        answer = await self._write(f'/-/kv-keep/{lease_id}', None)
+        lease = _decode_write(answer, _LeaseAnswer)
+        return store_interface.Lease(lease_id, now_ms + lease.ttl_ms)
 
     async def revoke_lease(self, lease_id: str) -> None:
         """End a lease and delete its keys."""
+        answer = await self._write(
+            f'/-/kv-lease-end/{lease_id}', None, b'DELETE'
+        )
+        if answer.status not in (200, 404):
+            raise _make_error(answer)
 
     async def watch(
         self, prefix: str, after_revision: int, deadline_ms: int
-    ) -> WatchAnswer:
+    ) -> store_interface.WatchAnswer:
         """Wait for changes after a revision, at most until the deadline."""
+        wait_ms = max(deadline_ms - clock.read_wall_clock_ms(), 0)
+        wait_ms = min(wait_ms, WATCH_LIMIT_MS)
+        arguments = {
+            'PathPrefix': prefix,
+            'After': str(after_revision),
+            'WaitMs': str(wait_ms),
+        }
+        answer = await self._read(
+            '/-/kv-watch', arguments, wait_ms + WATCH_GRACE_MS
+        )
+        if answer.status == 410:
+            return store_interface.WatchAnswer(after_revision, (), True)
+        found = _decode(answer, _WatchAnswer)
+        newest = {item.key: _make_entry(item) for item in found.events}
+        return store_interface.WatchAnswer(
+            found.at_rev, tuple(newest.values())
+        )
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._client.close()
+
+    async def _read(
+        self,
+        path: str,
+        arguments: abc.Mapping[str, str],
+        timeout_ms: int = 0,
+    ) -> http_client.Answer:
+        try:
+            return await self._client.get(
+                path,
+                arguments,
+                timeout_ms or self._timeout_ms,
+                ANSWER_LIMIT_BYTES,
+            )
+        except http_client.CallFailed as error:
+            raise errors.BorageshelfError(
+                errors.STORE_UNAVAILABLE, f'{path}: {error.detail}'
+            ) from error
+
+    async def _write(
+        self, path: str, request: object, method: bytes = b'POST'
+    ) -> http_client.Answer:
+        body = msgspec.json.encode(request) if request is not None else b''
+        headers = {'Content-Type': 'application/json'}
+        try:
+            return await self._client.send(
+                method,
+                path,
+                headers,
+                body,
+                self._timeout_ms,
+                ANSWER_LIMIT_BYTES,
+            )
+        except http_client.CallFailed as error:
+            code = errors.STORE_UNAVAILABLE
+            if error.may_have_left:
+                code = errors.STORE_UNCERTAIN
+            raise errors.BorageshelfError(
+                code, f'{path}: {error.detail}'
+            ) from error
+
+
+def _make_entry(item: _Item) -> store_interface.Entry:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise errors.BorageshelfError(
+            errors.STORE_UNAVAILABLE, f'{item.key}: {error}'
+        ) from error
+    return store_interface.Entry(
+        item.key,
+        value,
+        item.revision,
+        str(item.lease) if item.lease else '',
+        item.tombstone,
+    )
+
+
+def _decode(answer: http_client.Answer, kind: type[Document]) -> Document:
+    """Decode the answer of a read, or raise its error."""
+    if answer.status != 200:
+        raise _make_error(answer)
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise errors.BorageshelfError(
+            errors.STORE_UNAVAILABLE, f'answer of the store: {error}'
+        ) from error
+
+
+def _decode_write(
+    answer: http_client.Answer, kind: type[Document]
+) -> Document:
+    """Decode the answer of a write; one that can't be read is uncertain."""
+    if answer.status != 200:
+        raise _make_error(answer)
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise errors.BorageshelfError(
+            errors.STORE_UNCERTAIN, f'answer of the store: {error}'
+        ) from error
+
+
+def _make_error(answer: http_client.Answer) -> errors.BorageshelfError:
+    """Return the error of a status; 429 and 503 say that nothing was done."""
+    code = {
+        404: errors.LEASE_LOST,
+        412: errors.STORE_CONFLICT,
+        413: errors.VALUE_TOO_LARGE,
+        429: errors.STORE_UNAVAILABLE,
+        503: errors.STORE_UNAVAILABLE,
+        400: errors.BAD_REQUEST,
+        403: errors.BAD_REQUEST,
+    }.get(answer.status, errors.STORE_UNCERTAIN)
+    detail = answer.body[:200].decode('utf-8', 'replace')
+    return errors.BorageshelfError(code, f'status {answer.status}: {detail}')
--- a/borageshelf/platform/http_client.py
+++ b/borageshelf/ports/http_client.py
@@ -16,6 +16,7 @@
 
 from twisted.internet import defer
 from twisted.internet import endpoints
+from twisted.internet import error as twisted_error
 from twisted.internet import protocol
 from twisted.python import failure as twisted_failure
 from twisted.web import client
@@ -37,12 +38,16 @@
 
     :param may_have_left: False only if certainly no byte of the request was
         sent
+    :param is_refused: nothing listens at the address
     """
 
-    def __init__(self, may_have_left: bool, detail: str) -> None:
+    def __init__(
+        self, may_have_left: bool, detail: str, is_refused: bool = False
+    ) -> None:
         super().__init__(detail)
         self.may_have_left = may_have_left
         self.detail = detail
+        self.is_refused = is_refused
 
 
 @dataclasses.dataclass(frozen=True)
@@ -144,9 +149,8 @@
         :raises CallFailed: if no complete answer arrived in time
         """
         query = urllib.parse.urlencode(arguments)
-        producer = BytesProducer(b'')
-        return await self._exchange(
-            b'GET', f'{path}?{query}', producer, timeout_ms, limit_bytes
+        return await self.send(
+            b'GET', f'{path}?{query}', {}, b'', timeout_ms, limit_bytes
         )
 
     async def post(
@@ -156,10 +160,35 @@
 
         :raises CallFailed: if no complete answer arrived in time
         """
-        return await self._exchange(
-            b'POST', path, BytesProducer(body), timeout_ms, limit_bytes
+        return await self.send(
+            b'POST', path, {}, body, timeout_ms, limit_bytes
         )
 
+    async def send(
+        self,
+        method: bytes,
+        path: str,
+        headers: abc.Mapping[str, str],
+        body: bytes,
+        timeout_ms: int,
+        limit_bytes: int,
+    ) -> Answer:
+        """Send a request and return its whole answer.
+
+        :raises CallFailed: if no complete answer arrived in time
+        """
+        producer = BytesProducer(body)
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                streamed = await self.open(method, path, headers, producer)
+                return await _read_answer(streamed, limit_bytes)
+        except TimeoutError as error:
+            # Connections that were idle may be as dead as this one.
+            self._pool.closeCachedConnections()
+            raise CallFailed(
+                producer.is_started, f'no answer in {timeout_ms} ms'
+            ) from error
+
     async def open(
         self,
         method: bytes,
@@ -191,23 +220,6 @@
             asyncio.get_running_loop()
         )
 
-    async def _exchange(
-        self,
-        method: bytes,
-        path: str,
-        producer: 'BytesProducer',
-        timeout_ms: int,
-        limit_bytes: int,
-    ) -> Answer:
-        try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
-                streamed = await self.open(method, path, {}, producer)
-                return await _read_answer(streamed, limit_bytes)
-        except TimeoutError as error:
-            raise CallFailed(
-                producer.is_started, f'no answer in {timeout_ms} ms'
-            ) from error
-
 
 @interface.implementer(iweb.IBodyProducer)
 class BytesProducer:
@@ -260,7 +272,10 @@
     try:
         return await request.asFuture(asyncio.get_running_loop())
     except Exception as error:
-        raise CallFailed(producer.is_started, repr(error)) from error
+        is_refused = isinstance(error, twisted_error.ConnectionRefusedError)
+        raise CallFailed(
+            producer.is_started, repr(error), is_refused
+        ) from error
 
 
 async def _read_answer(streamed: StreamedAnswer, limit_bytes: int) -> Answer:
--- a/borageshelf/platform/http_executor.py
+++ b/borageshelf/ports/http_executor.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from borageshelf import errors
-from borageshelf.platform import executor as executor_interface
-from borageshelf.platform import http_client
+from borageshelf.ports import executor as executor_interface
+from borageshelf.ports import http_client
 
 DESCRIBE_TIMEOUT_MS: Final = 2_000
 BODY_LIMIT_BYTES: Final = 1_000_000
--- a/borageshelf/platform/http_store.py
+++ b/borageshelf/ports/http_store.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from borageshelf import errors
-from borageshelf.platform import http_client
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import http_client
+from borageshelf.ports import store as store_interface
 
 # The store answers in milliseconds; a call that takes this long is lost.
 TIMEOUT_MS: Final = 2_000
--- a/borageshelf/platform/scoped_store.py
+++ b/borageshelf/ports/scoped_store.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 
 
 class ScopedStore:
--- a/borageshelf/shards/log.py
+++ b/borageshelf/shards/log.py
@@ -22,7 +22,7 @@
 
 from borageshelf.decisions import retries
 from borageshelf import errors
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 from borageshelf.shards import codec
 from borageshelf.shards import records
 
--- /dev/null
+++ b/borageshelf/workflows/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of several steps: records, ownership and the owner's decisions."""
--- /dev/null
+++ b/borageshelf/workflows/jobs.py
@@ -0,0 +1,376 @@
+"""Live state of one accepted workflow.
+
+The owner changes these objects in memory and commits a ``StateRecord`` of
+them. Nothing here does I/O or reads a clock.
+"""
+
+from collections import abc
+from typing import Final
+
+from borageshelf.model import workflows
+from borageshelf.workflows import effects as effects_module
+from borageshelf.workflows import records
+
+STATE_NAMES: Final = {
+    records.Phase.COMPLETED: 'completed',
+    records.Phase.FAILED: 'failed',
+    records.Phase.CANCELLED: 'cancelled',
+}
+# An estimate that a caller left out; about the mean of the users' tasks.
+DEFAULT_ESTIMATE_MS: Final = 1_000
+
+
+class Run:
+    """One attempt of a task on a target.
+
+    :ivar is_sent: the order to start may have left this process
+    :ivar progress_at_ms: elapsed time of the last change of the progress
+    """
+
+    __slots__ = (
+        'attempt',
+        'is_confirmed',
+        'is_sent',
+        'is_stopping',
+        'progress_at_ms',
+        'progress_percent',
+        'started_at_ms',
+        'target_id',
+        'task',
+    )
+
+    def __init__(
+        self, task: 'Task', attempt: int, target_id: str, started_at_ms: int
+    ) -> None:
+        self.task = task
+        self.attempt = attempt
+        self.target_id = target_id
+        self.started_at_ms = started_at_ms
+        self.progress_percent = 0
+        self.progress_at_ms = started_at_ms
+        self.is_sent = False
+        self.is_confirmed = False
+        self.is_stopping = False
+
+
+class Task:
+    """One task; ``number`` is its position in the workflow."""
+
+    __slots__ = (
+        'attempts',
+        'avoided',
+        'checkpoint',
+        'failures',
+        'group',
+        'index',
+        'is_done',
+        'name',
+        'not_before_ms',
+        'number',
+        'runs',
+    )
+
+    def __init__(self, group: 'Group', number: int, index: int) -> None:
+        self.group = group
+        self.number = number
+        self.index = index
+        self.name = (
+            f'{group.job.workflow.workflow_id}.{group.occurrence}.'
+            f'{group.step_number}.{index}'
+        )
+        self.attempts = 0
+        self.failures = 0
+        self.checkpoint = ''
+        self.runs: dict[int, Run] = {}
+        self.is_done = False
+        self.not_before_ms = 0
+        self.avoided: tuple[str, ...] = ()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether the task needs a run."""
+        return not self.is_done and not self.runs
+
+    @property
+    def is_untouched(self) -> bool:
+        """Tell whether there is nothing to store."""
+        return not (self.attempts or self.is_done)
+
+
+class Group:
+    """The tasks of one step in one occurrence."""
+
+    __slots__ = (
+        'done_count',
+        'is_complete',
+        'job',
+        'occurrence',
+        'step',
+        'step_number',
+        'tasks',
+    )
+
+    def __init__(
+        self, job: 'Job', occurrence: int, step_number: int, first: int
+    ) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.step_number = step_number
+        self.step = job.workflow.steps[step_number]
+        self.tasks = [
+            Task(self, first + index, index)
+            for index in range(self.step.count)
+        ]
+        self.done_count = 0
+        self.is_complete = False
+
+    def count_on_targets(self) -> dict[str, int]:
+        """Return how many runs of the group each target has."""
+        counts: dict[str, int] = {}
+        for task in self.tasks:
+            for run in task.runs.values():
+                counts[run.target_id] = counts.get(run.target_id, 0) + 1
+        return counts
+
+    def find_estimate_ms(self) -> int:
+        """Return the estimated run time of one task."""
+        return self.step.estimate_ms or DEFAULT_ESTIMATE_MS
+
+
+class Job:
+    """One accepted workflow.
+
+    :ivar visible_phase: the committed phase, which callers are shown
+    :ivar waiters: tokens of requests that wait for the acceptance
+    :ivar effects: what to do once the present state is committed
+    """
+
+    def __init__(
+        self,
+        workflow: workflows.Workflow,
+        terms: records.Terms,
+        accepted_at_ms: int,
+    ) -> None:
+        self.workflow = workflow
+        self.terms = terms
+        self.accepted_at_ms = accepted_at_ms
+        self.phase = records.Phase.ACTIVE
+        self.visible_phase = records.Phase.ACTIVE
+        self.is_committed = False
+        self.has_spec_key = False
+        self.is_started = False
+        self.ended_at_ms = 0
+        self.cause = ''
+        self.waiters: list[int] = []
+        self.effects: list[effects_module.Effect] = []
+        self.groups: list[Group] = []
+        self.tasks: list[Task] = []
+        self._live_runs = 0
+        for occurrence in range(workflow.occurrences):
+            for number in range(len(workflow.steps)):
+                group = Group(self, occurrence, number, len(self.tasks))
+                self.groups.append(group)
+                self.tasks += group.tasks
+        self.objective_ms = find_objective_ms(workflow, terms)
+
+    @property
+    def workflow_id(self) -> str:
+        """Id that the caller chose."""
+        return self.workflow.workflow_id
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether tasks may still be started."""
+        return self.phase is records.Phase.ACTIVE
+
+    @property
+    def live_runs(self) -> int:
+        """Number of runs that may exist."""
+        return self._live_runs
+
+    @property
+    def objective_deadline_ms(self) -> int:
+        """Elapsed time by which the caller wants the workflow to be done."""
+        return self.accepted_at_ms + self.objective_ms
+
+    def describe_state(self) -> str:
+        """Return the committed state as callers see it."""
+        name = STATE_NAMES.get(self.visible_phase)
+        if name is not None:
+            return name
+        return 'running' if self.is_started else 'queued'
+
+    def find_task(self, name: str) -> Task | None:
+        """Return the task with a name, or None."""
+        parts = name.split('.')
+        if len(parts) != 4 or parts[0] != self.workflow_id:
+            return None
+        try:
+            occurrence, number, index = map(int, parts[1:])
+        except ValueError:
+            return None
+        steps = len(self.workflow.steps)
+        if not (0 <= number < steps and 0 <= occurrence):
+            return None
+        position = occurrence * steps + number
+        if position >= len(self.groups):
+            return None
+        tasks = self.groups[position].tasks
+        return tasks[index] if 0 <= index < len(tasks) else None
+
+    def is_ready(self, group: Group, wall_ms: int) -> bool:
+        """Tell whether the tasks of a group may start."""
+        if self.workflow.is_timed:
+            due_ms = (
+                self.workflow.first_start_ms
+                + group.occurrence * self.workflow.period_ms
+            )
+            if wall_ms < due_ms:
+                return False
+        base = group.occurrence * len(self.workflow.steps)
+        return all(
+            self.groups[base + number].is_complete
+            for number in group.step.after
+        )
+
+    def find_next_due_ms(self, wall_ms: int) -> int | None:
+        """Return the Unix time of the next occurrence, if any is ahead."""
+        if not (self.workflow.is_timed and self.is_active):
+            return None
+        for occurrence in range(self.workflow.occurrences):
+            due_ms = (
+                self.workflow.first_start_ms
+                + occurrence * self.workflow.period_ms
+            )
+            if due_ms > wall_ms:
+                return due_ms
+        return None
+
+    def add_run(self, task: Task, target_id: str, now_ms: int) -> Run:
+        """Start the next attempt of a task on a target.
+
+        The members of a gang share their attempt number.
+        """
+        if task.group.step.is_gang and not task.group.count_on_targets():
+            highest = max(other.attempts for other in task.group.tasks)
+            for other in task.group.tasks:
+                other.attempts = highest
+        task.attempts += 1
+        run = Run(task, task.attempts, target_id, now_ms)
+        task.runs[run.attempt] = run
+        self._live_runs += 1
+        return run
+
+    def remove_run(self, run: Run) -> None:
+        """Forget a run that has ended."""
+        if run.task.runs.pop(run.attempt, None) is not None:
+            self._live_runs -= 1
+
+    def finish_task(self, task: Task) -> None:
+        """Note that a task is done; one end of a gang counts for all."""
+        group = task.group
+        members = group.tasks if group.step.is_gang else [task]
+        for member in members:
+            if not member.is_done:
+                member.is_done = True
+                member.checkpoint = ''
+                group.done_count += 1
+        if group.done_count == len(group.tasks):
+            group.is_complete = True
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether all tasks are done."""
+        return all(group.is_complete for group in self.groups)
+
+    def find_remaining_work(self) -> int:
+        """Return the estimated processor time left, in millicore-ms."""
+        work = 0.0
+        for group in self.groups:
+            if group.is_complete or group.step.is_lasting:
+                continue
+            left = 0.0
+            for task in group.tasks:
+                if not task.is_done:
+                    done_percent = max(
+                        (run.progress_percent for run in task.runs.values()),
+                        default=0,
+                    )
+                    left += 1 - done_percent / 100
+            size = max(group.step.demand.processor_millicores, 1)
+            work += left * size * group.find_estimate_ms()
+        return round(work)
+
+    def find_remaining_ms(self) -> int:
+        """Return the estimated time of the longest chain that is left."""
+        steps = len(self.workflow.steps)
+        longest_ms = 0
+        ends_ms: list[int] = []
+        for position, group in enumerate(self.groups):
+            if position % steps == 0:
+                ends_ms = []
+            start_ms = max((ends_ms[i] for i in group.step.after), default=0)
+            own_ms = 0 if group.is_complete else group.find_estimate_ms()
+            ends_ms.append(start_ms + own_ms)
+            longest_ms = max(longest_ms, ends_ms[-1])
+        return longest_ms
+
+    def make_record(self) -> records.StateRecord:
+        """Return the state to store; an ended workflow needs its runs only."""
+        tasks = []
+        for task in self.tasks:
+            if task.is_untouched or not (self.is_active or task.runs):
+                continue
+            tasks.append(
+                records.TaskRecord(
+                    task.number,
+                    task.is_done,
+                    task.attempts,
+                    task.failures,
+                    task.checkpoint,
+                    tuple(
+                        records.RunRecord(run.attempt, run.target_id)
+                        for run in task.runs.values()
+                    ),
+                )
+            )
+        return records.StateRecord(
+            self.phase, self.ended_at_ms, self.cause, tuple(tasks)
+        )
+
+    def restore(self, state: records.StateRecord, now_ms: int) -> None:
+        """Take over a stored state."""
+        self.phase = state.phase
+        self.visible_phase = state.phase
+        self.is_committed = True
+        self.has_spec_key = True
+        self.ended_at_ms = state.ended_at_ms
+        self.cause = state.cause
+        for record in state.tasks:
+            task = self.tasks[record.number]
+            task.attempts = record.attempts
+            task.failures = record.failures
+            task.checkpoint = record.checkpoint
+            for stored in record.runs:
+                run = Run(task, stored.attempt, stored.target_id, now_ms)
+                run.is_sent = True
+                task.runs[run.attempt] = run
+                self._live_runs += 1
+            self.is_started = self.is_started or record.attempts > 0
+        for record in state.tasks:
+            if record.is_done:
+                self.finish_task(self.tasks[record.number])
+
+    def list_runs(self) -> abc.Iterator[Run]:
+        """Yield all runs that may exist."""
+        for task in self.tasks:
+            yield from task.runs.values()
+
+
+def find_objective_ms(
+    workflow: workflows.Workflow, terms: records.Terms
+) -> int:
+    """Return the time in which the caller wants a workflow to be done."""
+    chain_ms = workflows.find_longest_chain_ms(workflow)
+    chain_ms = chain_ms or DEFAULT_ESTIMATE_MS
+    return round(terms.slack_factor * chain_ms) + terms.latency_target_ms
--- /dev/null
+++ b/borageshelf/workflows/records.py
@@ -0,0 +1,125 @@
+"""Records of workflows in the platform store.
+
+A workflow has two keys: its specification, which is written once, and its
+state, which every change replaces. ``msgspec`` encodes these classes as
+arrays, so a field may be added at the end with a default, but never renamed,
+moved or given another meaning.
+"""
+
+import enum
+from typing import Final
+
+import msgspec
+
+from borageshelf.model import workflows
+
+PREFIX: Final = 'borageshelf/'
+HEAD_KEY: Final = PREFIX + 'head'
+OWNER_KEY: Final = PREFIX + 'owner'
+JOBS_PREFIX: Final = PREFIX + 'job/'
+_SPEC_SUFFIX: Final = '/spec'
+_STATE_SUFFIX: Final = '/state'
+
+
+class Phase(enum.IntEnum):
+    """Where a workflow stands."""
+
+    ACTIVE = 0
+    COMPLETED = 1
+    FAILED = 2
+    CANCELLED = 3
+
+
+class Terms(msgspec.Struct, frozen=True, array_like=True):
+    """What the queue promised when the workflow was accepted."""
+
+    queue: str
+    service: str
+    priority: int
+    attempts_limit: int
+    slack_factor: float
+    latency_target_ms: int
+    accepted_at_ms: int
+
+
+class SpecRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The part of a workflow that never changes."""
+
+    workflow: workflows.Workflow
+    terms: Terms
+
+
+class RunRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A run that may exist on a target."""
+
+    attempt: int
+    target_id: str
+
+
+class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Progress of one task; tasks without any are not stored.
+
+    :param number: position among all tasks of the workflow
+    :param attempts: highest attempt number used so far
+    :param failures: attempts that ended as failed
+    """
+
+    number: int
+    is_done: bool = False
+    attempts: int = 0
+    failures: int = 0
+    checkpoint: str = ''
+    runs: tuple[RunRecord, ...] = ()
+
+
+class StateRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Progress of a workflow.
+
+    :param ended_at_ms: Unix time of the end, or 0
+    :param cause: why it failed, for people
+    """
+
+    phase: Phase = Phase.ACTIVE
+    ended_at_ms: int = 0
+    cause: str = ''
+    tasks: tuple[TaskRecord, ...] = ()
+
+
+class HeadRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The key that each commit replaces under its expected revision.
+
+    :param epoch: number of the owner, raised by each takeover
+    :param commit_id: tells whether an unanswered commit took effect
+    """
+
+    epoch: int = 0
+    entry_id: str = ''
+    boot_id: str = ''
+    address: str = ''
+    commit_id: str = ''
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The key, under a lease, that shows a living owner."""
+
+    epoch: int
+    entry_id: str
+    boot_id: str
+    address: str
+
+
+def make_spec_key(workflow_id: str) -> str:
+    """Return the key of a workflow's specification."""
+    return f'{JOBS_PREFIX}{workflow_id}{_SPEC_SUFFIX}'
+
+
+def make_state_key(workflow_id: str) -> str:
+    """Return the key of a workflow's state."""
+    return f'{JOBS_PREFIX}{workflow_id}{_STATE_SUFFIX}'
+
+
+def find_workflow_id(state_key: str) -> str | None:
+    """Return the workflow of a state key; None for another key."""
+    if not state_key.endswith(_STATE_SUFFIX):
+        return None
+    return state_key[len(JOBS_PREFIX) : -len(_STATE_SUFFIX)]
--- /dev/null
+++ b/borageshelf/workflows/targets.py
@@ -0,0 +1,86 @@
+"""Targets as the owner sees them: capacity, runs and sessions of agents."""
+
+from typing import Final
+
+from borageshelf.decisions import target_health
+from borageshelf.decisions import workflow_placement
+from borageshelf.model import resources
+from borageshelf.workflows import jobs
+
+# Session number of a target without an agent.
+UNATTACHED: Final = 0
+
+
+class Target:
+    """One target; implements ``workflow_placement.Target``.
+
+    :ivar session: number of the agent's session; ``UNATTACHED`` for none
+    :ivar is_ready: the session has told what runs there
+    :ivar lost_deadline_ms: elapsed time at which everything that was granted
+        there has certainly ended, unless the agent is heard of again
+    :ivar strays: runs there that the owner does not want; their sizes may be
+        unknown, so nothing is placed beside them
+    """
+
+    def __init__(self, target_id: str, lost_deadline_ms: int) -> None:
+        self.target_id = target_id
+        self.service = ''
+        self.data_centre = ''
+        self.rack = ''
+        self.labels: tuple[str, ...] = ()
+        self.capacity = resources.NOTHING
+        self.reserved = resources.NOTHING
+        self.busy_millicores = 0
+        self.filler_millicores = 0
+        self.serving_count = 0
+        self.session = UNATTACHED
+        self.is_ready = False
+        self.is_draining = False
+        self.leaves_deadline_ms = 0
+        self.incarnation = ''
+        self.lost_deadline_ms = lost_deadline_ms
+        self.runs: dict[tuple[str, int], jobs.Run] = {}
+        self.strays: set[tuple[str, int]] = set()
+        self.health = target_health.Health()
+        self.known_specs: set[str] = set()
+        self.refused_deadline_ms = 0
+
+    def is_sound(self, now_ms: int) -> bool:
+        """Tell whether the target counts as part of the fleet's room."""
+        return (
+            self.is_ready
+            and not self.is_draining
+            and not self.health.is_suspect(now_ms)
+        )
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Tell whether new work may be placed here now."""
+        return (
+            self.is_sound(now_ms)
+            and not self.strays
+            and now_ms >= self.refused_deadline_ms
+        )
+
+    def add(self, run: jobs.Run) -> None:
+        """Count a run."""
+        self.runs[(run.task.name, run.attempt)] = run
+        self._count(run, 1)
+
+    def remove(self, run: jobs.Run) -> None:
+        """Count a run no longer."""
+        if self.runs.pop((run.task.name, run.attempt), None) is not None:
+            self._count(run, -1)
+
+    def _count(self, run: jobs.Run, sign: int) -> None:
+        step = run.task.group.step
+        if sign > 0:
+            self.reserved = self.reserved.plus(step.reserved)
+        else:
+            self.reserved = self.reserved.minus(step.reserved)
+        if step.is_filler:
+            size = step.demand.processor_millicores
+            self.filler_millicores += sign * size
+        else:
+            use = workflow_placement.find_expected_use(step)
+            self.busy_millicores += sign * use
+        self.serving_count += sign * bool(step.latency_target_ms)
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -17,9 +17,9 @@
 from twisted.web import server
 
 from borageshelf import errors
-from borageshelf.platform import executor as executor_interface
-from borageshelf.platform import http_client
-from borageshelf.platform import http_executor
+from borageshelf.ports import executor as executor_interface
+from borageshelf.ports import http_client
+from borageshelf.ports import http_executor
 from standins import clocks
 from standins import faults
 from standins import http_server
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -1,6 +1,6 @@
 """In-memory stand-in of the platform's key-value service.
 
-Implements ``borageshelf.platform.store.Store`` with revisions,
+Implements ``borageshelf.ports.store.Store`` with revisions,
 compare-and-swap, leases and long-poll watches, counts the calls, bounds
 their rates and injects faults. Assumes a single event loop.
 """
@@ -12,7 +12,7 @@
 import uuid
 
 from borageshelf import errors
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 from standins import clocks
 from standins import faults
 
@@ -136,6 +136,32 @@
 
         return await self._write('put', apply)
 
+    async def commit(self, transaction: store_interface.Transaction) -> int:
+        """Apply a transaction; see the interface."""
+
+        def apply() -> int:
+            for key, revision in transaction.expected_revisions:
+                self._check_revision(key, revision)
+            for write in transaction.writes:
+                self._check_write(write.key, write.value, write.lease_id)
+            self._revision += 1
+            for write in transaction.writes:
+                self._write_entry(write.key, write.value, write.lease_id)
+            for key in transaction.removed:
+                if key in self._entries:
+                    self._remove(key)
+            self._wake_waiters()
+            return self._revision
+
+        return await self._write('commit', apply)
+
+    async def scan(self, prefix: str) -> store_interface.Listing:
+        """Return all entries under the prefix and the store's revision."""
+        await self._admit('list', self._reads)
+        return store_interface.Listing(
+            self._revision, self._find_entries(prefix)
+        )
+
     async def delete(self, key: str, expected_revision: int) -> None:
         """Delete by compare-and-swap; see the interface."""
 
@@ -236,6 +262,14 @@
     def _put(
         self, key: str, value: bytes, expected_revision: int, lease_id: str
     ) -> int:
+        self._check_write(key, value, lease_id)
+        self._check_revision(key, expected_revision)
+        self._revision += 1
+        self._write_entry(key, value, lease_id)
+        self._wake_waiters()
+        return self._revision
+
+    def _check_write(self, key: str, value: bytes, lease_id: str) -> None:
         if len(value) > VALUE_LIMIT_BYTES:
             raise errors.BorageshelfError(
                 errors.VALUE_TOO_LARGE,
@@ -247,14 +281,13 @@
             )
         if lease_id and lease_id not in self._leases:
             raise errors.BorageshelfError(errors.LEASE_LOST, lease_id)
-        self._check_revision(key, expected_revision)
-        self._revision += 1
+
+    def _write_entry(self, key: str, value: bytes, lease_id: str) -> None:
+        """Write a key at the current revision."""
         self._tombstones.pop(key, None)
         self._entries[key] = store_interface.Entry(
             key, value, self._revision, lease_id
         )
-        self._wake_waiters()
-        return self._revision
 
     def _check_revision(self, key: str, expected_revision: int) -> None:
         entry = self._entries.get(key)
--- a/standins/store.py
+++ b/standins/store.py
@@ -11,7 +11,7 @@
 from twisted.web import server
 
 from borageshelf import errors
-from borageshelf.platform import http_store
+from borageshelf.ports import http_store
 from standins import clocks
 from standins import faults
 from standins import http_server
--- a/standins/timeline.py
+++ b/standins/timeline.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 from borageshelf.model import resources
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import worker as worker_interface
 from standins import audits
 
 SAMPLE_INTERVAL_MS: Final = 500
--- a/standins/virtual_executor.py
+++ b/standins/virtual_executor.py
@@ -1,6 +1,6 @@
 """Virtual executor: answers calls of a service after a timed wait.
 
-Implements ``borageshelf.platform.executor.Executor`` with a bounded number
+Implements ``borageshelf.ports.executor.Executor`` with a bounded number
 of slots, streamed answers, jitter that makes answers arrive out of order,
 faults, and an audit of which calls were executed and how often.
 """
@@ -15,7 +15,7 @@
 import msgspec
 
 from borageshelf import errors
-from borageshelf.platform import executor as executor_interface
+from borageshelf.ports import executor as executor_interface
 from standins import clocks
 from standins import faults
 
--- a/standins/virtual_worker.py
+++ b/standins/virtual_worker.py
@@ -1,6 +1,6 @@
 """Virtual worker: the worker interface over timed virtual work.
 
-Implements ``borageshelf.platform.worker.Worker``. It enforces the leases
+Implements ``borageshelf.ports.worker.Worker``. It enforces the leases
 itself. It does not refuse tasks that exceed its capacity; the audit shows
 them, so that a test notices when the system overfills a VM.
 """
@@ -14,7 +14,7 @@
 
 from borageshelf import errors
 from borageshelf.model import resources
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import worker as worker_interface
 from standins import audits
 from standins import clocks
 from standins import faults
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,8 +19,8 @@
 
 from borageshelf import errors
 from borageshelf.model import resources
-from borageshelf.platform import http_worker
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import http_worker
+from borageshelf.ports import worker as worker_interface
 from standins import audits
 from standins import clocks
 from standins import faults
--- a/tests/batch_agent.py
+++ b/tests/batch_agent.py
@@ -12,7 +12,7 @@
 
 from borageshelf.agent import reservations
 from borageshelf import errors
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import worker as worker_interface
 from borageshelf.shards import effects
 from borageshelf.shards import owner
 from borageshelf.shards import transitions
--- a/tests/batch_worker.py
+++ b/tests/batch_worker.py
@@ -6,7 +6,7 @@
 
 from borageshelf.agent import reservations
 from borageshelf.model import resources
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import worker as worker_interface
 
 Key = reservations.AttemptKey
 RUNNING = worker_interface.TaskState.RUNNING
--- a/tests/calls_support.py
+++ b/tests/calls_support.py
@@ -11,7 +11,7 @@
 from borageshelf.entry import call_claims
 from borageshelf.entry import calls as entry_calls
 from borageshelf import errors
-from borageshelf.platform import executor as executor_interface
+from borageshelf.ports import executor as executor_interface
 from borageshelf.protocol import inner_pb2
 from borageshelf.shards import records
 from borageshelf import telemetry
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from borageshelf import errors
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 
 
 class Fate(enum.Enum):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from borageshelf.platform import http_client
+from borageshelf.ports import http_client
 from standins import http_server
 
 Result = TypeVar('Result')
--- a/tests/test_agent_reports.py
+++ b/tests/test_agent_reports.py
@@ -10,7 +10,7 @@
 from borageshelf import clock
 from borageshelf.model import resources
 from borageshelf import options as options_module
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import worker as worker_interface
 
 SIZE = resources.Resources(1000, 1000)
 KEY = reservations.AttemptKey('job/0', 1)
--- a/tests/test_calls_faults.py
+++ b/tests/test_calls_faults.py
@@ -15,7 +15,7 @@
 
 from borageshelf.entry import calls as entry_calls
 from borageshelf import errors
-from borageshelf.platform import executor as executor_interface
+from borageshelf.ports import executor as executor_interface
 from borageshelf.protocol import inner_pb2
 from tests import calls_support
 
--- a/tests/test_http_executor.py
+++ b/tests/test_http_executor.py
@@ -10,9 +10,9 @@
 import pytest
 
 from borageshelf import errors
-from borageshelf.platform import executor as executor_interface
-from borageshelf.platform import http_client
-from borageshelf.platform import http_executor
+from borageshelf.ports import executor as executor_interface
+from borageshelf.ports import http_client
+from borageshelf.ports import http_executor
 from standins import executor as executor_process
 from standins import faults
 from standins import virtual_executor
--- a/tests/test_http_store.py
+++ b/tests/test_http_store.py
@@ -8,8 +8,8 @@
 import pytest
 
 from borageshelf import errors
-from borageshelf.platform import http_client
-from borageshelf.platform import http_store
+from borageshelf.ports import http_client
+from borageshelf.ports import http_store
 from standins import faults
 from standins import memory_store
 from standins import store as store_process
--- a/tests/test_http_worker.py
+++ b/tests/test_http_worker.py
@@ -9,9 +9,9 @@
 
 from borageshelf import errors
 from borageshelf.model import resources
-from borageshelf.platform import http_client
-from borageshelf.platform import http_worker
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import http_client
+from borageshelf.ports import http_worker
+from borageshelf.ports import worker as worker_interface
 from standins import faults
 from standins import virtual_worker
 from standins import worker as worker_process
--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -14,7 +14,7 @@
 from borageshelf.configuration import publication
 from borageshelf import errors
 from borageshelf.model import objects
-from borageshelf.platform import store as store_interface
+from borageshelf.ports import store as store_interface
 from standins import clocks
 from standins import faults
 from standins import memory_store
--- a/tests/test_standin_processes.py
+++ b/tests/test_standin_processes.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from borageshelf.platform import http_executor
-from borageshelf.platform import http_store
-from borageshelf.platform import http_worker
+from borageshelf.ports import http_executor
+from borageshelf.ports import http_store
+from borageshelf.ports import http_worker
 from tests import loopback
 
 ARGUMENTS = {
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -25,7 +25,7 @@
 
 def test_forbidden_calls_are_counted() -> None:
     """Guards against a process that is taken for a thread."""
-    counts = traces.count_calls(OUTPUT.splitlines())
+    counts = traces.count_calls(OUTPUT.splitlines(), '/dev/shm')
     assert counts.threads == 1
     assert counts.processes == 3
     assert counts.execs == ['"dist/borageshelf"', '"/usr/bin/python3"']
--- a/tests/test_virtual_worker.py
+++ b/tests/test_virtual_worker.py
@@ -10,7 +10,7 @@
 
 from borageshelf import errors
 from borageshelf.model import resources
-from borageshelf.platform import worker as worker_interface
+from borageshelf.ports import worker as worker_interface
 from standins import audits
 from standins import clocks
 from standins import faults
