Pace only the fillers that disturb serving tasks

Most pairs of images do not disturb each other, a few do severely.

Change: the owner learns the effect of each pair with the existing interference table from all agents' reports; agents slow down only the fillers to blame; fillers go where the expected latency stays below its target, and a slowed filler with a checkpoint is moved.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -39,6 +39,12 @@
 LEASE_SLACK_MS: Final = 300
 # A pace that differs by less is not worth a call.
 PACE_STEP_PERCENT: Final = 4
+# A lasting task that is at work shows this progress.
+AT_WORK_PERCENT: Final = 100
+# Serving tasks nearly as slow as the slowest are looked at together.
+PRESSED_PART: Final = 0.85
+# Of a pair that the owner has not told about; about its prior.
+UNKNOWN_EFFECT: Final = 0.4
 
 
 class RunState(enum.Enum):
@@ -111,7 +117,7 @@
         self._specs: dict[str, str] = {}
         self._lost_since_ms = 0
         self._is_gone = False
-        self._pace_percent = pacing.FIRST_PACE_PERCENT
+        self._effects: dict[tuple[str, str], float] = {}
         self._reported_state: messages.TargetState | None = None
         self._session_tasks = loop_module.TaskGroup()
         self._background = loop_module.TaskGroup()
@@ -446,8 +452,6 @@
                 run.state = RunState.RUNNING
             run.refusal = 'absent'
             run.is_unhealthy = False
-            if run.terms.is_filler and self._has_serving():
-                self._session_tasks.start(self._pace())
             return
         if outcome is task_executor.StartOutcome.FENCED:
             self._renew_session()
@@ -643,34 +647,99 @@
             if run.terms.is_filler and run.state is RunState.RUNNING
         ]
 
+    def _make_samples(self) -> tuple[messages.LatencySample, ...]:
+        """Return the highest tail latency of each serving image."""
+        found: dict[str, messages.LatencySample] = {}
+        for run in self._runs.values():
+            target_ms = run.terms.latency_target_ms
+            if run.row is None or not target_ms:
+                continue
+            if run.row.progress_percent < AT_WORK_PERCENT:
+                continue
+            image = run.terms.image
+            share = run.row.measured / target_ms
+            if image not in found or found[image].latency_share < share:
+                found[image] = messages.LatencySample(
+                    image, run.row.measured, round(share, 3)
+                )
+        return tuple(found.values())
+
+    def _find_filler_shares(self) -> dict[str, float]:
+        """Return the processors in use by filler image, as shares."""
+        shares: dict[str, float] = {}
+        announcement = self.announcement
+        if announcement is None:
+            return shares
+        size = max(announcement.capacity.processor_millicores, 1)
+        for run in self._runs.values():
+            if run.terms.is_filler and run.row is not None:
+                used = max(run.row.measured, 0) / size
+                image = run.terms.image
+                shares[image] = round(shares.get(image, 0.0) + used, 3)
+        return shares
+
+    def note_effects(self, found: messages.Effects) -> None:
+        """Learn which fillers disturb which serving tasks."""
+        self._effects = {
+            (serving, filler): effect
+            for serving, filler, effect in found.pairs
+        }
+
     async def _pace(self) -> None:
-        """Slow fillers down that disturb serving tasks."""
-        shares = [
-            run.row.measured / run.terms.latency_target_ms
-            for run in self._runs.values()
-            if run.row is not None and run.terms.latency_target_ms
-        ]
+        """Slow the fillers down that disturb serving tasks."""
         fillers = self._list_fillers()
-        if not fillers:
+        announcement = self.announcement
+        if not fillers or announcement is None:
             return
-        if not shares:
-            pace_percent = pacing.FULL_PACE_PERCENT
-        else:
-            self._pace_percent = pacing.find_pace(
-                self._pace_percent, max(shares)
-            )
-            pace_percent = self._pace_percent
+        samples = self._make_samples()
+        size = max(announcement.capacity.processor_millicores, 1)
+        worst_share = max(
+            (sample.latency_share for sample in samples), default=0.0
+        )
+        pressed = [
+            sample.serving_image
+            for sample in samples
+            if sample.latency_share >= worst_share * PRESSED_PART
+        ]
+        # Fillers of one image share the blame for all of them.
+        sizes: dict[str, int] = {}
+        for run in fillers:
+            image = run.terms.image
+            sizes[image] = sizes.get(image, 0) + run.terms.size_millicores
+        paces = pacing.find_paces(
+            [
+                pacing.Filler(
+                    run.key,
+                    max(
+                        (
+                            self._effects.get(
+                                (image, run.terms.image), UNKNOWN_EFFECT
+                            )
+                            for image in pressed
+                        ),
+                        default=0.0,
+                    )
+                    * sizes[run.terms.image]
+                    / size,
+                    run.pace_percent,
+                )
+                for run in fillers
+            ],
+            worst_share,
+        )
         calls = [
-            self._set_pace(run, pace_percent)
+            self._set_pace(run, paces[run.key])
             for run in fillers
-            if _needs_pace(run.pace_percent, pace_percent)
+            if _needs_pace(run.pace_percent, paces[run.key])
         ]
         if calls:
             self._events.record(
                 'fillers paced',
-                percent=pace_percent,
-                worst_share=round(max(shares, default=0.0), 2),
+                changed=len(calls),
                 fillers=len(fillers),
+                worst_share=worst_share,
+                serving=pressed,
+                paces={run.terms.image: paces[run.key] for run in fillers},
             )
             await asyncio.gather(*calls)
 
@@ -744,7 +813,7 @@
         row.attempt,
         row.checkpoint,
         row.progress_percent,
-        pace_percent < pacing.FULL_PACE_PERCENT,
+        pace_percent,
     )
 
 
--- a/borageshelf/agent/workflows/owner_link.py
+++ b/borageshelf/agent/workflows/owner_link.py
@@ -204,6 +204,10 @@
     def _(self, message: messages.Known) -> None:
         self._driver.note_known(message)
 
+    @_handle.register
+    def _(self, message: messages.Effects) -> None:
+        self._driver.note_effects(message)
+
     @_handle.register
     def _(self, message: messages.Forget) -> None:
         self._driver.forget(message.workflow_id)
--- a/borageshelf/decisions/interference.py
+++ b/borageshelf/decisions/interference.py
@@ -66,6 +66,7 @@
 
     :param load: load of the executor when measured, 0 to 1
     :param shares: processor share of the VM by family when measured
+    :param noise_variance: of the measured log p99 around the model
     """
 
     service: str
@@ -73,6 +74,7 @@
     load: float
     shares: Mapping[str, float]
     measured_at_ms: int
+    noise_variance: float = MEASUREMENT_VARIANCE
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,7 +141,7 @@
     }
     terms = [*nodes.values(), *pairs.values()]
     error = value - sum(part * known.mean for part, known in terms)
-    spread = MEASUREMENT_VARIANCE + sum(
+    spread = seen.noise_variance + sum(
         part * part * known.variance for part, known in terms
     )
     new_quiet = {
--- a/borageshelf/decisions/workflow_placement.py
+++ b/borageshelf/decisions/workflow_placement.py
@@ -1,16 +1,18 @@
 """Where a task of a workflow runs.
 
 Answers a fleet in which lasting tasks that serve their own users share
-targets with large filler tasks, which disturb them and use what processor
-time is left. Serving tasks are packed together, so that fillers find targets
-without any; fillers go where most processor time is unused; everything else
-goes where most room is left. A target that fails everything gets nothing.
+targets with large filler tasks, which use the processor time that is left and
+of which some disturb them. A filler goes where it disturbs no serving task
+and most processor time is unused; serving tasks are packed together, so that
+fillers find targets without any; everything else goes where most room is
+left. A target that fails everything gets nothing.
 """
 
 from collections import abc
 import dataclasses
 from typing import Final, Protocol
 
+from borageshelf.decisions import filler_effects
 from borageshelf.model import resources
 from borageshelf.model import workflows
 
@@ -29,6 +31,7 @@
     :ivar busy_millicores: expected use of processors by what is no filler
     :ivar filler_millicores: declared processors of the fillers there
     :ivar serving_count: tasks there that have a latency target
+    :ivar serving_shares: their latencies as shares of the targets, by image
     """
 
     target_id: str
@@ -39,6 +42,7 @@
     busy_millicores: int
     filler_millicores: int
     serving_count: int
+    serving_shares: dict[str, float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,6 +60,16 @@
     sibling_rack: str = ''
 
 
+# Returns the expected latency of the serving tasks of a target, as a share of
+# their target, if a task of a step is added.
+FindRisk = abc.Callable[[workflows.Step, Target], float]
+
+
+def find_no_risk(step: workflows.Step, target: Target) -> float:
+    """Return that nothing is disturbed."""
+    return 0.0
+
+
 def find_expected_use(step: workflows.Step) -> int:
     """Return the processors that a task will really use, in millicores."""
     size = step.demand.processor_millicores
@@ -68,7 +82,11 @@
     return total.fits_in(target.capacity)
 
 
-def choose_target(wish: Wish, targets: abc.Iterable[Target]) -> Target | None:
+def choose_target(
+    wish: Wish,
+    targets: abc.Iterable[Target],
+    find_risk: FindRisk = find_no_risk,
+) -> Target | None:
     """Return the best target, or None if no target has room now.
 
     :param targets: targets that may get work
@@ -86,12 +104,18 @@
             continue
         unused = find_unused(target)
         size = step.demand.processor_millicores
-        if step.is_filler and unused < size * FILLER_SHARE:
-            continue
+        risk = 0.0
+        if step.is_filler:
+            if unused < size * FILLER_SHARE:
+                continue
+            risk = find_risk(step, target)
+            if risk > filler_effects.RISK_LIMIT:
+                continue
+            risk = max(risk - filler_effects.RISK_FREE, 0.0)
         score = (
             float(target.target_id in wish.avoided),
             float(_is_far(wish, target)),
-            *_score(step, target, unused),
+            *_score(step, target, unused, risk),
         )
         if best is None or score < best_score:
             best, best_score = target, score
@@ -108,7 +132,7 @@
 
 
 def _score(
-    step: workflows.Step, target: Target, unused: int
+    step: workflows.Step, target: Target, unused: int, risk: float
 ) -> tuple[float, ...]:
     """Return a score; the lowest is the best."""
     if step.latency_target_ms:
@@ -119,7 +143,7 @@
             float(free.processor_millicores),
         )
     if step.is_filler:
-        return (float(target.serving_count > 0), -float(unused))
+        return (round(risk, 1), -float(unused))
     return (-float(unused),)
 
 
--- a/borageshelf/entry/workflows/requests.py
+++ b/borageshelf/entry/workflows/requests.py
@@ -28,6 +28,7 @@
 FIND_WAIT_MS: Final = 700
 # The answer has to reach the caller before it gives up.
 ANSWER_MARGIN_MS: Final = 150
+LEAST_MS: Final = 100
 
 
 class RequestService:
@@ -82,8 +83,10 @@
     async def _ask(
         self, request: messages.Request, deadline_ms: int
     ) -> messages.RequestAnswer:
-        deadline_ms -= ANSWER_MARGIN_MS
-        owner_deadline_ms = clock.read_elapsed_ms() + OWNER_WAIT_MS
+        now_ms = clock.read_elapsed_ms()
+        # A refusal takes no time, so the owner is asked in any case.
+        deadline_ms = max(deadline_ms - ANSWER_MARGIN_MS, now_ms + LEAST_MS)
+        owner_deadline_ms = now_ms + OWNER_WAIT_MS
         owner_deadline_ms = min(owner_deadline_ms, deadline_ms)
         was_sent = False
         while True:
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -43,6 +43,7 @@
 STORE_RETRY_S: Final = 1
 STORE_PAUSE_MS: Final = 60
 IDLE_MS: Final = 200
+EFFECTS_INTERVAL_MS: Final = 700
 SESSIONS_LIMIT: Final = 1_000_000
 
 
@@ -139,6 +140,7 @@
         """Own the workflows until another entry does."""
         self._background.start(self._keep_lease())
         self._background.start(self._watch_silence())
+        self._background.start(self._tell_effects())
         cycle = asyncio.ensure_future(self._cycle())
         ended = asyncio.ensure_future(self._ended.wait())
         try:
@@ -316,6 +318,7 @@
             if message.state is not None:
                 self._core.note_state(target, message.state, moment)
             self._core.note_progress(target, message.rows, moment)
+            self._core.note_latencies(target, message, moment)
         is_granted = self._is_proved(moment.elapsed_ms)
         if is_granted:
             self._core.note_report(target, moment)
@@ -384,6 +387,19 @@
                     session.outbox.close()
                     self._end_session(session)
 
+    async def _tell_effects(self) -> None:
+        """Tell agents with serving tasks what fillers do to these."""
+        told: tuple[tuple[str, str, float], ...] = ()
+        while True:
+            await asyncio.sleep(EFFECTS_INTERVAL_MS / 1000)
+            pairs = self._core.effects.list_pairs()
+            if pairs == told:
+                continue
+            told = pairs
+            for session in self._sessions.values():
+                if session.target.serving_count:
+                    session.outbox.send(messages.Effects(pairs))
+
     # Commits.
 
     def _note_change(self) -> None:
@@ -604,4 +620,6 @@
         step.is_filler,
         step.is_lasting,
         step.latency_target_ms,
+        step.image,
+        step.demand.processor_millicores,
     )
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -25,6 +25,7 @@
 
     :ivar is_sent: the order to start may have left this process
     :ivar progress_at_ms: elapsed time of the last change of the progress
+    :ivar slow_since_ms: elapsed time since which it is slowed down, or 0
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         'is_stopping',
         'progress_at_ms',
         'progress_percent',
+        'slow_since_ms',
         'started_at_ms',
         'target_id',
         'task',
@@ -48,6 +50,7 @@
         self.started_at_ms = started_at_ms
         self.progress_percent = 0
         self.progress_at_ms = started_at_ms
+        self.slow_since_ms = 0
         self.is_sent = False
         self.is_confirmed = False
         self.is_stopping = False
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -45,7 +45,7 @@
     attempt: int
     checkpoint: str
     progress_percent: int
-    is_paced: bool = False
+    pace_percent: int = 100
 
 
 class Ended(Part, frozen=True, array_like=True):
@@ -67,6 +67,19 @@
     is_filler: bool = False
     is_lasting: bool = False
     latency_target_ms: int = 0
+    image: str = ''
+    size_millicores: int = 0
+
+
+class LatencySample(Part, frozen=True, array_like=True):
+    """Tail latency of a serving image, the highest on the target.
+
+    :param latency_share: as a share of its target
+    """
+
+    serving_image: str
+    latency_ms: int
+    latency_share: float
 
 
 class EntryAddress(Part, frozen=True, array_like=True):
@@ -101,12 +114,16 @@
     """Sent several times a second; the answer extends the grant.
 
     :param state: only when it has changed
+    :param filler_shares: processors in use by each filler image, as a share
+        of the VM, in the time that the samples cover
     """
 
     token: int
     sent_at_elapsed_ms: int
     rows: tuple[Row, ...] = ()
     state: TargetState | None = None
+    samples: tuple[LatencySample, ...] = ()
+    filler_shares: dict[str, float] = {}
 
 
 class Ends(Message, frozen=True, array_like=True, tag=True):
@@ -185,6 +202,15 @@
     runs: tuple[RunTerms, ...]
 
 
+class Effects(Message, frozen=True, array_like=True, tag=True):
+    """What fillers do to serving tasks.
+
+    :param pairs: serving image, filler image, effect
+    """
+
+    pairs: tuple[tuple[str, str, float], ...]
+
+
 class Forget(Message, frozen=True, array_like=True, tag=True):
     """A workflow has ended, so its specification is not needed."""
 
@@ -306,6 +332,7 @@
     | Stop
     | Acknowledged
     | Known
+    | Effects
     | Forget
     | Answer
     | EntryHello
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 from borageshelf import clock
+from borageshelf.decisions import filler_effects
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_admission
 from borageshelf.decisions import workflow_order
@@ -36,7 +37,11 @@
 STALL_MS: Final = 2_000
 # A stop of a checkpointing task ends within 900 ms (the site files).
 EVACUATION_MS: Final = 1_200
-QUARTER: Final = 4
+FULL_PACE_PERCENT: Final = 100
+# A filler below this pace for this long is better off elsewhere; a stop with
+# a checkpoint and a start cost about as much as a report.
+SLOW_PACE_PERCENT: Final = 50
+SLOW_LIMIT_MS: Final = 1_200
 
 Record = abc.Callable[..., None]
 
@@ -101,6 +106,7 @@
         self._immediate: list[effects.Effect] = []
         self._expired: list[str] = []
         self._next_expiry_ms = 0
+        self.effects = filler_effects.FillerEffects()
 
     # Stored state.
 
@@ -406,13 +412,38 @@
             if run is None:
                 continue
             run.is_confirmed = True
-            if row.progress_percent != run.progress_percent or row.is_paced:
+            is_paced = row.pace_percent < FULL_PACE_PERCENT
+            if row.progress_percent != run.progress_percent or is_paced:
                 run.progress_percent = row.progress_percent
                 run.progress_at_ms = moment.elapsed_ms
             if row.checkpoint and not run.task.is_done:
                 run.task.checkpoint = row.checkpoint
+            if row.pace_percent >= SLOW_PACE_PERCENT:
+                run.slow_since_ms = 0
+            elif not run.slow_since_ms:
+                run.slow_since_ms = moment.elapsed_ms
+            elif moment.elapsed_ms - run.slow_since_ms > SLOW_LIMIT_MS:
+                self._move_slow(target, run, moment)
         self._note_stalls(target, moment)
 
+    def note_latencies(
+        self,
+        target: targets_module.Target,
+        report: messages.Report,
+        moment: clock.Moment,
+    ) -> None:
+        """Learn what fillers do to the serving tasks of a target."""
+        for sample in report.samples:
+            target.serving_shares[sample.serving_image] = sample.latency_share
+            self.effects.observe(
+                filler_effects.Sample(
+                    sample.serving_image,
+                    sample.latency_ms,
+                    report.filler_shares,
+                ),
+                moment.elapsed_ms,
+            )
+
     # Time.
 
     def advance(self, moment: clock.Moment) -> None:
@@ -674,7 +705,9 @@
                 task.avoided,
                 self._find_sibling_rack(group, siblings),
             )
-            target = workflow_placement.choose_target(wish, served)
+            target = workflow_placement.choose_target(
+                wish, served, self._make_risk(moment)
+            )
             if not isinstance(target, targets_module.Target):
                 # Tasks of a step have the same size, so no other fits.
                 break
@@ -694,6 +727,62 @@
         if placed:
             self._mark(job)
 
+    def _make_risk(self, moment: clock.Moment) -> workflow_placement.FindRisk:
+        """Return the estimate of what a filler does on a target."""
+
+        def find_risk(
+            step: workflows.Step, target: workflow_placement.Target
+        ) -> float:
+            if not target.serving_shares:
+                return 0.0
+            size = max(target.capacity.processor_millicores, 1)
+            return self.effects.find_risk(
+                target.serving_shares,
+                step.image,
+                step.demand.processor_millicores / size,
+                moment.elapsed_ms,
+            )
+
+        return find_risk
+
+    def _move_slow(
+        self,
+        target: targets_module.Target,
+        run: jobs.Run,
+        moment: clock.Moment,
+    ) -> None:
+        """Move a filler that has to work slowly, if there is a better place.
+
+        Only with a checkpoint, because otherwise its work would be lost.
+        """
+        run.slow_since_ms = moment.elapsed_ms
+        group = run.task.group
+        if run.is_stopping or not group.step.is_checkpointing:
+            return
+        others = [
+            other
+            for other in self.targets.values()
+            if other is not target
+            and other.is_usable(moment.elapsed_ms)
+            and other.service == target.service
+        ]
+        wish = workflow_placement.Wish(
+            group.step, group.count_on_targets(), run.task.avoided
+        )
+        found = workflow_placement.choose_target(
+            wish, others, self._make_risk(moment)
+        )
+        if found is None:
+            return
+        self._record(
+            'slow run moved',
+            workflow=group.job.workflow_id,
+            task=run.task.name,
+            attempt=run.attempt,
+            target=target.target_id,
+        )
+        self._stop(run)
+
     def _find_sibling_rack(
         self, group: jobs.Group, siblings: abc.Mapping[str, int]
     ) -> str:
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from borageshelf.decisions import filler_effects
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_placement
 from borageshelf.model import resources
@@ -43,6 +44,7 @@
         self.strays: set[tuple[str, int]] = set()
         self.health = target_health.Health()
         self.known_specs: set[str] = set()
+        self.serving_shares: dict[str, float] = {}
         self.refused_deadline_ms = 0
 
     def is_sound(self, now_ms: int) -> bool:
@@ -83,4 +85,11 @@
         else:
             use = workflow_placement.find_expected_use(step)
             self.busy_millicores += sign * use
-        self.serving_count += sign * bool(step.latency_target_ms)
+        if step.latency_target_ms:
+            self.serving_count += sign
+            # A new one has told nothing yet.
+            self.serving_shares.setdefault(
+                step.image, filler_effects.UNKNOWN_SHARE
+            )
+            if not self.serving_count:
+                self.serving_shares.clear()
