Admit late work as such; pace fillers from the learned effects

Change: a workflow that can only be late is accepted as such and takes what prompt work leaves; only what can't be done within 2.6 times its objective is refused. Agents pace fillers from the learned effects, placement estimates the latency with all fillers at full pace.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -41,10 +41,6 @@
 PACE_STEP_PERCENT: Final = 4
 # A lasting task that is at work shows this progress.
 AT_WORK_PERCENT: Final = 100
-# Serving tasks nearly as slow as the slowest are looked at together.
-PRESSED_PART: Final = 0.85
-# Of a pair that the owner has not told about; about its prior.
-UNKNOWN_EFFECT: Final = 0.4
 
 
 class RunState(enum.Enum):
@@ -118,6 +114,7 @@
         self._lost_since_ms = 0
         self._is_gone = False
         self._effects: dict[tuple[str, str], float] = {}
+        self._pace_gain = 1.0
         self._reported_state: messages.TargetState | None = None
         self._session_tasks = loop_module.TaskGroup()
         self._background = loop_module.TaskGroup()
@@ -314,7 +311,10 @@
             return
         run = AgentRun(order.terms, RunState.STARTING)
         self._runs[run.key] = run
-        self._session_tasks.start(self._start(run, order))
+        # Kept with the run, since the workflow may be forgotten while a
+        # start without an answer is repeated.
+        spec = self._specs[order.workflow_id]
+        self._session_tasks.start(self._start(run, order, spec))
 
     def order_stop(self, order: messages.Stop) -> None:
         """Stop a run, also one whose start is under way."""
@@ -384,7 +384,9 @@
             )
         )
 
-    async def _start(self, run: AgentRun, order: messages.Start) -> None:
+    async def _start(
+        self, run: AgentRun, order: messages.Start, spec: str
+    ) -> None:
         """Order a start until it is answered.
 
         Repeating it is safe, because the executor knows the attempt.
@@ -394,7 +396,7 @@
             if run.state is RunState.STOPPING:
                 return
             lease_ms = await self._wait_for_grant()
-            if self._token != token:
+            if self._token != token or run.key not in self._runs:
                 return
             if not lease_ms:
                 run.refusal = 'no grant'
@@ -405,7 +407,7 @@
                     task_executor.StartOrder(
                         order.terms.task,
                         order.terms.attempt,
-                        self._specs.get(order.workflow_id, ''),
+                        spec,
                         token,
                         lease_ms,
                         order.checkpoint,
@@ -696,36 +698,23 @@
         worst_share = max(
             (sample.latency_share for sample in samples), default=0.0
         )
-        pressed = [
-            sample.serving_image
-            for sample in samples
-            if sample.latency_share >= worst_share * PRESSED_PART
-        ]
-        # Fillers of one image share the blame for all of them.
-        sizes: dict[str, int] = {}
-        for run in fillers:
-            image = run.terms.image
-            sizes[image] = sizes.get(image, 0) + run.terms.size_millicores
+        self._pace_gain = pacing.find_gain(self._pace_gain, worst_share)
         paces = pacing.find_paces(
             [
                 pacing.Filler(
                     run.key,
-                    max(
-                        (
-                            self._effects.get(
-                                (image, run.terms.image), UNKNOWN_EFFECT
-                            )
-                            for image in pressed
-                        ),
-                        default=0.0,
-                    )
-                    * sizes[run.terms.image]
-                    / size,
-                    run.pace_percent,
+                    run.terms.image,
+                    run.terms.size_millicores / size,
                 )
                 for run in fillers
             ],
-            worst_share,
+            [
+                pacing.Serving(sample.serving_image, sample.latency_share)
+                for sample in samples
+            ],
+            self._find_filler_shares(),
+            self._effects,
+            self._pace_gain,
         )
         calls = [
             self._set_pace(run, paces[run.key])
@@ -738,7 +727,7 @@
                 changed=len(calls),
                 fillers=len(fillers),
                 worst_share=worst_share,
-                serving=pressed,
+                gain=round(self._pace_gain, 2),
                 paces={run.terms.image: paces[run.key] for run in fillers},
             )
             await asyncio.gather(*calls)
--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -3,7 +3,8 @@
 Most fillers disturb a serving task not at all and a few do so severely; which
 ones depends on both images. The pairs are learned by ``interference`` from
 the reports of all targets. The load of a serving task is not known and moves
-its quiet latency up and down, so a single measurement says little.
+its quiet latency up and down for seconds, so a single measurement says
+little.
 """
 
 from collections import abc
@@ -13,16 +14,17 @@
 
 from borageshelf.decisions import interference
 
-# The load of the users' serving tasks swings by half, which moves the log of
-# their latency by about 0.3.
-_LOAD_VARIANCE: Final = 0.09
+# The load of the users' serving tasks swings by half within ten seconds,
+# which moves the log of their latency by about 0.3 for several reports.
+_LOAD_VARIANCE: Final = 0.4
 # Effects are kept for a quarter of a VM: the prior then says that a filler of
 # sixteen cores of 64 raises the latency by half.
 _SHARE_SCALE: Final = 4.0
+UNKNOWN_EFFECT: Final = interference.PRIOR_EFFECT
 # Latency as a share of its target, where none has been reported.
-UNKNOWN_SHARE: Final = 0.6
+UNKNOWN_SHARE: Final = 0.5
 # An expected share above this is no place for a filler.
-RISK_LIMIT: Final = 0.95
+RISK_LIMIT: Final = 1.1
 # Below this, targets are equally good.
 RISK_FREE: Final = 0.8
 
@@ -82,26 +84,42 @@
 
     def find_risk(
         self,
-        serving_shares: abc.Mapping[str, float],
-        filler_image: str,
-        size_share: float,
+        quiet_shares: abc.Mapping[str, float],
+        filler_sizes: abc.Mapping[str, float],
         now_ms: int,
     ) -> float:
         """Return the expected latency, as a share of the target.
 
-        :param serving_shares: present share of each serving image there
-        :param size_share: size of the new filler as a share of the VM
+        :param quiet_shares: share of each serving image without fillers
+        :param filler_sizes: sizes of the fillers by image, as shares of the
+            VM, the new one included
         """
-        return max(
-            (
-                share
-                * find_rise(self.find(image, filler_image, now_ms), size_share)
-                for image, share in serving_shares.items()
-            ),
-            default=0.0,
-        )
+        worst = 0.0
+        for image, quiet in quiet_shares.items():
+            rise = sum(
+                find_log_rise(self.find(image, filler, now_ms), size)
+                for filler, size in filler_sizes.items()
+            )
+            worst = max(worst, quiet * math.exp(rise))
+        return worst
+
 
+def find_log_rise(effect: float, size_share: float) -> float:
+    """Return by how much a filler raises the log latency."""
+    return effect * size_share * _SHARE_SCALE
 
-def find_rise(effect: float, size_share: float) -> float:
-    """Return the factor by which a filler raises a latency."""
-    return math.exp(effect * size_share * _SHARE_SCALE)
+
+def find_quiet_share(
+    latency_share: float,
+    effects: abc.Mapping[str, float],
+    used_shares: abc.Mapping[str, float],
+) -> float:
+    """Return what a latency would be without the fillers.
+
+    :param effects: by filler image
+    """
+    rise = sum(
+        find_log_rise(effects[image], share)
+        for image, share in used_shares.items()
+    )
+    return latency_share * math.exp(-rise)
--- a/borageshelf/decisions/workflow_admission.py
+++ b/borageshelf/decisions/workflow_admission.py
@@ -1,9 +1,11 @@
 """Whether a workflow is accepted, and when a refused caller may return.
 
-Answers bursts above the fleet's capacity: accepting everything would make all
-of it late. A workflow is refused at once if the work that is accepted before
-it leaves no chance of meeting its objective. Estimates are rough, so the
-objective is stretched before it is compared.
+Answers bursts above the fleet's capacity: treating everything alike would
+make all of it late. A workflow that can meet its objective behind the prompt
+work that is accepted already becomes prompt itself. One that can only be late
+takes what prompt work leaves over. One that has no chance of being done
+within the time in which callers still gain from it is refused at once.
+Estimates are rough, so the objective is stretched before it is compared.
 """
 
 import dataclasses
@@ -14,6 +16,9 @@
 
 # Estimates of run times are wrong by half and more in the users' loads.
 OBJECTIVE_STRETCH: Final = 1.15
+# Callers gain nothing from an answer after three times the objective (rules
+# of the users' platform); the margin covers the estimates.
+LATE_FACTOR: Final = 2.6
 MS_PER_S: Final = 1_000
 RETRY_LIMIT_S: Final = 8
 # Refused callers are spread over this many seconds.
@@ -24,10 +29,13 @@
 class Load:
     """Work and room of the targets of one service.
 
-    :param ahead: accepted work of the same or higher urgency, millicore-ms
+    :param ahead_prompt: accepted prompt work of the same or higher urgency,
+        millicore-ms
+    :param ahead: all accepted work of that urgency
     :param room_millicores: processors that such work can use
     """
 
+    ahead_prompt: int
     ahead: int
     room_millicores: int
 
@@ -48,9 +56,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Admitted:
-    """The workflow is accepted."""
+    """The workflow is accepted.
+
+    :param is_prompt: it should meet its objective
+    """
 
     expected_ms: int
+    is_prompt: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,12 +80,14 @@
     """Compare the expected end of a submission with its objective."""
     if load.room_millicores <= 0:
         return Refused(0, find_retry_after_s(request.workflow_id, 0))
-    wait_ms = load.ahead / load.room_millicores
     own_ms = max(request.chain_ms, request.work / load.room_millicores)
-    expected_ms = round(wait_ms + own_ms)
-    limit_ms = request.objective_ms * OBJECTIVE_STRETCH
+    prompt_ms = round(load.ahead_prompt / load.room_millicores + own_ms)
+    if prompt_ms <= request.objective_ms * OBJECTIVE_STRETCH:
+        return Admitted(prompt_ms, True)
+    expected_ms = round(load.ahead / load.room_millicores + own_ms)
+    limit_ms = request.objective_ms * LATE_FACTOR
     if expected_ms <= limit_ms:
-        return Admitted(expected_ms)
+        return Admitted(expected_ms, False)
     excess_ms = round(expected_ms - limit_ms)
     return Refused(
         expected_ms, find_retry_after_s(request.workflow_id, excess_ms)
--- a/borageshelf/decisions/workflow_placement.py
+++ b/borageshelf/decisions/workflow_placement.py
@@ -31,7 +31,6 @@
     :ivar busy_millicores: expected use of processors by what is no filler
     :ivar filler_millicores: declared processors of the fillers there
     :ivar serving_count: tasks there that have a latency target
-    :ivar serving_shares: their latencies as shares of the targets, by image
     """
 
     target_id: str
@@ -42,7 +41,6 @@
     busy_millicores: int
     filler_millicores: int
     serving_count: int
-    serving_shares: dict[str, float]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -10,6 +10,8 @@
 import dataclasses
 from typing import Any, Final
 
+import msgspec
+
 from borageshelf import clock
 from borageshelf.decisions import filler_effects
 from borageshelf.decisions import target_health
@@ -42,6 +44,9 @@
 # a checkpoint and a start cost about as much as a report.
 SLOW_PACE_PERCENT: Final = 50
 SLOW_LIMIT_MS: Final = 1_200
+# The load of a serving task swings within ten seconds; what it was at its
+# height is forgotten as slowly.
+QUIET_DECAY: Final = 0.98
 
 Record = abc.Callable[..., None]
 
@@ -165,17 +170,18 @@
             queue.latency_target_ms,
             moment.wall_ms,
         )
-        refused = self._find_refusal(workflow, terms, moment.elapsed_ms)
-        if refused is not None:
+        decision = self._admit(workflow, terms, moment.elapsed_ms)
+        if isinstance(decision, workflow_admission.Refused):
             self._record(
                 'workflow refused',
                 workflow=workflow_id,
                 queue=queue.name,
-                expected_ms=refused.expected_ms,
-                retry_after_s=refused.retry_after_s,
+                expected_ms=decision.expected_ms,
+                retry_after_s=decision.retry_after_s,
             )
-            self._reply(token, effects.Outcome.REFUSED, refused.retry_after_s)
+            self._reply(token, effects.Outcome.REFUSED, decision.retry_after_s)
             return
+        terms = msgspec.structs.replace(terms, is_prompt=decision.is_prompt)
         job = jobs.Job(workflow, terms, moment.elapsed_ms)
         job.waiters.append(token)
         self.jobs[workflow_id] = job
@@ -187,6 +193,8 @@
             queue=queue.name,
             tasks=len(job.tasks),
             objective_ms=job.objective_ms,
+            expected_ms=decision.expected_ms,
+            is_prompt=decision.is_prompt,
         )
 
     def cancel(
@@ -434,7 +442,17 @@
     ) -> None:
         """Learn what fillers do to the serving tasks of a target."""
         for sample in report.samples:
-            target.serving_shares[sample.serving_image] = sample.latency_share
+            image = sample.serving_image
+            quiet_share = filler_effects.find_quiet_share(
+                sample.latency_share,
+                {
+                    filler: self.effects.find(image, filler, moment.elapsed_ms)
+                    for filler in report.filler_shares
+                },
+                report.filler_shares,
+            )
+            former = target.quiet_shares.get(image, quiet_share)
+            target.quiet_shares[image] = max(quiet_share, former * QUIET_DECAY)
             self.effects.observe(
                 filler_effects.Sample(
                     sample.serving_image,
@@ -627,57 +645,63 @@
     ) -> None:
         self._immediate.append(effects.Reply((token,), outcome, retry_after_s))
 
-    def _find_refusal(
+    def _admit(
         self,
         workflow: workflows.Workflow,
         terms: records.Terms,
         now_ms: int,
-    ) -> workflow_admission.Refused | None:
-        """Return why a workflow can't be served in time, if so."""
-        if any(step.is_lasting for step in workflow.steps):
-            return None
-        if workflow.is_timed:
-            return None
-        room = 0
+    ) -> workflow_admission.Admitted | workflow_admission.Refused:
+        """Decide whether a workflow can be served in time.
+
+        Lasting and timed workflows have no end to compare with.
+        """
+        is_lasting = any(step.is_lasting for step in workflow.steps)
+        if is_lasting or workflow.is_timed:
+            return workflow_admission.Admitted(0, True)
         has_filler = any(step.is_filler for step in workflow.steps)
-        for target in self.targets.values():
-            if target.service != terms.service:
-                continue
-            if not target.is_sound(now_ms):
-                continue
-            room += max(
-                target.capacity.processor_millicores - target.busy_millicores,
-                0,
-            )
-            if not has_filler:
-                for run in target.runs.values():
-                    step = run.task.group.step
-                    if not step.is_lasting and not step.is_filler:
-                        room += step.demand.processor_millicores
-        ahead = sum(
-            job.find_remaining_work()
-            for job in self._active.values()
-            if job.terms.priority <= terms.priority
-            and job.terms.service == terms.service
+        room = sum(
+            self._find_room(target, has_filler)
+            for target in self.targets.values()
+            if target.service == terms.service and target.is_sound(now_ms)
         )
+        ahead_prompt = ahead = 0
+        for job in self._active.values():
+            if job.terms.service != terms.service:
+                continue
+            if job.terms.priority <= terms.priority:
+                work = job.find_remaining_work()
+                ahead += work
+                ahead_prompt += work if job.terms.is_prompt else 0
         work = sum(
             step.count
             * max(step.demand.processor_millicores, 1)
             * (step.estimate_ms or jobs.DEFAULT_ESTIMATE_MS)
             for step in workflow.steps
         )
-        decision = workflow_admission.decide(
+        return workflow_admission.decide(
             workflow_admission.Request(
                 workflow.workflow_id,
                 work,
                 workflows.find_longest_chain_ms(workflow),
                 jobs.find_objective_ms(workflow, terms),
             ),
-            workflow_admission.Load(ahead, room),
+            workflow_admission.Load(ahead_prompt, ahead, room),
         )
-        if isinstance(decision, workflow_admission.Refused):
-            return decision
-        return None
+
+    def _find_room(
+        self, target: targets_module.Target, has_filler: bool
+    ) -> int:
+        """Return the processors that a workflow could use on a target."""
+        room = target.capacity.processor_millicores - target.busy_millicores
+        if not has_filler:
+            # Short tasks that run now are part of the work ahead.
+            room += sum(
+                run.task.group.step.demand.processor_millicores
+                for run in target.runs.values()
+                if not run.task.group.step.is_lasting
+                and not run.task.group.step.is_filler
+            )
+        return max(room, 0)
 
     def _place_group(
         self,
@@ -733,13 +757,16 @@
         def find_risk(
             step: workflows.Step, target: workflow_placement.Target
         ) -> float:
-            if not target.serving_shares:
+            found = self.targets[target.target_id]
+            if not found.quiet_shares:
                 return 0.0
             size = max(target.capacity.processor_millicores, 1)
+            sizes = dict(found.filler_sizes)
+            own = step.demand.processor_millicores
+            sizes[step.image] = sizes.get(step.image, 0) + own
             return self.effects.find_risk(
-                target.serving_shares,
-                step.image,
-                step.demand.processor_millicores / size,
+                found.quiet_shares,
+                {image: value / size for image, value in sizes.items()},
                 moment.elapsed_ms,
             )
 
@@ -950,6 +977,7 @@
 def _make_candidate(job: jobs.Job) -> workflow_order.Candidate:
     return workflow_order.Candidate(
         job.terms.priority,
+        job.terms.is_prompt,
         any(step.is_lasting for step in job.workflow.steps),
         job.accepted_at_ms,
         job.objective_ms,
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -31,7 +31,10 @@
 
 
 class Terms(msgspec.Struct, frozen=True, array_like=True):
-    """What the queue promised when the workflow was accepted."""
+    """What the queue promised when the workflow was accepted.
+
+    :param is_prompt: it was expected to be done within its objective
+    """
 
     queue: str
     service: str
@@ -40,6 +43,7 @@
     slack_factor: float
     latency_target_ms: int
     accepted_at_ms: int
+    is_prompt: bool = True
 
 
 class SpecRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -19,6 +19,9 @@
     :ivar is_ready: the session has told what runs there
     :ivar lost_deadline_ms: elapsed time at which everything that was granted
         there has certainly ended, unless the agent is heard of again
+    :ivar quiet_shares: estimated latency of each serving image without
+        fillers, as a share of its target
+    :ivar filler_sizes: declared processors of the fillers by image
     :ivar strays: runs there that the owner does not want; their sizes may be
         unknown, so nothing is placed beside them
     """
@@ -44,7 +47,8 @@
         self.strays: set[tuple[str, int]] = set()
         self.health = target_health.Health()
         self.known_specs: set[str] = set()
-        self.serving_shares: dict[str, float] = {}
+        self.quiet_shares: dict[str, float] = {}
+        self.filler_sizes: dict[str, int] = {}
         self.refused_deadline_ms = 0
 
     def is_sound(self, now_ms: int) -> bool:
@@ -82,14 +86,18 @@
         if step.is_filler:
             size = step.demand.processor_millicores
             self.filler_millicores += sign * size
+            sizes = self.filler_sizes
+            sizes[step.image] = sizes.get(step.image, 0) + sign * size
+            if not sizes[step.image]:
+                del sizes[step.image]
         else:
             use = workflow_placement.find_expected_use(step)
             self.busy_millicores += sign * use
         if step.latency_target_ms:
             self.serving_count += sign
             # A new one has told nothing yet.
-            self.serving_shares.setdefault(
+            self.quiet_shares.setdefault(
                 step.image, filler_effects.UNKNOWN_SHARE
             )
             if not self.serving_count:
-                self.serving_shares.clear()
+                self.quiet_shares.clear()
