Bound the effects of fillers by the range of the load

Change: a latency only bounds the rise by the fillers; estimates outside of the bounds move to the nearer one.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -210,7 +210,14 @@
             if run.row is not None and not run.terms.is_lasting
         )
         self._send(
-            messages.Report(self._token, clock.read_elapsed_ms(), rows, state)
+            messages.Report(
+                self._token,
+                clock.read_elapsed_ms(),
+                rows,
+                state,
+                self._make_samples(),
+                self._find_filler_shares(),
+            )
         )
 
     async def _run_session(self, token: int) -> None:
--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -1,10 +1,14 @@
 """What fillers do to the tail latency of serving tasks, by pair of images.
 
 Most fillers disturb a serving task not at all and a few do so severely; which
-ones depends on both images. The pairs are learned by ``interference`` from
-the reports of all targets. The load of a serving task is not known and moves
-its quiet latency up and down for seconds, so a single measurement says
-little.
+ones depends on both images. A serving task's own load, which nobody reports,
+moves its quiet latency within a known range for seconds. So a latency only
+bounds the rise by the fillers beside it: it is at least what exceeds the top
+of the range and at most what exceeds its bottom. An estimate outside of these
+bounds is moved to the nearer one. A pair that is harmless is so cleared
+whenever the load is low, on any target.
+
+``interference`` solves the same problem where the load is measured.
 """
 
 from collections import abc
@@ -12,19 +16,27 @@
 import math
 from typing import Final
 
-from borageshelf.decisions import interference
-
-# The load of the users' serving tasks swings by half within ten seconds,
-# which moves the log of their latency by about 0.3 for several reports.
-_LOAD_VARIANCE: Final = 0.4
 # Effects are kept for a quarter of a VM: the prior then says that a filler of
-# sixteen cores of 64 raises the latency by half.
+# sixteen cores of 64 raises the latency by a third.
 _SHARE_SCALE: Final = 4.0
-UNKNOWN_EFFECT: Final = interference.PRIOR_EFFECT
+UNKNOWN_EFFECT: Final = 0.3
+LARGEST_EFFECT: Final = 8.0
+# Log of the ratio between the highest and the lowest quiet latency; the
+# users' serving tasks swing between 0.28 and 0.7 of their target.
+_LOAD_RANGE: Final = 0.95
+# The lowest latency seen is forgotten slowly, as loads change.
+_FLOOR_DRIFT: Final = 0.002
+_FIRST_UNCERTAINTY: Final = 1.0
+_LEAST_UNCERTAINTY: Final = 0.05
+# Each report that agrees with a pair makes it this much more certain.
+_CERTAINTY_FACTOR: Final = 0.97
+# A report moves the estimates only by this part of the way, because the
+# measured latency is rough.
+_STEP: Final = 0.6
 # Latency as a share of its target, where none has been reported.
 UNKNOWN_SHARE: Final = 0.5
 # An expected share above this is no place for a filler.
-RISK_LIMIT: Final = 1.1
+RISK_LIMIT: Final = 1.0
 # Below this, targets are equally good.
 RISK_FREE: Final = 0.8
 
@@ -33,60 +45,86 @@
 class Sample:
     """One report of a serving task.
 
+    :param latency_share: tail latency as a share of its target
     :param used_shares: processors in use by each filler image, as a share of
         the VM, in the time that the latency covers
     """
 
     serving_image: str
-    latency_ms: int
+    latency_share: float
     used_shares: abc.Mapping[str, float]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Pair:
+    """Effect of one pair; the uncertainty divides the blame."""
+
+    effect: float = UNKNOWN_EFFECT
+    uncertainty: float = _FIRST_UNCERTAINTY
+
+
 class FillerEffects:
     """Learned effects of all pairs."""
 
     def __init__(self) -> None:
-        self._table = interference.Table()
+        self._pairs: dict[tuple[str, str], _Pair] = {}
+        self._floors: dict[str, float] = {}
 
-    def observe(self, sample: Sample, now_ms: int) -> None:
+    def observe(self, sample: Sample) -> None:
         """Include one report."""
+        image = sample.serving_image
+        value = math.log(max(sample.latency_share, 0.01))
+        floor = min(self._floors.get(image, value) + _FLOOR_DRIFT, value)
+        self._floors[image] = floor
         shares = {
-            image: share * _SHARE_SCALE
-            for image, share in sample.used_shares.items()
+            filler: share * _SHARE_SCALE
+            for filler, share in sample.used_shares.items()
+            if share > 0
         }
-        self._table = interference.observe(
-            self._table,
-            interference.Observation(
-                sample.serving_image,
-                max(sample.latency_ms, 1),
-                0.0,
-                shares,
-                now_ms,
-                _LOAD_VARIANCE,
-            ),
+        pairs = {
+            filler: self._pairs.get((image, filler), _Pair())
+            for filler in shares
+        }
+        rise = sum(
+            pairs[filler].effect * share for filler, share in shares.items()
+        )
+        least = max(value - floor - _LOAD_RANGE, 0.0)
+        most = max(value - floor, 0.0)
+        error = min(max(rise, least), most) - rise
+        weight = sum(
+            pairs[filler].uncertainty * share * share
+            for filler, share in shares.items()
         )
+        for filler, share in shares.items():
+            pair = pairs[filler]
+            effect = pair.effect
+            if weight:
+                part = pair.uncertainty * share / weight
+                effect += _STEP * error * part
+            uncertainty = pair.uncertainty
+            if error <= 0:
+                uncertainty *= _CERTAINTY_FACTOR
+            self._pairs[(image, filler)] = _Pair(
+                min(max(effect, 0.0), LARGEST_EFFECT),
+                max(uncertainty, _LEAST_UNCERTAINTY),
+            )
 
-    def find(
-        self, serving_image: str, filler_image: str, now_ms: int
-    ) -> float:
+    def find(self, serving_image: str, filler_image: str) -> float:
         """Return the rise of the log latency for a quarter of a VM."""
-        mean, _ = interference.find_effect(
-            self._table, serving_image, filler_image, now_ms
-        )
-        return mean
+        pair = self._pairs.get((serving_image, filler_image))
+        return pair.effect if pair else UNKNOWN_EFFECT
 
     def list_pairs(self) -> tuple[tuple[str, str, float], ...]:
         """Return serving image, filler image and effect of known pairs."""
         return tuple(
-            (serving, filler, round(known.mean, 2))
-            for (serving, filler), known in self._table.pairs.items()
+            (serving, filler, round(known.effect, 2))
+            for (serving, filler), known in self._pairs.items()
         )
 
     def find_risk(
         self,
         quiet_shares: abc.Mapping[str, float],
         filler_sizes: abc.Mapping[str, float],
-        now_ms: int,
     ) -> float:
         """Return the expected latency, as a share of the target.
 
@@ -97,7 +135,7 @@
         worst = 0.0
         for image, quiet in quiet_shares.items():
             rise = sum(
-                find_log_rise(self.find(image, filler, now_ms), size)
+                find_log_rise(self.find(image, filler), size)
                 for filler, size in filler_sizes.items()
             )
             worst = max(worst, quiet * math.exp(rise))
--- a/borageshelf/decisions/interference.py
+++ b/borageshelf/decisions/interference.py
@@ -66,7 +66,6 @@
 
     :param load: load of the executor when measured, 0 to 1
     :param shares: processor share of the VM by family when measured
-    :param noise_variance: of the measured log p99 around the model
     """
 
     service: str
@@ -74,7 +73,6 @@
     load: float
     shares: Mapping[str, float]
     measured_at_ms: int
-    noise_variance: float = MEASUREMENT_VARIANCE
 
 
 @dataclasses.dataclass(frozen=True)
@@ -141,7 +139,7 @@
     }
     terms = [*nodes.values(), *pairs.values()]
     error = value - sum(part * known.mean for part, known in terms)
-    spread = seen.noise_variance + sum(
+    spread = MEASUREMENT_VARIANCE + sum(
         part * part * known.variance for part, known in terms
     )
     new_quiet = {
--- a/borageshelf/decisions/workflow_placement.py
+++ b/borageshelf/decisions/workflow_placement.py
@@ -17,8 +17,8 @@
 from borageshelf.model import workflows
 
 # Processor time that a serving task uses of its declared size, before any
-# measurement; the users' monitors run at 0.42 with swings of half of that.
-SERVING_USE: Final = 0.6
+# measurement; the users' monitors run at 0.42 on average.
+SERVING_USE: Final = 0.45
 # A filler starts if at least this share of its size is unused.
 FILLER_SHARE: Final = 0.85
 
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -392,6 +392,9 @@
         told: tuple[tuple[str, str, float], ...] = ()
         while True:
             await asyncio.sleep(EFFECTS_INTERVAL_MS / 1000)
+            self._events.record_detail(
+                'fleet', **self._core.describe_fleet(clock.read_moment())
+            )
             pairs = self._core.effects.list_pairs()
             if pairs == told:
                 continue
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -46,7 +46,7 @@
 SLOW_LIMIT_MS: Final = 1_200
 # The load of a serving task swings within ten seconds; what it was at its
 # height is forgotten as slowly.
-QUIET_DECAY: Final = 0.98
+QUIET_DECAY: Final = 0.97
 
 Record = abc.Callable[..., None]
 
@@ -441,12 +441,16 @@
         moment: clock.Moment,
     ) -> None:
         """Learn what fillers do to the serving tasks of a target."""
+        target.filler_used_millicores = round(
+            sum(report.filler_shares.values())
+            * target.capacity.processor_millicores
+        )
         for sample in report.samples:
             image = sample.serving_image
             quiet_share = filler_effects.find_quiet_share(
                 sample.latency_share,
                 {
-                    filler: self.effects.find(image, filler, moment.elapsed_ms)
+                    filler: self.effects.find(image, filler)
                     for filler in report.filler_shares
                 },
                 report.filler_shares,
@@ -456,10 +460,9 @@
             self.effects.observe(
                 filler_effects.Sample(
                     sample.serving_image,
-                    sample.latency_ms,
+                    sample.latency_share,
                     report.filler_shares,
-                ),
-                moment.elapsed_ms,
+                )
             )
 
     # Time.
@@ -599,6 +602,39 @@
                 cause='the store did not take it',
             )
 
+    def describe_fleet(self, moment: clock.Moment) -> dict[str, int]:
+        """Return sums over the fleet, for the log."""
+        sound = [
+            target
+            for target in self.targets.values()
+            if target.is_sound(moment.elapsed_ms)
+        ]
+        waiting = [
+            group.step.demand.processor_millicores
+            for job in self._active.values()
+            for group in job.groups
+            if not group.is_complete and job.is_ready(group, moment.wall_ms)
+            for task in group.tasks
+            if task.is_waiting
+        ]
+        return {
+            'targets': len(self.targets),
+            'sound': len(sound),
+            'capacity_millicores': sum(
+                target.capacity.processor_millicores for target in sound
+            ),
+            'busy_millicores': sum(target.busy_millicores for target in sound),
+            'filler_millicores': sum(
+                target.filler_millicores for target in sound
+            ),
+            'filler_used_millicores': sum(
+                target.filler_used_millicores for target in sound
+            ),
+            'active_workflows': len(self._active),
+            'waiting_tasks': len(waiting),
+            'waiting_millicores': sum(waiting),
+        }
+
     def take_immediate(self) -> list[effects.Effect]:
         """Return the effects that wait for no commit."""
         taken, self._immediate = self._immediate, []
@@ -664,14 +700,16 @@
             for target in self.targets.values()
             if target.service == terms.service and target.is_sound(now_ms)
         )
-        ahead_prompt = ahead = 0
-        for job in self._active.values():
-            if job.terms.service != terms.service:
-                continue
-            if job.terms.priority <= terms.priority:
-                work = job.find_remaining_work()
-                ahead += work
-                ahead_prompt += work if job.terms.is_prompt else 0
+        accepted = [
+            workflow_admission.Accepted(
+                job.find_remaining_work(),
+                job.objective_deadline_ms,
+                job.terms.is_prompt,
+            )
+            for job in self._active.values()
+            if job.terms.service == terms.service
+            and job.terms.priority <= terms.priority
+        ]
         work = sum(
             step.count
             * max(step.demand.processor_millicores, 1)
@@ -685,7 +723,8 @@
                 workflows.find_longest_chain_ms(workflow),
                 jobs.find_objective_ms(workflow, terms),
             ),
-            workflow_admission.Load(ahead_prompt, ahead, room),
+            workflow_admission.Load(accepted, room),
+            now_ms,
         )
 
     def _find_room(
@@ -767,7 +806,6 @@
             return self.effects.find_risk(
                 found.quiet_shares,
                 {image: value / size for image, value in sizes.items()},
-                moment.elapsed_ms,
             )
 
         return find_risk
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -36,6 +36,7 @@
         self.reserved = resources.NOTHING
         self.busy_millicores = 0
         self.filler_millicores = 0
+        self.filler_used_millicores = 0
         self.serving_count = 0
         self.session = UNATTACHED
         self.is_ready = False
