Admit workflows while a new owner learns of the targets

Cause: found by the test of a planned stop: a new owner has no target attached for some hundred milliseconds, counted no room and refused every workflow. The same happens after each takeover and at the start.

Change: for two seconds after a takeover workflows are admitted without a forecast.

--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -93,6 +93,7 @@
         self._core = owner_module.Owner(
             journal.epoch,
             grant_ms + GRANT_SLACK_MS,
+            clock.read_elapsed_ms(),
             clock.read_elapsed_ms() + former_ms,
             journal_module.encode,
             events.record,
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -269,6 +269,11 @@
         if run.task.runs.pop(run.attempt, None) is not None:
             self._live_runs -= 1
 
+    def withdraw_run(self, run: Run) -> None:
+        """Undo the last ``add_run`` of a task; nobody has heard of it."""
+        self.remove_run(run)
+        run.task.attempts -= 1
+
     def finish_task(self, task: Task) -> None:
         """Note that a task is done; one end of a gang counts for all."""
         group = task.group
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -44,6 +44,8 @@
 # a checkpoint and a start cost about as much as a report.
 SLOW_PACE_PERCENT: Final = 50
 SLOW_LIMIT_MS: Final = 1_200
+# Agents find a new owner within about a second.
+SETTLE_MS: Final = 2_000
 # The load of a serving task swings within ten seconds; what it was at its
 # height is forgotten as slowly.
 QUIET_DECAY: Final = 0.97
@@ -84,6 +86,7 @@
 
     :param grant_ms: how long a target may go on after the last report that
         was answered
+    :param now_ms: elapsed time of the takeover
     :param old_grants_deadline_ms: elapsed time at which all that earlier
         owners granted has ended
     :param encode: turns a record into the bytes to store
@@ -94,6 +97,7 @@
         self,
         epoch: int,
         grant_ms: int,
+        now_ms: int,
         old_grants_deadline_ms: int,
         encode: abc.Callable[[Any], bytes],
         record: Record,
@@ -104,6 +108,7 @@
         self.archive: dict[str, Archived] = {}
         self._grant_ms = grant_ms
         self._old_grants_deadline_ms = old_grants_deadline_ms
+        self._settled_deadline_ms = now_ms + SETTLE_MS
         self._encode = encode
         self._record = record
         self._dirty: dict[str, jobs.Job] = {}
@@ -694,6 +699,9 @@
         is_lasting = any(step.is_lasting for step in workflow.steps)
         if is_lasting or workflow.is_timed:
             return workflow_admission.Admitted(0, True)
+        if now_ms < self._settled_deadline_ms:
+            # Which targets there are is not known yet.
+            return workflow_admission.Admitted(0, True)
         has_filler = any(step.is_filler for step in workflow.steps)
         room = sum(
             self._find_room(target, has_filler)
@@ -781,7 +789,7 @@
         if group.step.is_gang and len(placed) < group.step.count:
             for run, target in placed:
                 target.remove(run)
-                job.remove_run(run)
+                job.withdraw_run(run)
             return
         for run, target in placed:
             job.effects.append(
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -73,19 +73,30 @@
 
 
 class ApiResource(resource.Resource):
-    """Dispatches requests by method and path."""
+    """Dispatches requests by method and path.
+
+    :param find_route: finds the route of a path that is not in ``routes``
+    """
 
     isLeaf = True
 
-    def __init__(self, routes: abc.Mapping[tuple[str, str], Route]) -> None:
+    def __init__(
+        self,
+        routes: abc.Mapping[tuple[str, str], Route],
+        find_route: abc.Callable[[str, str], Route | None] | None = None,
+    ) -> None:
         resource.Resource.__init__(self)
         self._routes = routes
+        self._find_route = find_route
         self._tasks: set[asyncio.Task[None]] = set()
 
     def render(self, request: server.Request) -> int:
         """Start the handler of a request."""
         path = request.path.decode()
-        route = self._routes.get((request.method.decode(), path))
+        method = request.method.decode()
+        route = self._routes.get((method, path))
+        if route is None and self._find_route is not None:
+            route = self._find_route(method, path)
         if route is None:
             answer_error(request, errors.NOT_FOUND, path)
             return server.NOT_DONE_YET
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -101,6 +101,10 @@
         """Number of calls of each method, refused ones included."""
         return self._gate.calls
 
+    def now_ms(self) -> int:
+        """Return the time of the store's clock."""
+        return self._clock.read_ms()
+
     def set_faults(self, plan: faults.FaultPlan) -> None:
         """Replace the faults; calls held by an outage look at them again."""
         self._gate.set_plan(plan)
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,227 @@
+"""The whole path on the users' wire, with real processes."""
+
+import asyncio
+import collections
+import signal
+
+from bench import fleet
+from tests import platform_support
+
+ID = '0123456789abcdef'
+TWO_STEPS = {
+    'Spec': '300',
+    'Phases': [
+        {'Count': 4, 'Cpu': 1000, 'MemMb': 500, 'EstimateMs': 300},
+        {
+            'Count': 2,
+            'Cpu': 1000,
+            'MemMb': 500,
+            'EstimateMs': 300,
+            'After': [0],
+        },
+    ],
+}
+
+
+def check_runs_once(deployment: platform_support.Deployment) -> None:
+    """Compare what the executors ran with the promises."""
+    running: set[str] = set()
+    done: set[str] = set()
+    for event in deployment.list_history():
+        if event.what == 'start':
+            assert event.task not in running, f'{event.task} runs twice'
+            assert event.task not in done, f'{event.task} starts again'
+            running.add(event.task)
+        else:
+            running.discard(event.task)
+            if event.what == 'done':
+                done.add(event.task)
+
+
+def test_workflow_is_accepted_run_and_shown() -> None:
+    """Guards against a path that is broken anywhere."""
+
+    async def check() -> None:
+        async with platform_support.run_deployment() as deployment:
+            await deployment.submit(ID, TWO_STEPS)
+            await deployment.wait_for_state(ID, 'completed')
+            check_runs_once(deployment)
+            counts = collections.Counter(
+                event.what for event in deployment.list_history()
+            )
+            assert counts == {'start': 6, 'done': 6}
+            first = [
+                event.at_ms
+                for event in deployment.list_history()
+                if event.what == 'done' and event.task.startswith(f'{ID}.0.0')
+            ]
+            second = [
+                event.at_ms
+                for event in deployment.list_history()
+                if event.what == 'start' and event.task.startswith(f'{ID}.0.1')
+            ]
+            assert max(first) <= min(second)
+            for entry in deployment.entries:
+                status, found = await deployment.request(
+                    entry, 'GET', '/short/'
+                )
+                assert (status, found) == (200, {'Pending': 0})
+                status, _ = await deployment.request(entry, 'GET', '/other/')
+                assert status == 404
+                status, _ = await deployment.request(
+                    entry, 'GET', '/short/feedfeedfeedfeed'
+                )
+                assert status == 410
+
+    platform_support.run(check())
+
+
+def test_bad_submissions_are_refused_clearly() -> None:
+    """Guards against a body that takes an entry down."""
+
+    async def check() -> None:
+        async with platform_support.run_deployment(1, 1) as deployment:
+            entry = deployment.entries[0]
+            cycle = {'Spec': '1', 'Phases': [{'Count': 1, 'After': [0]}]}
+            documents: list[object] = [{}, [], 'x', cycle, {'Phases': []}]
+            for document in documents:
+                status, found = await deployment.request(
+                    entry, 'POST', f'/short/{ID}', document
+                )
+                assert status == 400, document
+                assert found['Error']
+            status, _ = await deployment.request(
+                entry, 'POST', '/short/not-an-id', TWO_STEPS
+            )
+            assert status == 404
+            assert await deployment.is_ready(entry)
+
+    platform_support.run(check())
+
+
+def test_killed_owner_loses_nothing() -> None:
+    """Guards against an accepted workflow that dies with its owner."""
+
+    async def check() -> None:
+        async with platform_support.run_deployment() as deployment:
+            long = {**TWO_STEPS, 'Spec': '1500'}
+            await deployment.submit(ID, long)
+            await asyncio.sleep(0.5)
+            owner = deployment.find_owner()
+            await owner.end()
+            await deployment.wait_for_state(ID, 'completed')
+            check_runs_once(deployment)
+            counts = collections.Counter(
+                event.what for event in deployment.list_history()
+            )
+            # The work went on under its lease while the owner changed.
+            assert counts == {'start': 6, 'done': 6}
+
+    platform_support.run(check())
+
+
+def test_planned_stop_of_the_owner_refuses_nothing() -> None:
+    """Guards against requests that a planned stop cuts off."""
+
+    async def check() -> None:
+        async with platform_support.run_deployment() as deployment:
+            await deployment.submit('f' * 16, TWO_STEPS)
+            owner = deployment.find_owner()
+            stopping = asyncio.ensure_future(owner.end(signal.SIGTERM))
+            answers = []
+            for number in range(10):
+                status, _ = await deployment.request(
+                    owner, 'POST', f'/short/{number:016x}', TWO_STEPS
+                )
+                answers.append(status)
+                await asyncio.sleep(0.02)
+            assert answers == [200] * 10
+            assert await stopping == 0
+            for number in range(10):
+                await deployment.wait_for_state(f'{number:016x}', 'completed')
+            check_runs_once(deployment)
+
+    platform_support.run(check())
+
+
+def test_killed_agent_adopts_what_runs() -> None:
+    """Guards against work that is lost with an agent's process."""
+
+    async def check() -> None:
+        async with platform_support.run_deployment(1, 1) as deployment:
+            long = {**TWO_STEPS, 'Spec': '2500'}
+            await deployment.submit(ID, long)
+            await asyncio.sleep(0.5)
+            await deployment.agents[0].end()
+            await deployment.agents[0].start()
+            await deployment.wait_for_state(ID, 'completed')
+            counts = collections.Counter(
+                event.what for event in deployment.list_history()
+            )
+            assert counts == {'start': 6, 'done': 6}
+
+    platform_support.run(check())
+
+
+def test_lost_answer_to_a_start_runs_once() -> None:
+    """Guards against a second run after a lost answer."""
+
+    async def check() -> None:
+        async with platform_support.run_deployment(1, 1) as deployment:
+            deployment.executors[0].lost_answers = 3
+            await deployment.submit(ID, TWO_STEPS)
+            await deployment.wait_for_state(ID, 'completed')
+            check_runs_once(deployment)
+
+    platform_support.run(check())
+
+
+def test_store_outage_refuses_truthfully_and_ends() -> None:
+    """Guards against an acceptance that is not stored."""
+
+    async def check() -> None:
+        async with platform_support.run_deployment(1, 1) as deployment:
+            await deployment.submit('f' * 16, TWO_STEPS)
+            deployment.store_handlers.is_refusing = True
+            status, _ = await deployment.request(
+                deployment.entries[0], 'POST', f'/short/{ID}', TWO_STEPS
+            )
+            assert status == 503
+            await asyncio.sleep(1)
+            deployment.store_handlers.is_refusing = False
+            await deployment.wait_for_state('f' * 16, 'completed')
+
+            async def is_unknown() -> bool:
+                status, _ = await deployment.request(
+                    deployment.entries[0], 'GET', f'/short/{ID}'
+                )
+                return status == 410
+
+            await fleet.wait_until(is_unknown, 'the refused workflow')
+            started = {event.task[:16] for event in deployment.list_history()}
+            assert started == {'f' * 16}
+
+    platform_support.run(check())
+
+
+def test_reload_keeps_good_settings() -> None:
+    """Guards against a settings file that is cut short."""
+
+    async def check() -> None:
+        async with platform_support.run_deployment(1, 1) as deployment:
+            entry = deployment.entries[0]
+            entry.file.write_text('{"node_id": "entr')
+            assert entry.process is not None
+            entry.process.send_signal(signal.SIGHUP)
+
+            async def is_logged() -> bool:
+                return any(
+                    line['event'] == 'settings not reloaded'
+                    for line in entry.read_log()
+                )
+
+            await fleet.wait_until(is_logged, 'the log line')
+            await deployment.submit(ID, TWO_STEPS)
+            await deployment.wait_for_state(ID, 'completed')
+
+    platform_support.run(check())
