--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -25,6 +25,7 @@
 from borageshelf.workflows import effects
 from borageshelf.workflows import journal as journal_module
 from borageshelf.workflows import messages
+from borageshelf.workflows import policy as policy_module
 from borageshelf.workflows import records
 
 WATCH_MS: Final = 1_500
@@ -109,7 +110,7 @@
 class Election:
     """Follows the owner or becomes it.
 
-    :param grant_ms: length of a grant to agents
+    :param policy: of the owner that this entry may become
     :param find_configuration: returns version and document in force
     :param offer_configuration: takes a document from another entry
     """
@@ -118,14 +119,14 @@
         self,
         identity: Identity,
         store: store_interface.TransactionalStore,
-        grant_ms: int,
+        policy: policy_module.OwnerPolicy,
         events: events_module.EventLog,
         find_configuration: abc.Callable[[], tuple[int, bytes]],
         offer_configuration: abc.Callable[[bytes], None],
     ) -> None:
         self._identity = identity
         self._store = store
-        self._grant_ms = grant_ms
+        self._policy = policy
         self._events = events
         self._find_configuration = find_configuration
         self._offer_configuration = offer_configuration
@@ -471,7 +472,7 @@
             self._store,
             journal,
             lease.lease_id,
-            self._grant_ms,
+            self._policy,
             self._events,
             self.list_entries,
         )
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -21,7 +21,7 @@
 from borageshelf import node_settings
 from borageshelf.ports import store as store_interface
 from borageshelf.workflows import channel
-from borageshelf.workflows import grants
+from borageshelf.workflows import policy
 
 # Twisted's default of 50 drops connections of a burst.
 BACKLOG: Final = 1_024
@@ -97,7 +97,7 @@
                 settings.node_id, self._boot_id, settings.inner_address
             ),
             store,
-            grants.find_grant_ms(settings.executor_lease_limit_ms),
+            policy.make_policy(settings),
             events,
             self._configuration.find_document,
             self._configuration.offer,
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -21,6 +21,7 @@
 from borageshelf.workflows import journal as journal_module
 from borageshelf.workflows import messages
 from borageshelf.workflows import owner as owner_module
+from borageshelf.workflows import policy as policy_module
 from borageshelf.workflows import records
 from borageshelf.workflows import targets as targets_module
 
@@ -67,7 +68,6 @@
 class OwnerRuntime:
     """The owner of all workflows, in this process.
 
-    :param grant_ms: how long a target may go on after a report
     :param list_entries: returns the addresses of the entries
     """
 
@@ -76,23 +76,24 @@
         store: store_interface.TransactionalStore,
         journal: journal_module.Journal,
         lease_id: str,
-        grant_ms: int,
+        policy: policy_module.OwnerPolicy,
         events: events_module.EventLog,
         list_entries: abc.Callable[[], tuple[messages.EntryAddress, ...]],
     ) -> None:
         self._store = store
         self._journal = journal
         self._lease_id = lease_id
-        self._grant_ms = grant_ms
+        self._grant_ms = policy.grant_ms
         self._events = events
         self._list_entries = list_entries
         self._confirmed_at_ms = clock.read_elapsed_ms()
         # The former owner may extend grants until its last proof is too
         # old, and what it granted lasts for another grant.
-        former_ms = PROOF_LIMIT_MS + grant_ms + GRANT_SLACK_MS
+        former_ms = PROOF_LIMIT_MS + policy.grant_ms + GRANT_SLACK_MS
         self._core = owner_module.Owner(
             journal.epoch,
-            grant_ms + GRANT_SLACK_MS,
+            policy.grant_ms + GRANT_SLACK_MS,
+            policy.retention_ms,
             clock.read_elapsed_ms(),
             clock.read_elapsed_ms() + former_ms,
             journal_module.encode,
--- a/borageshelf/node_settings.py
+++ b/borageshelf/node_settings.py
@@ -43,7 +43,6 @@
     :param seeds: inner addresses of some entries
     :param metrics_port: port of the metrics page on ``host``
     :param executor_lease_limit_ms: longest lease that an executor takes
-    :param stop_limit_ms: longest time that an executor takes for a stop
     :param grace_s: time between the request to stop and the kill
     :param status_retention_s: how long the end of a workflow is shown
     """
@@ -61,7 +60,6 @@
     seeds: tuple[str, ...] = ()
     metrics_port: int = 9464
     executor_lease_limit_ms: int = 6_000
-    stop_limit_ms: int = 900
     grace_s: float = 6.0
     status_retention_s: float = 120.0
 
@@ -70,7 +68,6 @@
 _RANGES: Final[dict[str, tuple[float, float]]] = {
     'metrics_port': (1, CONNECTION_LIMIT),
     'executor_lease_limit_ms': (1_000, 3_600_000),
-    'stop_limit_ms': (1, 60_000),
     'grace_s': (0.5, 600),
     'status_retention_s': (1, 86_400),
 }
@@ -142,5 +139,3 @@
         value = getattr(found, name)
         if not minimum <= value <= maximum:
             yield f'{name}: must be from {minimum} to {maximum}, not {value}'
-    if found.stop_limit_ms >= found.executor_lease_limit_ms:
-        yield 'stop_limit_ms: must be below executor_lease_limit_ms'
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -26,9 +26,6 @@
 from borageshelf.workflows import records
 from borageshelf.workflows import targets as targets_module
 
-# The state of an ended workflow is shown for two minutes (the site files);
-# the margin covers clocks that differ.
-RETENTION_MS: Final = 150_000
 # One commit may have 32 entries (the platform's protocol), of which the
 # expected revision and the head take two.
 COMMIT_ENTRIES: Final = 30
@@ -89,6 +86,7 @@
 
     :param grant_ms: how long a target may go on after the last report that
         was answered
+    :param retention_ms: how long the end of a workflow is shown
     :param now_ms: elapsed time of the takeover
     :param old_grants_deadline_ms: elapsed time at which all that earlier
         owners granted has ended
@@ -100,6 +98,7 @@
         self,
         epoch: int,
         grant_ms: int,
+        retention_ms: int,
         now_ms: int,
         old_grants_deadline_ms: int,
         encode: abc.Callable[[Any], bytes],
@@ -110,6 +109,7 @@
         self.targets: dict[str, targets_module.Target] = {}
         self.archive: dict[str, Archived] = {}
         self._grant_ms = grant_ms
+        self._retention_ms = retention_ms
         self._old_grants_deadline_ms = old_grants_deadline_ms
         self._settled_deadline_ms = now_ms + SETTLE_MS
         self._encode = encode
@@ -490,7 +490,7 @@
             self._next_expiry_ms = now_ms + 1_000
             for workflow_id, archived in list(self.archive.items()):
                 age_ms = moment.wall_ms - archived.ended_at_ms
-                if age_ms > RETENTION_MS:
+                if age_ms > self._retention_ms:
                     del self.archive[workflow_id]
                     self._expired.append(workflow_id)
 
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -18,6 +18,7 @@
 from borageshelf.workflows import records
 
 GRANT_MS = 5_000
+RETENTION_MS = 150_000
 WALL_MS = 1_700_000_000_000
 SMALL = resources.Resources(1_000, 1_000)
 
@@ -91,6 +92,7 @@
         return owner_module.Owner(
             epoch,
             GRANT_MS,
+            RETENTION_MS,
             self.now_ms,
             self.now_ms + GRANT_MS,
             journal.encode,
