Acknowledge an end only after all ends before it are committed

An acknowledgement covers all ends before it. The end of a run that the owner did not know, or one that a new session told again, was acknowledged at once, and with it ends whose commits waited for the store; after the takeover these tasks ran again.

Change: the owner tracks the open ends of each target and acknowledges up to the first one that is not committed; an end of a known workflow is always acknowledged by a commit of that workflow. Two tests, which fail without the change.

--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -557,10 +557,9 @@
     @_carry_out.register
     def _(self, effect: effects.Acknowledge) -> None:
         session = self._find_session(effect.target_id)
-        if session is not None and session.number == effect.session:
-            session.outbox.send(
-                messages.Acknowledged(session.token, effect.number)
-            )
+        number = self._core.close_end(effect)
+        if session is not None and number:
+            session.outbox.send(messages.Acknowledged(session.token, number))
 
     @_carry_out.register
     def _(self, effect: effects.Reply) -> None:
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -256,6 +256,7 @@
         target.is_ready = False
         target.data_centre = hello.data_centre
         target.known_specs.clear()
+        target.forget_ends()
         self._note_heard(target, moment.elapsed_ms)
         return target
 
@@ -349,11 +350,19 @@
         acknowledge = effects.Acknowledge(
             target.target_id, target.session, end.number
         )
+        target.open_end(end.number)
         key = (end.task, end.attempt)
         target.strays.discard(key)
         run = target.runs.get(key)
         if run is None:
-            self._immediate.append(acknowledge)
+            # An earlier session may have told the same end, and what
+            # follows from it may not be committed yet.
+            known = self.jobs.get(end.task.split('.')[0])
+            if known is None:
+                self._immediate.append(acknowledge)
+            else:
+                known.effects.append(acknowledge)
+                self._mark(known)
             return
         job = run.task.group.job
         job.effects.append(acknowledge)
@@ -645,6 +654,13 @@
             'waiting_millicores': sum(waiting),
         }
 
+    def close_end(self, effect: effects.Acknowledge) -> int | None:
+        """Return the number to acknowledge; None for a former session."""
+        target = self.targets.get(effect.target_id)
+        if target is None or target.session != effect.session:
+            return None
+        return target.close_end(effect.number)
+
     def take_immediate(self) -> list[effects.Effect]:
         """Return the effects that wait for no commit."""
         taken, self._immediate = self._immediate, []
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -48,6 +48,8 @@
         self.strays: set[tuple[str, int]] = set()
         self.health = target_health.Health()
         self.known_specs: set[str] = set()
+        self._open_ends: set[int] = set()
+        self._highest_end = 0
         self.quiet_shares: dict[str, float] = {}
         self.filler_sizes: dict[str, int] = {}
         self.refused_deadline_ms = 0
@@ -68,6 +70,27 @@
             and now_ms >= self.refused_deadline_ms
         )
 
+    def open_end(self, number: int) -> None:
+        """Note an end that may not be forgotten yet."""
+        self._open_ends.add(number)
+        self._highest_end = max(self._highest_end, number)
+
+    def close_end(self, number: int) -> int:
+        """Note that what follows from an end is committed.
+
+        :return: the number up to which all ends may be forgotten; an
+            acknowledgement always covers the ends before it
+        """
+        self._open_ends.discard(number)
+        if self._open_ends:
+            return min(self._open_ends) - 1
+        return self._highest_end
+
+    def forget_ends(self) -> None:
+        """Begin a session, in which all open ends are told again."""
+        self._open_ends.clear()
+        self._highest_end = 0
+
     def add(self, run: jobs.Run) -> None:
         """Count a run."""
         self.runs[(run.task.name, run.attempt)] = run
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -462,3 +462,39 @@
     world.now_ms += 1_500
     world.settle()
     assert f'{"f" * 16}.0.0.0' in world.list_running()
+
+
+def test_acknowledgement_covers_no_uncommitted_end() -> None:
+    """Guards against an end that is forgotten with a later one.
+
+    An acknowledgement covers all ends before it. The end of a run that the
+    owner did not know was acknowledged at once, and with it the end of a
+    finished task whose commit waited for the store.
+    """
+    world = support.World()
+    model = world.add_target('vm-0')
+    world.submit(support.make_workflow())
+    world.settle()
+    model.running['feedfeedfeedfeed.0.0.0'] = 7
+    world.end(f'{ID}.0.0.0')
+    world.end('feedfeedfeedfeed.0.0.0', STOPPED)
+    assert sorted(model.ended) == [1, 2]
+    world.settle()
+    assert model.ended == {}
+
+
+def test_end_that_is_told_twice_waits_for_its_commit() -> None:
+    """Guards against an end that a new session acknowledges too early."""
+    world = support.World()
+    model = world.add_target('vm-0')
+    world.submit(support.make_workflow())
+    world.settle()
+    world.end(f'{ID}.0.0.0')
+    world.core.take_batch()
+    world.attach(model)
+    assert sorted(model.ended) == [1]
+    world.take_over()
+    world.attach(model)
+    world.settle()
+    assert len(world.orders) == 1
+    assert world.core.find_state(ID) == 'completed'
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -239,9 +239,10 @@
                 self._start(model, effect)
             elif isinstance(effect, effects.SendStop):
                 model.stopped.add(effect.task)
-            elif effect.session == model.session:
+            else:
+                bound = self.core.close_end(effect) or 0
                 for number in list(model.ended):
-                    if number <= effect.number:
+                    if number <= bound:
                         del model.ended[number]
 
     def _start(self, model: ModelTarget, effect: effects.SendStart) -> None:
