Wait for the lease of a former agent process before work counts as ended

A restarted agent knew of no lease and said at its first unanswered inspection that the lease had ended; the owner started the tasks elsewhere while they ran on.

Change: a new process counts with the longest lease that the executor takes. A test, which fails without the change. Adds the command explain.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -86,6 +86,7 @@
 
     :param send: sends a message to the owner, if there is a stream
     :param ask_session: asks the owner for a new session
+    :param lease_limit_ms: longest lease that the executor takes
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         events: events_module.EventLog,
         send: abc.Callable[[messages.AnyMessage], None],
         ask_session: abc.Callable[[], None],
+        lease_limit_ms: int,
     ) -> None:
         self._executor = executor
         self._events = events
@@ -104,7 +106,9 @@
         self._is_ready = False
         self._grant_ms = 0
         self._grant_deadline_ms = 0
-        self._lease_end_ms = 0
+        # A former process of this agent may have extended the lease just
+        # before this one began.
+        self._lease_end_ms = clock.read_elapsed_ms() + lease_limit_ms
         self._clock: _ClockReading | None = None
         self._seen_number = 0
         self._acknowledged_number = 0
--- a/borageshelf/agent/workflows/process.py
+++ b/borageshelf/agent/workflows/process.py
@@ -61,7 +61,11 @@
             settings.seeds, store, self._make_hello, events
         )
         self._driver = driver_module.ExecutorDriver(
-            executor, events, self._link.send, self._link.ask_session
+            executor,
+            events,
+            self._link.send,
+            self._link.ask_session,
+            settings.executor_lease_limit_ms,
         )
         self._link.driver = self._driver
         self._site = make_site(
--- /dev/null
+++ b/borageshelf/commands/explain.py
@@ -0,0 +1,92 @@
+"""The command ``explain``: the history of one request from log lines.
+
+Works on the logs of any number of processes, whose clocks may differ: lines
+of one process keep their order, and processes are merged by their times.
+"""
+
+from collections import abc
+import json
+import sys
+from typing import Any, Final
+
+import cleo.helpers
+
+from borageshelf.commands import base
+from borageshelf.commands import statuses
+
+GAP_MS: Final = 1_000
+# Fields that every line has; the others say what decided.
+_COMMON: Final = frozenset({'process', 'at_ms', 'level', 'event'})
+
+
+def find_history(
+    lines: abc.Iterable[str], wanted: str
+) -> list[dict[str, Any]]:
+    """Return the log lines about an id, merged by time.
+
+    :param wanted: id of a workflow, a task or a target
+    """
+    found: list[tuple[int, int, dict[str, Any]]] = []
+    latest_ms: dict[str, int] = {}
+    for number, line in enumerate(lines):
+        start = line.find('{')
+        if wanted not in line or start < 0:
+            continue
+        try:
+            document = json.loads(line[start:])
+        except ValueError:
+            continue
+        if not isinstance(document, dict) or 'event' not in document:
+            continue
+        process = str(document.get('process', ''))
+        at_ms = int(document.get('at_ms', 0))
+        # A clock that was set back must not change the order of one process.
+        at_ms = max(at_ms, latest_ms.get(process, 0))
+        latest_ms[process] = at_ms
+        found.append((at_ms, number, document))
+    found.sort(key=lambda item: item[:2])
+    return [document for _, _, document in found]
+
+
+def describe(
+    history: abc.Sequence[abc.Mapping[str, Any]],
+) -> abc.Iterator[str]:
+    """Yield a line for each step of a history, and for each gap."""
+    former_ms = 0
+    first_ms = int(history[0].get('at_ms', 0)) if history else 0
+    for document in history:
+        at_ms = int(document.get('at_ms', 0))
+        if former_ms and at_ms - former_ms > GAP_MS:
+            yield f'{"":>9}  ... {at_ms - former_ms} ms without a line'
+        former_ms = at_ms
+        fields = ' '.join(
+            f'{name}={value}'
+            for name, value in document.items()
+            if name not in _COMMON
+        )
+        yield (
+            f'{at_ms - first_ms:>6} ms  {document.get("process", "")}: '
+            f'{document["event"]} {fields}'
+        )
+
+
+class ExplainCommand(base.Command):
+    """Print the history of one request."""
+
+    name = 'explain'
+    description = 'Prints what log lines on the standard input say of an id'
+    arguments = [
+        cleo.helpers.argument(
+            'id', description='Id of a workflow, a task or a target'
+        )
+    ]
+
+    def execute_command(self) -> int:
+        """Read the log lines and print the history."""
+        history = find_history(sys.stdin, self.argument('id'))
+        for line in describe(history):
+            self.print_text(line)
+        return statuses.OK if history else statuses.NOT_FOUND
+
+
+COMMANDS: Final = (ExplainCommand,)
--- a/borageshelf/main.py
+++ b/borageshelf/main.py
@@ -7,6 +7,7 @@
 import cleo.exceptions
 
 from borageshelf.commands import callers
+from borageshelf.commands import explain
 from borageshelf.commands import operators
 from borageshelf.commands import processes
 from borageshelf.commands import publish
@@ -26,6 +27,7 @@
         operators,
         publish,
         callers,
+        explain,
         top,
     ):
         for command in module.COMMANDS:
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,37 @@
+"""The history of a request must be whole and in order."""
+
+import json
+
+from borageshelf.commands import explain
+
+ID = '0123456789abcdef'
+
+
+def make_line(process: str, at_ms: int, event: str, **fields: object) -> str:
+    """Return a log line, with the prefix that a collector adds."""
+    document = {'process': process, 'at_ms': at_ms, 'event': event, **fields}
+    return f'  12.3 host {json.dumps(document)}'
+
+
+def test_history_of_several_processes() -> None:
+    """Guards against a cause that is shown after its effect."""
+    lines = [
+        make_line('agent a', 1_400, 'end seen', task=f'{ID}.0.0.0'),
+        make_line('agent a', 1_300, 'later line of a clock set back', x=ID),
+        make_line('entry e', 1_000, 'workflow taken', workflow=ID),
+        make_line('entry e', 1_100, 'run ordered', task=f'{ID}.0.0.0'),
+        make_line('entry e', 1_200, 'workflow taken', workflow='other'),
+        f'{ID} in a line that is no document',
+        make_line('entry e', 5_000, 'workflow ended', workflow=ID),
+    ]
+    history = explain.find_history(lines, ID)
+    assert [item['event'] for item in history] == [
+        'workflow taken',
+        'run ordered',
+        'end seen',
+        'later line of a clock set back',
+        'workflow ended',
+    ]
+    text = list(explain.describe(history))
+    assert any('ms without a line' in line for line in text)
+    assert 'workflow=0123456789abcdef' in text[0]
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -19,6 +19,7 @@
 TASK = f'{ID}.0.0.0'
 TOKEN = 1_000_001
 GRANT_MS = 5_000
+LEASE_LIMIT_MS = 1_500
 SMALL = resources.Resources(1_000, 1_000)
 STARTED = task_executor.StartOutcome.STARTED
 
@@ -151,6 +152,7 @@
             events.EventLog('agent', 'test', descriptor=1),
             self.sent.append,
             self._ask_session,
+            LEASE_LIMIT_MS,
         )
 
     def _ask_session(self) -> None:
@@ -471,3 +473,21 @@
         assert scene.executor.paces.get(f'{ID}.0.2.0', 100) == 100
 
     play(scenario)
+
+
+def test_new_process_waits_for_the_lease_of_its_predecessor() -> None:
+    """Guards against work that is taken for ended while it goes on.
+
+    A restarted agent knew of no lease, and said at the first unanswered
+    inspection that everything on the executor had ended.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        begun_at_ms = clock.read_elapsed_ms()
+        scene.executor.lost_inspections = 1_000
+        scene.driver.note_announcement(ANNOUNCEMENT)
+        scene.driver.begin_session(messages.Welcome(1, TOKEN, GRANT_MS, ()))
+        await scene.wait_for(messages.ExecutorGone)
+        assert clock.read_elapsed_ms() - begun_at_ms >= LEASE_LIMIT_MS
+
+    play(scenario)
