--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -18,6 +18,8 @@
 import aiohttp
 
 from bench import fleet
+from borageshelf.workflows import journal
+from borageshelf.workflows import records
 from standins import http_server
 from standins import memory_store
 from standins import platform_executor
@@ -97,6 +99,7 @@
         self.entries: list[Node] = []
         self.agents: list[Node] = []
         self.executors: list[platform_executor.PlatformExecutor] = []
+        self.store: memory_store.MemoryStore
         self.store_handlers: platform_store.PlatformStoreHandlers
         self.http: aiohttp.ClientSession
 
@@ -200,15 +203,14 @@
 
         await fleet.wait_until(has_state, f'{workflow_id} {state}')
 
-    def find_owner(self) -> Node:
+    async def find_owner(self) -> Node:
         """Return the entry that the store names as the owner."""
-        owners = [
-            (line['epoch'], entry)
-            for entry in self.entries
-            for line in entry.read_log()
-            if line['event'] == 'ownership acquired'
-        ]
-        return max(owners, key=lambda item: item[0])[1]
+        stored = await self.store.get(records.OWNER_KEY)
+        assert stored is not None
+        owner = journal.decode(stored.value, records.OwnerRecord)
+        return next(
+            entry for entry in self.entries if entry.name == owner.entry_id
+        )
 
     def list_history(self) -> list[platform_executor.Event]:
         """Return what all executors ran, in order."""
@@ -231,6 +233,7 @@
             loopback.serve(handlers.make_site())
         )
         deployment = Deployment(pathlib.Path(folder), store_url)
+        deployment.store = store
         deployment.store_handlers = handlers
         deployment.http = await stack.enter_async_context(
             aiohttp.ClientSession()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -107,7 +107,7 @@
             long = {**TWO_STEPS, 'Spec': '1500'}
             await deployment.submit(ID, long)
             await asyncio.sleep(0.5)
-            owner = deployment.find_owner()
+            owner = await deployment.find_owner()
             await owner.end()
             await deployment.wait_for_state(ID, 'completed')
             check_runs_once(deployment)
@@ -126,7 +126,7 @@
     async def check() -> None:
         async with platform_support.run_deployment() as deployment:
             await deployment.submit('f' * 16, TWO_STEPS)
-            owner = deployment.find_owner()
+            owner = await deployment.find_owner()
             stopping = asyncio.ensure_future(owner.end(signal.SIGTERM))
             answers = []
             for number in range(10):
