Survive a connection that is lost while it is opened

A killed owner resets connections that its kernel had accepted; grpclib then fails with an AttributeError when the reset arrives before the first stream. The error ended the loop that follows the owner, so the other entry lived on and never took over.

Change: the stream reports such a connection as lost, and the loops without which a process is useless run again after an unexpected error, with a log line.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -177,7 +177,10 @@
         stopping = self._session_tasks
         self._session_tasks = loop_module.TaskGroup()
         self._background.start(stopping.stop())
-        self._session_tasks.start(self._run_session(welcome.token))
+        self._session_tasks.start_lasting(
+            lambda: self._run_session(welcome.token),
+            self._events.record_failure,
+        )
 
     def end_session(self) -> None:
         """End the session; its stream is gone.
--- a/borageshelf/agent/workflows/process.py
+++ b/borageshelf/agent/workflows/process.py
@@ -82,7 +82,9 @@
         host, _, port = self._settings.registration_address.rpartition(':')
         reactor.listenTCP(int(port), self._site.make_site(), interface=host)
         entry_process.listen_for_metrics(self._settings)
-        self._background.start(self._link.run())
+        self._background.start_lasting(
+            self._link.run, self._events.record_failure
+        )
         self._events.record_state('agent started', boot=self._boot_id)
         await self._stopping.wait()
         # What runs goes on under its lease; the next process adopts it.
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -149,8 +149,8 @@
 
     def start(self) -> None:
         """Follow the owner's key."""
-        self._background.start(self._watch())
-        self._background.start(self._follow_forever())
+        for loop in (self._watch, self._follow_forever):
+            self._background.start_lasting(loop, self._events.record_failure)
 
     async def stop(self) -> None:
         """Stop following."""
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -118,7 +118,9 @@
         loop_module.watch_signals(loop, self._stopping.set, self._aborting.set)
         loop_module.watch_reload(loop, self._reload_settings)
         self._background.start(self._events.run())
-        self._background.start(self._configuration.run())
+        self._background.start_lasting(
+            self._configuration.run, self._events.record_failure
+        )
         server = channel.make_server(channel.Service(self._election.serve))
         host, _, port = self._settings.inner_address.rpartition(':')
         await server.start(host, int(port))
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -140,15 +140,22 @@
 
     async def run(self) -> None:
         """Own the workflows until another entry does."""
-        self._background.start(self._keep_lease())
-        self._background.start(self._watch_silence())
-        self._background.start(self._tell_effects())
+        for loop in (
+            self._keep_lease,
+            self._watch_silence,
+            self._tell_effects,
+        ):
+            self._background.start_lasting(loop, self._events.record_failure)
         cycle = asyncio.ensure_future(self._cycle())
         ended = asyncio.ensure_future(self._ended.wait())
         try:
             await asyncio.wait(
                 {cycle, ended}, return_when=asyncio.FIRST_COMPLETED
             )
+            if cycle.done():
+                # An unexpected error ends the ownership, and the next owner
+                # begins with what is stored.
+                cycle.result()
         finally:
             cycle.cancel()
             ended.cancel()
--- a/borageshelf/events.py
+++ b/borageshelf/events.py
@@ -84,6 +84,10 @@
         """Queue a line that is dropped first under load."""
         self.record(event, Level.DETAIL, **fields)
 
+    def record_failure(self, error: Exception) -> None:
+        """Queue a line about an error that nobody expected."""
+        self.record_state('unexpected error', error=repr(error))
+
     def msg(self, line: bytes) -> None:
         """Take a rendered line; called by ``structlog``."""
         self._lines.append(line + b'\n')
--- a/borageshelf/loop.py
+++ b/borageshelf/loop.py
@@ -8,7 +8,7 @@
 import importlib
 import signal
 import sys
-from typing import Any
+from typing import Any, Final
 
 from absl import logging
 from twisted.internet import asyncioreactor
@@ -95,6 +95,10 @@
     return True
 
 
+# Keeps a loop that fails at once from using the whole processor.
+RESTART_PAUSE_MS: Final = 200
+
+
 class TaskGroup:
     """Background tasks of a component; a failure is logged, not lost."""
 
@@ -107,6 +111,30 @@
         self._tasks.add(task)
         task.add_done_callback(self._finish)
 
+    def start_lasting(
+        self,
+        make_coroutine: abc.Callable[[], abc.Coroutine[Any, Any, None]],
+        on_failure: abc.Callable[[Exception], None],
+    ) -> None:
+        """Run a coroutine in the background, again after each failure.
+
+        For the loops without which the process would live on uselessly.
+
+        :param on_failure: called with the error before each new run
+        """
+
+        async def run() -> None:
+            while True:
+                try:
+                    await make_coroutine()
+                    return
+                except Exception as error:
+                    logging.error('a loop failed', exc_info=error)
+                    on_failure(error)
+                await asyncio.sleep(RESTART_PAUSE_MS / 1000)
+
+        self.start(run())
+
     async def stop(self) -> None:
         """Cancel all tasks and wait for their end."""
         tasks = list(self._tasks)
--- a/borageshelf/workflows/channel.py
+++ b/borageshelf/workflows/channel.py
@@ -105,8 +105,11 @@
     async def _exchange(self, stream: Any) -> None:
         outbox = Outbox()
         try:
-            await stream.send_initial_metadata()
-            await _run(self._serve(_receive(stream), outbox), stream, outbox)
+            with _TransportGuard():
+                await stream.send_initial_metadata()
+                await _run(
+                    self._serve(_receive(stream), outbox), stream, outbox
+                )
         except BROKEN:
             # The other side is gone; the handler has seen its stream end.
             return
@@ -147,6 +150,7 @@
             channel, PATH, list, list
         )
         async with contextlib.AsyncExitStack() as stack:
+            stack.enter_context(_TransportGuard())
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 stream = await stack.enter_async_context(method.open())
                 await stream.send_request()
@@ -154,12 +158,27 @@
             try:
                 await _run(handle(_receive(stream), outbox), stream, outbox)
             finally:
-                with contextlib.suppress(*BROKEN):
+                with contextlib.suppress(*BROKEN), _TransportGuard():
                     await stream.cancel()
     finally:
         channel.close()
 
 
+class _TransportGuard:
+    """Turns grpclib's error for a lost connection into the usual one.
+
+    grpclib drops the transport of a connection that is lost, and fails with
+    an ``AttributeError`` if it is used before anybody has noticed the loss.
+    """
+
+    def __enter__(self) -> None:
+        return
+
+    def __exit__(self, kind: object, error: object, trace: object) -> None:
+        if isinstance(error, AttributeError) and error.name == '_transport':
+            raise ConnectionResetError('the connection is lost') from error
+
+
 async def _receive(stream: Any) -> abc.AsyncIterator[messages.AnyMessage]:
     async for batch in stream:
         for message in batch:
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -212,6 +212,14 @@
             entry for entry in self.entries if entry.name == owner.entry_id
         )
 
+    def print_logs(self) -> None:
+        """Print what the processes logged and what the executors ran."""
+        for node in (*self.entries, *self.agents):
+            print(f'--- {node.name}')
+            print(node.file.with_suffix('.log').read_text())
+        for event in self.list_history():
+            print(event)
+
     def list_history(self) -> list[platform_executor.Event]:
         """Return what all executors ran, in order."""
         events = [
@@ -261,7 +269,12 @@
             return await deployment.is_ready(deployment.entries[0])
 
         await fleet.wait_until(is_ready, 'readiness')
-        yield deployment
+        try:
+            yield deployment
+        except BaseException:
+            # pytest shows this with the failed test.
+            deployment.print_logs()
+            raise
 
 
 # The stand-ins live on the loop of ``loopback``.
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -33,3 +33,27 @@
         assert not await loop.wait_for_event(asyncio.Event(), 1)
 
     asyncio.run(main())
+
+
+def test_lasting_loop_runs_again_after_a_failure() -> None:
+    """Guards against a process that lives on without one of its loops."""
+    failures: list[str] = []
+    runs = 0
+
+    async def fail_twice() -> None:
+        nonlocal runs
+        runs += 1
+        if runs < 3:
+            raise RuntimeError(f'failure {runs}')
+
+    async def check() -> None:
+        group = loop.TaskGroup()
+        group.start_lasting(
+            fail_twice, lambda error: failures.append(str(error))
+        )
+        while runs < 3:
+            await asyncio.sleep(0.01)
+        await group.stop()
+
+    asyncio.run(check())
+    assert failures == ['failure 1', 'failure 2']
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -168,7 +168,7 @@
 
     async def check() -> None:
         async with platform_support.run_deployment(1, 1) as deployment:
-            deployment.executors[0].lost_answers = 3
+            deployment.executors[0].faults.lost_answers = 3
             await deployment.submit(ID, TWO_STEPS)
             await deployment.wait_for_state(ID, 'completed')
             check_runs_once(deployment)
