--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -268,8 +268,8 @@
         async def is_ready() -> bool:
             return await deployment.is_ready(deployment.entries[0])
 
-        await fleet.wait_until(is_ready, 'readiness')
         try:
+            await fleet.wait_until(is_ready, 'readiness')
             yield deployment
         except BaseException:
             # pytest shows this with the failed test.
