Add a fault soak; do not depose an owner that has just begun

Two faults: an entry that had found the owner dead read the revision of the owner's key after its pause, by which time another entry had taken over; and the in-memory store returned another revision than it wrote when a commit removed keys, so owners lost their own head.

Change: the revision is read together with the belief that the owner is gone; the stand-in gives a transaction one revision.

The soak runs entries and agents as processes behind loopback proxies, with signals, shifted clocks, a misbehaving store and misbehaving executors, and checks what callers and executors saw. A new setting, inner_advertised_address, lets a proxy stand before an entry.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -314,13 +314,15 @@
         while True:
             is_dead = False
             owner = self._owner
+            # An owner that appears from now on is a living one.
+            seen_revision = self._owner_revision
             if owner is not None and not self._absent_since_ms:
                 if owner.entry_id == self._identity.entry_id:
                     is_dead = owner.boot_id != self._identity.boot_id
                 else:
                     is_dead = await self._follow(owner)
             if self._has_view and (is_dead or self._absent_since_ms):
-                await self._take_over()
+                await self._take_over(seen_revision)
             if not self.changed.is_set():
                 await loop_module.wait_for_event(self.changed, FOLLOW_PAUSE_MS)
             self.changed.clear()
@@ -407,12 +409,16 @@
                 link.close()
                 return
 
-    async def _take_over(self) -> None:
-        """Try to become the owner."""
+    async def _take_over(self, seen_revision: int) -> None:
+        """Try to become the owner.
+
+        :param seen_revision: revision of the key of the owner that is gone
+        """
         if self.is_stopping:
             return
         await asyncio.sleep(random.uniform(0, JITTER_MS) / 1000)
-        seen_revision = self._owner_revision
+        if self._owner_revision != seen_revision:
+            return
         self._taking_over = True
         try:
             runtime = await self._acquire(seen_revision)
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -94,7 +94,9 @@
         )
         self._election = election_module.Election(
             election_module.Identity(
-                settings.node_id, self._boot_id, settings.inner_address
+                settings.node_id,
+                self._boot_id,
+                settings.inner_advertised_address or settings.inner_address,
             ),
             store,
             policy.make_policy(settings),
--- a/borageshelf/node_settings.py
+++ b/borageshelf/node_settings.py
@@ -36,6 +36,8 @@
     :param caller_address: listen address for callers; entries only
     :param ready_address: listen address of the readiness check; entries only
     :param inner_address: listen address of the inner protocol; entries only
+    :param inner_advertised_address: where other processes reach the inner
+        protocol, if that differs from the listen address; entries only
     :param registration_address: where the executor beside an agent announces
         itself; agents only
     :param executor_address: the executor beside an agent; agents only
@@ -54,6 +56,7 @@
     caller_address: str = ''
     ready_address: str = ''
     inner_address: str = ''
+    inner_advertised_address: str = ''
     registration_address: str = ''
     executor_address: str = ''
     service: str = ''
@@ -76,6 +79,7 @@
     'caller_address',
     'ready_address',
     'inner_address',
+    'inner_advertised_address',
     'registration_address',
     'executor_address',
 )
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -153,7 +153,7 @@
                 self._write_entry(write.key, write.value, write.lease_id)
             for key in transaction.removed:
                 if key in self._entries:
-                    self._remove(key)
+                    self._bury(key)
             self._wake_waiters()
             return self._revision
 
@@ -304,6 +304,10 @@
 
     def _remove(self, key: str) -> None:
         self._revision += 1
+        self._bury(key)
+
+    def _bury(self, key: str) -> None:
+        """Replace an entry by a tombstone at the current revision."""
         del self._entries[key]
         self._tombstones[key] = store_interface.Entry(
             key, b'', self._revision, deleted=True
--- a/standins/platform_executor.py
+++ b/standins/platform_executor.py
@@ -104,7 +104,8 @@
         self._random = random.Random(seed)
         self.faults = ExecutorFaults()
         self.history: list[Event] = []
-        # Task and attempt of the ends that the agent lets be forgotten.
+        # Task and attempt of the ends that the agent lets be forgotten before
+        # the lease has lapsed; after that it may not know how they ended.
         self.acknowledged: list[tuple[str, int]] = []
         self.is_down = False
         self.life = 0
@@ -123,6 +124,7 @@
         self._ended: list[list[Any]] = []
         self._numbers = 0
         self._sequence = 0
+        self._lapsed_number = 0
 
     def make_site(self) -> server.Site:
         """Return the site for the agent."""
@@ -203,6 +205,8 @@
         while True:
             await asyncio.sleep(STEP_S)
             now_ms = self._clock_ms()
+            if now_ms > self._lease_ms:
+                self._lapsed_number = self._numbers
             for run in list(self._runs.values()):
                 if now_ms > self._lease_ms:
                     self._end(run, 'lapsed')
@@ -409,7 +413,9 @@
             return 'fence'
         seen = document['LastSeen']
         self.acknowledged += [
-            (row[1], row[2]) for row in self._ended if row[0] <= seen
+            (row[1], row[2])
+            for row in self._ended
+            if self._lapsed_number < row[0] <= seen
         ]
         self._ended = [row for row in self._ended if row[0] > seen]
         self._lease_ms = max(self._lease_ms, document.get('DeadlineMs', 0))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -22,11 +22,13 @@
 _loops: list[asyncio.AbstractEventLoop] = []
 
 
-def run(coroutine: abc.Coroutine[Any, Any, Result]) -> Result:
+def run(
+    coroutine: abc.Coroutine[Any, Any, Result], limit_s: float = HANG_LIMIT_S
+) -> Result:
     """Run a coroutine on the shared loop."""
     if not _loops:
         _loops.append(http_server.install_reactor())
-    limited = asyncio.wait_for(coroutine, HANG_LIMIT_S)
+    limited = asyncio.wait_for(coroutine, limit_s)
     return _loops[0].run_until_complete(limited)
 
 
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -29,22 +29,21 @@
 HOST = '127.0.0.1'
 HOST_HEADER = 'jobs.example'
 SERVICE = 'pigment'
+ROUTE = {
+    'Name': 'short',
+    'Host': HOST_HEADER,
+    'PathPrefix': '/short/',
+    'Kind': 'unsafe',
+    'TimeoutMs': 3000,
+    'TargetLatencyMs': 1000,
+    'Priority': 0,
+    'Service': SERVICE,
+    'MaxAttempts': 3,
+    'SlackFactor': 2.0,
+}
 CONFIGURATION = {
     'Version': 3,
-    'Routes': [
-        {
-            'Name': 'short',
-            'Host': HOST_HEADER,
-            'PathPrefix': '/short/',
-            'Kind': 'unsafe',
-            'TimeoutMs': 3000,
-            'TargetLatencyMs': 1000,
-            'Priority': 0,
-            'Service': SERVICE,
-            'MaxAttempts': 3,
-            'SlackFactor': 2.0,
-        }
-    ],
+    'Routes': [ROUTE],
     'Services': [{'Name': SERVICE, 'EnforcesCapacity': False}],
     'Limits': {'MaxBodyBytes': 262144, 'IdleTimeoutMs': 15000},
 }
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real processes under faults that come from outside."""
--- a/tests/test_memory_store.py
+++ b/tests/test_memory_store.py
@@ -8,6 +8,7 @@
 import pytest
 
 from borageshelf import errors
+from borageshelf.ports import store as store_interface
 from standins import clocks
 from standins import faults
 from standins import memory_store
@@ -239,3 +240,24 @@
         assert await put == 1
 
     asyncio.run(check())
+
+
+def test_transaction_has_one_revision() -> None:
+    """Guards against a writer that loses its own key after a removal.
+
+    The revision of a commit that removed keys was higher than that of the
+    entries that it wrote, so the next commit of the same writer conflicted.
+    """
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        await store.put('old', b'', 0)
+        transaction = store_interface.Transaction(
+            (('head', 0),), (store_interface.Write('head', b'1'),), ('old',)
+        )
+        revision = await store.commit(transaction)
+        entry = await store.get('head')
+        assert entry is not None
+        assert entry.revision == revision == store.revision
+
+    asyncio.run(check())
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,159 @@
+"""Short runs of the fault soak, and its checks on made-up histories."""
+
+import pathlib
+from typing import Final
+
+import pytest
+
+from standins import platform_executor
+from tests import loopback
+from tests.soak import checks
+from tests.soak import plan as plan_module
+from tests.soak import runner
+
+SEEDS_FILE: Final = (
+    pathlib.Path(__file__).parents[1] / 'test-data' / 'soak-seeds.txt'
+)
+# Traffic, faults, the bound for the end, and starting the processes.
+LIMIT_S: Final = 120.0
+
+
+def read_seeds() -> list[int]:
+    """Return the seeds of the file; the rest of each line says why."""
+    lines = SEEDS_FILE.read_text().splitlines()
+    return [
+        int(line.split()[0])
+        for line in lines
+        if line and not line.startswith('#')
+    ]
+
+
+@pytest.mark.parametrize('seed', read_seeds())
+def test_seed_breaks_no_promise(seed: int, tmp_path: pathlib.Path) -> None:
+    """Guards against the faults that the soak has found before."""
+    found = loopback.run(
+        runner.play(plan_module.make_plan(seed), tmp_path), LIMIT_S
+    )
+    if found:
+        for log in tmp_path.glob('*.log'):
+            print(f'--- {log.name}\n{log.read_text()}')
+    assert not found
+
+
+ID: Final = '0123456789abcdef'
+SUBMISSION: Final = plan_module.Submission(
+    0,
+    ID,
+    {'Spec': '100', 'Phases': [{'Count': 1, 'Cpu': 5_000, 'MemMb': 1}] * 2},
+    0,
+)
+PLAN: Final = plan_module.Plan(0, 1, 1, (), (SUBMISSION,))
+OTHER: Final = plan_module.Submission(
+    0,
+    ID,
+    {
+        'Spec': '100',
+        'Phases': [
+            {'Count': 1, 'Cpu': 5_000, 'MemMb': 1},
+            {'Count': 1, 'Cpu': 5_000, 'MemMb': 1, 'After': [0]},
+        ],
+    },
+    0,
+)
+
+
+def make_event(
+    at_ms: int,
+    what: str,
+    step: int = 0,
+    attempt: int = 1,
+    spec: str = '100',
+) -> platform_executor.Event:
+    """Return an event of one of the two tasks."""
+    return platform_executor.Event(
+        at_ms, f'{ID}.0.{step}.0', attempt, what, 'i-0', 1, spec
+    )
+
+
+def make_call(method: str, status: int, state: str = '') -> checks.Call:
+    """Return a call after everything has happened."""
+    return checks.Call(9_000, 9_010, method, 0, 1, ID, status, state)
+
+
+def find_kinds(
+    history: checks.History, submission: plan_module.Submission = SUBMISSION
+) -> set[str]:
+    """Return the promises that a history breaks."""
+    plan = plan_module.Plan(0, 1, 1, (), (submission,))
+    return {
+        line.partition(':')[0]
+        for line in checks.find_violations(plan, history)
+    }
+
+
+def test_sound_history_breaks_nothing() -> None:
+    """Guards against checks that find fault with everything."""
+    history = checks.History(
+        calls=[make_call('POST', 200), make_call('GET', 200, 'completed')],
+        events=[
+            make_event(1, 'start'),
+            make_event(2, 'done'),
+            make_event(3, 'start', 1),
+            make_event(4, 'done', 1),
+        ],
+        acknowledged={(f'{ID}.0.0.0', 1), (f'{ID}.0.1.0', 1)},
+    )
+    assert not find_kinds(history, OTHER)
+
+
+def test_each_broken_promise_is_found() -> None:
+    """Guards against checks that find nothing."""
+    start, done = make_event(1, 'start'), make_event(2, 'done')
+    again = make_event(3, 'start', 0, 2)
+    accepted = make_call('POST', 200)
+    assert find_kinds(
+        checks.History(calls=[accepted], events=[start, again])
+    ) >= {'twice'}
+    assert find_kinds(
+        checks.History(
+            calls=[accepted],
+            events=[start, done, again],
+            acknowledged={(start.task, 1)},
+        )
+    ) == {'twice'}
+    assert find_kinds(
+        checks.History(calls=[accepted], events=[make_event(1, 'start', 1)]),
+        OTHER,
+    ) == {'order'}
+    assert find_kinds(
+        checks.History(
+            calls=[accepted], events=[start, make_event(2, 'start', 1)]
+        )
+    ) == {'limit'}
+    assert find_kinds(
+        checks.History(calls=[make_call('POST', 503)], events=[start])
+    ) == {'refused'}
+    assert find_kinds(
+        checks.History(
+            calls=[accepted, make_call('GET', 200, 'completed')],
+            events=[start, done],
+        )
+    ) == {'mixed'}
+    assert find_kinds(
+        checks.History(
+            calls=[accepted],
+            events=[make_event(1, 'start', 0, 1, 'another')],
+        )
+    ) == {'unasked'}
+    early = checks.Call(1, 2, 'POST', 0, 1, ID, 200)
+    assert find_kinds(
+        checks.History(calls=[early, make_call('GET', 410)])
+    ) == {'lost'}
+    assert find_kinds(
+        checks.History(calls=[accepted, make_call('GET', 200, 'failed')])
+    ) == {'lost'}
+    found = checks.Probe(1, 2, 0, 1, 5, True)
+    lost = checks.Probe(900, 901, 0, 1, 5, False)
+    assert find_kinds(checks.History(probes=[found, lost])) == {
+        'configuration'
+    }
