--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,6 +10,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -24,6 +25,8 @@
 STOP_TIMEOUT_S: Final = 60
 TOKEN: Final = 'demonstration-token-of-the-bench'
 OUTPUT_LINES: Final = 400
+# Below 32768, where Linux begins with outgoing connections by default.
+PORT_RANGE: Final = (15_000, 32_000)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -170,15 +173,24 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((HOST, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the kernel takes the ports of outgoing
+    connections, which may take a free port before a process listens there.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randint(*PORT_RANGE)
+        with socket.socket() as item:
+            # As servers do, so that closed connections do not count.
+            item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                item.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 class Fleet:
