Take over changed settings without a restart; describe the soak

Cause: a reload compared the settings and dropped them, and a file that changed without a signal was not read at all. The soak started a killed process twice when two faults met.

Change: one follower for both processes reads the file at SIGHUP and every 2 s, applies what a running process can take over, and logs the rest.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format binary protocol
+.PHONY: demo test soak lint format binary protocol
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -15,6 +15,12 @@
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest $(PYTEST_FLAGS)
 
+# Fresh seeds each time; SEED=N begins with a certain one.
+SEEDS ?= 50
+PARALLEL ?= 3
+soak: $(VENV)/.installed
+	$(BIN)/python -m tests.soak --seeds $(SEEDS) --parallel $(PARALLEL) $(if $(SEED),--first $(SEED))
+
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 borageshelf standins bench tests
--- a/borageshelf/agent/workflows/owner_link.py
+++ b/borageshelf/agent/workflows/owner_link.py
@@ -55,6 +55,10 @@
         self._heard_at_ms = 0
         self._is_welcome = False
 
+    def set_seeds(self, seeds: abc.Sequence[str]) -> None:
+        """Replace the entries to try first."""
+        self._seeds = tuple(seeds)
+
     def send(self, message: messages.AnyMessage) -> None:
         """Send a message if there is a stream."""
         if self._outbox is not None:
--- a/borageshelf/agent/workflows/process.py
+++ b/borageshelf/agent/workflows/process.py
@@ -15,6 +15,7 @@
 from borageshelf import node_settings
 from borageshelf.ports import store as store_interface
 from borageshelf.ports import task_executor
+from borageshelf import settings_follower
 from borageshelf.workflows import messages
 
 
@@ -52,7 +53,9 @@
         events: events_module.EventLog,
     ) -> None:
         self._settings = settings
-        self._reload = reload
+        self._follower = settings_follower.SettingsFollower(
+            settings, reload, self._apply_settings, events
+        )
         self._events = events
         self._boot_id = uuid.uuid4().hex
         self._stopping = asyncio.Event()
@@ -76,8 +79,11 @@
         """Run until a planned stop."""
         loop = asyncio.get_running_loop()
         loop_module.watch_signals(loop, self._stopping.set, self._stopping.set)
-        loop_module.watch_reload(loop, self._reload_settings)
+        loop_module.watch_reload(loop, self._follower.reload)
         self._background.start(self._events.run())
+        self._background.start_lasting(
+            self._follower.run, self._events.record_failure
+        )
         reactor: Any = importlib.import_module('twisted.internet.reactor')
         host, _, port = self._settings.registration_address.rpartition(':')
         reactor.listenTCP(int(port), self._site.make_site(), interface=host)
@@ -112,14 +118,6 @@
             return
         self._driver.note_announcement(found)
 
-    def _reload_settings(self) -> None:
-        """Read the settings again; wrong ones change nothing."""
-        try:
-            found = self._reload()
-        except node_settings.SettingsError as error:
-            self._events.record_state(
-                'settings not reloaded', faults=list(error.faults)
-            )
-            return
-        changed = found != self._settings
-        self._events.record_state('settings reloaded', changed=changed)
+    def _apply_settings(self, settings: node_settings.NodeSettings) -> None:
+        self._settings = settings
+        self._link.set_seeds(settings.seeds)
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -126,7 +126,7 @@
     ) -> None:
         self._identity = identity
         self._store = store
-        self._policy = policy
+        self.policy = policy
         self._events = events
         self._find_configuration = find_configuration
         self._offer_configuration = offer_configuration
@@ -478,7 +478,7 @@
             self._store,
             journal,
             lease.lease_id,
-            self._policy,
+            self.policy,
             self._events,
             self.list_entries,
         )
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -20,6 +20,7 @@
 from borageshelf.model import workflows
 from borageshelf import node_settings
 from borageshelf.ports import store as store_interface
+from borageshelf import settings_follower
 from borageshelf.workflows import channel
 from borageshelf.workflows import policy
 
@@ -32,7 +33,6 @@
 DRAIN_STEP_MS: Final = 50
 # An entry that lost the owner for less stays in the balancer's rotation.
 OWNER_LOSS_MS: Final = 5_000
-RELOAD_INTERVAL_MS: Final = 2_000
 
 
 class CallerSite(Protocol):
@@ -83,7 +83,9 @@
         events: events_module.EventLog,
     ) -> None:
         self._settings = settings
-        self._reload = reload
+        self._follower = settings_follower.SettingsFollower(
+            settings, reload, self._apply_settings, events
+        )
         self._events = events
         self._boot_id = uuid.uuid4().hex
         self._stopping = asyncio.Event()
@@ -118,8 +120,11 @@
         """Run until a planned stop is complete."""
         loop = asyncio.get_running_loop()
         loop_module.watch_signals(loop, self._stopping.set, self._aborting.set)
-        loop_module.watch_reload(loop, self._reload_settings)
+        loop_module.watch_reload(loop, self._follower.reload)
         self._background.start(self._events.run())
+        self._background.start_lasting(
+            self._follower.run, self._events.record_failure
+        )
         self._background.start_lasting(
             self._configuration.run, self._events.record_failure
         )
@@ -161,17 +166,9 @@
         seen_at_ms = self._owner_seen_at_ms
         return bool(seen_at_ms) and now_ms - seen_at_ms < OWNER_LOSS_MS
 
-    def _reload_settings(self) -> None:
-        """Read the settings again; wrong ones change nothing."""
-        try:
-            found = self._reload()
-        except node_settings.SettingsError as error:
-            self._events.record_state(
-                'settings not reloaded', faults=list(error.faults)
-            )
-            return
-        changed = found != self._settings
-        self._events.record_state('settings reloaded', changed=changed)
+    def _apply_settings(self, settings: node_settings.NodeSettings) -> None:
+        self._settings = settings
+        self._election.policy = policy.make_policy(settings)
 
     async def _drain(self) -> None:
         """Hand the ownership over and finish what callers wait for."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -83,6 +83,9 @@
         self._tasks.add(task)
         try:
             await self._serve(reader, writer)
+        except asyncio.CancelledError:
+            # By ``stop``; asyncio would report it as an error of the server.
+            writer.transport.abort()
         finally:
             self._tasks.discard(task)
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -59,7 +59,6 @@
     async def start(self) -> None:
         """Start the program through the launcher."""
         self.life += 1
-        self.is_expected_to_end = False
         self.node.file.write_text(json.dumps(self.node.settings))
         with self.node.file.with_suffix('.log').open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -75,6 +74,8 @@
                 stdout=log,
                 stderr=log,
             )
+        # Only now, since until here the former process is seen as ended.
+        self.is_expected_to_end = False
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal if the process still runs."""
