Pace a filler from its start; move the paces of fillers to a module

Change: the pace is set with the answer to the start, and the highest use of the last 1.3 s counts. agent/workflows/pacer.py takes the paces out of the driver. A test, which fails without the change.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -9,9 +9,10 @@
 import asyncio
 from collections import abc
 import dataclasses
-import enum
 from typing import Final
 
+from borageshelf.agent.workflows import pacer as pacer_module
+from borageshelf.agent.workflows import runs as runs_module
 from borageshelf import clock
 from borageshelf.decisions import pacing
 from borageshelf import events as events_module
@@ -37,40 +38,6 @@
 # A lease that is shorter would end before its task has begun.
 LEAST_LEASE_MS: Final = 300
 LEASE_SLACK_MS: Final = 300
-# A pace that differs by less is not worth a call.
-PACE_STEP_PERCENT: Final = 4
-# A lasting task that is at work shows this progress.
-AT_WORK_PERCENT: Final = 100
-
-
-class RunState(enum.Enum):
-    """What the agent knows of a run."""
-
-    STARTING = 'starting'
-    RUNNING = 'running'
-    STOPPING = 'stopping'
-
-
-class AgentRun:
-    """One run on the executor.
-
-    :ivar settled_at_ms: elapsed time since which an inspection that does not
-        list the run proves that it does not exist; 0 for not yet
-    """
-
-    def __init__(self, terms: messages.RunTerms, state: RunState) -> None:
-        self.terms = terms
-        self.state = state
-        self.settled_at_ms = 0
-        self.pace_percent = pacing.FULL_PACE_PERCENT
-        self.row: task_executor.RunningTask | None = None
-        self.refusal = 'absent'
-        self.is_unhealthy = False
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Identity of the run."""
-        return self.terms.task, self.terms.attempt
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,12 +80,13 @@
         self._seen_number = 0
         self._acknowledged_number = 0
         self._acknowledged = asyncio.Event()
-        self._runs: dict[tuple[str, int], AgentRun] = {}
+        self._runs: dict[tuple[str, int], runs_module.AgentRun] = {}
         self._specs: dict[str, str] = {}
         self._lost_since_ms = 0
         self._is_gone = False
-        self._effects: dict[tuple[str, str], float] = {}
-        self._pace_gain = 1.0
+        self._pacer = pacer_module.FillerPacer(
+            executor, events, lambda: self._runs.values()
+        )
         self._reported_state: messages.TargetState | None = None
         self._session_tasks = loop_module.TaskGroup()
         self._background = loop_module.TaskGroup()
@@ -222,8 +190,8 @@
                 clock.read_elapsed_ms(),
                 rows,
                 state,
-                self._make_samples(),
-                self._find_filler_shares(),
+                self._pacer.make_samples(),
+                self._pacer.find_shares(),
             )
         )
 
@@ -231,7 +199,9 @@
         """Inspect the executor, report everything, then follow it."""
         is_first = True
         while self._token == token:
-            wait_ms = 0 if is_first else self._find_wait_ms()
+            wait_ms = 0 if is_first else INSPECTION_WAIT_MS
+            if wait_ms and self._pacer.is_needed:
+                wait_ms = PACED_WAIT_MS
             begun_at_ms = clock.read_elapsed_ms()
             lease_ms = 0 if is_first else self._find_lease_deadline_ms()
             if self._is_gone or self._lost_since_ms:
@@ -267,7 +237,7 @@
                 self._report_snapshot(found)
                 continue
             self._note_inspection(found, begun_at_ms)
-            await self._pace()
+            await self._pace_fillers()
             if self._seen_number > self._acknowledged_number:
                 self._acknowledged.clear()
                 await loop_module.wait_for_event(
@@ -281,11 +251,11 @@
             key = (row.task, row.attempt)
             run = known.get(key)
             if run is None:
-                run = AgentRun(
+                run = runs_module.AgentRun(
                     _make_unknown_terms(row.task, row.attempt),
-                    RunState.RUNNING,
+                    runs_module.RunState.RUNNING,
                 )
-            run.state = RunState.RUNNING
+            run.state = runs_module.RunState.RUNNING
             run.row = row
             run.settled_at_ms = clock.read_elapsed_ms()
             self._runs[key] = run
@@ -323,7 +293,7 @@
         if refusal:
             self._refuse(order.terms, refusal)
             return
-        run = AgentRun(order.terms, RunState.STARTING)
+        run = runs_module.AgentRun(order.terms, runs_module.RunState.STARTING)
         self._runs[run.key] = run
         # Kept with the run, since the workflow may be forgotten while a
         # start without an answer is repeated.
@@ -338,9 +308,9 @@
         run = self._runs.get(key)
         if run is None:
             terms = _make_unknown_terms(order.task, order.attempt)
-            run = AgentRun(terms, RunState.STOPPING)
+            run = runs_module.AgentRun(terms, runs_module.RunState.STOPPING)
             self._runs[key] = run
-        run.state = RunState.STOPPING
+        run.state = runs_module.RunState.STOPPING
         self._session_tasks.start(self._stop(run, order.token))
 
     def acknowledge(self, order: messages.Acknowledged) -> None:
@@ -399,7 +369,7 @@
         )
 
     async def _start(
-        self, run: AgentRun, order: messages.Start, spec: str
+        self, run: runs_module.AgentRun, order: messages.Start, spec: str
     ) -> None:
         """Order a start until it is answered.
 
@@ -407,7 +377,7 @@
         """
         token = order.token
         for number in range(START_TRIES):
-            if run.state is RunState.STOPPING:
+            if run.state is runs_module.RunState.STOPPING:
                 return
             lease_ms = await self._wait_for_grant()
             if self._token != token or run.key not in self._runs:
@@ -446,15 +416,21 @@
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
             self._note_outcome(run, outcome, number)
+            if (
+                run.terms.is_filler
+                and run.state is runs_module.RunState.RUNNING
+            ):
+                # A task works at full pace from its start on.
+                await self._pace_fillers()
             return
         # It may still be carried out, so a stop has to prevent that.
-        if run.state is RunState.STARTING:
-            run.state = RunState.STOPPING
+        if run.state is runs_module.RunState.STARTING:
+            run.state = runs_module.RunState.STOPPING
             await self._stop(run, token)
 
     def _note_outcome(
         self,
-        run: AgentRun,
+        run: runs_module.AgentRun,
         outcome: task_executor.StartOutcome,
         failures: int,
     ) -> None:
@@ -464,8 +440,8 @@
             # After a lost answer the run may have started and ended; the
             # next inspection shows it.
             run.settled_at_ms = clock.read_elapsed_ms()
-            if run.state is RunState.STARTING:
-                run.state = RunState.RUNNING
+            if run.state is runs_module.RunState.STARTING:
+                run.state = runs_module.RunState.RUNNING
             run.refusal = 'absent'
             run.is_unhealthy = False
             return
@@ -490,7 +466,7 @@
                 return lease_ms
             await asyncio.sleep(0.02)
 
-    async def _stop(self, run: AgentRun, token: int) -> None:
+    async def _stop(self, run: runs_module.AgentRun, token: int) -> None:
         """Order a stop until it is answered."""
         while self._token == token and run.key in self._runs:
             try:
@@ -552,6 +528,7 @@
                 )
                 continue
             run.row = row
+        self._pacer.note_use(self._find_capacity())
         for key, run in list(self._runs.items()):
             is_settled = 0 < run.settled_at_ms < begun_at_ms
             if is_settled and key not in listed:
@@ -646,129 +623,20 @@
         self._lease_end_ms = max(self._lease_end_ms, self._grant_deadline_ms)
         return reading.executor_ms + int(left_ms * EXECUTOR_CLOCK_SHARE)
 
-    # Pacing of fillers.
-
-    def _find_wait_ms(self) -> int:
-        if self._has_serving() and self._list_fillers():
-            return PACED_WAIT_MS
-        return INSPECTION_WAIT_MS
-
-    def _has_serving(self) -> bool:
-        return any(run.terms.latency_target_ms for run in self._runs.values())
-
-    def _list_fillers(self) -> list[AgentRun]:
-        return [
-            run
-            for run in self._runs.values()
-            if run.terms.is_filler and run.state is RunState.RUNNING
-        ]
-
-    def _make_samples(self) -> tuple[messages.LatencySample, ...]:
-        """Return the highest tail latency of each serving image."""
-        found: dict[str, messages.LatencySample] = {}
-        for run in self._runs.values():
-            target_ms = run.terms.latency_target_ms
-            if run.row is None or not target_ms:
-                continue
-            if run.row.progress_percent < AT_WORK_PERCENT:
-                continue
-            image = run.terms.image
-            share = run.row.measured / target_ms
-            if image not in found or found[image].latency_share < share:
-                found[image] = messages.LatencySample(
-                    image, run.row.measured, round(share, 3)
-                )
-        return tuple(found.values())
+    # Helpers.
 
-    def _find_filler_shares(self) -> dict[str, float]:
-        """Return the processors in use by filler image, as shares."""
-        shares: dict[str, float] = {}
-        announcement = self.announcement
-        if announcement is None:
-            return shares
-        size = max(announcement.capacity.processor_millicores, 1)
-        for run in self._runs.values():
-            if run.terms.is_filler and run.row is not None:
-                used = max(run.row.measured, 0) / size
-                image = run.terms.image
-                shares[image] = round(shares.get(image, 0.0) + used, 3)
-        return shares
+    async def _pace_fillers(self) -> None:
+        await self._pacer.pace(
+            self._find_capacity(), self._find_instance_id(), self._token
+        )
 
     def note_effects(self, found: messages.Effects) -> None:
         """Learn which fillers disturb which serving tasks."""
-        self._effects = {
-            (serving, filler): effect
-            for serving, filler, effect in found.pairs
-        }
-
-    async def _pace(self) -> None:
-        """Slow the fillers down that disturb serving tasks."""
-        fillers = self._list_fillers()
-        announcement = self.announcement
-        if not fillers or announcement is None:
-            return
-        samples = self._make_samples()
-        size = max(announcement.capacity.processor_millicores, 1)
-        worst_share = max(
-            (sample.latency_share for sample in samples), default=0.0
-        )
-        self._pace_gain = pacing.find_gain(self._pace_gain, worst_share)
-        paces = pacing.find_paces(
-            [
-                pacing.Filler(
-                    run.key,
-                    run.terms.image,
-                    run.terms.size_millicores / size,
-                )
-                for run in fillers
-            ],
-            [
-                pacing.Serving(sample.serving_image, sample.latency_share)
-                for sample in samples
-            ],
-            self._find_filler_shares(),
-            self._effects,
-            self._pace_gain,
-        )
-        calls = [
-            self._set_pace(run, paces[run.key])
-            for run in fillers
-            if _needs_pace(run.pace_percent, paces[run.key])
-        ]
-        if calls:
-            self._events.record(
-                'fillers paced',
-                changed=len(calls),
-                fillers=len(fillers),
-                worst_share=worst_share,
-                gain=round(self._pace_gain, 2),
-                paces={run.terms.image: paces[run.key] for run in fillers},
-            )
-            await asyncio.gather(*calls)
-
-    async def _set_pace(self, run: AgentRun, percent: int) -> None:
-        try:
-            await self._executor.pace(
-                self._find_instance_id(),
-                run.terms.task,
-                run.terms.attempt,
-                percent,
-                self._token,
-            )
-        except (
-            task_executor.ExecutorLost,
-            task_executor.OrderRefused,
-        ) as error:
-            self._events.record(
-                'pace not set',
-                task=run.terms.task,
-                attempt=run.terms.attempt,
-                detail=str(error),
-            )
-            return
-        run.pace_percent = percent
+        self._pacer.note_effects(found)
 
-    # Helpers.
+    def _find_capacity(self) -> resources.Resources:
+        announcement = self.announcement
+        return announcement.capacity if announcement else resources.NOTHING
 
     def _find_instance_id(self) -> str:
         announcement = self.announcement
@@ -794,15 +662,6 @@
         )
 
 
-def _needs_pace(current_percent: int, wanted_percent: int) -> bool:
-    if current_percent == wanted_percent:
-        return False
-    is_bound = wanted_percent in (0, pacing.FULL_PACE_PERCENT)
-    return is_bound or (
-        abs(current_percent - wanted_percent) >= PACE_STEP_PERCENT
-    )
-
-
 def _make_unknown_terms(task: str, attempt: int) -> messages.RunTerms:
     return messages.RunTerms(task, attempt, resources.NOTHING)
 
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -491,3 +491,52 @@
         assert clock.read_elapsed_ms() - begun_at_ms >= LEASE_LIMIT_MS
 
     play(scenario)
+
+
+def test_disturbing_filler_is_paced_from_its_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a serving task over its target after each start.
+
+    A task works at full pace until it is told otherwise, and the next
+    inspection came half a second later.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        await scene.begin()
+        scene.driver.note_effects(
+            messages.Effects((('monitor', 'loud', 3.0),))
+        )
+        serving = f'{ID}.0.0.0'
+        scene.executor.measured = {serving: 9}
+        scene.start(
+            task=serving,
+            is_lasting=True,
+            latency_target_ms=18,
+            image='monitor',
+        )
+        await scene.wait_until(
+            lambda: any(
+                sample.latency_ms == 9
+                for sample in scene.driver._pacer.make_samples()
+            )
+        )
+        inspect = scene.executor.inspect
+        released = asyncio.Event()
+
+        async def inspect_later(*arguments: Any) -> task_executor.Inspection:
+            found = await inspect(*arguments)
+            await released.wait()
+            return found
+
+        monkeypatch.setattr(scene.executor, 'inspect', inspect_later)
+        filler = f'{ID}.0.1.0'
+        scene.start(
+            task=filler, is_filler=True, image='loud', size_millicores=3_000
+        )
+        await scene.wait_until(
+            lambda: scene.executor.paces.get(filler, 100) < 60
+        )
+        released.set()
+
+    play(scenario)
