Lower the gain of the paces once for each report of latencies

Cause (read in the diff): with the pace set at each start, several starts after one inspection each took the same high latency for a new one, and the gain that slows all fillers fell with every start.

Change: the gain follows inspections only. A test, which fails without the change.

--- a/borageshelf/agent/workflows/pacer.py
+++ b/borageshelf/agent/workflows/pacer.py
@@ -42,6 +42,7 @@
         self._list_runs = list_runs
         self._effects: dict[tuple[str, str], float] = {}
         self._pace_gain = 1.0
+        self._has_news = False
         self._recent_shares: collections.deque[
             tuple[int, dict[str, float]]
         ] = collections.deque()
@@ -95,6 +96,7 @@
 
     def note_use(self, capacity: resources.Resources) -> None:
         """Note the processors in use by filler image, as shares."""
+        self._has_news = True
         shares: dict[str, float] = {}
         size = max(capacity.processor_millicores, 1)
         for run in self._list_runs():
@@ -126,7 +128,10 @@
         worst_share = max(
             (sample.latency_share for sample in samples), default=0.0
         )
-        self._pace_gain = pacing.find_gain(self._pace_gain, worst_share)
+        if self._has_news:
+            # Several starts after one inspection see the same latencies.
+            self._has_news = False
+            self._pace_gain = pacing.find_gain(self._pace_gain, worst_share)
         paces = pacing.find_paces(
             [
                 pacing.Filler(
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -8,6 +8,8 @@
 import pytest
 
 from borageshelf.agent.workflows import driver as driver_module
+from borageshelf.agent.workflows import pacer
+from borageshelf.agent.workflows import runs
 from borageshelf import clock
 from borageshelf import events
 from borageshelf.model import resources
@@ -540,3 +542,45 @@
         released.set()
 
     play(scenario)
+
+
+def test_starts_after_one_inspection_slow_fillers_once() -> None:
+    """Guards against fillers that stand still after a burst of starts.
+
+    Each start took the same high latency for a new one, and slowed all
+    fillers further.
+    """
+
+    async def check() -> None:
+        executor = FakeExecutor()
+        terms = messages.RunTerms(
+            TASK, 1, SMALL, is_lasting=True, latency_target_ms=18, image='m'
+        )
+        serving = runs.AgentRun(terms, runs.RunState.RUNNING)
+        serving.row = task_executor.RunningTask(TASK, 1, '', 100, 18)
+        filler = runs.AgentRun(
+            messages.RunTerms(
+                f'{ID}.0.1.0',
+                1,
+                SMALL,
+                is_filler=True,
+                image='loud',
+                size_millicores=1_000,
+            ),
+            runs.RunState.RUNNING,
+        )
+        found = pacer.FillerPacer(
+            executor,
+            events.EventLog('agent', 'test', descriptor=1),
+            lambda: [serving, filler],
+        )
+        capacity = resources.Resources(64_000, 8_000)
+        found.note_use(capacity)
+        for _ in range(4):
+            await found.pace(capacity, 'i-1', TOKEN)
+        once = found._pace_gain
+        found.note_use(capacity)
+        await found.pace(capacity, 'i-1', TOKEN)
+        assert once > 0.5 > found._pace_gain
+
+    asyncio.run(check())
