Do not take a SIGTERM before the start of a program for a failed stop

The check of the exit status now passes over a process that has not said that it runs, and over no other.

--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -51,6 +51,8 @@
         self.node = node
         self.shift_file = node.file.with_suffix('.shift')
         self.shift_file.write_text('0')
+        self.log_file = node.file.with_suffix('.log')
+        self._log_offset = 0
         self._safeguard = safeguard
         self.process: asyncio.subprocess.Process | None = None
         self.life = 0
@@ -60,7 +62,8 @@
         """Start the program through the launcher."""
         self.life += 1
         self.node.file.write_text(json.dumps(self.node.settings))
-        with self.node.file.with_suffix('.log').open('ab') as log:
+        with self.log_file.open('ab') as log:
+            self._log_offset = log.tell()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
@@ -77,6 +80,11 @@
         # Only now, since until here the former process is seen as ended.
         self.is_expected_to_end = False
 
+    def has_started(self) -> bool:
+        """Tell whether this process has said that it runs."""
+        lines = self.log_file.read_bytes()[self._log_offset :]
+        return b'started"' in lines
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal if the process still runs."""
         if self.process is not None and self.process.returncode is None:
@@ -312,6 +320,9 @@
     elif not node.is_expected_to_end:
         number = signal.SIGTERM if kind == 'term' else signal.SIGKILL
         status = await node.end(number)
+        if status == -signal.SIGTERM and not node.has_started():
+            # It was still being loaded, and nothing handles signals then.
+            status = 0
         if kind == 'term' and status not in (0, -signal.SIGKILL):
             rig.history.problems.append(
                 f'exit: {node.node.name} ended with {status} after SIGTERM'
@@ -499,7 +510,7 @@
             rig.history.events += executor.history
             rig.history.acknowledged |= set(executor.acknowledged)
     for node in (*rig.entries, *rig.agents):
-        log = node.node.file.with_suffix('.log').read_text()
+        log = node.log_file.read_text()
         if 'unexpected error' in log or 'Traceback' in log:
             rig.history.problems.append(
                 f'error: in the log of {node.node.name}'
