--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -22,6 +22,23 @@
     return world
 
 
+def make_disturbed_world() -> support.World:
+    """Return two targets with a serving task that any filler disturbs."""
+    world = make_world(2)
+    serving = support.make_step(
+        2,
+        is_lasting=True,
+        latency_target_ms=18,
+        image='monitor',
+        spread_limit=1,
+    )
+    world.submit(support.make_workflow(serving))
+    world.settle()
+    for target in world.core.targets.values():
+        target.quiet_shares['monitor'] = 2.0
+    return world
+
+
 def test_nothing_starts_or_is_answered_before_the_commit() -> None:
     """Guards against a start that a new owner would not know of."""
     world = make_world()
@@ -441,18 +458,7 @@
 
     Every target had a serving task that the filler was expected to disturb.
     """
-    world = make_world(2)
-    serving = support.make_step(
-        2,
-        is_lasting=True,
-        latency_target_ms=18,
-        image='monitor',
-        spread_limit=1,
-    )
-    world.submit(support.make_workflow(serving))
-    world.settle()
-    for target in world.core.targets.values():
-        target.quiet_shares['monitor'] = 2.0
+    world = make_disturbed_world()
     filler = support.make_step(
         2, is_filler=True, image='loud', demand=support.SMALL
     )
@@ -506,18 +512,7 @@
     All tasks of a workflow without any run were placed where the first of
     them disturbed least, although one run keeps the workflow going.
     """
-    world = make_world(2)
-    serving = support.make_step(
-        2,
-        is_lasting=True,
-        latency_target_ms=18,
-        image='monitor',
-        spread_limit=1,
-    )
-    world.submit(support.make_workflow(serving))
-    world.settle()
-    for target in world.core.targets.values():
-        target.quiet_shares['monitor'] = 2.0
+    world = make_disturbed_world()
     filler = support.make_step(
         6, is_filler=True, image='loud', demand=support.SMALL
     )
