--- a/borageshelf/loop.py
+++ b/borageshelf/loop.py
@@ -51,6 +51,10 @@
     tasks: list[asyncio.Task[None]] = []
     reactor.callWhenRunning(start)
     reactor.run(installSignalHandlers=False)
+    # The interpreter resets handlers as it ends, and a late signal would then
+    # turn a finished stop into a kill. Ignored signals stay ignored.
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        signal.signal(number, signal.SIG_IGN)
     return status
 
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,6 +1,8 @@
 """The event loop's helpers."""
 
 import asyncio
+import subprocess
+import sys
 
 import pytest
 
@@ -57,3 +59,32 @@
 
     asyncio.run(check())
     assert failures == ['failure 1', 'failure 2']
+
+
+ENDED_PROCESS = """
+import signal
+from borageshelf import loop
+
+async def main():
+    loop.watch_reload(event_loop, lambda: None)
+    loop.watch_signals(event_loop, lambda: None, lambda: None)
+    return 0
+
+event_loop = loop.install()
+status = loop.run(event_loop, main)
+for number in (signal.SIGHUP, signal.SIGTERM):
+    assert signal.getsignal(number) is signal.SIG_IGN, number
+raise SystemExit(status)
+"""
+
+
+def test_late_signal_does_not_kill_a_process_that_has_stopped() -> None:
+    """Guards against a planned stop that ends with the status of a kill.
+
+    A SIGHUP met an entry that had logged its end, as the interpreter shut
+    down (soak seed 1020).
+    """
+    found = subprocess.run(
+        [sys.executable, '-c', ENDED_PROCESS], capture_output=True, text=True
+    )
+    assert found.returncode == 0, found.stderr
