Bound the urgency gap before dividing by the weights

Change: the bound of 9 is compared before the division; all other gaps are the same. A test with this weight, which fails without the change.

--- a/borageshelf/decisions/preemption.py
+++ b/borageshelf/decisions/preemption.py
@@ -17,6 +17,8 @@
 # An attempt in the last fifth of its expected run time soon leaves by
 # itself; stopping it would lose the most work for the least time.
 NEARLY_DONE_SHARE: Final = 0.8
+# Urgencies go from 0 to 9.
+LARGEST_GAP: Final = 9
 # Urgency of a need that every attempt must yield to, such as full memory.
 ABOVE_ALL: Final = 99
 
@@ -51,9 +53,10 @@
     others = objective.tail_latency + objective.batch_throughput
     if objective.evictions <= 0:
         return 1
-    if others <= 0:
-        return 9
-    return min(1 + math.floor(objective.evictions / others + 0.5), 9)
+    # Compared first, because the quotient of a tiny weight is infinite.
+    if objective.evictions >= (LARGEST_GAP - 1) * others:
+        return LARGEST_GAP
+    return 1 + math.floor(objective.evictions / others + 0.5)
 
 
 def choose_victims(
--- a/tests/test_placement_control.py
+++ b/tests/test_placement_control.py
@@ -53,6 +53,20 @@
 )
 
 
+def test_tiny_weights_give_the_largest_gap() -> None:
+    """Guards against a quotient of weights that is infinite.
+
+    Found by the property test below, once in many runs.
+    """
+    tiny = objects.Objective(0.0, 2.225073858507e-311, 1.0)
+    assert preemption.find_urgency_gap(tiny) == 9
+    gaps = [
+        preemption.find_urgency_gap(objects.Objective(1.0, 0.0, weight))
+        for weight in (0.0, 0.4, 0.5, 1.0, 7.4, 7.5, 8.0, 10.0)
+    ]
+    assert gaps == [1, 1, 2, 2, 8, 9, 9, 9]
+
+
 @SETTINGS
 @hypothesis.given(SIZES, SIZES, st.integers(0, 9), CANDIDATES, OBJECTIVES)
 def test_victims_are_allowed_and_needed(
