--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -265,7 +265,12 @@
             stack.push_async_callback(node.end)
 
         async def is_ready() -> bool:
-            return await deployment.is_ready(deployment.entries[0])
+            # All of them: an owner that leaves hands over to another entry.
+            found = [
+                await deployment.is_ready(entry)
+                for entry in deployment.entries
+            ]
+            return all(found)
 
         try:
             await fleet.wait_until(is_ready, 'readiness')
