--- a/bench/traces.py
+++ b/bench/traces.py
@@ -55,7 +55,8 @@
     returns. The first line has the name and the arguments and is counted; the
     second is ignored.
 
-    :param shared_folder: folder whose files are shared memory, as /dev/shm
+    :param shared_folder: folder whose files are shared memory, the mount point
+        of tmpfs that POSIX shared memory uses
     """
     counts = Counts()
     for line in lines:
