Choose targets by an index, and retry only what can have changed

Change: decisions/target_index.py keeps the targets in the order that the choice prefers; workflows/fleet.py applies changes of targets to it. A step that fitted nowhere is tried again on targets that have changed, and fillers also when the latencies used for placement have moved on (every 200 ms). Steps and targets keep sums of waiting tasks, progress and short tasks.

--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -82,6 +82,13 @@
         self._pairs: dict[tuple[str, str], _Pair] = {}
         self._lowest_log_latencies: dict[str, float] = {}
 
+    def copy(self) -> 'FillerEffects':
+        """Return an independent copy of the effects that are known now."""
+        other = FillerEffects()
+        other._pairs = dict(self._pairs)
+        other._lowest_log_latencies = dict(self._lowest_log_latencies)
+        return other
+
     def observe(self, sample: Sample) -> None:
         """Update the effects of the pairs in one report."""
         image = sample.serving_image
--- a/borageshelf/decisions/workflow_placement.py
+++ b/borageshelf/decisions/workflow_placement.py
@@ -59,6 +59,7 @@
         rack, or ''
     :param is_overdue: whether no task of the workflow has run for a while; a
         filler is then placed where it does least harm, however much that is
+    :param excluded_target_id: target that must not be chosen, or ''
     """
 
     step: workflows.Step
@@ -66,6 +67,7 @@
     avoided: abc.Collection[str] = ()
     sibling_rack: str = ''
     is_overdue: bool = False
+    excluded_target_id: str = ''
 
 
 # Predicts the highest latency of the serving tasks on a target, as a share of
@@ -90,8 +92,17 @@
 
 def has_room(step: workflows.Step, target: Target) -> bool:
     """Tell whether a target has room for one more task of a step."""
-    total = target.reserved.plus(step.reserved)
-    return total.fits_in(target.capacity)
+    demand, reserved, capacity = step.demand, target.reserved, target.capacity
+    # Compared by component, as building a sum for each target would take most
+    # of the time of a decision.
+    return (
+        reserved.memory_mb + demand.memory_mb <= capacity.memory_mb
+        and reserved.accelerators + demand.accelerators
+        <= capacity.accelerators
+        and reserved.processor_millicores
+        + (0 if step.is_filler else demand.processor_millicores)
+        <= capacity.processor_millicores
+    )
 
 
 def choose_target(
@@ -101,45 +112,68 @@
 ) -> Target | None:
     """Return the best target, or None if no target has room now.
 
+    Looks at every target; ``target_index`` gives the same answers for large
+    fleets.
+
     :param targets: targets that may get work
     :param predict_latency_share: used for fillers only
     """
     best: Target | None = None
     best_score: tuple[float, ...] = ()
-    step = request.step
     for target in targets:
-        if step.label and step.label not in target.labels:
-            continue
-        sibling_count = request.sibling_counts.get(target.target_id, 0)
-        if step.spread_limit and sibling_count >= step.spread_limit:
-            continue
-        if not has_room(step, target):
-            continue
-        unused_millicores = compute_unused_millicores(target)
-        size_millicores = step.demand.processor_millicores
-        excess_share = 0.0
-        if step.is_filler:
-            if unused_millicores < size_millicores * MIN_UNUSED_RATIO:
-                continue
-            latency_share = predict_latency_share(step, target)
-            if (
-                latency_share > filler_effects.MAX_LATENCY_SHARE
-                and not request.is_overdue
-            ):
-                continue
-            excess_share = max(
-                latency_share - filler_effects.UNPENALIZED_LATENCY_SHARE, 0.0
-            )
-        score = (
-            float(target.target_id in request.avoided),
-            float(_is_in_other_rack(request, target)),
-            *_compute_score(step, target, unused_millicores, excess_share),
-        )
-        if best is None or score < best_score:
+        score = compute_score(request, target, predict_latency_share)
+        if score is not None and (best is None or score < best_score):
             best, best_score = target, score
     return best
 
 
+def compute_score(
+    request: PlacementRequest,
+    target: Target,
+    predict_latency_share: LatencyPredictor,
+) -> tuple[float, ...] | None:
+    """Return the score of a target, or None if the task can't run there.
+
+    The lowest score is best. It begins with whether the target is avoided and
+    whether it is in another rack than the task needs.
+    """
+    step = request.step
+    if step.label and step.label not in target.labels:
+        return None
+    if target.target_id == request.excluded_target_id:
+        return None
+    if step.spread_limit:
+        sibling_count = request.sibling_counts.get(target.target_id, 0)
+        if sibling_count >= step.spread_limit:
+            return None
+    if not has_room(step, target):
+        return None
+    unused_millicores = compute_unused_millicores(target)
+    excess_share = 0.0
+    if step.is_filler:
+        if unused_millicores < compute_min_unused_millicores(step):
+            return None
+        latency_share = predict_latency_share(step, target)
+        if (
+            latency_share > filler_effects.MAX_LATENCY_SHARE
+            and not request.is_overdue
+        ):
+            return None
+        excess_share = max(
+            latency_share - filler_effects.UNPENALIZED_LATENCY_SHARE, 0.0
+        )
+    return (
+        float(target.target_id in request.avoided),
+        float(_is_in_other_rack(request, target)),
+        *_compute_score_by_kind(step, target, unused_millicores, excess_share),
+    )
+
+
+def compute_min_unused_millicores(step: workflows.Step) -> float:
+    """Return the unused processors that a filler needs to start."""
+    return step.demand.processor_millicores * MIN_UNUSED_RATIO
+
+
 def compute_unused_millicores(target: Target) -> int:
     """Return the processors that are left for one more filler."""
     return (
@@ -149,7 +183,7 @@
     )
 
 
-def _compute_score(
+def _compute_score_by_kind(
     step: workflows.Step,
     target: Target,
     unused_millicores: int,
--- /dev/null
+++ b/borageshelf/workflows/fleet.py
@@ -0,0 +1,80 @@
+"""The owner's targets, and the index of those that may get work now."""
+
+import heapq
+
+from borageshelf.decisions import target_index
+from borageshelf.workflows import targets
+
+
+class Fleet:
+    """All targets that the owner knows.
+
+    A change of a target takes effect in the index with the next ``refresh``,
+    or at once with ``reindex``. So the cost of a scheduling pass depends on
+    the number of targets that have changed and not on the size of the fleet.
+
+    :param old_grants_deadline_ms: elapsed time at which all grants of earlier
+        owners have ended
+    """
+
+    def __init__(self, old_grants_deadline_ms: int) -> None:
+        self._old_grants_deadline_ms = old_grants_deadline_ms
+        self.targets: dict[str, targets.Target] = {}
+        self._changed: dict[str, targets.Target] = {}
+        self._indexes: dict[str, target_index.TargetIndex] = {}
+        self._indexed_services: dict[str, str] = {}
+        # Times at which targets may get work again, earliest first.
+        self._retry_deadlines: list[tuple[int, str]] = []
+
+    def get_or_add(self, target_id: str) -> targets.Target:
+        """Return a target; one that is new may still have old grants."""
+        target = self.targets.get(target_id)
+        if target is None:
+            target = targets.Target(target_id, self._old_grants_deadline_ms)
+            self.targets[target_id] = target
+        return target
+
+    def touch(self, target: targets.Target) -> None:
+        """Note that a target has changed."""
+        self._changed[target.target_id] = target
+
+    def get_index(self, service: str) -> target_index.TargetIndex:
+        """Return the index of the targets of a service that may get work."""
+        index = self._indexes.get(service)
+        if index is None:
+            index = target_index.TargetIndex()
+            self._indexes[service] = index
+        return index
+
+    def refresh(self, now_ms: int) -> None:
+        """Apply all changes to the index."""
+        while self._retry_deadlines and self._retry_deadlines[0][0] <= now_ms:
+            _, target_id = heapq.heappop(self._retry_deadlines)
+            self.touch(self.targets[target_id])
+        changed, self._changed = self._changed, {}
+        for target in changed.values():
+            self.reindex(target, now_ms)
+
+    def reindex(self, target: targets.Target, now_ms: int) -> None:
+        """Apply the changes of one target to the index."""
+        target_id = target.target_id
+        former_service = self._indexed_services.get(target_id)
+        is_usable = target.can_accept_runs(now_ms)
+        if former_service is not None and not (
+            is_usable and former_service == target.service
+        ):
+            self.get_index(former_service).remove(target_id)
+            del self._indexed_services[target_id]
+        if is_usable:
+            self.get_index(target.service).put(target)
+            self._indexed_services[target_id] = target.service
+            return
+        deadline_ms = target.find_retry_deadline_ms(now_ms)
+        if deadline_ms:
+            heapq.heappush(self._retry_deadlines, (deadline_ms, target_id))
+
+    def refresh_latencies(self) -> None:
+        """Let placement use the latest estimates of all latencies."""
+        for target in self.targets.values():
+            if target.serving_images:
+                target.refresh_placement_latencies()
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import dataclasses
 from typing import Final
 
 from borageshelf.model import workflows
@@ -110,17 +111,42 @@
         return not (self.attempts or self.is_done)
 
 
+@dataclasses.dataclass(frozen=True)
+class Misfit:
+    """A choice of a target that found no target with room.
+
+    As long as nothing that it depended on has changed, another try has the
+    same result.
+
+    :param change_number: number of the last change of a target before it
+    :param latency_version: version of the latencies that it used
+    :param is_overdue: whether the workflow was overdue
+    """
+
+    change_number: int
+    latency_version: int
+    is_overdue: bool
+
+
 class Group:
-    """The tasks of one step in one occurrence of the workflow."""
+    """The tasks of one step in one occurrence of the workflow.
+
+    :ivar waiting_count: number of tasks that need a run
+    :ivar running_percent: sum of the progress of the runs of unfinished tasks
+    :ivar misfit: the last choice of a target that found none, or None
+    """
 
     __slots__ = (
         'done_count',
         'is_complete',
         'job',
+        'misfit',
         'occurrence',
+        'running_percent',
         'step',
         'step_number',
         'tasks',
+        'waiting_count',
     )
 
     def __init__(
@@ -136,6 +162,9 @@
         ]
         self.done_count = 0
         self.is_complete = False
+        self.waiting_count = len(self.tasks)
+        self.running_percent = 0
+        self.misfit: Misfit | None = None
 
     def count_runs_by_target(self) -> dict[str, int]:
         """Return the number of the group's runs on each target."""
@@ -274,14 +303,33 @@
                 other.attempts = highest
         task.attempts += 1
         run = Run(task, task.attempts, target_id, now_ms)
+        self._append_run(run)
+        return run
+
+    def _append_run(self, run: Run) -> None:
+        task = run.task
+        if task.is_waiting:
+            task.group.waiting_count -= 1
         task.runs[run.attempt] = run
         self._live_runs += 1
-        return run
 
     def remove_run(self, run: Run) -> None:
         """Remove a run that has ended."""
-        if run.task.runs.pop(run.attempt, None) is not None:
-            self._live_runs -= 1
+        task = run.task
+        if task.runs.pop(run.attempt, None) is None:
+            return
+        self._live_runs -= 1
+        if not task.is_done:
+            task.group.running_percent -= run.progress_percent
+        if task.is_waiting:
+            task.group.waiting_count += 1
+
+    def record_progress(self, run: Run, percent: int, now_ms: int) -> None:
+        """Record the progress that a run has reported."""
+        if not run.task.is_done:
+            run.task.group.running_percent += percent - run.progress_percent
+        run.progress_percent = percent
+        run.progress_at_ms = now_ms
 
     def withdraw_run(self, run: Run) -> None:
         """Undo a task's last ``add_run``; its start was never ordered."""
@@ -293,10 +341,16 @@
         group = task.group
         members = group.tasks if group.step.is_gang else [task]
         for member in members:
-            if not member.is_done:
-                member.is_done = True
-                member.checkpoint = ''
-                group.done_count += 1
+            if member.is_done:
+                continue
+            if member.is_waiting:
+                group.waiting_count -= 1
+            group.running_percent -= sum(
+                run.progress_percent for run in member.runs.values()
+            )
+            member.is_done = True
+            member.checkpoint = ''
+            group.done_count += 1
         if group.done_count == len(group.tasks):
             group.is_complete = True
 
@@ -311,14 +365,11 @@
         for group in self.groups:
             if group.is_complete or group.step.is_lasting:
                 continue
-            remaining_tasks = 0.0
-            for task in group.tasks:
-                if not task.is_done:
-                    done_percent = max(
-                        (run.progress_percent for run in task.runs.values()),
-                        default=0,
-                    )
-                    remaining_tasks += 1 - done_percent / 100
+            remaining_tasks = (
+                len(group.tasks)
+                - group.done_count
+                - group.running_percent / 100
+            )
             size_millicores = max(group.step.demand.processor_millicores, 1)
             work_millicore_ms += (
                 remaining_tasks * size_millicores * group.get_estimate_ms()
@@ -381,8 +432,7 @@
             for stored in record.runs:
                 run = Run(task, stored.attempt, stored.target_id, now_ms)
                 run.is_sent = True
-                task.runs[run.attempt] = run
-                self._live_runs += 1
+                self._append_run(run)
             self.is_started = self.is_started or record.attempts > 0
         for record in state.tasks:
             if record.is_done:
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -9,6 +9,7 @@
 
 from collections import abc
 import dataclasses
+import math
 from typing import Any, Final
 
 import msgspec
@@ -22,6 +23,7 @@
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
 from borageshelf.workflows import effects
+from borageshelf.workflows import fleet
 from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
 from borageshelf.workflows import records
@@ -54,6 +56,9 @@
 # within ten seconds, so the baseline falls from a peak about as slowly.
 BASELINE_DECAY_RATIO: Final = 0.97
 
+# Agents report latencies every 400 ms.
+LATENCY_REFRESH_MS: Final = 200
+
 RecordEvent = abc.Callable[..., None]
 
 
@@ -113,11 +118,11 @@
     ) -> None:
         self.epoch = epoch
         self.jobs: dict[str, jobs.Job] = {}
-        self.targets: dict[str, targets.Target] = {}
+        self._fleet = fleet.Fleet(old_grants_deadline_ms)
+        self.targets = self._fleet.targets
         self.archive: dict[str, ArchivedWorkflow] = {}
         self._grant_ms = grant_ms
         self._retention_ms = retention_ms
-        self._old_grants_deadline_ms = old_grants_deadline_ms
         self._discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
         self._encode = encode
         self._record = record
@@ -127,6 +132,9 @@
         self._expired_workflow_ids: list[str] = []
         self._next_expiry_ms = 0
         self.filler_effects = filler_effects.FillerEffects()
+        self._placement_effects = filler_effects.FillerEffects()
+        self._latency_version = 0
+        self._next_latency_refresh_ms = now_ms
 
     # Stored state.
 
@@ -144,7 +152,7 @@
         if job.is_active:
             self._active_jobs[job.workflow_id] = job
         for run in job.list_runs():
-            self._get_or_add_target(run.target_id).add_run(run)
+            self._fleet.get_or_add(run.target_id).add_run(run)
         if not job.is_active and not job.live_runs:
             self._mark_dirty(job)
 
@@ -265,12 +273,13 @@
 
         Nothing is placed on the target before the session's snapshot.
         """
-        target = self._get_or_add_target(hello.target_id)
+        target = self._fleet.get_or_add(hello.target_id)
         target.session = session
         target.is_ready = False
         target.data_centre = hello.data_centre
         target.sent_spec_ids.clear()
         target.clear_uncommitted_ends()
+        self._fleet.touch(target)
         self._extend_lost_deadline(target, moment.elapsed_ms)
         return target
 
@@ -280,6 +289,7 @@
         if target is not None and target.session == session:
             target.session = targets.UNATTACHED
             target.is_ready = False
+            self._fleet.touch(target)
 
     def extend_grant(
         self, target: targets.Target, moment: clock.Moment
@@ -349,6 +359,7 @@
         """Drop all runs of a target whose executor has gone."""
         target.is_ready = False
         target.unexpected_runs.clear()
+        self._fleet.touch(target)
         self._record(
             'executor gone', target=target.target_id, incarnation=incarnation
         )
@@ -369,6 +380,7 @@
         target.add_uncommitted_end(end.number)
         key = (end.task, end.attempt)
         target.unexpected_runs.discard(key)
+        self._fleet.touch(target)
         run = target.runs.get(key)
         if run is None:
             # An earlier session may have reported the same end, and the
@@ -411,6 +423,7 @@
         """Drop a run whose start was refused; it certainly does not exist."""
         run = target.runs.get((refused.task, refused.attempt))
         target.unexpected_runs.discard((refused.task, refused.attempt))
+        self._fleet.touch(target)
         if run is None:
             return
         job = run.task.group.job
@@ -458,8 +471,9 @@
             run.is_confirmed = True
             is_paced = row.pace_percent < FULL_PACE_PERCENT
             if row.progress_percent != run.progress_percent or is_paced:
-                run.progress_percent = row.progress_percent
-                run.progress_at_ms = moment.elapsed_ms
+                run.task.group.job.record_progress(
+                    run, row.progress_percent, moment.elapsed_ms
+                )
             if row.checkpoint and not run.task.is_done:
                 run.task.checkpoint = row.checkpoint
             if row.pace_percent >= SLOW_PACE_PERCENT:
@@ -532,13 +546,8 @@
     def schedule(self, moment: clock.Moment) -> None:
         """Place waiting tasks on targets that have room."""
         now_ms = moment.elapsed_ms
-        usable = [
-            target
-            for target in self.targets.values()
-            if target.can_accept_runs(now_ms)
-        ]
-        if not usable:
-            return
+        self._refresh_latencies(now_ms)
+        self._fleet.refresh(now_ms)
         waiting = []
         for job in self._active_jobs.values():
             if job.live_runs:
@@ -546,9 +555,7 @@
             groups = [
                 group
                 for group in job.groups
-                if not group.is_complete
-                and any(task.is_waiting for task in group.tasks)
-                and job.is_ready(group, moment.wall_ms)
+                if group.waiting_count and job.is_ready(group, moment.wall_ms)
             ]
             if groups:
                 rank = workflow_order.compute_rank(
@@ -558,7 +565,20 @@
         waiting.sort(key=lambda item: item[0])
         for _, job, groups in waiting:
             for group in groups:
-                self._place_group(group, usable, moment)
+                self._place_group(group, moment)
+
+    def _refresh_latencies(self, now_ms: int) -> None:
+        """Let placement use the latest latencies, unless it did recently.
+
+        Each report changes a latency a little. In between, the choices that
+        found no target are not tried again because of latencies.
+        """
+        if now_ms < self._next_latency_refresh_ms:
+            return
+        self._next_latency_refresh_ms = now_ms + LATENCY_REFRESH_MS
+        self._latency_version += 1
+        self._placement_effects = self.filler_effects.copy()
+        self._fleet.refresh_latencies()
 
     # Commits.
 
@@ -715,13 +735,6 @@
 
     # Helpers.
 
-    def _get_or_add_target(self, target_id: str) -> targets.Target:
-        target = self.targets.get(target_id)
-        if target is None:
-            target = targets.Target(target_id, self._old_grants_deadline_ms)
-            self.targets[target_id] = target
-        return target
-
     def _extend_lost_deadline(
         self, target: targets.Target, now_ms: int
     ) -> None:
@@ -740,6 +753,7 @@
         target.rack = state.labels[1] if len(state.labels) > 1 else ''
         target.is_draining = state.is_draining
         target.leaves_deadline_ms = moment.elapsed_ms + state.leaves_in_ms
+        self._fleet.touch(target)
 
     def _mark_dirty(self, job: jobs.Job) -> None:
         self._dirty_jobs[job.workflow_id] = job
@@ -811,29 +825,30 @@
         if not has_filler:
             # Admission control counts the remaining work of the short tasks
             # that run now, so their processors count as free.
-            room_millicores += sum(
-                run.task.group.step.demand.processor_millicores
-                for run in target.runs.values()
-                if not run.task.group.step.is_lasting
-                and not run.task.group.step.is_filler
-            )
+            room_millicores += target.short_millicores
         return max(room_millicores, 0)
 
-    def _place_group(
-        self,
-        group: jobs.Group,
-        usable: list[targets.Target],
-        moment: clock.Moment,
-    ) -> None:
+    def _place_group(self, group: jobs.Group, moment: clock.Moment) -> None:
         job = group.job
-        candidates = [
-            target for target in usable if target.service == job.terms.service
-        ]
+        now_ms = moment.elapsed_ms
+        index = self._fleet.get_index(job.terms.service)
+        # A single run is enough for the workflow to make progress.
+        is_overdue = (
+            not job.live_runs
+            and now_ms - job.idle_since_ms > IDLE_WORKFLOW_LIMIT_MS
+        )
+        misfit = group.misfit
+        if misfit is not None and not self._is_valid(
+            misfit, group, is_overdue
+        ):
+            misfit = None
+        if misfit is not None and misfit.change_number == index.change_number:
+            return
         sibling_counts = group.count_runs_by_target()
         waiting = [
             task
             for task in group.tasks
-            if task.is_waiting and task.not_before_ms <= moment.elapsed_ms
+            if task.is_waiting and task.not_before_ms <= now_ms
         ]
         if group.step.is_gang and len(waiting) < group.step.count:
             return
@@ -844,19 +859,30 @@
                 sibling_counts,
                 task.avoided,
                 self._get_sibling_rack(group, sibling_counts),
-                # A single run is enough for the workflow to make progress.
-                not job.live_runs
-                and moment.elapsed_ms - job.idle_since_ms
-                > IDLE_WORKFLOW_LIMIT_MS,
+                is_overdue and not job.live_runs,
             )
-            target = workflow_placement.choose_target(
-                request, candidates, self._make_latency_predictor(moment)
+            predict = (
+                self._predict_latency_share
+                if request.is_overdue
+                else self._predict_harmless_latency_share
             )
+            if misfit is None:
+                target = index.choose(request, predict)
+            else:
+                target = index.choose_changed_since(
+                    request, predict, misfit.change_number
+                )
             if not isinstance(target, targets.Target):
                 # Tasks of a step have the same size, so no other one fits.
+                group.misfit = jobs.Misfit(
+                    index.change_number,
+                    self._latency_version,
+                    request.is_overdue,
+                )
                 break
-            run = job.add_run(task, target.target_id, moment.elapsed_ms)
+            run = job.add_run(task, target.target_id, now_ms)
             target.add_run(run)
+            self._fleet.reindex(target, now_ms)
             sibling_counts[target.target_id] = (
                 sibling_counts.get(target.target_id, 0) + 1
             )
@@ -864,6 +890,7 @@
         if group.step.is_gang and len(placed) < group.step.count:
             for run, target in placed:
                 target.remove_run(run)
+                self._fleet.reindex(target, now_ms)
                 job.withdraw_run(run)
             return
         for run, target in placed:
@@ -873,30 +900,56 @@
         if placed:
             self._mark_dirty(job)
 
-    def _make_latency_predictor(
-        self, moment: clock.Moment
-    ) -> workflow_placement.LatencyPredictor:
-        """Return a function that predicts latency beside an added filler."""
-
-        def predict_latency_share(
-            step: workflows.Step, target: workflow_placement.Target
-        ) -> float:
-            known_target = self.targets[target.target_id]
-            if not known_target.baseline_latency_shares:
-                return 0.0
-            capacity_millicores = max(target.capacity.processor_millicores, 1)
-            sizes = dict(known_target.filler_sizes_millicores)
-            size_millicores = step.demand.processor_millicores
-            sizes[step.image] = sizes.get(step.image, 0) + size_millicores
-            return self.filler_effects.predict_latency_share(
-                known_target.baseline_latency_shares,
-                {
-                    image: size / capacity_millicores
-                    for image, size in sizes.items()
-                },
-            )
+    def _is_valid(
+        self, misfit: jobs.Misfit, group: jobs.Group, is_overdue: bool
+    ) -> bool:
+        """Tell whether only targets that have changed since may have room."""
+        if not group.step.is_filler:
+            return True
+        return (
+            misfit.latency_version == self._latency_version
+            and misfit.is_overdue == is_overdue
+        )
+
+    def _predict_harmless_latency_share(
+        self, step: workflows.Step, target: workflow_placement.Target
+    ) -> float:
+        """Predict the highest latency on a target with one more filler.
 
-        return predict_latency_share
+        :return: any value above the limit if the filler would do harm
+        """
+        known_target = self.targets[target.target_id]
+        size_millicores = step.demand.processor_millicores
+        rejected_millicores = known_target.rejected_millicores
+        is_rejected = size_millicores >= rejected_millicores.get(
+            step.image, size_millicores + 1
+        )
+        if is_rejected:
+            # A smaller filler of the image was predicted to do harm.
+            return math.inf
+        latency_share = self._predict_latency_share(step, target)
+        if latency_share > filler_effects.MAX_LATENCY_SHARE:
+            rejected_millicores[step.image] = size_millicores
+        return latency_share
+
+    def _predict_latency_share(
+        self, step: workflows.Step, target: workflow_placement.Target
+    ) -> float:
+        """Predict the highest latency on a target with one more filler."""
+        known_target = self.targets[target.target_id]
+        if not known_target.placement_latency_shares:
+            return 0.0
+        size_millicores = step.demand.processor_millicores
+        capacity_millicores = max(target.capacity.processor_millicores, 1)
+        sizes = dict(known_target.filler_sizes_millicores)
+        sizes[step.image] = sizes.get(step.image, 0) + size_millicores
+        return self._placement_effects.predict_latency_share(
+            known_target.placement_latency_shares,
+            {
+                image: size / capacity_millicores
+                for image, size in sizes.items()
+            },
+        )
 
     def _move_slow_run(
         self,
@@ -912,18 +965,15 @@
         group = run.task.group
         if run.is_stopping or not group.step.is_checkpointing:
             return
-        others = [
-            other
-            for other in self.targets.values()
-            if other is not target
-            and other.can_accept_runs(moment.elapsed_ms)
-            and other.service == target.service
-        ]
         request = workflow_placement.PlacementRequest(
-            group.step, group.count_runs_by_target(), run.task.avoided
+            group.step,
+            group.count_runs_by_target(),
+            run.task.avoided,
+            excluded_target_id=target.target_id,
         )
-        better_target = workflow_placement.choose_target(
-            request, others, self._make_latency_predictor(moment)
+        self._fleet.refresh(moment.elapsed_ms)
+        better_target = self._fleet.get_index(target.service).choose(
+            request, self._predict_harmless_latency_share
         )
         if better_target is None:
             return
@@ -1036,6 +1086,7 @@
         target = self.targets.get(run.target_id)
         if target is not None:
             target.remove_run(run)
+            self._fleet.touch(target)
         run.task.group.job.remove_run(run)
 
     def _drop_lost_run(
@@ -1103,6 +1154,7 @@
         ):
             return
         target.health = target_health.record_stall(target.health, now_ms)
+        self._fleet.touch(target)
         self._record(
             'target suspect',
             target=target.target_id,
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -23,6 +23,12 @@
         sent in this session
     :ivar baseline_latency_shares: estimated latency of each serving image
         without fillers, as a share of its latency target
+    :ivar placement_latency_shares: the baselines that placement uses, which
+        follow the estimated ones in steps
+    :ivar rejected_millicores: smallest filler of each image that would raise
+        a latency above its target, as known from earlier predictions
+    :ivar short_millicores: declared processors of the tasks that are neither
+        lasting nor fillers
     :ivar filler_sizes_millicores: declared processors of the fillers by image
     :ivar unexpected_runs: task names and attempts of runs that the owner does
         not expect; nothing is placed beside them, because their sizes may be
@@ -42,6 +48,7 @@
         self.busy_millicores = 0
         self.filler_millicores = 0
         self.filler_used_millicores = 0
+        self.short_millicores = 0
         self.serving_images: dict[str, int] = {}
         self.session = UNATTACHED
         self.is_ready = False
@@ -56,6 +63,8 @@
         self._uncommitted_ends: set[int] = set()
         self._highest_end_number = 0
         self.baseline_latency_shares: dict[str, float] = {}
+        self.placement_latency_shares: dict[str, float] = {}
+        self.rejected_millicores: dict[str, int] = {}
         self.filler_sizes_millicores: dict[str, int] = {}
         self.refusal_deadline_ms = 0
 
@@ -75,6 +84,18 @@
             and now_ms >= self.refusal_deadline_ms
         )
 
+    def find_retry_deadline_ms(self, now_ms: int) -> int:
+        """Return when the passing of time allows new runs; 0 if never."""
+        deadline_ms = max(
+            self.refusal_deadline_ms, self.health.suspect_deadline_ms
+        )
+        return deadline_ms if deadline_ms > now_ms else 0
+
+    def refresh_placement_latencies(self) -> None:
+        """Let placement use the latest estimates of the baselines."""
+        self.placement_latency_shares = dict(self.baseline_latency_shares)
+        self.rejected_millicores.clear()
+
     def add_uncommitted_end(self, number: int) -> None:
         """Add a run's end, which stays unacknowledged until its commit."""
         self._uncommitted_ends.add(number)
@@ -108,6 +129,7 @@
 
     def _adjust_totals(self, run: jobs.Run, sign: int) -> None:
         step = run.task.group.step
+        self.rejected_millicores.clear()
         if sign > 0:
             self.reserved = self.reserved.plus(step.reserved)
         else:
@@ -126,6 +148,10 @@
                 step
             )
             self.busy_millicores += sign * expected_millicores
+            if not step.is_lasting:
+                self.short_millicores += (
+                    sign * step.demand.processor_millicores
+                )
         if step.latency_target_ms:
             self._adjust_serving_images(step.image, sign)
 
@@ -138,6 +164,10 @@
             self.baseline_latency_shares.setdefault(
                 image, filler_effects.DEFAULT_LATENCY_SHARE
             )
+            self.placement_latency_shares.setdefault(
+                image, filler_effects.DEFAULT_LATENCY_SHARE
+            )
         else:
             del images[image]
             self.baseline_latency_shares.pop(image, None)
+            self.placement_latency_shares.pop(image, None)
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -6,6 +6,7 @@
 from borageshelf.ports import task_executor
 from borageshelf.workflows import effects
 from borageshelf.workflows import messages
+from borageshelf.workflows import owner
 from borageshelf.workflows import records
 from tests import workflow_support as support
 
@@ -39,6 +40,8 @@
     cluster.run_until_idle()
     for target in cluster.core.targets.values():
         target.baseline_latency_shares['monitor'] = 2.0
+    # Placement follows the latencies in steps.
+    cluster.now_ms += owner.LATENCY_REFRESH_MS
     return cluster
 
 
