Keep a leaving entry's listeners open while callers still need it

Change: they stay open until the balancer had time to notice, an owner is known and 300 ms passed without a request, at the latest until a fifth of the grace period (900 ms at most) is left.

--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -29,8 +29,13 @@
 # The load balancer checks readiness once a second and removes an entry after
 # two failed checks.
 BALANCER_DETECTION_MS: Final = 2_300
-# Part of the grace period that is reserved for closing connections.
+# Part of the grace period that is reserved for the last answers and for
+# closing connections, at most this share of it.
 SHUTDOWN_MARGIN_MS: Final = 900
+SHUTDOWN_MARGIN_SHARE: Final = 0.2
+# Requests that still arrive show that the load balancer has not noticed yet.
+# Clients of a busy entry send several in this time.
+QUIET_MS: Final = 300
 DRAIN_POLL_INTERVAL_MS: Final = 50
 # An entry that knows no owner for less than this stays in the rotation of the
 # load balancer.
@@ -42,10 +47,12 @@
 
     :ivar is_leaving: whether each response closes its connection
     :ivar active_requests: number of requests whose response is incomplete
+    :ivar last_request_at_ms: elapsed time of the latest request
     """
 
     is_leaving: bool
     active_requests: int
+    last_request_at_ms: int
 
     def make_site(self) -> Any:
         """Return the site for callers."""
@@ -193,17 +200,27 @@
         """Give up the ownership and finish the open requests.
 
         The listeners stay open until the load balancer has noticed that the
-        entry is not ready. Requests that are still open shortly before the
-        grace period ends are cut off.
+        entry is not ready, another entry has taken over, and no more requests
+        arrive. Requests that are still open shortly before the grace period
+        ends are cut off.
         """
         started_at_ms = clock.read_elapsed_ms()
         grace_ms = round(self._settings.grace_s * 1000)
-        deadline_ms = started_at_ms + grace_ms - SHUTDOWN_MARGIN_MS
+        margin_ms = min(
+            SHUTDOWN_MARGIN_MS, round(grace_ms * SHUTDOWN_MARGIN_SHARE)
+        )
+        deadline_ms = started_at_ms + grace_ms - margin_ms
         detection_ms = min(BALANCER_DETECTION_MS, grace_ms // 2)
         self._caller_site.is_leaving = True
         self._event_log.record_state('entry leaves')
         resign_task = asyncio.ensure_future(self._election.resign())
         await loop.wait_for_event(self._abort_requested, detection_ms)
+        while (
+            self._is_still_needed()
+            and not self._abort_requested.is_set()
+            and clock.read_elapsed_ms() < deadline_ms
+        ):
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
         for listener in self._listeners:
             listener.stopListening()
         while (
@@ -219,6 +236,15 @@
         resign_task.cancel()
         await asyncio.gather(resign_task, return_exceptions=True)
 
+    def _is_still_needed(self) -> bool:
+        """Tell whether callers would be refused if the listeners closed."""
+        if not self._election.is_owner_known:
+            return True
+        quiet_ms = (
+            clock.read_elapsed_ms() - self._caller_site.last_request_at_ms
+        )
+        return quiet_ms < QUIET_MS
+
 
 def listen_for_metrics(settings: node_settings.NodeSettings) -> None:
     """Serve the metrics page over HTTP."""
--- a/borageshelf/platform/caller_site.py
+++ b/borageshelf/platform/caller_site.py
@@ -57,6 +57,7 @@
         self._event_log = event_log
         self.is_leaving = False
         self.active_requests = 0
+        self.last_request_at_ms = 0
 
     def make_site(self) -> Any:
         """Return the site for callers."""
@@ -77,6 +78,7 @@
     async def _serve(self, request: server.Request) -> None:
         self.active_requests += 1
         started_at_ms = clock.read_elapsed_ms()
+        self.last_request_at_ms = started_at_ms
         method = request.method.decode('latin-1')
         status = 0
         try:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import signal
+import time
 
 from bench import local_fleet
 from tests import platform_support
@@ -148,6 +149,31 @@
     platform_support.run(check())
 
 
+def test_leaving_entry_listens_while_requests_arrive() -> None:
+    """Guards against listeners that close before the balancer has noticed.
+
+    They closed after half of the grace period of 2 s, whatever still arrived.
+    """
+
+    async def check() -> None:
+        async with platform_support.run_deployment() as deployment:
+            await deployment.submit('f' * 16, TWO_STEPS)
+            owner = await deployment.find_owner()
+            stopping = asyncio.ensure_future(owner.end(signal.SIGTERM))
+            answers = []
+            begun_s = time.monotonic()
+            while time.monotonic() - begun_s < 1.3:
+                status, _ = await deployment.request(
+                    owner, 'POST', f'/short/{len(answers):016x}', TWO_STEPS
+                )
+                answers.append(status)
+                await asyncio.sleep(0.1)
+            assert answers == [200] * len(answers)
+            assert await stopping == 0
+
+    platform_support.run(check())
+
+
 def test_restarted_agent_adopts_its_runs() -> None:
     """Guards against runs that are lost with an agent's process."""
 
