Prefer large entries as owners, and hand over to one in a planned way

Cause: any entry could own the workflows. Change: an entry's settings say how much processor time it has. A smaller one leaves a takeover to larger ones for up to 120 ms; an owner that is too small for its number of targets resigns when an entry 1.5 times as large is connected. The streams of the other entries end with the ownership, so they take over at once instead of at the next ping.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -16,6 +16,7 @@
 from typing import Final
 
 from borageshelf import clock
+from borageshelf.decisions import owner_preference
 from borageshelf.entry.workflows import runtime
 from borageshelf import errors
 from borageshelf import events
@@ -41,6 +42,8 @@
 PING_INTERVAL_MS: Final = 400
 OWNER_SILENCE_LIMIT_MS: Final = 1_500
 STEP_DOWN_TRIES: Final = 8
+# Agents and entries connect to a new owner within a second.
+HAND_OVER_CHECK_INTERVAL_MS: Final = 1_500
 
 
 class OwnerStreamEnded(Exception):
@@ -109,11 +112,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class Identity:
-    """Identity of this entry."""
+    """Identity of this entry.
+
+    :param processor_millicores: processors that the entry may use
+    """
 
     entry_id: str
     boot_id: str
     address: str
+    processor_millicores: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Peer:
+    """Another entry that is connected to this owner."""
+
+    address: str
+    processor_millicores: int
+    outbox: channel.Outbox
 
 
 class Election:
@@ -151,7 +167,9 @@
         self._owner_revision = 0
         self._key_absent_since_ms = 0
         self._has_read_key = False
-        self._peer_addresses: dict[str, str] = {}
+        self._peers: dict[str, _Peer] = {}
+        # Known to an entry that follows the owner.
+        self._largest_millicores = 0
         self._is_taking_over = False
         self._background = loop.TaskGroup()
 
@@ -162,7 +180,11 @@
 
     def start(self) -> None:
         """Start to watch the owner's key and to follow the owner."""
-        for run_loop in (self._watch_owner_key, self._follow_or_take_over):
+        for run_loop in (
+            self._watch_owner_key,
+            self._follow_or_take_over,
+            self._hand_over_to_larger_entry,
+        ):
             self._background.start_with_restarts(
                 run_loop, self._event_log.record_failure
             )
@@ -183,8 +205,8 @@
             self._identity.entry_id, self._identity.address
         )
         others = (
-            messages.EntryAddress(entry_id, address)
-            for entry_id, address in sorted(self._peer_addresses.items())
+            messages.EntryAddress(entry_id, peer.address)
+            for entry_id, peer in sorted(self._peers.items())
         )
         return (own_address, *others)
 
@@ -223,7 +245,8 @@
     ) -> None:
         local_owner = self.local_owner
         assert local_owner is not None
-        self._peer_addresses[hello.entry_id] = hello.address
+        peer = _Peer(hello.address, hello.processor_millicores, outbox)
+        self._peers[hello.entry_id] = peer
         outbox.send(messages.OwnerHello(local_owner.epoch))
         request_tasks = loop.TaskGroup()
 
@@ -238,15 +261,20 @@
                 if self.local_owner is not local_owner:
                     return
                 if isinstance(message, messages.Ping):
-                    outbox.send(messages.Answer(message.sent_at_elapsed_ms))
+                    outbox.send(
+                        messages.Answer(
+                            message.sent_at_elapsed_ms,
+                            largest_millicores=self._find_largest_peer(),
+                        )
+                    )
                     self._send_newer_configuration(message.version, outbox)
                 elif isinstance(message, messages.Configuration):
                     self._apply_configuration(message.document)
                 elif isinstance(message, _REQUEST_TYPES):
                     request_tasks.start(answer_request(message))
         finally:
-            if self._peer_addresses.get(hello.entry_id) == hello.address:
-                del self._peer_addresses[hello.entry_id]
+            if self._peers.get(hello.entry_id) is peer:
+                del self._peers[hello.entry_id]
             await request_tasks.stop()
 
     def _send_newer_configuration(
@@ -369,6 +397,7 @@
                     self._identity.boot_id,
                     self._identity.address,
                     owner.epoch,
+                    self._identity.processor_millicores,
                 )
             )
             link = OwnerLink(owner.epoch, outbox)
@@ -412,6 +441,8 @@
             link.deliver_answer(message)
         elif isinstance(message, messages.Configuration):
             self._apply_configuration(message.document)
+        elif isinstance(message, messages.Answer):
+            self._largest_millicores = message.largest_millicores
 
     async def _ping_owner(
         self, owner: records.OwnerRecord, link: OwnerLink
@@ -455,7 +486,11 @@
         """
         if self.is_stopping:
             return
-        await asyncio.sleep(random.uniform(0, TAKEOVER_JITTER_MS) / 1000)
+        delay_ms = owner_preference.compute_takeover_delay_ms(
+            self._identity.processor_millicores, self._largest_millicores
+        )
+        jitter_ms = random.uniform(0, TAKEOVER_JITTER_MS)
+        await asyncio.sleep((delay_ms + jitter_ms) / 1000)
         if self._owner_revision != seen_revision:
             return
         self._is_taking_over = True
@@ -481,6 +516,40 @@
         finally:
             self.local_owner = None
             self.owner_changed.set()
+            # The others take over when their streams end.
+            for peer in self._peers.values():
+                peer.outbox.close()
+
+    async def _hand_over_to_larger_entry(self) -> None:
+        """Resign in favour of a larger entry if the fleet needs one."""
+        while True:
+            await asyncio.sleep(HAND_OVER_CHECK_INTERVAL_MS / 1000)
+            local_owner = self.local_owner
+            if local_owner is None or self.is_stopping:
+                continue
+            largest_millicores = self._find_largest_peer()
+            if not owner_preference.should_hand_over(
+                self._identity.processor_millicores,
+                largest_millicores,
+                local_owner.target_count,
+            ):
+                continue
+            self._event_log.record_state(
+                'ownership handed over',
+                epoch=local_owner.epoch,
+                targets=local_owner.target_count,
+                own_millicores=self._identity.processor_millicores,
+                largest_millicores=largest_millicores,
+            )
+            self._largest_millicores = largest_millicores
+            await local_owner.resign()
+
+    def _find_largest_peer(self) -> int:
+        """Return the processors of the largest connected entry."""
+        return max(
+            (peer.processor_millicores for peer in self._peers.values()),
+            default=0,
+        )
 
     async def _acquire_ownership(
         self, seen_revision: int
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -111,6 +111,7 @@
                 settings.node_id,
                 self._boot_id,
                 settings.inner_advertised_address or settings.inner_address,
+                settings.processor_millicores,
             ),
             store,
             policy.make_policy(settings),
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -133,6 +133,11 @@
         """Epoch of this owner; each new owner has a higher one."""
         return self._journal.epoch
 
+    @property
+    def target_count(self) -> int:
+        """Number of targets whose agents are connected."""
+        return len(self._sessions)
+
     async def load(self) -> None:
         """Load the stored workflows.
 
--- a/borageshelf/node_settings.py
+++ b/borageshelf/node_settings.py
@@ -46,6 +46,9 @@
     :param service: service of that executor; agents only
     :param seeds: inner addresses of some entries
     :param metrics_port: port of the metrics page on ``host``
+    :param processor_share: share of one processor that the process may use
+    :param processor_speed: speed of that processor, as a multiple of the
+        smallest processor of the deployment
     :param executor_lease_limit_ms: longest lease that an executor accepts
     :param grace_s: time between the request to stop and the kill
     :param status_retention_s: how long the final state of a workflow can be
@@ -65,14 +68,23 @@
     service: str = ''
     seeds: tuple[str, ...] = ()
     metrics_port: int = 9464
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
     executor_lease_limit_ms: int = 6_000
     grace_s: float = 6.0
     status_retention_s: float = 120.0
 
+    @property
+    def processor_millicores(self) -> int:
+        """Processors that the process may use."""
+        return round(self.processor_share * self.processor_speed * 1000)
+
 
 # Smallest and largest value of each number.
 _RANGES: Final[dict[str, tuple[float, float]]] = {
     'metrics_port': (1, MAXIMUM_PORT),
+    'processor_share': (0.01, 1_024),
+    'processor_speed': (0.01, 1_024),
     'executor_lease_limit_ms': (1_000, 3_600_000),
     'grace_s': (0.5, 600),
     'status_retention_s': (1, 86_400),
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -222,22 +222,29 @@
 
     :param is_granted: whether the grant is extended from the time that the
         report carries
+    :param largest_millicores: processors of the largest entry that is
+        connected to the owner; in answers to pings only
     """
 
     sent_at_elapsed_ms: int
     is_granted: bool = False
+    largest_millicores: int = 0
 
 
 # Sent between entries.
 
 
 class EntryHello(Message, frozen=True, array_like=True, tag=True):
-    """First message of the stream from another entry to the owner."""
+    """First message of the stream from another entry to the owner.
+
+    :param processor_millicores: processors that the entry may use
+    """
 
     entry_id: str
     boot_id: str
     address: str
     known_epoch: int
+    processor_millicores: int = 0
 
 
 class OwnerHello(Message, frozen=True, array_like=True, tag=True):
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -237,9 +237,14 @@
 
 @contextlib.asynccontextmanager
 async def run_deployment(
-    entries: int = 2, targets: int = 2
+    entries: int = 2,
+    targets: int = 2,
+    processor_shares: abc.Sequence[float] = (),
 ) -> abc.AsyncIterator[Deployment]:
-    """Start a deployment and wait until all entries are ready."""
+    """Start a deployment and wait until all entries are ready.
+
+    :param processor_shares: settings of the entries; the default without any
+    """
     store = memory_store.MemoryStore()
     handlers = platform_store.PlatformStoreHandlers(store)
     async with contextlib.AsyncExitStack() as stack:
@@ -256,6 +261,10 @@
         await store.put('op/config', json.dumps(CONFIGURATION).encode(), 0)
         for number in range(entries):
             deployment.add_entry(number)
+        for entry, share in zip(
+            deployment.entries, processor_shares, strict=False
+        ):
+            entry.settings['processor_share'] = share
         for number in range(targets):
             port = local_fleet.find_free_ports(1)[0]
             executor = platform_executor.PlatformExecutor(
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -26,6 +26,8 @@
     documented = {row[0]: row[2] for row in rows if len(row) == 4}
     for name in (
         'metrics_port',
+        'processor_share',
+        'processor_speed',
         'executor_lease_limit_ms',
         'grace_s',
         'status_retention_s',
@@ -41,6 +43,7 @@
         ({'store_address': 'nowhere'}, 'store_address: must have'),
         ({'seeds': ['x']}, 'seeds: must have'),
         ({'metrics_port': 0}, 'metrics_port: must be from 1'),
+        ({'processor_share': 0}, 'processor_share: must be from'),
         ({'grace_s': 0}, 'grace_s: must be from'),
         ({'executor_lease_limit_ms': 'x'}, 'executor_lease_limit_ms'),
     ],
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -160,7 +160,7 @@
             await deployment.submit('f' * 16, TWO_STEPS)
             owner = await deployment.find_owner()
             stopping = asyncio.ensure_future(owner.end(signal.SIGTERM))
-            answers = []
+            answers: list[int] = []
             begun_s = time.monotonic()
             while time.monotonic() - begun_s < 1.3:
                 status, _ = await deployment.request(
@@ -174,6 +174,41 @@
     platform_support.run(check())
 
 
+def test_small_owner_hands_over_to_a_larger_entry() -> None:
+    """Guards against an owner with too little processor time for its fleet.
+
+    With 160 targets an entry with half a core could become the owner beside
+    others with two, and would start everything late.
+    """
+
+    async def check() -> None:
+        shares = (0.01, 1.0)
+        async with platform_support.run_deployment(2, 2, shares) as deployment:
+            _, large = deployment.entries
+            submitted = 0
+            begun_s = time.monotonic()
+            while time.monotonic() - begun_s < 4:
+                status, _ = await deployment.request(
+                    deployment.entries[submitted % 2],
+                    'POST',
+                    f'/short/{submitted:016x}',
+                    TWO_STEPS,
+                )
+                assert status == 200
+                submitted += 1
+                await asyncio.sleep(0.2)
+            assert await deployment.find_owner() is large
+            for number in range(submitted):
+                await deployment.wait_for_state(f'{number:016x}', 'completed')
+            check_runs_once(deployment)
+            # The small entry is still good enough if there is no other.
+            await large.end()
+            await deployment.submit('f' * 16, TWO_STEPS)
+            await deployment.wait_for_state('f' * 16, 'completed')
+
+    platform_support.run(check())
+
+
 def test_restarted_agent_adopts_its_runs() -> None:
     """Guards against runs that are lost with an agent's process."""
 
