Let entries that are cut off from the store find the next owner

Change: a successor tells the former owner who it is, an entry that is not the owner names the one it knows, and an entry without the store asks the entries that its last owner named. Without the store a missing owner's key no longer ends the stream to the owner.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -6,6 +6,9 @@
 entries try to take over at the same time, a transaction of the store lets one
 of them succeed. A former owner that has not noticed the takeover cannot
 commit anything.
+
+An entry that is cut off from the store learns of a new owner from the other
+entries and goes on to forward requests to it.
 """
 
 import asyncio
@@ -42,6 +45,8 @@
 PING_INTERVAL_MS: Final = 400
 OWNER_SILENCE_LIMIT_MS: Final = 1_500
 STEP_DOWN_TRIES: Final = 8
+# A search for the owner asks up to all entries.
+SEARCH_INTERVAL_MS: Final = 500
 # Agents and entries connect to a new owner within a second.
 HAND_OVER_CHECK_INTERVAL_MS: Final = 1_500
 
@@ -170,6 +175,8 @@
         self._peers: dict[str, _Peer] = {}
         # Known to an entry that follows the owner.
         self._largest_millicores = 0
+        self._known_addresses: tuple[str, ...] = ()
+        self._is_store_lost = False
         self._is_taking_over = False
         self._background = loop.TaskGroup()
 
@@ -220,6 +227,15 @@
         """Serve a stream from an agent or another entry until it ends."""
         async for message in incoming:
             if isinstance(message, messages.StepDown):
+                if message.owner_id:
+                    self._learn_owner(
+                        records.OwnerRecord(
+                            message.epoch,
+                            message.owner_id,
+                            message.owner_boot_id,
+                            message.address,
+                        )
+                    )
                 self._step_down_if_newer(message.epoch)
             elif isinstance(message, messages.AgentHello):
                 if self.local_owner is None:
@@ -247,7 +263,9 @@
         assert local_owner is not None
         peer = _Peer(hello.address, hello.processor_millicores, outbox)
         self._peers[hello.entry_id] = peer
-        outbox.send(messages.OwnerHello(local_owner.epoch))
+        outbox.send(
+            messages.OwnerHello(local_owner.epoch, self.list_entries())
+        )
         request_tasks = loop.TaskGroup()
 
         async def answer_request(request: messages.Request) -> None:
@@ -286,20 +304,38 @@
             outbox.send(messages.Configuration(document))
 
     def _make_redirect(self) -> messages.Redirect:
-        epoch = 0
-        address = ''
+        owner = self._owner
         if self._is_taking_over:
-            address = self._identity.address
-        elif self._owner is not None:
-            epoch, address = self._owner.epoch, self._owner.address
+            owner = records.OwnerRecord(0, '', '', self._identity.address)
+        if owner is None:
+            owner = records.OwnerRecord(0, '', '', '')
         return messages.Redirect(
             self._identity.entry_id,
             self._identity.boot_id,
-            epoch,
-            address,
+            owner.epoch,
+            owner.address,
             self.list_entries(),
+            owner.entry_id,
+            owner.boot_id,
         )
 
+    def _learn_owner(self, owner: records.OwnerRecord) -> None:
+        """Follow a newer owner that another entry knows.
+
+        The store may be out of reach. A takeover remains bound to what has
+        been read from it.
+        """
+        if self._owner is not None and owner.epoch <= self._owner.epoch:
+            return
+        self._event_log.record_state(
+            'owner known from an entry',
+            owner=owner.entry_id,
+            epoch=owner.epoch,
+        )
+        self._owner = owner
+        self._key_absent_since_ms = 0
+        self.owner_changed.set()
+
     def _step_down_if_newer(self, epoch: int) -> None:
         """End the local ownership if the epoch is of a newer owner."""
         if self.local_owner is not None and epoch > self.local_owner.epoch:
@@ -326,8 +362,10 @@
                 )
             except errors.BorageshelfError as error:
                 measurements.STORE_FAILURES.labels(error.code.name).inc()
+                self._is_store_lost = True
                 await asyncio.sleep(STORE_RETRY_PAUSE_MS / 1000)
                 continue
+            self._is_store_lost = False
             if answer.compacted:
                 revision = -1
                 continue
@@ -353,13 +391,15 @@
                 self._event_log.record_state(
                     'owner known', owner=owner.entry_id, epoch=owner.epoch
                 )
-            self._owner = owner
+            if self._owner is None or owner.epoch >= self._owner.epoch:
+                self._owner = owner
             self._step_down_if_newer(owner.epoch)
         self.owner_changed.set()
 
     # Following and taking over.
 
     async def _follow_or_take_over(self) -> None:
+        next_search_ms = 0
         while True:
             is_owner_dead = False
             owner = self._owner
@@ -371,6 +411,15 @@
                     is_owner_dead = owner.boot_id != self._identity.boot_id
                 else:
                     is_owner_dead = await self._follow_owner(owner)
+            now_ms = clock.read_elapsed_ms()
+            if (
+                self._is_store_lost
+                and self._owner is owner
+                and now_ms >= next_search_ms
+            ):
+                await self._find_owner_by_entries()
+                next_search_ms = now_ms + SEARCH_INTERVAL_MS
+                is_owner_dead = is_owner_dead and self._owner is owner
             if self._has_read_key and (
                 is_owner_dead or self._key_absent_since_ms
             ):
@@ -379,6 +428,25 @@
                 await loop.wait_for_event(self.owner_changed, POLL_INTERVAL_MS)
             self.owner_changed.clear()
 
+    async def _find_owner_by_entries(self) -> None:
+        """Ask the known entries for the owner while the store is lost.
+
+        A stream to an entry that turns out to be the owner is kept.
+        """
+        known_epoch = self._owner.epoch if self._owner is not None else 0
+        addresses = list(self._known_addresses)
+        random.shuffle(addresses)
+        for address in addresses:
+            if not self._is_store_lost or self.local_owner is not None:
+                return
+            if address == self._identity.address:
+                continue
+            await self._follow_owner(
+                records.OwnerRecord(known_epoch, '', '', address)
+            )
+            if self._owner is not None and self._owner.epoch > known_epoch:
+                return
+
     async def _follow_owner(self, owner: records.OwnerRecord) -> bool:
         """Keep a stream to the owner until it ends.
 
@@ -407,6 +475,15 @@
                     link.last_received_at_ms = clock.read_elapsed_ms()
                     if isinstance(message, messages.Redirect):
                         is_owner_dead = message.boot_id != owner.boot_id
+                        if message.owner_id:
+                            self._learn_owner(
+                                records.OwnerRecord(
+                                    message.epoch,
+                                    message.owner_id,
+                                    message.owner_boot_id,
+                                    message.address,
+                                )
+                            )
                         return
                     self._handle_owner_message(link, message)
             finally:
@@ -432,6 +509,10 @@
         self, link: OwnerLink, message: messages.AnyMessage
     ) -> None:
         if isinstance(message, messages.OwnerHello):
+            link.epoch = max(link.epoch, message.epoch)
+            self._known_addresses = tuple(
+                entry.address for entry in message.entries
+            )
             self.owner_link = link
             self.owner_changed.set()
             self._event_log.record_state(
@@ -466,11 +547,13 @@
                 now_ms - link.last_received_at_ms > OWNER_SILENCE_LIMIT_MS
             )
             is_replaced = (
-                self._owner is not None and self._owner.epoch > owner.epoch
+                self._owner is not None and self._owner.epoch > link.epoch
             )
             absent_since_ms = self._key_absent_since_ms
             is_key_gone = (
                 bool(absent_since_ms)
+                # Without the store nobody can take over.
+                and not self._is_store_lost
                 and now_ms - absent_since_ms > KEY_RESTORE_GRACE_MS
             )
             if is_silent or is_replaced or is_key_gone:
@@ -583,7 +666,7 @@
         )
         if head.address not in ('', own_record.address):
             self._background.start(
-                self._notify_former_owner(head.address, own_record.epoch)
+                self._notify_former_owner(head.address, own_record)
             )
         owner_runtime = runtime.OwnerRuntime(
             self._store,
@@ -608,7 +691,9 @@
             'store call failed', code=error.code.name, detail=error.detail
         )
 
-    async def _notify_former_owner(self, address: str, epoch: int) -> None:
+    async def _notify_former_owner(
+        self, address: str, owner: records.OwnerRecord
+    ) -> None:
         """Tell the former owner to step down.
 
         It may be cut off from the store, where it would notice the takeover,
@@ -619,7 +704,11 @@
             incoming: abc.AsyncIterator[messages.AnyMessage],
             outbox: channel.Outbox,
         ) -> None:
-            outbox.send(messages.StepDown(epoch))
+            outbox.send(
+                messages.StepDown(
+                    owner.epoch, owner.entry_id, owner.boot_id, owner.address
+                )
+            )
             await asyncio.sleep(POLL_INTERVAL_MS / 1000)
 
         for _ in range(STEP_DOWN_TRIES):
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -248,16 +248,23 @@
 
 
 class OwnerHello(Message, frozen=True, array_like=True, tag=True):
-    """Answer to an entry's hello; the sender owns the workflows."""
+    """Answer to an entry's hello; the sender owns the workflows.
+
+    :param entries: the entries that are connected to it
+    """
 
     epoch: int
+    entries: tuple[EntryAddress, ...] = ()
 
 
 class Redirect(Message, frozen=True, array_like=True, tag=True):
     """Answer to a hello; the answering entry is not the owner.
 
     :param boot_id: boot id of the answering process
+    :param epoch: epoch of the owner that it knows
     :param address: address of the owner that it knows, or ''
+    :param owner_id: entry id of that owner, or '' if it is only a candidate
+    :param owner_boot_id: boot id of that owner
     """
 
     entry_id: str
@@ -265,6 +272,8 @@
     epoch: int
     address: str
     entries: tuple[EntryAddress, ...] = ()
+    owner_id: str = ''
+    owner_boot_id: str = ''
 
 
 class Ping(Message, frozen=True, array_like=True, tag=True):
@@ -326,6 +335,9 @@
     """Tells a former owner that another entry has become the owner."""
 
     epoch: int
+    owner_id: str = ''
+    owner_boot_id: str = ''
+    address: str = ''
 
 
 AnyMessage: TypeAlias = (
--- /dev/null
+++ b/tests/test_election_cut_entry.py
@@ -0,0 +1,160 @@
+"""Entries that are cut off from the store still reach the owner."""
+
+import asyncio
+from collections import abc
+import contextlib
+import os
+from typing import Any
+
+from bench import local_fleet
+from borageshelf.entry.workflows import election
+from borageshelf import errors
+from borageshelf import events
+from borageshelf.workflows import channel
+from borageshelf.workflows import policy
+from borageshelf.workflows import records
+from standins import memory_store
+
+HOST = '127.0.0.1'
+
+
+class CutStore:
+    """A store whose calls fail while this entry is cut off from it."""
+
+    def __init__(self, store: memory_store.MemoryStore) -> None:
+        self._store = store
+        self.is_cut = False
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._store, name)
+
+        async def call(*arguments: Any) -> Any:
+            if self.is_cut:
+                await asyncio.sleep(0.01)
+                raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, 'cut')
+            watched = asyncio.ensure_future(method(*arguments))
+            while not watched.done():
+                await asyncio.wait({watched}, timeout=0.05)
+                if self.is_cut and not watched.done():
+                    watched.cancel()
+                    raise errors.BorageshelfError(
+                        errors.STORE_UNAVAILABLE, 'cut'
+                    )
+            return watched.result()
+
+        return call
+
+
+class RunningEntry:
+    """The election of one entry, which listens for others."""
+
+    def __init__(
+        self, number: int, store: memory_store.MemoryStore, port: int
+    ) -> None:
+        self.store = CutStore(store)
+        address = f'{HOST}:{port}'
+        name = f'entry-{number}'
+        self.election = election.Election(
+            election.Identity(name, f'boot-{name}', address, 1_000),
+            self.store,
+            policy.OwnerPolicy(5_000, 60_000),
+            events.EventLog('entry', name, os.open(os.devnull, os.O_WRONLY)),
+            lambda: (0, b''),
+            lambda document: None,
+        )
+
+
+@contextlib.asynccontextmanager
+async def run_entries(
+    store: memory_store.MemoryStore, count: int
+) -> abc.AsyncIterator[list[RunningEntry]]:
+    """Run entries that elect an owner."""
+    ports = local_fleet.find_free_ports(count)
+    entries = [
+        RunningEntry(number, store, port) for number, port in enumerate(ports)
+    ]
+    async with contextlib.AsyncExitStack() as stack:
+        for entry, port in zip(entries, ports, strict=True):
+            server = channel.make_server(channel.Service(entry.election.serve))
+            await server.start(HOST, port)
+            stack.callback(server.close)
+            entry.election.start()
+            stack.push_async_callback(entry.election.stop)
+        await wait_until(
+            lambda: all(entry.election.is_owner_known for entry in entries)
+        )
+        yield entries
+
+
+async def wait_until(is_met: abc.Callable[[], bool]) -> None:
+    """Wait until a condition is met."""
+    async with asyncio.timeout(10):
+        while not is_met():
+            await asyncio.sleep(0.02)
+
+
+def find_epoch(entry: RunningEntry) -> int:
+    """Return the epoch of the owner that an entry can reach, or 0."""
+    found = entry.election
+    if found.local_owner is not None:
+        return found.local_owner.epoch
+    return found.owner_link.epoch if found.owner_link is not None else 0
+
+
+def test_cut_entry_finds_the_next_owner() -> None:
+    """Guards against callers who are refused by an entry that is cut off.
+
+    With a third of the entries cut off from the store, the owner among them,
+    the others elected a new one. The cut entries could reach it but learned of
+    it only from the store, so they refused their callers until the cut ended.
+    """
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        async with run_entries(store, 4) as entries:
+            owner = next(
+                entry for entry in entries if entry.election.local_owner
+            )
+            others = [entry for entry in entries if entry is not owner]
+            others[0].store.is_cut = owner.store.is_cut = True
+            former_epoch = find_epoch(owner)
+            stored = await store.get(records.OWNER_KEY)
+            assert stored is not None
+            await store.revoke_lease(stored.lease_id)
+            await wait_until(
+                lambda: all(
+                    find_epoch(entry) > former_epoch for entry in entries
+                )
+            )
+            assert owner.election.local_owner is None
+            successors = [e for e in entries if e.election.local_owner]
+            assert len(successors) == 1
+            assert successors[0] not in (owner, others[0])
+            others[0].store.is_cut = owner.store.is_cut = False
+            await asyncio.sleep(1)
+            assert len({find_epoch(entry) for entry in entries}) == 1
+
+    asyncio.run(check())
+
+
+def test_cut_entry_finds_the_owner_after_its_owner_has_died() -> None:
+    """Guards against an entry that knows only an owner that is gone."""
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        async with run_entries(store, 4) as entries:
+            owner = next(
+                entry for entry in entries if entry.election.local_owner
+            )
+            others = [entry for entry in entries if entry is not owner]
+            others[0].store.is_cut = True
+            former_epoch = find_epoch(owner)
+            await owner.election.resign()
+            await wait_until(
+                lambda: all(
+                    find_epoch(entry) > former_epoch for entry in others
+                )
+            )
+            assert others[0].election.local_owner is None
+
+    asyncio.run(check())
