Replace an owner that has lost the store before its lease ends

Change: the owner tells the other entries how long the store has not answered it. After 1.2 s an entry that reaches the store takes over, by the same transaction as ever; former grants are counted as before. Result: test_owner_without_the_store_is_replaced_before_its_lease_ends failed before and passes; with nobody reaching the store the owner stays.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -45,6 +45,8 @@
 PING_INTERVAL_MS: Final = 400
 OWNER_SILENCE_LIMIT_MS: Final = 1_500
 STEP_DOWN_TRIES: Final = 8
+# An owner renews its lease every 500 ms, and a slow store takes 320 ms.
+STORE_SILENCE_LIMIT_MS: Final = 1_200
 # A search for the owner asks up to all entries.
 SEARCH_INTERVAL_MS: Final = 500
 # Agents and entries connect to a new owner within a second.
@@ -67,12 +69,16 @@
 
     Requests of several callers share the stream; answers are matched to them
     by number.
+
+    :ivar is_owner_cut: whether the owner has lost the store, which this entry
+        still reaches
     """
 
     def __init__(self, epoch: int, outbox: channel.Outbox) -> None:
         self.epoch = epoch
         self.outbox = outbox
         self.last_received_at_ms = clock.read_elapsed_ms()
+        self.is_owner_cut = False
         self._request_numbers = itertools.count(1)
         self._answer_futures: dict[
             int, asyncio.Future[messages.RequestAnswer]
@@ -283,6 +289,7 @@
                         messages.Answer(
                             message.sent_at_elapsed_ms,
                             largest_millicores=self._find_largest_peer(),
+                            store_silent_ms=local_owner.store_silent_ms,
                         )
                     )
                     self._send_newer_configuration(message.version, outbox)
@@ -450,9 +457,11 @@
     async def _follow_owner(self, owner: records.OwnerRecord) -> bool:
         """Keep a stream to the owner until it ends.
 
-        :return: whether the owner's process is certainly dead
+        :return: whether another entry should take over at once: the owner's
+            process is certainly dead, or it has lost the store
         """
         is_owner_dead = False
+        is_owner_cut = False
 
         async def run_stream(
             incoming: abc.AsyncIterator[messages.AnyMessage],
@@ -468,6 +477,7 @@
                     self._identity.processor_millicores,
                 )
             )
+            nonlocal is_owner_cut
             link = OwnerLink(owner.epoch, outbox)
             ping_task = asyncio.ensure_future(self._ping_owner(owner, link))
             try:
@@ -487,6 +497,7 @@
                         return
                     self._handle_owner_message(link, message)
             finally:
+                is_owner_cut = link.is_owner_cut
                 ping_task.cancel()
                 if self.owner_link is link:
                     self.owner_link = None
@@ -503,7 +514,7 @@
             self._event_log.record_detail(
                 'owner not reached', owner=owner.entry_id, error=repr(error)
             )
-        return is_owner_dead
+        return is_owner_dead or is_owner_cut
 
     def _handle_owner_message(
         self, link: OwnerLink, message: messages.AnyMessage
@@ -524,6 +535,12 @@
             self._apply_configuration(message.document)
         elif isinstance(message, messages.Answer):
             self._largest_millicores = message.largest_millicores
+            link.is_owner_cut = (
+                message.store_silent_ms > STORE_SILENCE_LIMIT_MS
+                and not self._is_store_lost
+            )
+            if link.is_owner_cut:
+                link.close()
 
     async def _ping_owner(
         self, owner: records.OwnerRecord, link: OwnerLink
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -102,6 +102,7 @@
         self._event_log = event_log
         self._list_entries = list_entries
         self._ownership_confirmed_at_ms = clock.read_elapsed_ms()
+        self._store_answered_at_ms = clock.read_elapsed_ms()
         # The former owner may extend grants until its last confirmation is
         # too old, and the last grants remain valid for their full duration.
         former_grants_ms = (
@@ -138,6 +139,11 @@
         """Number of targets whose agents are connected."""
         return len(self._sessions)
 
+    @property
+    def store_silent_ms(self) -> int:
+        """Time since the store last answered this owner."""
+        return clock.read_elapsed_ms() - self._store_answered_at_ms
+
     async def load(self) -> None:
         """Load the stored workflows.
 
@@ -506,6 +512,7 @@
             return True
         self._commit_pending_since_ms = 0
         self._ownership_confirmed_at_ms = begun_at_ms
+        self._store_answered_at_ms = clock.read_elapsed_ms()
         took_ms = clock.read_elapsed_ms() - begun_at_ms
         measurements.COMMITS.labels('done').inc()
         measurements.COMMIT_SECONDS.observe(took_ms / 1000)
@@ -628,6 +635,7 @@
             await asyncio.sleep(LEASE_RENEWAL_INTERVAL_MS / 1000)
             try:
                 await self._store.renew_lease(self._lease_id)
+                self._store_answered_at_ms = clock.read_elapsed_ms()
             except errors.BorageshelfError as error:
                 measurements.STORE_FAILURES.labels(error.code.name).inc()
                 if error.code is errors.LEASE_LOST:
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -224,11 +224,14 @@
         report carries
     :param largest_millicores: processors of the largest entry that is
         connected to the owner; in answers to pings only
+    :param store_silent_ms: time since the store last answered the owner; in
+        answers to pings only
     """
 
     sent_at_elapsed_ms: int
     is_granted: bool = False
     largest_millicores: int = 0
+    store_silent_ms: int = 0
 
 
 # Sent between entries.
--- a/tests/test_election_cut_entry.py
+++ b/tests/test_election_cut_entry.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bench import local_fleet
+from borageshelf import clock
 from borageshelf.entry.workflows import election
 from borageshelf import errors
 from borageshelf import events
@@ -158,3 +159,53 @@
             assert others[0].election.local_owner is None
 
     asyncio.run(check())
+
+
+def test_owner_without_the_store_is_replaced_before_its_lease_ends() -> None:
+    """Guards against seconds without an owner when only the owner is cut off.
+
+    Its key remains until the lease ends after 2 s, and the others gave it
+    another 0.7 s to write the key again. The lease never ends here.
+    """
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        async with run_entries(store, 3) as entries:
+            owner = next(
+                entry for entry in entries if entry.election.local_owner
+            )
+            former_epoch = find_epoch(owner)
+            stored = await store.get(records.OWNER_KEY)
+            assert stored is not None
+            await store.put(records.OWNER_KEY, stored.value, stored.revision)
+            owner.store.is_cut = True
+            begun_at_ms = clock.read_elapsed_ms()
+            await wait_until(
+                lambda: all(
+                    find_epoch(entry) > former_epoch for entry in entries
+                )
+            )
+            assert clock.read_elapsed_ms() - begun_at_ms < 2_700
+
+    asyncio.run(check())
+
+
+def test_owner_is_kept_while_nobody_reaches_the_store() -> None:
+    """Guards against an owner that is given up although no other is better."""
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        async with run_entries(store, 3) as entries:
+            epoch = find_epoch(entries[0])
+            for entry in entries:
+                entry.store.is_cut = True
+            for _ in range(40):
+                await asyncio.sleep(0.1)
+                assert {find_epoch(entry) for entry in entries} <= {epoch, 0}
+            for entry in entries:
+                entry.store.is_cut = False
+            await wait_until(
+                lambda: all(find_epoch(entry) for entry in entries)
+            )
+
+    asyncio.run(check())
