Answer every request that a leaving entry has taken

Change: after SIGTERM a request's deadline is at most the time of the last answers; listeners close 300 ms before it; what is then still open has half of the closing margin left.

--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -36,6 +36,8 @@
 # Requests that still arrive show that the load balancer has not noticed yet.
 # Clients of a busy entry send several in this time.
 QUIET_MS: Final = 300
+# A request that has been accepted by then can be answered in time.
+LAST_REQUEST_MS: Final = 300
 DRAIN_POLL_INTERVAL_MS: Final = 50
 # An entry that knows no owner for less than this stays in the rotation of the
 # load balancer.
@@ -202,8 +204,8 @@
 
         The listeners stay open until the load balancer has noticed that the
         entry is not ready, another entry has taken over, and no more requests
-        arrive. Requests that are still open shortly before the grace period
-        ends are cut off.
+        arrive. Requests that arrive late in the grace period have less time to
+        be answered, so that none is cut off.
         """
         started_at_ms = clock.read_elapsed_ms()
         grace_ms = round(self._settings.grace_s * 1000)
@@ -211,6 +213,7 @@
             SHUTDOWN_MARGIN_MS, round(grace_ms * SHUTDOWN_MARGIN_SHARE)
         )
         deadline_ms = started_at_ms + grace_ms - margin_ms
+        self._request_service.begin_closing(deadline_ms)
         detection_ms = min(BALANCER_DETECTION_MS, grace_ms // 2)
         self._caller_site.is_leaving = True
         self._event_log.record_state('entry leaves')
@@ -219,7 +222,7 @@
         while (
             self._is_still_needed()
             and not self._abort_requested.is_set()
-            and clock.read_elapsed_ms() < deadline_ms
+            and clock.read_elapsed_ms() < deadline_ms - LAST_REQUEST_MS
         ):
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
         for listener in self._listeners:
@@ -228,7 +231,7 @@
             self._caller_site.active_requests
             and not self._abort_requested.is_set()
         ):
-            if clock.read_elapsed_ms() >= deadline_ms:
+            if clock.read_elapsed_ms() >= deadline_ms + margin_ms // 2:
                 self._event_log.record_state(
                     'requests cut off', count=self._caller_site.active_requests
                 )
--- a/borageshelf/entry/workflows/request_service.py
+++ b/borageshelf/entry/workflows/request_service.py
@@ -43,6 +43,14 @@
     ) -> None:
         self._election = owner_election
         self._store = store
+        self._closing_deadline_ms: int | None = None
+
+    def begin_closing(self, deadline_ms: int) -> None:
+        """Answer all later requests before the process ends.
+
+        :param deadline_ms: elapsed time of the last answers
+        """
+        self._closing_deadline_ms = deadline_ms
 
     async def submit(
         self,
@@ -91,6 +99,8 @@
         self, request: messages.Request, deadline_ms: int
     ) -> messages.RequestAnswer:
         now_ms = clock.read_elapsed_ms()
+        if self._closing_deadline_ms is not None:
+            deadline_ms = min(deadline_ms, self._closing_deadline_ms)
         # The owner can refuse a request at once, so it is asked even if the
         # deadline is too close for anything else.
         deadline_ms = max(
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,10 +5,19 @@
 import signal
 import time
 
+import aiohttp
+
 from bench import local_fleet
 from tests import platform_support
 
 ID = '0123456789abcdef'
+# The platform counts a request as lost if its connection ends without an
+# answer after this time.
+LOSS_SLACK_S = 0.2
+ONE_STEP = {
+    'Spec': '300',
+    'Phases': [{'Count': 1, 'Cpu': 1000, 'MemMb': 500, 'EstimateMs': 300}],
+}
 TWO_STEPS = {
     'Spec': '300',
     'Phases': [
@@ -174,6 +183,53 @@
     platform_support.run(check())
 
 
+def test_leaving_entry_cuts_off_no_request() -> None:
+    """Guards against connections that end without an answer at a drain.
+
+    Found by a hunt (further/, silent-connections-and-slow-nodes.toml, seed
+    807281864468): a request that arrived late in the grace period, while no
+    owner was known, was cut off. Here no other entry can take over.
+    """
+
+    async def check() -> None:
+        async with platform_support.run_deployment(1, 1) as deployment:
+            entry = deployment.entries[0]
+            stopping = asyncio.ensure_future(entry.end(signal.SIGTERM))
+            sent: list[asyncio.Task[str]] = []
+            while not stopping.done():
+                path = f'/short/{len(sent):016x}'
+                sent.append(asyncio.ensure_future(post(entry, path)))
+                await asyncio.sleep(0.03)
+            assert await stopping == 0
+            results = collections.Counter(await asyncio.gather(*sent))
+            assert not results['cut off'], results
+            assert results['answered'] > 10
+
+    async def post(entry: platform_support.Node, path: str) -> str:
+        url = f'http://{entry.settings["caller_address"]}{path}'
+        headers = {
+            'Host': platform_support.HOST_HEADER,
+            'Deadline-Ms': '3000',
+            'Connection': 'close',
+        }
+        begun_s = time.monotonic()
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(connector=connector) as http:
+            try:
+                async with http.post(
+                    url, json=ONE_STEP, headers=headers
+                ) as answer:
+                    await answer.read()
+            except aiohttp.ClientError:
+                # A connection that the process has not accepted before it
+                # closes its listener is reset at once.
+                was_taken = time.monotonic() - begun_s > LOSS_SLACK_S
+                return 'cut off' if was_taken else 'refused'
+        return 'answered'
+
+    platform_support.run(check())
+
+
 def test_small_owner_hands_over_to_a_larger_entry() -> None:
     """Guards against an owner with too little processor time for its fleet.
 
