Do not take a silent target for one that makes no progress

Cause: the first report after a pause of an agent, of the owner or of the network repeats the progress from before it. The owner counted the gap as time without progress, stopped all runs of the target, started them elsewhere and called the target suspect. The same happened while an executor left inspections unanswered, because the agent went on to report what it had last seen.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -29,6 +29,8 @@
 # Applies while fillers run beside serving tasks. The tail latencies of serving
 # tasks cover half a second, so inspections must be more frequent.
 PACED_INSPECTION_WAIT_MS: Final = 400
+# An inspection waits up to a second for an end.
+INSPECTION_AGE_LIMIT_MS: Final = 1_600
 RETRY_PAUSE_MS: Final = 120
 GONE_RETRY_PAUSE_MS: Final = 400
 # Time for the owner to commit reported ends, which takes a few milliseconds.
@@ -88,6 +90,7 @@
         self._runs: dict[tuple[str, int], runs.AgentRun] = {}
         self._specs: dict[str, str] = {}
         self._unanswered_since_ms = 0
+        self._inspected_at_ms = 0
         self._is_executor_gone = False
         self._pacer = pacer.FillerPacer(
             executor, event_log, lambda: self._runs.values()
@@ -193,7 +196,9 @@
         rows = tuple(
             _make_row(run.row, run.pace_percent)
             for run in self._runs.values()
-            if run.row is not None and not run.terms.is_lasting
+            if run.row is not None
+            and not run.terms.is_lasting
+            and self._is_inspection_recent()
         )
         self._send(
             messages.Report(
@@ -206,6 +211,15 @@
             )
         )
 
+    def _is_inspection_recent(self) -> bool:
+        """Tell whether the known progress is recent enough to be reported.
+
+        It is not while the executor does not answer, or after this process
+        was paused.
+        """
+        age_ms = clock.read_elapsed_ms() - self._inspected_at_ms
+        return age_ms <= INSPECTION_AGE_LIMIT_MS
+
     async def _run_session(self, token: int) -> None:
         """Report a snapshot of the executor, then the changes on it."""
         is_first = True
@@ -236,6 +250,7 @@
                 continue
             if self._token != token:
                 return
+            self._inspected_at_ms = clock.read_elapsed_ms()
             self._record_executor_clock(inspection.clock_ms)
             self._unanswered_since_ms = 0
             if not self._check_incarnation(inspection):
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -40,6 +40,9 @@
 # Reserved for the stop of a checkpointing task, which takes up to 900 ms (site
 # files).
 CHECKPOINT_STOP_MS: Final = 1_200
+# Agents report every 400 ms. After a longer gap the agent, the network or
+# this process was paused.
+REPORT_GAP_LIMIT_MS: Final = 900
 FULL_PACE_PERCENT: Final = 100
 # A filler that stays below this pace for longer than the limit is moved. The
 # stop with a checkpoint and the new start cost about one report interval.
@@ -462,8 +465,15 @@
     ) -> None:
         """Update the progress and the newest checkpoints of runs.
 
-        Runs that are too slow or have stalled are moved.
+        Runs that are too slow or have stalled are moved. Time in which the
+        target did not report any progress does not count as a stall.
+
+        :param rows: empty if the agent knows no progress at this time
         """
+        rows = tuple(rows)
+        if not rows:
+            return
+        self._excuse_silence(target, moment.elapsed_ms)
         for row in rows:
             run = target.runs.get((row.task, row.attempt))
             if run is None:
@@ -484,6 +494,17 @@
                 self._move_slow_run(target, run, moment)
         self._stop_stalled_runs(target, moment)
 
+    def _excuse_silence(self, target: targets.Target, now_ms: int) -> None:
+        """Do not count a gap between two reports as time without progress."""
+        silent_ms = now_ms - target.progress_reported_at_ms
+        target.progress_reported_at_ms = now_ms
+        if silent_ms <= REPORT_GAP_LIMIT_MS:
+            return
+        for run in target.runs.values():
+            run.progress_at_ms = min(run.progress_at_ms + silent_ms, now_ms)
+            if run.slow_since_ms:
+                run.slow_since_ms = min(run.slow_since_ms + silent_ms, now_ms)
+
     def apply_latency_samples(
         self,
         target: targets.Target,
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -33,6 +33,7 @@
     :ivar unexpected_runs: task names and attempts of runs that the owner does
         not expect; nothing is placed beside them, because their sizes may be
         unknown
+    :ivar progress_reported_at_ms: elapsed time of the last report of progress
     :ivar refusal_deadline_ms: elapsed time until which nothing is placed here
         after a refused start
     """
@@ -67,6 +68,7 @@
         self.rejected_millicores: dict[str, int] = {}
         self.filler_sizes_millicores: dict[str, int] = {}
         self.refusal_deadline_ms = 0
+        self.progress_reported_at_ms = 0
 
     def is_healthy(self, now_ms: int) -> bool:
         """Tell whether the target counts towards the fleet's capacity."""
