Set unusable workflows aside; do not repeat starts on a draining executor

A workflow on which the scheduler raised ended the ownership, and met the next owner. - A start without an answer was repeated for a second and more without looking whether the executor had begun to drain meanwhile. Change: such a workflow is left out with an event and a metric, callers are told 'unknown', all others go on; each try of a start checks the drain. Result: test_unreadable_records_stop_nobody, test_workflow_that_fails_the_ scheduler_is_set_aside and test_start_is_not_repeated_once_the_executor_drains failed before and pass.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -414,6 +414,10 @@
             if not lease_deadline_ms:
                 run.refusal_reason = 'no grant'
                 break
+            if self.announcement is None or self.announcement.is_draining:
+                run.refusal_reason = 'draining'
+                run.is_unhealthy = False
+                break
             try:
                 outcome = await self._executor.start(
                     self._get_instance_id(),
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -151,16 +151,20 @@
         """
         loaded = await self._journal.load()
         moment = clock.read_moment()
+        for key, detail in loaded.unreadable.items():
+            self._core.set_aside(records.find_workflow_id(key), detail)
         for workflow_id, state in loaded.states.items():
             spec = loaded.specs.get(workflow_id)
             if spec is not None:
-                self._core.restore(spec, state, moment)
+                try:
+                    self._core.restore(spec, state, moment)
+                except Exception as error:
+                    # One workflow must not take down every owner in turn.
+                    self._core.set_aside(workflow_id, repr(error))
             elif state.phase is not records.Phase.ACTIVE:
                 self._core.restore_ended(workflow_id, state)
             else:
-                self._event_log.record_state(
-                    'workflow without specification', workflow=workflow_id
-                )
+                self._core.set_aside(workflow_id, 'no specification is stored')
         self._event_log.record_state(
             'workflows loaded',
             epoch=self.epoch,
@@ -233,6 +237,8 @@
         """
         moment = clock.read_moment()
         number = request.number
+        if self._core.is_set_aside(request):
+            return messages.RequestAnswer(number, effects.Outcome.UNKNOWN)
         if isinstance(request, messages.FindRequest):
             state = self._core.find_state(request.workflow_id)
             if state is None:
@@ -487,6 +493,7 @@
             if self._core.has_changes:
                 self._changed.set()
             measurements.WORKFLOWS.set(len(self._core.jobs))
+            measurements.WORKFLOWS_SET_ASIDE.set(len(self._core.set_aside_ids))
             measurements.LOG_LINES_DROPPED.set(self._event_log.dropped_lines)
             await asyncio.sleep(COMMIT_PAUSE_MS / 1000)
 
--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -80,6 +80,9 @@
 )
 TARGETS = _gauge('targets', 'Targets that are attached to this owner.')
 WORKFLOWS = _gauge('workflows', 'Workflows that have not ended.')
+WORKFLOWS_SET_ASIDE = _gauge(
+    'workflows_set_aside', 'Workflows whose records can not be used.'
+)
 CONFIGURATION_VERSION = _gauge(
     'configuration_version', 'Version of the configuration in force.'
 )
--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -36,10 +36,12 @@
 
     :param specs: specifications by workflow id
     :param states: states by workflow id
+    :param unreadable: what is wrong with the other records, by key
     """
 
     specs: dict[str, records.SpecRecord]
     states: dict[str, records.StateRecord]
+    unreadable: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Journal:
@@ -90,19 +92,27 @@
     async def load(self) -> StoredWorkflows:
         """Read all workflows, which only this owner can change from now on.
 
+        A record that can't be read does not keep the others from being loaded.
+
         :raises BorageshelfError: ``STORE_UNAVAILABLE``
         """
         specs: dict[str, records.SpecRecord] = {}
         states: dict[str, records.StateRecord] = {}
+        unreadable: dict[str, str] = {}
         listing = await self._store.scan(records.JOBS_PREFIX)
         for entry in listing.entries:
             workflow_id = records.parse_workflow_id(entry.key)
-            if workflow_id is not None:
-                states[workflow_id] = decode(entry.value, records.StateRecord)
-            else:
-                spec = decode(entry.value, records.SpecRecord)
-                specs[spec.workflow.workflow_id] = spec
-        return StoredWorkflows(specs, states)
+            try:
+                if workflow_id is not None:
+                    states[workflow_id] = decode(
+                        entry.value, records.StateRecord
+                    )
+                else:
+                    spec = decode(entry.value, records.SpecRecord)
+                    specs[spec.workflow.workflow_id] = spec
+            except errors.BorageshelfError as error:
+                unreadable[entry.key] = error.detail
+        return StoredWorkflows(specs, states, unreadable)
 
     async def commit(
         self,
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -124,6 +124,7 @@
         self._fleet = fleet.Fleet(old_grants_deadline_ms)
         self.targets = self._fleet.targets
         self.archive: dict[str, ArchivedWorkflow] = {}
+        self.set_aside_ids: set[str] = set()
         self._grant_ms = grant_ms
         self._retention_ms = retention_ms
         self._discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
@@ -167,6 +168,24 @@
             state.phase, state.ended_at_ms
         )
 
+    def set_aside(self, workflow_id: str, detail: str) -> None:
+        """Leave out a workflow whose records or state can't be used.
+
+        All others go on. What has become of it is unknown, and callers are
+        told so.
+        """
+        self._record('workflow set aside', workflow=workflow_id, detail=detail)
+        self.set_aside_ids.add(workflow_id)
+        self._active_jobs.pop(workflow_id, None)
+
+    def is_set_aside(self, request: messages.Request) -> bool:
+        """Tell whether a request is about a workflow that was left out."""
+        if isinstance(request, messages.SubmitRequest):
+            return request.workflow.workflow_id in self.set_aside_ids
+        if isinstance(request, messages.CountRequest):
+            return False
+        return request.workflow_id in self.set_aside_ids
+
     # Requests of callers.
 
     def submit(
@@ -585,8 +604,12 @@
                 waiting.append((rank, job, groups))
         waiting.sort(key=lambda item: item[0])
         for _, job, groups in waiting:
-            for group in groups:
-                self._place_group(group, moment)
+            try:
+                for group in groups:
+                    self._place_group(group, moment)
+            except Exception as error:
+                # An error that ended the ownership would meet the next owner.
+                self.set_aside(job.workflow_id, repr(error))
 
     def _refresh_latencies(self, now_ms: int) -> None:
         """Let placement use the latest latencies, unless it did recently.
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -125,6 +125,11 @@
     return f'{JOBS_PREFIX}{workflow_id}{_STATE_SUFFIX}'
 
 
+def find_workflow_id(key: str) -> str:
+    """Return the workflow id in a key below the prefix of workflows."""
+    return key[len(JOBS_PREFIX) :].partition('/')[0]
+
+
 def parse_workflow_id(state_key: str) -> str | None:
     """Return the workflow id in a state key; None for any other key."""
     if not state_key.endswith(_STATE_SUFFIX):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,6 +8,10 @@
 import aiohttp
 
 from bench import local_fleet
+from borageshelf.model import resources
+from borageshelf.model import workflows
+from borageshelf.workflows import journal
+from borageshelf.workflows import records
 from tests import platform_support
 
 ID = '0123456789abcdef'
@@ -230,6 +234,60 @@
     platform_support.run(check())
 
 
+def test_unreadable_records_stop_nobody() -> None:
+    """Guards against one bad value in the store that takes every owner down.
+
+    Loading failed as a whole and was tried again without end.
+    """
+
+    async def check() -> None:
+        bad_ids = ('a' * 16, 'b' * 16, 'c' * 16)
+        async with platform_support.run_deployment(2, 1) as deployment:
+            spec = records.make_spec_key(bad_ids[2])
+            state = records.StateRecord(
+                records.Phase.ACTIVE,
+                tasks=(records.TaskRecord(7, False, 1, 0, '', ()),),
+            )
+            good = workflows.Workflow(
+                bad_ids[2],
+                '',
+                (workflows.Step(1, resources.Resources(1, 1), 100),),
+            )
+            terms = records.Terms('short', 'pigment', 0, 1, 1.0, 0, 0)
+            for key, value in {
+                records.make_state_key(bad_ids[0]): b'\xc1 no msgpack',
+                records.make_spec_key(bad_ids[1]): b'',
+                records.make_state_key(bad_ids[1]): journal.encode(
+                    records.StateRecord()
+                ),
+                records.make_state_key(bad_ids[2]): journal.encode(state),
+                spec: journal.encode(records.SpecRecord(good, terms)),
+            }.items():
+                await deployment.store.put(key, value, 0)
+            owner = await deployment.find_owner()
+            await owner.end()
+            other = next(e for e in deployment.entries if e is not owner)
+            await deployment.submit(ID, TWO_STEPS)
+            await deployment.wait_for_state(ID, 'completed')
+            shown = []
+            for workflow_id in bad_ids:
+                path = f'/short/{workflow_id}'
+                status, _ = await deployment.request(
+                    other, 'POST', path, TWO_STEPS
+                )
+                # Nobody knows what has become of it.
+                assert status == 504
+                shown.append(await deployment.request(other, 'GET', path))
+            assert shown[0][0] == 504
+            # The last committed states are still true.
+            assert shown[1:] == [
+                (200, {'State': 'queued'}),
+                (200, {'State': 'running'}),
+            ]
+
+    platform_support.run(check())
+
+
 def test_small_owner_hands_over_to_a_larger_entry() -> None:
     """Guards against an owner with too little processor time for its fleet.
 
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -304,6 +304,30 @@
     run_scenario(scenario)
 
 
+def test_start_is_not_repeated_once_the_executor_drains() -> None:
+    """Guards against a start long after a drain has been acknowledged.
+
+    A start without an answer is repeated for a second and more; only the
+    first try looked at the executor's state.
+    """
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 1
+        harness.executor.on_lost_start = lambda: (
+            harness.driver.handle_announcement(
+                dataclasses.replace(ANNOUNCEMENT, sequence=2, is_draining=True)
+            )
+        )
+        harness.start()
+        refused = await harness.wait_for(messages.StartRefused)
+        assert refused.reason == 'draining'
+        assert len(harness.executor.starts) == 1
+        assert harness.executor.stops == [(TASK, 1)]
+
+    run_scenario(scenario)
+
+
 def test_order_of_another_session_is_ignored() -> None:
     """Guards against the orders of a former owner."""
 
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -1,10 +1,15 @@
 """Guarantees that the owner's core gives on workflows."""
 
 import dataclasses
+from typing import Any
 
+import pytest
+
+from borageshelf import clock
 from borageshelf.model import resources
 from borageshelf.ports import task_executor
 from borageshelf.workflows import effects
+from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
 from borageshelf.workflows import owner
 from borageshelf.workflows import records
@@ -512,6 +517,29 @@
     assert f'{"f" * 16}.0.0.0' in cluster.list_running()
 
 
+def test_workflow_that_fails_the_scheduler_is_set_aside(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one workflow that ends the ownership of every entry."""
+    cluster = make_cluster(1)
+    place: Any = cluster.core._place_group
+
+    def fail(group: jobs.Group, moment: clock.Moment) -> None:
+        if group.job.workflow_id == 'b' * 16:
+            raise ZeroDivisionError
+        place(group, moment)
+
+    monkeypatch.setattr(cluster.core, '_place_group', fail)
+    cluster.submit(support.make_workflow(workflow_id='b' * 16), token=1)
+    cluster.submit(support.make_workflow(), token=2)
+    cluster.run_until_idle()
+    assert cluster.list_running() == [f'{ID}.0.0.0']
+    assert cluster.core.is_set_aside(messages.FindRequest(0, 'b' * 16))
+    assert not cluster.core.is_set_aside(messages.FindRequest(0, ID))
+    events = [event for event, _ in cluster.log_lines]
+    assert events.count('workflow set aside') == 1
+
+
 def test_acknowledgement_covers_no_uncommitted_end() -> None:
     """Guards against an end that is lost because a later one is acknowledged.
 
