Do not take this process's own pause for the silence of others

Agents and entries judged the owner alike. Change: loop.PauseWatch moves the times of the last messages on by the time that a loop slept too long.

--- a/borageshelf/agent/workflows/owner_link.py
+++ b/borageshelf/agent/workflows/owner_link.py
@@ -14,6 +14,7 @@
 from borageshelf import clock
 from borageshelf import errors
 from borageshelf import events
+from borageshelf import loop
 from borageshelf import measurements
 from borageshelf.ports import store as store_interface
 from borageshelf.workflows import channel
@@ -177,9 +178,13 @@
 
     async def _send_reports(self, outbox: channel.Outbox) -> None:
         """Send reports; close the stream when the owner is silent."""
+        pause_watch = loop.PauseWatch(REPORT_INTERVAL_MS)
         while True:
             await asyncio.sleep(REPORT_INTERVAL_MS / 1000)
             now_ms = clock.read_elapsed_ms()
+            (self._last_received_at_ms,) = pause_watch.excuse(
+                [self._last_received_at_ms]
+            )
             if now_ms - self._last_received_at_ms > OWNER_SILENCE_LIMIT_MS:
                 self._event_log.record_state('owner silent')
                 outbox.close()
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -551,6 +551,7 @@
         absent.
         """
         offered_version = 0
+        pause_watch = loop.PauseWatch(PING_INTERVAL_MS)
         while True:
             version, document = self._get_configuration()
             now_ms = clock.read_elapsed_ms()
@@ -560,6 +561,9 @@
                 link.outbox.send(messages.Configuration(document))
             await asyncio.sleep(PING_INTERVAL_MS / 1000)
             now_ms = clock.read_elapsed_ms()
+            (link.last_received_at_ms,) = pause_watch.excuse(
+                [link.last_received_at_ms]
+            )
             is_silent = (
                 now_ms - link.last_received_at_ms > OWNER_SILENCE_LIMIT_MS
             )
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -427,10 +427,16 @@
         )
 
     async def _close_silent_sessions(self) -> None:
+        pause_watch = loop.PauseWatch(IDLE_INTERVAL_MS)
         while True:
             await asyncio.sleep(IDLE_INTERVAL_MS / 1000)
             limit_ms = clock.read_elapsed_ms() - AGENT_SILENCE_LIMIT_MS
-            for session in list(self._sessions.values()):
+            sessions = list(self._sessions.values())
+            received_at_ms = pause_watch.excuse(
+                session.last_received_at_ms for session in sessions
+            )
+            for session, at_ms in zip(sessions, received_at_ms, strict=True):
+                session.last_received_at_ms = at_ms
                 if session.last_received_at_ms < limit_ms:
                     self._event_log.record_state(
                         'agent silent', target=session.target.target_id
--- a/borageshelf/loop.py
+++ b/borageshelf/loop.py
@@ -13,6 +13,11 @@
 from absl import logging
 from twisted.internet import asyncioreactor
 
+from borageshelf import clock
+
+# Timers of a busy loop are late by some tens of milliseconds.
+MIN_PAUSE_MS: Final = 150
+
 
 def install() -> asyncio.AbstractEventLoop:
     """Install Twisted's reactor on a new asyncio loop and return the loop."""
@@ -107,6 +112,32 @@
 RESTART_DELAY_MS: Final = 200
 
 
+class PauseWatch:
+    """Measures pauses of this process, in a loop that sleeps.
+
+    A process that was stopped, or whose event loop was busy, must not take
+    that time for the silence of others: their messages wait in its sockets.
+
+    :param interval_ms: how long the loop sleeps
+    """
+
+    def __init__(self, interval_ms: int) -> None:
+        self._interval_ms = interval_ms
+        self._measured_at_ms = clock.read_elapsed_ms()
+
+    def excuse(self, received_at_ms: abc.Iterable[int]) -> list[int]:
+        """Return times of messages, moved on by the pause since the last call.
+
+        :param received_at_ms: elapsed times at which messages arrived
+        """
+        now_ms = clock.read_elapsed_ms()
+        pause_ms = now_ms - self._measured_at_ms - self._interval_ms
+        self._measured_at_ms = now_ms
+        if pause_ms < MIN_PAUSE_MS:
+            pause_ms = 0
+        return [min(at_ms + pause_ms, now_ms) for at_ms in received_at_ms]
+
+
 class TaskGroup:
     """Background tasks of a component; their failures are logged."""
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -404,3 +404,31 @@
             await deployment.wait_for_state(ID, 'completed')
 
     platform_support.run(check())
+
+
+def test_paused_owner_does_not_call_its_agents_silent() -> None:
+    """Guards against an owner that takes its own pause for their silence.
+
+    Their reports wait in its sockets. The pause is shorter than the lease of
+    the owner's key, so nobody takes over.
+    """
+
+    async def check() -> None:
+        async with platform_support.run_deployment(1, 4) as deployment:
+            await deployment.submit(ID, TWO_STEPS)
+            await deployment.wait_for_state(ID, 'completed')
+            owner = deployment.entries[0]
+            assert owner.process is not None
+            for _ in range(3):
+                owner.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(1.9)
+                owner.process.send_signal(signal.SIGCONT)
+                await asyncio.sleep(1.2)
+            silent = [
+                line
+                for line in owner.read_log()
+                if line['event'] == 'agent silent'
+            ]
+            assert not silent
+
+    platform_support.run(check())
