--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -151,16 +151,20 @@
         """
         loaded = await self._journal.load()
         moment = clock.read_moment()
+        for key, detail in loaded.unreadable.items():
+            self._core.set_aside(records.find_workflow_id(key), detail)
         for workflow_id, state in loaded.states.items():
             spec = loaded.specs.get(workflow_id)
             if spec is not None:
-                self._core.restore(spec, state, moment)
+                try:
+                    self._core.restore(spec, state, moment)
+                except Exception as error:
+                    # One workflow must not take down every owner in turn.
+                    self._core.set_aside(workflow_id, repr(error))
             elif state.phase is not records.Phase.ACTIVE:
                 self._core.restore_ended(workflow_id, state)
             else:
-                self._event_log.record_state(
-                    'workflow without specification', workflow=workflow_id
-                )
+                self._core.set_aside(workflow_id, 'no specification is stored')
         self._event_log.record_state(
             'workflows loaded',
             epoch=self.epoch,
@@ -233,6 +237,8 @@
         """
         moment = clock.read_moment()
         number = request.number
+        if self._core.is_set_aside(request):
+            return messages.RequestAnswer(number, effects.Outcome.UNKNOWN)
         if isinstance(request, messages.FindRequest):
             state = self._core.find_state(request.workflow_id)
             if state is None:
@@ -421,10 +427,16 @@
         )
 
     async def _close_silent_sessions(self) -> None:
+        pause_watch = loop.PauseWatch(IDLE_INTERVAL_MS)
         while True:
             await asyncio.sleep(IDLE_INTERVAL_MS / 1000)
             limit_ms = clock.read_elapsed_ms() - AGENT_SILENCE_LIMIT_MS
-            for session in list(self._sessions.values()):
+            sessions = list(self._sessions.values())
+            received_at_ms = pause_watch.excuse(
+                session.last_received_at_ms for session in sessions
+            )
+            for session, at_ms in zip(sessions, received_at_ms, strict=True):
+                session.last_received_at_ms = at_ms
                 if session.last_received_at_ms < limit_ms:
                     self._event_log.record_state(
                         'agent silent', target=session.target.target_id
@@ -487,6 +499,7 @@
             if self._core.has_changes:
                 self._changed.set()
             measurements.WORKFLOWS.set(len(self._core.jobs))
+            measurements.WORKFLOWS_SET_ASIDE.set(len(self._core.set_aside_ids))
             measurements.LOG_LINES_DROPPED.set(self._event_log.dropped_lines)
             await asyncio.sleep(COMMIT_PAUSE_MS / 1000)
 
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -40,6 +40,9 @@
 # Reserved for the stop of a checkpointing task, which takes up to 900 ms (site
 # files).
 CHECKPOINT_STOP_MS: Final = 1_200
+# Agents report every 400 ms. After a longer gap the agent, the network or
+# this process was paused.
+REPORT_GAP_LIMIT_MS: Final = 900
 FULL_PACE_PERCENT: Final = 100
 # A filler that stays below this pace for longer than the limit is moved. The
 # stop with a checkpoint and the new start cost about one report interval.
@@ -121,6 +124,7 @@
         self._fleet = fleet.Fleet(old_grants_deadline_ms)
         self.targets = self._fleet.targets
         self.archive: dict[str, ArchivedWorkflow] = {}
+        self.set_aside_ids: set[str] = set()
         self._grant_ms = grant_ms
         self._retention_ms = retention_ms
         self._discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
@@ -164,6 +168,24 @@
             state.phase, state.ended_at_ms
         )
 
+    def set_aside(self, workflow_id: str, detail: str) -> None:
+        """Leave out a workflow whose records or state can't be used.
+
+        All others go on. What has become of it is unknown, and callers are
+        told so.
+        """
+        self._record('workflow set aside', workflow=workflow_id, detail=detail)
+        self.set_aside_ids.add(workflow_id)
+        self._active_jobs.pop(workflow_id, None)
+
+    def is_set_aside(self, request: messages.Request) -> bool:
+        """Tell whether a request is about a workflow that was left out."""
+        if isinstance(request, messages.SubmitRequest):
+            return request.workflow.workflow_id in self.set_aside_ids
+        if isinstance(request, messages.CountRequest):
+            return False
+        return request.workflow_id in self.set_aside_ids
+
     # Requests of callers.
 
     def submit(
@@ -462,8 +484,15 @@
     ) -> None:
         """Update the progress and the newest checkpoints of runs.
 
-        Runs that are too slow or have stalled are moved.
+        Runs that are too slow or have stalled are moved. Time in which the
+        target did not report any progress does not count as a stall.
+
+        :param rows: empty if the agent knows no progress at this time
         """
+        rows = tuple(rows)
+        if not rows:
+            return
+        self._excuse_silence(target, moment.elapsed_ms)
         for row in rows:
             run = target.runs.get((row.task, row.attempt))
             if run is None:
@@ -484,6 +513,17 @@
                 self._move_slow_run(target, run, moment)
         self._stop_stalled_runs(target, moment)
 
+    def _excuse_silence(self, target: targets.Target, now_ms: int) -> None:
+        """Do not count a gap between two reports as time without progress."""
+        silent_ms = now_ms - target.progress_reported_at_ms
+        target.progress_reported_at_ms = now_ms
+        if silent_ms <= REPORT_GAP_LIMIT_MS:
+            return
+        for run in target.runs.values():
+            run.progress_at_ms = min(run.progress_at_ms + silent_ms, now_ms)
+            if run.slow_since_ms:
+                run.slow_since_ms = min(run.slow_since_ms + silent_ms, now_ms)
+
     def apply_latency_samples(
         self,
         target: targets.Target,
@@ -564,8 +604,12 @@
                 waiting.append((rank, job, groups))
         waiting.sort(key=lambda item: item[0])
         for _, job, groups in waiting:
-            for group in groups:
-                self._place_group(group, moment)
+            try:
+                for group in groups:
+                    self._place_group(group, moment)
+            except Exception as error:
+                # An error that ended the ownership would meet the next owner.
+                self.set_aside(job.workflow_id, repr(error))
 
     def _refresh_latencies(self, now_ms: int) -> None:
         """Let placement use the latest latencies, unless it did recently.
