Part scheduling from the owner's core and the owner's stream from the election

No change of behaviour: workflows/scheduler.py takes the placing of waiting tasks and what it learns about latencies out of workflows/owner.py (1,217 to 991 lines), entry/workflows/owner_stream.py the stream to the owner out of election.py; an entry learns an owner from both kinds of message by one method.

--- a/borageshelf/decisions/target_index.py
+++ b/borageshelf/decisions/target_index.py
@@ -11,13 +11,14 @@
 
 import collections
 import itertools
+from typing import Final
 
 import sortedcontainers
 
 from borageshelf.decisions import workflow_placement
 
 # Prefix of the score of a target that is neither avoided nor in another rack.
-_PREFERRED: tuple[float, float] = (0.0, 0.0)
+_PREFERRED: Final = (0.0, 0.0)
 
 _UnusedKey = tuple[int, int, str]
 _ServingKey = tuple[bool, bool, int, int, str]
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -14,12 +14,12 @@
 import asyncio
 from collections import abc
 import dataclasses
-import itertools
 import random
 from typing import Final
 
 from borageshelf import clock
 from borageshelf.decisions import owner_preference
+from borageshelf.entry.workflows import owner_stream
 from borageshelf.entry.workflows import runtime
 from borageshelf import errors
 from borageshelf import events
@@ -27,7 +27,6 @@
 from borageshelf import measurements
 from borageshelf.ports import store as store_interface
 from borageshelf.workflows import channel
-from borageshelf.workflows import effects
 from borageshelf.workflows import journal
 from borageshelf.workflows import messages
 from borageshelf.workflows import policy
@@ -53,74 +52,6 @@
 HAND_OVER_CHECK_INTERVAL_MS: Final = 1_500
 
 
-class OwnerStreamEnded(Exception):
-    """The stream to the owner ended before the answer arrived.
-
-    :param was_sent: whether the request may have been carried out
-    """
-
-    def __init__(self, was_sent: bool) -> None:
-        super().__init__('the stream to the owner has ended')
-        self.was_sent = was_sent
-
-
-class OwnerLink:
-    """The stream from this entry to the owner.
-
-    Requests of several callers share the stream; answers are matched to them
-    by number.
-
-    :ivar is_owner_cut: whether the owner has lost the store, which this entry
-        still reaches
-    """
-
-    def __init__(self, epoch: int, outbox: channel.Outbox) -> None:
-        self.epoch = epoch
-        self.outbox = outbox
-        self.last_received_at_ms = clock.read_elapsed_ms()
-        self.is_owner_cut = False
-        self._request_numbers = itertools.count(1)
-        self._answer_futures: dict[
-            int, asyncio.Future[messages.RequestAnswer]
-        ] = {}
-
-    async def forward(
-        self, request: messages.Request, deadline_ms: int
-    ) -> messages.RequestAnswer:
-        """Forward a request to the owner and return its answer.
-
-        :param deadline_ms: elapsed time; afterwards the outcome is unknown
-        :raises OwnerStreamEnded: if the stream ends before the answer
-        """
-        number = next(self._request_numbers)
-        future: asyncio.Future[messages.RequestAnswer] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._answer_futures[number] = future
-        self.outbox.send(_renumber(request, number))
-        left_ms = max(deadline_ms - clock.read_elapsed_ms(), 0)
-        try:
-            async with asyncio.timeout(left_ms / 1000):
-                return await future
-        except TimeoutError:
-            return messages.RequestAnswer(number, effects.Outcome.UNKNOWN)
-        finally:
-            self._answer_futures.pop(number, None)
-
-    def deliver_answer(self, answer: messages.RequestAnswer) -> None:
-        """Pass an answer to the request that waits for it."""
-        future = self._answer_futures.get(answer.number)
-        if future is not None and not future.done():
-            future.set_result(answer)
-
-    def close(self) -> None:
-        """Close the stream and fail the requests without an answer."""
-        self.outbox.close()
-        for future in self._answer_futures.values():
-            if not future.done():
-                future.set_exception(OwnerStreamEnded(was_sent=True))
-
-
 @dataclasses.dataclass(frozen=True)
 class Identity:
     """Identity of this entry.
@@ -171,7 +102,7 @@
         self._get_configuration = get_configuration
         self._apply_configuration = apply_configuration
         self.local_owner: runtime.OwnerRuntime | None = None
-        self.owner_link: OwnerLink | None = None
+        self.owner_link: owner_stream.OwnerLink | None = None
         self.owner_changed = asyncio.Event()
         self.is_stopping = False
         self._owner: records.OwnerRecord | None = None
@@ -233,15 +164,7 @@
         """Serve a stream from an agent or another entry until it ends."""
         async for message in incoming:
             if isinstance(message, messages.StepDown):
-                if message.owner_id:
-                    self._learn_owner(
-                        records.OwnerRecord(
-                            message.epoch,
-                            message.owner_id,
-                            message.owner_boot_id,
-                            message.address,
-                        )
-                    )
+                self._learn_owner(message)
                 self._step_down_if_newer(message.epoch)
             elif isinstance(message, messages.AgentHello):
                 if self.local_owner is None:
@@ -326,14 +249,24 @@
             owner.boot_id,
         )
 
-    def _learn_owner(self, owner: records.OwnerRecord) -> None:
+    def _learn_owner(
+        self, message: messages.StepDown | messages.Redirect
+    ) -> None:
         """Follow a newer owner that another entry knows.
 
         The store may be out of reach. A takeover remains bound to what has
         been read from it.
         """
-        if self._owner is not None and owner.epoch <= self._owner.epoch:
+        if not message.owner_id or (
+            self._owner is not None and message.epoch <= self._owner.epoch
+        ):
             return
+        owner = records.OwnerRecord(
+            message.epoch,
+            message.owner_id,
+            message.owner_boot_id,
+            message.address,
+        )
         self._event_log.record_state(
             'owner known from an entry',
             owner=owner.entry_id,
@@ -478,22 +411,14 @@
                 )
             )
             nonlocal is_owner_cut
-            link = OwnerLink(owner.epoch, outbox)
+            link = owner_stream.OwnerLink(owner.epoch, outbox)
             ping_task = asyncio.ensure_future(self._ping_owner(owner, link))
             try:
                 async for message in incoming:
                     link.last_received_at_ms = clock.read_elapsed_ms()
                     if isinstance(message, messages.Redirect):
                         is_owner_dead = message.boot_id != owner.boot_id
-                        if message.owner_id:
-                            self._learn_owner(
-                                records.OwnerRecord(
-                                    message.epoch,
-                                    message.owner_id,
-                                    message.owner_boot_id,
-                                    message.address,
-                                )
-                            )
+                        self._learn_owner(message)
                         return
                     self._handle_owner_message(link, message)
             finally:
@@ -517,7 +442,7 @@
         return is_owner_dead or is_owner_cut
 
     def _handle_owner_message(
-        self, link: OwnerLink, message: messages.AnyMessage
+        self, link: owner_stream.OwnerLink, message: messages.AnyMessage
     ) -> None:
         if isinstance(message, messages.OwnerHello):
             link.epoch = max(link.epoch, message.epoch)
@@ -543,7 +468,7 @@
                 link.close()
 
     async def _ping_owner(
-        self, owner: records.OwnerRecord, link: OwnerLink
+        self, owner: records.OwnerRecord, link: owner_stream.OwnerLink
     ) -> None:
         """Ping the owner, and close the stream once it is no longer useful.
 
@@ -753,14 +678,6 @@
 )
 
 
-def _renumber(request: messages.Request, number: int) -> messages.Request:
-    if isinstance(request, messages.SubmitRequest):
-        return messages.SubmitRequest(number, request.workflow, request.queue)
-    if isinstance(request, messages.CountRequest):
-        return messages.CountRequest(number, request.queue)
-    return type(request)(number, request.workflow_id)
-
-
 def _decode_owner(
     entry: store_interface.Entry,
 ) -> records.OwnerRecord | None:
--- /dev/null
+++ b/borageshelf/entry/workflows/owner_stream.py
@@ -0,0 +1,85 @@
+"""The stream from an entry to the owner, shared by the requests of callers."""
+
+import asyncio
+import itertools
+
+from borageshelf import clock
+from borageshelf.workflows import channel
+from borageshelf.workflows import effects
+from borageshelf.workflows import messages
+
+
+class OwnerStreamEnded(Exception):
+    """The stream to the owner ended before the answer arrived.
+
+    :param was_sent: whether the request may have been carried out
+    """
+
+    def __init__(self, was_sent: bool) -> None:
+        super().__init__('the stream to the owner has ended')
+        self.was_sent = was_sent
+
+
+class OwnerLink:
+    """The stream from this entry to the owner.
+
+    Requests of several callers share the stream; answers are matched to them
+    by number.
+
+    :ivar is_owner_cut: whether the owner has lost the store, which this entry
+        still reaches
+    """
+
+    def __init__(self, epoch: int, outbox: channel.Outbox) -> None:
+        self.epoch = epoch
+        self.outbox = outbox
+        self.last_received_at_ms = clock.read_elapsed_ms()
+        self.is_owner_cut = False
+        self._request_numbers = itertools.count(1)
+        self._answer_futures: dict[
+            int, asyncio.Future[messages.RequestAnswer]
+        ] = {}
+
+    async def forward(
+        self, request: messages.Request, deadline_ms: int
+    ) -> messages.RequestAnswer:
+        """Forward a request to the owner and return its answer.
+
+        :param deadline_ms: elapsed time; afterwards the outcome is unknown
+        :raises OwnerStreamEnded: if the stream ends before the answer
+        """
+        number = next(self._request_numbers)
+        future: asyncio.Future[messages.RequestAnswer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._answer_futures[number] = future
+        self.outbox.send(_renumber(request, number))
+        left_ms = max(deadline_ms - clock.read_elapsed_ms(), 0)
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                return await future
+        except TimeoutError:
+            return messages.RequestAnswer(number, effects.Outcome.UNKNOWN)
+        finally:
+            self._answer_futures.pop(number, None)
+
+    def deliver_answer(self, answer: messages.RequestAnswer) -> None:
+        """Pass an answer to the request that waits for it."""
+        future = self._answer_futures.get(answer.number)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    def close(self) -> None:
+        """Close the stream and fail the requests without an answer."""
+        self.outbox.close()
+        for future in self._answer_futures.values():
+            if not future.done():
+                future.set_exception(OwnerStreamEnded(was_sent=True))
+
+
+def _renumber(request: messages.Request, number: int) -> messages.Request:
+    if isinstance(request, messages.SubmitRequest):
+        return messages.SubmitRequest(number, request.workflow, request.queue)
+    if isinstance(request, messages.CountRequest):
+        return messages.CountRequest(number, request.queue)
+    return type(request)(number, request.workflow_id)
--- a/borageshelf/entry/workflows/request_service.py
+++ b/borageshelf/entry/workflows/request_service.py
@@ -11,6 +11,7 @@
 
 from borageshelf import clock
 from borageshelf.entry.workflows import election
+from borageshelf.entry.workflows import owner_stream
 from borageshelf import errors
 from borageshelf import loop
 from borageshelf.model import workflows
@@ -139,7 +140,7 @@
             return None
         try:
             return await owner_link.forward(request, deadline_ms)
-        except election.OwnerStreamEnded:
+        except owner_stream.OwnerStreamEnded:
             return messages.RequestAnswer(0, effects.Outcome.UNKNOWN)
 
     async def _read_stored_state(
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -369,7 +369,7 @@
             if message.state is not None:
                 self._core.update_target_state(target, message.state, moment)
             self._core.update_progress(target, message.rows, moment)
-            self._core.apply_latency_samples(target, message, moment)
+            self._core.apply_latency_samples(target, message)
         is_granted = self._is_ownership_confirmed(moment.elapsed_ms)
         if is_granted:
             self._core.extend_grant(target, moment)
@@ -455,7 +455,7 @@
             self._event_log.record_detail(
                 'fleet', **self._core.describe_fleet(clock.read_moment())
             )
-            pairs = self._core.filler_effects.list_effects()
+            pairs = self._core.scheduler.filler_effects.list_effects()
             if pairs == sent_pairs:
                 continue
             sent_pairs = pairs
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -9,17 +9,13 @@
 
 from collections import abc
 import dataclasses
-import math
 from typing import Any, Final
 
 import msgspec
 
 from borageshelf import clock
-from borageshelf.decisions import filler_effects
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_admission
-from borageshelf.decisions import workflow_order
-from borageshelf.decisions import workflow_placement
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
 from borageshelf.workflows import effects
@@ -27,6 +23,7 @@
 from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
 from borageshelf.workflows import records
+from borageshelf.workflows import scheduler
 from borageshelf.workflows import targets
 
 # The platform's protocol allows 32 entries in one commit; the expected
@@ -48,19 +45,10 @@
 # stop with a checkpoint and the new start cost about one report interval.
 SLOW_PACE_PERCENT: Final = 50
 SLOW_RUN_LIMIT_MS: Final = 1_200
-# The rules of the users' platform require a workflow to run within 3 s if
-# there is room. One without a run for this long is placed even where it
-# disturbs serving tasks.
-IDLE_WORKFLOW_LIMIT_MS: Final = 1_200
 # Agents find a new owner within about a second. Until then the capacity of
 # the fleet is unknown.
 FLEET_DISCOVERY_MS: Final = 2_000
-# Decay of the baseline latency per report. The load of a serving task swings
-# within ten seconds, so the baseline falls from a peak about as slowly.
-BASELINE_DECAY_RATIO: Final = 0.97
 
-# Agents report latencies every 400 ms.
-LATENCY_REFRESH_MS: Final = 200
 
 RecordEvent = abc.Callable[..., None]
 
@@ -135,10 +123,7 @@
         self._immediate_effects: list[effects.Effect] = []
         self._expired_workflow_ids: list[str] = []
         self._next_expiry_ms = 0
-        self.filler_effects = filler_effects.FillerEffects()
-        self._placement_effects = filler_effects.FillerEffects()
-        self._latency_version = 0
-        self._next_latency_refresh_ms = now_ms
+        self.scheduler = scheduler.Scheduler(self._fleet, self.set_aside)
 
     # Stored state.
 
@@ -525,42 +510,10 @@
                 run.slow_since_ms = min(run.slow_since_ms + silent_ms, now_ms)
 
     def apply_latency_samples(
-        self,
-        target: targets.Target,
-        report: messages.Report,
-        moment: clock.Moment,
+        self, target: targets.Target, report: messages.Report
     ) -> None:
         """Learn how fillers affect the serving tasks of a target."""
-        target.filler_used_millicores = round(
-            sum(report.filler_shares.values())
-            * target.capacity.processor_millicores
-        )
-        for sample in report.samples:
-            image = sample.serving_image
-            baseline_share = filler_effects.compute_baseline_share(
-                sample.latency_share,
-                {
-                    filler: self.filler_effects.get_effect(image, filler)
-                    for filler in report.filler_shares
-                },
-                report.filler_shares,
-            )
-            self.filler_effects.observe(
-                filler_effects.Sample(
-                    sample.serving_image,
-                    sample.latency_share,
-                    report.filler_shares,
-                )
-            )
-            # Latency follows the fillers with a delay, so just after a filler
-            # has slowed down, its effect seems to be caused by the load.
-            previous_share = target.baseline_latency_shares.get(
-                image, baseline_share
-            )
-            target.baseline_latency_shares[image] = min(
-                max(baseline_share, previous_share * BASELINE_DECAY_RATIO),
-                self.filler_effects.compute_baseline_limit(image),
-            )
+        self.scheduler.observe_latencies(target, report)
 
     # Time.
 
@@ -585,44 +538,10 @@
 
     def schedule(self, moment: clock.Moment) -> None:
         """Place waiting tasks on targets that have room."""
-        now_ms = moment.elapsed_ms
-        self._refresh_latencies(now_ms)
-        self._fleet.refresh(now_ms)
-        waiting = []
-        for job in self._active_jobs.values():
-            if job.live_runs:
-                job.idle_since_ms = now_ms
-            groups = [
-                group
-                for group in job.groups
-                if group.waiting_count and job.is_ready(group, moment.wall_ms)
-            ]
-            if groups:
-                rank = workflow_order.compute_rank(
-                    _make_candidate(job), now_ms
-                )
-                waiting.append((rank, job, groups))
-        waiting.sort(key=lambda item: item[0])
-        for _, job, groups in waiting:
-            try:
-                for group in groups:
-                    self._place_group(group, moment)
-            except Exception as error:
-                # An error that ended the ownership would meet the next owner.
-                self.set_aside(job.workflow_id, repr(error))
-
-    def _refresh_latencies(self, now_ms: int) -> None:
-        """Let placement use the latest latencies, unless it did recently.
-
-        Each report changes a latency a little. In between, the choices that
-        found no target are not tried again because of latencies.
-        """
-        if now_ms < self._next_latency_refresh_ms:
-            return
-        self._next_latency_refresh_ms = now_ms + LATENCY_REFRESH_MS
-        self._latency_version += 1
-        self._placement_effects = self.filler_effects.copy()
-        self._fleet.refresh_latencies()
+        for job in self.scheduler.place_waiting_tasks(
+            self._active_jobs, moment
+        ):
+            self._mark_dirty(job)
 
     # Commits.
 
@@ -872,129 +791,6 @@
             room_millicores += target.short_millicores
         return max(room_millicores, 0)
 
-    def _place_group(self, group: jobs.Group, moment: clock.Moment) -> None:
-        job = group.job
-        now_ms = moment.elapsed_ms
-        index = self._fleet.get_index(job.terms.service)
-        # A single run is enough for the workflow to make progress.
-        is_overdue = (
-            not job.live_runs
-            and now_ms - job.idle_since_ms > IDLE_WORKFLOW_LIMIT_MS
-        )
-        misfit = group.misfit
-        if misfit is not None and not self._is_valid(
-            misfit, group, is_overdue
-        ):
-            misfit = None
-        if misfit is not None and misfit.change_number == index.change_number:
-            return
-        sibling_counts = group.count_runs_by_target()
-        waiting = [
-            task
-            for task in group.tasks
-            if task.is_waiting and task.not_before_ms <= now_ms
-        ]
-        if group.step.is_gang and len(waiting) < group.step.count:
-            return
-        placed: list[tuple[jobs.Run, targets.Target]] = []
-        for task in waiting:
-            request = workflow_placement.PlacementRequest(
-                group.step,
-                sibling_counts,
-                task.avoided,
-                self._get_sibling_rack(group, sibling_counts),
-                is_overdue and not job.live_runs,
-            )
-            predict = (
-                self._predict_latency_share
-                if request.is_overdue
-                else self._predict_harmless_latency_share
-            )
-            if misfit is None:
-                target = index.choose(request, predict)
-            else:
-                target = index.choose_changed_since(
-                    request, predict, misfit.change_number
-                )
-            if not isinstance(target, targets.Target):
-                # Tasks of a step have the same size, so no other one fits.
-                group.misfit = jobs.Misfit(
-                    index.change_number,
-                    self._latency_version,
-                    request.is_overdue,
-                )
-                break
-            run = job.add_run(task, target.target_id, now_ms)
-            target.add_run(run)
-            self._fleet.reindex(target, now_ms)
-            sibling_counts[target.target_id] = (
-                sibling_counts.get(target.target_id, 0) + 1
-            )
-            placed.append((run, target))
-        if group.step.is_gang and len(placed) < group.step.count:
-            for run, target in placed:
-                target.remove_run(run)
-                self._fleet.reindex(target, now_ms)
-                job.withdraw_run(run)
-            return
-        for run, target in placed:
-            job.effects.append(
-                effects.SendStart(target.target_id, run.task.name, run.attempt)
-            )
-        if placed:
-            self._mark_dirty(job)
-
-    def _is_valid(
-        self, misfit: jobs.Misfit, group: jobs.Group, is_overdue: bool
-    ) -> bool:
-        """Tell whether only targets that have changed since may have room."""
-        if not group.step.is_filler:
-            return True
-        return (
-            misfit.latency_version == self._latency_version
-            and misfit.is_overdue == is_overdue
-        )
-
-    def _predict_harmless_latency_share(
-        self, step: workflows.Step, target: workflow_placement.Target
-    ) -> float:
-        """Predict the highest latency on a target with one more filler.
-
-        :return: any value above the limit if the filler would do harm
-        """
-        known_target = self.targets[target.target_id]
-        size_millicores = step.demand.processor_millicores
-        rejected_millicores = known_target.rejected_millicores
-        is_rejected = size_millicores >= rejected_millicores.get(
-            step.image, size_millicores + 1
-        )
-        if is_rejected:
-            # A smaller filler of the image was predicted to do harm.
-            return math.inf
-        latency_share = self._predict_latency_share(step, target)
-        if latency_share > filler_effects.MAX_LATENCY_SHARE:
-            rejected_millicores[step.image] = size_millicores
-        return latency_share
-
-    def _predict_latency_share(
-        self, step: workflows.Step, target: workflow_placement.Target
-    ) -> float:
-        """Predict the highest latency on a target with one more filler."""
-        known_target = self.targets[target.target_id]
-        if not known_target.placement_latency_shares:
-            return 0.0
-        size_millicores = step.demand.processor_millicores
-        capacity_millicores = max(target.capacity.processor_millicores, 1)
-        sizes = dict(known_target.filler_sizes_millicores)
-        sizes[step.image] = sizes.get(step.image, 0) + size_millicores
-        return self._placement_effects.predict_latency_share(
-            known_target.placement_latency_shares,
-            {
-                image: size / capacity_millicores
-                for image, size in sizes.items()
-            },
-        )
-
     def _move_slow_run(
         self,
         target: targets.Target,
@@ -1009,15 +805,8 @@
         group = run.task.group
         if run.is_stopping or not group.step.is_checkpointing:
             return
-        request = workflow_placement.PlacementRequest(
-            group.step,
-            group.count_runs_by_target(),
-            run.task.avoided,
-            excluded_target_id=target.target_id,
-        )
-        self._fleet.refresh(moment.elapsed_ms)
-        better_target = self._fleet.get_index(target.service).choose(
-            request, self._predict_harmless_latency_share
+        better_target = self.scheduler.find_better_target(
+            run, target, moment.elapsed_ms
         )
         if better_target is None:
             return
@@ -1030,13 +819,6 @@
         )
         self._stop_run(run)
 
-    def _get_sibling_rack(
-        self, group: jobs.Group, sibling_counts: abc.Mapping[str, int]
-    ) -> str:
-        if not group.step.needs_one_rack or not sibling_counts:
-            return ''
-        return self.targets[next(iter(sibling_counts))].rack
-
     def _handle_failure(
         self,
         target: targets.Target,
@@ -1207,14 +989,3 @@
         )
         for run in active_runs:
             self._stop_run(run)
-
-
-def _make_candidate(job: jobs.Job) -> workflow_order.Candidate:
-    return workflow_order.Candidate(
-        job.terms.priority,
-        job.terms.is_prompt,
-        any(step.is_lasting for step in job.workflow.steps),
-        job.accepted_at_ms,
-        job.objective_ms,
-        job.estimate_remaining_ms(),
-    )
--- a/tests/test_election_cut_entry.py
+++ b/tests/test_election_cut_entry.py
@@ -94,6 +94,13 @@
             await asyncio.sleep(0.02)
 
 
+def sort_owner_first(entries: list[RunningEntry]) -> list[RunningEntry]:
+    """Return the entries, the owner first."""
+    return sorted(
+        entries, key=lambda entry: entry.election.local_owner is None
+    )
+
+
 def find_epoch(entry: RunningEntry) -> int:
     """Return the epoch of the owner that an entry can reach, or 0."""
     found = entry.election
@@ -113,10 +120,7 @@
     async def check() -> None:
         store = memory_store.MemoryStore()
         async with run_entries(store, 4) as entries:
-            owner = next(
-                entry for entry in entries if entry.election.local_owner
-            )
-            others = [entry for entry in entries if entry is not owner]
+            owner, *others = sort_owner_first(entries)
             others[0].store.is_cut = owner.store.is_cut = True
             former_epoch = find_epoch(owner)
             stored = await store.get(records.OWNER_KEY)
@@ -144,10 +148,7 @@
     async def check() -> None:
         store = memory_store.MemoryStore()
         async with run_entries(store, 4) as entries:
-            owner = next(
-                entry for entry in entries if entry.election.local_owner
-            )
-            others = [entry for entry in entries if entry is not owner]
+            owner, *others = sort_owner_first(entries)
             others[0].store.is_cut = True
             former_epoch = find_epoch(owner)
             await owner.election.resign()
@@ -171,9 +172,7 @@
     async def check() -> None:
         store = memory_store.MemoryStore()
         async with run_entries(store, 3) as entries:
-            owner = next(
-                entry for entry in entries if entry.election.local_owner
-            )
+            owner = sort_owner_first(entries)[0]
             former_epoch = find_epoch(owner)
             stored = await store.get(records.OWNER_KEY)
             assert stored is not None
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -11,8 +11,8 @@
 from borageshelf.workflows import effects
 from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
-from borageshelf.workflows import owner
 from borageshelf.workflows import records
+from borageshelf.workflows import scheduler
 from tests import workflow_support as support
 
 ID = '0123456789abcdef'
@@ -46,7 +46,7 @@
     for target in cluster.core.targets.values():
         target.baseline_latency_shares['monitor'] = 2.0
     # Placement follows the latencies in steps.
-    cluster.now_ms += owner.LATENCY_REFRESH_MS
+    cluster.now_ms += scheduler.LATENCY_REFRESH_MS
     return cluster
 
 
@@ -522,14 +522,14 @@
 ) -> None:
     """Guards against one workflow that ends the ownership of every entry."""
     cluster = make_cluster(1)
-    place: Any = cluster.core._place_group
+    place: Any = cluster.core.scheduler._place_group
 
-    def fail(group: jobs.Group, moment: clock.Moment) -> None:
+    def fail(group: jobs.Group, moment: clock.Moment) -> bool:
         if group.job.workflow_id == 'b' * 16:
             raise ZeroDivisionError
-        place(group, moment)
+        return bool(place(group, moment))
 
-    monkeypatch.setattr(cluster.core, '_place_group', fail)
+    monkeypatch.setattr(cluster.core.scheduler, '_place_group', fail)
     cluster.submit(support.make_workflow(workflow_id='b' * 16), token=1)
     cluster.submit(support.make_workflow(), token=2)
     cluster.run_until_idle()
@@ -644,5 +644,5 @@
         report = messages.Report(
             0, 0, samples=(messages.LatencySample('monitor', 9, share),)
         )
-        cluster.core.apply_latency_samples(target, report, cluster.moment)
+        cluster.core.apply_latency_samples(target, report)
     assert target.baseline_latency_shares['monitor'] < 1.0
