--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -400,7 +400,7 @@
             incoming: abc.AsyncIterator[messages.AnyMessage],
             outbox: channel.Outbox,
         ) -> None:
-            nonlocal is_owner_dead
+            nonlocal is_owner_cut, is_owner_dead
             outbox.send(
                 messages.EntryHello(
                     self._identity.entry_id,
@@ -410,7 +410,6 @@
                     self._identity.processor_millicores,
                 )
             )
-            nonlocal is_owner_cut
             link = owner_stream.OwnerLink(owner.epoch, outbox)
             ping_task = asyncio.ensure_future(self._ping_owner(owner, link))
             try:
