Refuse submissions with numbers that can not be stored

Cause: a submission with EstimateMs 2^70 was accepted and raised OverflowError when the owner encoded it for the commit, which ended the ownership; nothing was stored, so the caller's retry did the same to the next owner.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -557,16 +557,16 @@
             if len(writes) + len(removed) + entry_count > COMMIT_ENTRIES_LIMIT:
                 break
             del self._dirty_jobs[job.workflow_id]
+            try:
+                job_writes = self._encode_job(job, is_finished)
+            except Exception as error:
+                # An error that ended the ownership would meet the next owner.
+                self._drop_unencodable(job, repr(error))
+                continue
             chosen.append(job)
-            state = job.make_record()
-            key = records.make_state_key(job.workflow_id)
-            writes.append((key, self._encode(state)))
-            spec_key = records.make_spec_key(job.workflow_id)
+            writes += job_writes
             if is_finished:
-                removed.append(spec_key)
-            elif not job.has_spec_key:
-                spec = records.SpecRecord(job.workflow, job.terms)
-                writes.append((spec_key, self._encode(spec)))
+                removed.append(records.make_spec_key(job.workflow_id))
             released.append(tuple(job.effects))
             job.effects = []
         while (
@@ -584,6 +584,27 @@
             tuple(released),
         )
 
+    def _encode_job(
+        self, job: jobs.Job, is_finished: bool
+    ) -> list[tuple[str, bytes]]:
+        """Return the keys and values that store a workflow."""
+        state_key = records.make_state_key(job.workflow_id)
+        writes = [(state_key, self._encode(job.make_record()))]
+        if not (is_finished or job.has_spec_key):
+            spec = records.SpecRecord(job.workflow, job.terms)
+            spec_key = records.make_spec_key(job.workflow_id)
+            writes.append((spec_key, self._encode(spec)))
+        return writes
+
+    def _drop_unencodable(self, job: jobs.Job, detail: str) -> None:
+        """Refuse a workflow that can't be stored, or set it aside."""
+        if job.is_committed:
+            self.set_aside(job.workflow_id, detail)
+        else:
+            self._drop_uncommitted(
+                job, job.effects, effects.Outcome.INVALID, detail
+            )
+
     def confirm_batch(self, batch: Batch) -> list[effects.Effect]:
         """Apply a committed batch and return the effects that it releases."""
         due_effects: list[effects.Effect] = []
@@ -620,27 +641,39 @@
                 job.effects = [*released, *job.effects]
                 self._dirty_jobs[job.workflow_id] = job
                 continue
-            self._dirty_jobs.pop(job.workflow_id, None)
-            self.jobs.pop(job.workflow_id, None)
-            self._active_jobs.pop(job.workflow_id, None)
-            for run in list(job.list_runs()):
-                self._drop_run(run)
-            reply_tokens = [
-                effect.tokens
-                for effect in (*released, *job.effects)
-                if isinstance(effect, effects.Reply)
-            ]
-            for token in job.waiters:
-                self._reply(token, effects.Outcome.REFUSED, retry_after_s)
-            for tokens in reply_tokens:
-                for token in tokens:
-                    self._reply(token, effects.Outcome.ABSENT)
-            self._record(
-                'workflow refused',
-                workflow=job.workflow_id,
-                cause='the store refused the commit',
+            self._drop_uncommitted(
+                job,
+                (*released, *job.effects),
+                effects.Outcome.REFUSED,
+                'the store refused the commit',
+                retry_after_s,
             )
 
+    def _drop_uncommitted(
+        self,
+        job: jobs.Job,
+        unreleased: abc.Iterable[effects.Effect],
+        outcome: effects.Outcome,
+        cause: str,
+        retry_after_s: int = 0,
+    ) -> None:
+        """Refuse a workflow of which nothing is stored.
+
+        :param unreleased: its effects, none of which is carried out
+        """
+        self._dirty_jobs.pop(job.workflow_id, None)
+        self.jobs.pop(job.workflow_id, None)
+        self._active_jobs.pop(job.workflow_id, None)
+        for run in list(job.list_runs()):
+            self._drop_run(run)
+        for token in job.waiters:
+            self._reply(token, outcome, retry_after_s)
+        for effect in unreleased:
+            if isinstance(effect, effects.Reply):
+                for token in effect.tokens:
+                    self._reply(token, effects.Outcome.ABSENT)
+        self._record('workflow refused', workflow=job.workflow_id, cause=cause)
+
     def describe_fleet(self, moment: clock.Moment) -> dict[str, int]:
         """Return totals over the fleet, for the log."""
         healthy = [
