--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -42,6 +42,13 @@
 # A shorter lease would expire before its task has started.
 MIN_LEASE_MS: Final = 300
 LEASE_END_MARGIN_MS: Final = 300
+# Answers after which this try of a start has certainly done nothing.
+_REFUSALS: Final = (
+    task_executor.StartOutcome.NO_ROOM,
+    task_executor.StartOutcome.NO_TICKET,
+    task_executor.StartOutcome.UNHEALTHY,
+    task_executor.StartOutcome.INVALID,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -448,6 +455,13 @@
                 run.refusal_reason = outcome.value
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
+            if try_index and outcome in _REFUSALS:
+                # An earlier try may still be carried out.
+                run.refusal_reason = outcome.value
+                run.is_unhealthy = (
+                    outcome is task_executor.StartOutcome.UNHEALTHY
+                )
+                break
             self._apply_start_outcome(run, outcome, try_index)
             if run.terms.is_filler and run.state is runs.RunState.RUNNING:
                 # A task runs at full pace from its start, so a new filler is
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -273,6 +273,36 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    'outcome',
+    [
+        task_executor.StartOutcome.UNHEALTHY,
+        task_executor.StartOutcome.NO_ROOM,
+    ],
+)
+def test_refusal_after_an_unanswered_start_is_stopped_first(
+    outcome: task_executor.StartOutcome,
+) -> None:
+    """Guards against a start that is carried out after a later refusal.
+
+    Found by a hunt (further-grown trouble-1 --seed 18398724295, TWICE): the
+    first try was not answered, and the second one was refused, which proves
+    nothing about the first. The owner started the task elsewhere, where it
+    was done before the first try was carried out.
+    """
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 1
+        harness.executor.outcome = outcome
+        harness.start()
+        refused = await harness.wait_for(messages.StartRefused)
+        assert refused.reason == outcome.value
+        assert harness.executor.stops == [(TASK, 1)]
+
+    run_scenario(scenario)
+
+
 def test_start_above_the_capacity_is_refused() -> None:
     """Guards against an overloaded executor if the owner miscounts."""
 
