--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -144,6 +144,11 @@
         """Time since the store last answered this owner."""
         return clock.read_elapsed_ms() - self._store_answered_at_ms
 
+    @property
+    def head_revision(self) -> int:
+        """Revision of the head after the last commit that was answered."""
+        return self._journal.head_revision
+
     async def load(self) -> None:
         """Load the stored workflows.
 
@@ -369,7 +374,7 @@
             if message.state is not None:
                 self._core.update_target_state(target, message.state, moment)
             self._core.update_progress(target, message.rows, moment)
-            self._core.apply_latency_samples(target, message, moment)
+            self._core.apply_latency_samples(target, message)
         is_granted = self._is_ownership_confirmed(moment.elapsed_ms)
         if is_granted:
             self._core.extend_grant(target, moment)
@@ -455,7 +460,7 @@
             self._event_log.record_detail(
                 'fleet', **self._core.describe_fleet(clock.read_moment())
             )
-            pairs = self._core.filler_effects.list_effects()
+            pairs = self._core.scheduler.filler_effects.list_effects()
             if pairs == sent_pairs:
                 continue
             sent_pairs = pairs
