Count the quiet time of a leaving entry from its last answer

Its logs: the ninth request arrived 609 ms and was answered 762 ms after SIGTERM, the listeners closed at 1,000 ms, as 300 ms had passed since its arrival, and the tenth came later. Change: the quiet time begins with the last answer, and an open request keeps the listeners open.

--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -49,12 +49,12 @@
 
     :ivar is_leaving: whether each response closes its connection
     :ivar active_requests: number of requests whose response is incomplete
-    :ivar last_request_at_ms: elapsed time of the latest request
+    :ivar last_active_at_ms: elapsed time of the latest answer
     """
 
     is_leaving: bool
     active_requests: int
-    last_request_at_ms: int
+    last_active_at_ms: int
 
     def make_site(self) -> Any:
         """Return the site for callers."""
@@ -242,10 +242,14 @@
 
     def _is_still_needed(self) -> bool:
         """Tell whether callers would be refused if the listeners closed."""
-        if not self._election.is_owner_known:
+        if (
+            not self._election.is_owner_known
+            or self._caller_site.active_requests
+        ):
             return True
+        # A caller may send its next request once it has this answer.
         quiet_ms = (
-            clock.read_elapsed_ms() - self._caller_site.last_request_at_ms
+            clock.read_elapsed_ms() - self._caller_site.last_active_at_ms
         )
         return quiet_ms < QUIET_MS
 
--- a/borageshelf/platform/caller_site.py
+++ b/borageshelf/platform/caller_site.py
@@ -57,7 +57,7 @@
         self._event_log = event_log
         self.is_leaving = False
         self.active_requests = 0
-        self.last_request_at_ms = 0
+        self.last_active_at_ms = 0
 
     def make_site(self) -> Any:
         """Return the site for callers."""
@@ -78,14 +78,14 @@
     async def _serve(self, request: server.Request) -> None:
         self.active_requests += 1
         started_at_ms = clock.read_elapsed_ms()
-        self.last_request_at_ms = started_at_ms
         method = request.method.decode('latin-1')
         status = 0
         try:
             status = await self._answer(request, method, started_at_ms)
         finally:
             self.active_requests -= 1
-            took_ms = clock.read_elapsed_ms() - started_at_ms
+            self.last_active_at_ms = clock.read_elapsed_ms()
+            took_ms = self.last_active_at_ms - started_at_ms
             measurements.REQUESTS.labels(method, str(status)).inc()
             measurements.REQUEST_SECONDS.labels(method).observe(took_ms / 1000)
             self._event_log.record(
