Repeat a stop that the executor has refused

Callers saw a task run twice at the same time. A start without an answer may be carried out seconds later, so the agent stops the run before it reports that it does not exist. It took every refusal of that stop for its execution, except for a fenced one: an executor that answered 429, 503, 400 or 421 had done nothing, the next inspection did not list the run yet, and the owner started the task elsewhere before the late start was carried out.

A stop counts only once the executor accepts it. Until then it is repeated, unless the session ends or the executor is gone.

The new test failed before for each of three refusals: the run was reported as refused without any accepted stop.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -570,7 +570,7 @@
         return age_ms <= ANNOUNCEMENT_AGE_LIMIT_MS
 
     async def _stop(self, run: runs.AgentRun, token: int) -> None:
-        """Order a stop, repeatedly until it is answered."""
+        """Order a stop, repeatedly until the executor accepts it."""
         while self._token == token and run.key in self._runs:
             try:
                 await self._executor.stop(
@@ -593,6 +593,9 @@
                 if error.outcome is task_executor.StartOutcome.FENCED:
                     self._renew_session()
                     return
+                # The executor has done nothing, so a late start may follow.
+                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+                continue
             run.confirmed_at_ms = clock.read_elapsed_ms()
             return
 
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -37,6 +37,8 @@
         self.ended: list[task_executor.EndedRun] = []
         self.starts: list[task_executor.StartOrder] = []
         self.stops: list[tuple[str, int]] = []
+        self.refused_stops = 0
+        self.stop_refusal = task_executor.StartOutcome.UNHEALTHY
         self.paces: dict[str, int] = {}
         self.leases_ms: list[int] = []
         self.acknowledged = 0
@@ -79,6 +81,9 @@
         self, instance_id: str, task: str, attempt: int, token: int
     ) -> None:
         await asyncio.sleep(0)
+        if self.refused_stops:
+            self.refused_stops -= 1
+            raise task_executor.OrderRefused(self.stop_refusal)
         self.stops.append((task, attempt))
         if (task, attempt) in self.running:
             self.end(task, attempt, task_executor.EndKind.STOPPED)
@@ -308,6 +313,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        task_executor.StartOutcome.UNHEALTHY,
+        task_executor.StartOutcome.OTHER_INSTANCE,
+        task_executor.StartOutcome.INVALID,
+    ],
+)
+def test_refused_stop_does_not_prove_that_a_late_start_is_void(
+    refusal: task_executor.StartOutcome,
+) -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 100
+        harness.executor.refused_stops = 3
+        harness.executor.stop_refusal = refusal
+        harness.start()
+        await harness.wait_for(messages.StartRefused)
+        assert harness.executor.refused_stops == 0
+        assert harness.executor.stops == [(TASK, 1)]
+
+    run_scenario(scenario)
+
+
 def test_start_above_the_capacity_is_refused() -> None:
     """Guards against an overloaded executor if the owner miscounts."""
 
