--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -351,6 +351,14 @@
         self, session: AgentSession, message: messages.AnyMessage
     ) -> None:
         session.last_received_at_ms = clock.read_elapsed_ms()
+        if self._sessions.get(session.target.target_id) is not session:
+            # What waited on a former stream of the agent is outdated.
+            self._event_log.record_detail(
+                'message of an ended session',
+                target=session.target.target_id,
+                kind=type(message).__name__,
+            )
+            return
         if getattr(message, 'token', session.token) == session.token:
             self._handle(message, session, clock.read_moment())
 
--- /dev/null
+++ b/tests/test_agent_sessions.py
@@ -0,0 +1,133 @@
+"""Sessions of agents at the owner, over streams that overlap."""
+
+import asyncio
+from collections import abc
+import os
+from typing import Any
+
+import pytest
+
+from borageshelf.entry.workflows import runtime
+from borageshelf import events
+from borageshelf.model import resources
+from borageshelf.ports import store as store_interface
+from borageshelf.ports import task_executor
+from borageshelf.workflows import channel
+from borageshelf.workflows import journal
+from borageshelf.workflows import messages
+from borageshelf.workflows import policy
+from borageshelf.workflows import records
+from standins import memory_store
+
+GRANT_MS = 5_000
+HELLO = messages.AgentHello('vm-1', 'boot', 'tajo-norte', 'i-1/1')
+STATE = messages.TargetState(
+    'i-1/1',
+    'pigment',
+    resources.Resources(4_000, 8_000),
+    ('a', 'r1'),
+    False,
+    0,
+)
+
+
+class Stream:
+    """The owner's side of a stream from an agent."""
+
+    def __init__(self) -> None:
+        self.outbox = channel.Outbox()
+        self._incoming: asyncio.Queue[messages.AnyMessage] = asyncio.Queue()
+
+    def send(self, message: messages.AnyMessage) -> None:
+        """Send a message to the owner."""
+        self._incoming.put_nowait(message)
+
+    def list_received(self, kind: type[Any]) -> list[Any]:
+        """Return the messages of a kind that the owner has sent."""
+        return [item for item in self.outbox._queued if isinstance(item, kind)]
+
+    async def receive(self) -> abc.AsyncIterator[messages.AnyMessage]:
+        """Yield the messages that reach the owner after the hello."""
+        while True:
+            yield await self._incoming.get()
+
+
+def make_event_log() -> events.EventLog:
+    """Return a log whose lines are discarded."""
+    return events.EventLog('entry', 'test', os.open(os.devnull, os.O_WRONLY))
+
+
+async def make_runtime() -> runtime.OwnerRuntime:
+    """Return the runtime of a new owner over an empty store."""
+    store = memory_store.MemoryStore()
+    lease = await store.grant_lease(60_000)
+    writer = journal.Journal(
+        store,
+        records.OwnerRecord(1, 'entry-1', 'boot', '127.0.0.1:1'),
+        store_interface.MUST_NOT_EXIST,
+        lambda error: None,
+    )
+    assert await writer.acquire(store_interface.MUST_NOT_EXIST, lease.lease_id)
+    return runtime.OwnerRuntime(
+        store,
+        writer,
+        lease.lease_id,
+        policy.OwnerPolicy(GRANT_MS, 60_000),
+        make_event_log(),
+        lambda: (),
+    )
+
+
+async def let_tasks_run() -> None:
+    """Let all tasks run that can go on."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(
+    'make_message',
+    [
+        lambda token: messages.Snapshot(token, STATE, (), ()),
+        lambda token: messages.Report(token, 1, (), STATE),
+        lambda token: messages.Ends(
+            token,
+            (
+                messages.Ended(
+                    40,
+                    '0123456789abcdef.0.0.0',
+                    1,
+                    task_executor.EndKind.DONE,
+                    '',
+                ),
+            ),
+        ),
+    ],
+    ids=['snapshot', 'report', 'ends'],
+)
+def test_message_of_a_replaced_session_changes_nothing(
+    make_message: abc.Callable[[int], messages.AnyMessage],
+) -> None:
+    async def check() -> None:
+        owner_runtime = await make_runtime()
+        former, current = Stream(), Stream()
+        tasks = [
+            asyncio.ensure_future(
+                owner_runtime.serve_agent(
+                    HELLO, stream.receive(), stream.outbox
+                )
+            )
+            for stream in (former, current)
+        ]
+        await let_tasks_run()
+        (welcome,) = former.list_received(messages.Welcome)
+        former.send(make_message(welcome.token))
+        await let_tasks_run()
+        target = owner_runtime._core.targets['vm-1']
+        assert not target.is_ready
+        assert former.list_received(messages.Answer) == []
+        assert current.list_received(messages.Acknowledged) == []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(check())
