Count the first grants of an owner from before its acquisition

A new owner took the time at which its acquisition was answered for the time at which it was known to be the owner. If the answer came seconds late and another entry had taken over meanwhile, the former one extended grants for longer than its successor waits before it gives a silent target up.

The time counts from before the acquisition is sent.

The new test failed before: a report after an acquisition that was answered 3 s late got a grant.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -619,6 +619,7 @@
         owner_journal = journal.Journal(
             self._store, own_record, head_revision, self._record_store_error
         )
+        confirmed_at_ms = clock.read_elapsed_ms()
         if not await owner_journal.acquire(seen_revision, lease.lease_id):
             self._event_log.record_state('another entry took over')
             return None
@@ -636,6 +637,7 @@
             self.owner_policy,
             self._event_log,
             self.list_entries,
+            confirmed_at_ms,
         )
         while True:
             try:
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -84,6 +84,8 @@
 
     :param lease_id: lease of the owner's key
     :param list_entries: returns the addresses of this entry and its peers
+    :param confirmed_at_ms: elapsed time at which the acquisition of the
+        ownership was sent to the store; its answer may have come later
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         owner_policy: policy.OwnerPolicy,
         event_log: events.EventLog,
         list_entries: abc.Callable[[], tuple[messages.EntryAddress, ...]],
+        confirmed_at_ms: int,
     ) -> None:
         self._store = store
         self._journal = owner_journal
@@ -101,7 +104,7 @@
         self._grant_ms = owner_policy.grant_ms
         self._event_log = event_log
         self._list_entries = list_entries
-        self._ownership_confirmed_at_ms = clock.read_elapsed_ms()
+        self._ownership_confirmed_at_ms = confirmed_at_ms
         self._store_answered_at_ms = clock.read_elapsed_ms()
         # The former owner may extend grants until its last confirmation is
         # too old, and the last grants remain valid for their full duration.
--- a/tests/test_agent_sessions.py
+++ b/tests/test_agent_sessions.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from borageshelf import clock
+from borageshelf.entry.workflows import election
 from borageshelf.entry.workflows import runtime
 from borageshelf import events
 from borageshelf.model import resources
@@ -67,6 +69,7 @@
         store_interface.MUST_NOT_EXIST,
         lambda error: None,
     )
+    confirmed_at_ms = clock.read_elapsed_ms()
     assert await writer.acquire(store_interface.MUST_NOT_EXIST, lease.lease_id)
     return runtime.OwnerRuntime(
         store,
@@ -75,6 +78,7 @@
         policy.OwnerPolicy(GRANT_MS, 60_000),
         make_event_log(),
         lambda: (),
+        confirmed_at_ms,
     )
 
 
@@ -131,3 +135,57 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     asyncio.run(check())
+
+
+class SlowStore(memory_store.MemoryStore):
+    """A store whose commits are answered three seconds late."""
+
+    def __init__(self, delay: abc.Callable[[int], None]) -> None:
+        super().__init__()
+        self._delay = delay
+
+    async def commit(self, transaction: store_interface.Transaction) -> int:
+        revision = await super().commit(transaction)
+        self._delay(3_000)
+        return revision
+
+
+def test_late_answer_to_a_takeover_does_not_prolong_grants(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    delayed_ms = 0
+    read_elapsed_ms = clock.read_elapsed_ms
+
+    def delay(duration_ms: int) -> None:
+        nonlocal delayed_ms
+        delayed_ms += duration_ms
+
+    monkeypatch.setattr(
+        clock, 'read_elapsed_ms', lambda: read_elapsed_ms() + delayed_ms
+    )
+
+    async def check() -> None:
+        candidate = election.Election(
+            election.Identity('entry-1', 'boot', '127.0.0.1:1'),
+            SlowStore(delay),
+            policy.OwnerPolicy(GRANT_MS, 60_000),
+            make_event_log(),
+            lambda: (0, b''),
+            lambda document: None,
+        )
+        owner_runtime = await candidate._acquire_ownership(0)
+        assert owner_runtime is not None
+        stream = Stream()
+        serving = asyncio.ensure_future(
+            owner_runtime.serve_agent(HELLO, stream.receive(), stream.outbox)
+        )
+        await let_tasks_run()
+        (welcome,) = stream.list_received(messages.Welcome)
+        stream.send(messages.Report(welcome.token, 1))
+        await let_tasks_run()
+        (answer,) = stream.list_received(messages.Answer)
+        assert not answer.is_granted
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    asyncio.run(check())
