Log each order to an executor and its answer, and lose no lines

Writes are now 4 KB at most, and orders are written in the round of the event loop in which they are sent.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -98,6 +98,7 @@
         self._clock_reading: _ClockReading | None = None
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
+        self._recorded_end_number = 0
         self._ends_acknowledged = asyncio.Event()
         self._runs: dict[tuple[str, int], runs.AgentRun] = {}
         # Incarnation that this process has inspected, and the runs that were
@@ -255,6 +256,7 @@
             )
             if self._gone_cause is not None or self._unanswered_since_ms:
                 wait_ms = 0
+            self._record_acknowledgement()
             try:
                 inspection = await self._executor.inspect(
                     self._get_instance_id(),
@@ -313,10 +315,22 @@
             run.may_have_arrived = True
             run.confirmed_at_ms = clock.read_elapsed_ms()
             self._runs[key] = run
+        for end in inspection.ended:
+            self._record_end(end)
         self._seen_end_number = max(
             (end.number for end in inspection.ended),
             default=self._acknowledged_end_number,
         )
+        self._event_log.record_state(
+            'snapshot taken',
+            incarnation=self.incarnation,
+            token=self._token,
+            running=len(inspection.running),
+            ended=len(inspection.ended),
+            unknown=len(inspection.running)
+            - len(former_runs.keys() & self._runs.keys()),
+            last_end=self._seen_end_number,
+        )
         self._inspected_incarnation = self.incarnation
         self._lost_runs = ()
         state = self._make_state()
@@ -332,6 +346,27 @@
         )
         self.send_report()
 
+    def _record_acknowledgement(self) -> None:
+        """Log which ends the executor may forget, once for each number."""
+        if self._acknowledged_end_number > self._recorded_end_number:
+            self._recorded_end_number = self._acknowledged_end_number
+            self._event_log.record(
+                'ends acknowledged',
+                number=self._acknowledged_end_number,
+                incarnation=self.incarnation,
+                token=self._token,
+            )
+
+    def _record_end(self, end: task_executor.EndedRun) -> None:
+        self._event_log.record(
+            'end seen',
+            task=end.task,
+            attempt=end.attempt,
+            how=end.kind.value,
+            number=end.number,
+            incarnation=self.incarnation,
+        )
+
     def _renew_session(self) -> None:
         """Request a session with a new token and a new snapshot."""
         self.end_session()
@@ -342,6 +377,13 @@
     def order_start(self, order: messages.Start) -> None:
         """Start a run, or refuse to."""
         if order.token != self._token or not self._is_ready:
+            self._event_log.record(
+                'start of a former session',
+                task=order.terms.task,
+                attempt=order.terms.attempt,
+                token=order.token,
+                session_token=self._token,
+            )
             return
         if order.spec is not None:
             self._specs[order.workflow_id] = order.spec
@@ -423,6 +465,8 @@
             task=terms.task,
             attempt=terms.attempt,
             reason=reason,
+            incarnation=self.incarnation,
+            token=self._token,
         )
         self._send(
             messages.StartRefused(
@@ -457,6 +501,7 @@
                 run.is_unhealthy = False
                 break
             had_arrived, run.may_have_arrived = run.may_have_arrived, True
+            self._record_order('start sent', run, token, try_index + 1)
             try:
                 outcome = await self._executor.start(
                     self._get_instance_id(),
@@ -484,6 +529,13 @@
                 run.is_unhealthy = True
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
+            self._event_log.record(
+                'start answered',
+                task=order.terms.task,
+                attempt=order.terms.attempt,
+                tries=try_index + 1,
+                outcome=outcome.value,
+            )
             if outcome is task_executor.StartOutcome.TOO_LATE:
                 self._clock_reading = None
                 run.refusal_reason = outcome.value
@@ -571,7 +623,10 @@
 
     async def _stop(self, run: runs.AgentRun, token: int) -> None:
         """Order a stop, repeatedly until it is answered."""
+        tries = 0
         while self._token == token and run.key in self._runs:
+            tries += 1
+            self._record_order('stop sent', run, token, tries)
             try:
                 await self._executor.stop(
                     self._get_instance_id(),
@@ -579,8 +634,15 @@
                     run.terms.attempt,
                     token,
                 )
-            except task_executor.ExecutorUnavailable:
+            except task_executor.ExecutorUnavailable as error:
                 measurements.EXECUTOR_FAILURES.inc()
+                self._event_log.record(
+                    'stop not answered',
+                    task=run.terms.task,
+                    attempt=run.terms.attempt,
+                    tries=tries,
+                    detail=str(error),
+                )
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
             except task_executor.OrderRefused as error:
@@ -593,9 +655,29 @@
                 if error.outcome is task_executor.StartOutcome.FENCED:
                     self._renew_session()
                     return
+            else:
+                self._event_log.record(
+                    'stop answered',
+                    task=run.terms.task,
+                    attempt=run.terms.attempt,
+                    tries=tries,
+                )
             run.confirmed_at_ms = clock.read_elapsed_ms()
             return
 
+    def _record_order(
+        self, event: str, run: runs.AgentRun, token: int, tries: int
+    ) -> None:
+        """Log an order that is sent to the executor."""
+        self._event_log.record_order(
+            event,
+            task=run.terms.task,
+            attempt=run.terms.attempt,
+            token=token,
+            tries=tries,
+            incarnation=self.incarnation,
+        )
+
     # Results of inspections.
 
     def _apply_inspection(
@@ -610,13 +692,7 @@
             self._seen_end_number = max(self._seen_end_number, end.number)
             self._runs.pop((end.task, end.attempt), None)
             measurements.RUNS_ENDED.labels(end.kind.value).inc()
-            self._event_log.record(
-                'end seen',
-                task=end.task,
-                attempt=end.attempt,
-                how=end.kind.value,
-                number=end.number,
-            )
+            self._record_end(end)
         if new_ends:
             self._send(
                 messages.Ends(
@@ -630,6 +706,13 @@
             run = self._runs.get(key)
             if run is None:
                 # A late start, carried out after it was reported as refused.
+                self._event_log.record(
+                    'unknown run listed',
+                    task=row.task,
+                    attempt=row.attempt,
+                    token=self._token,
+                    incarnation=self.incarnation,
+                )
                 self.order_stop(
                     messages.Stop(self._token, row.task, row.attempt)
                 )
@@ -737,6 +820,7 @@
         self._runs.clear()
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
+        self._recorded_end_number = 0
         self._clock_reading = None
         if self._token:
             self._send_executor_gone(announcement, cause)
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -176,6 +176,12 @@
             active=len(loaded.specs),
             ended=len(loaded.states) - len(loaded.specs),
         )
+        for target in self._core.targets.values():
+            self._event_log.record_detail(
+                'runs restored',
+                target=target.target_id,
+                runs=[f'{task}/{attempt}' for task, attempt in target.runs],
+            )
 
     async def run(self) -> None:
         """Run until the ownership ends, then close all sessions."""
@@ -351,7 +357,15 @@
         self, session: AgentSession, message: messages.AnyMessage
     ) -> None:
         session.last_received_at_ms = clock.read_elapsed_ms()
-        if getattr(message, 'token', session.token) == session.token:
+        token = getattr(message, 'token', session.token)
+        if self._sessions.get(session.target.target_id) is not session:
+            self._event_log.record(
+                'message of a replaced session',
+                target=session.target.target_id,
+                kind=type(message).__name__,
+                token=token,
+            )
+        if token == session.token:
             self._handle(message, session, clock.read_moment())
 
     @functools.singledispatchmethod
@@ -406,6 +420,8 @@
         self._event_log.record_state(
             'snapshot applied',
             target=target.target_id,
+            incarnation=target.incarnation,
+            token=session.token,
             running=len(message.running),
             ended=len(message.ended),
             kept=len(known),
@@ -586,7 +602,7 @@
             waited_ms = run.started_at_ms - job.accepted_at_ms
             measurements.FIRST_START_SECONDS.observe(waited_ms / 1000)
         measurements.RUNS_STARTED.inc()
-        self._event_log.record(
+        self._event_log.record_order(
             'run ordered',
             workflow=job.workflow_id,
             task=effect.task,
@@ -614,11 +630,12 @@
         if session is None:
             # The next snapshot will list the run, which is stopped then.
             return
-        self._event_log.record(
+        self._event_log.record_order(
             'stop ordered',
             task=effect.task,
             attempt=effect.attempt,
             target=effect.target_id,
+            token=session.token,
         )
         session.outbox.send(
             messages.Stop(session.token, effect.task, effect.attempt)
--- a/borageshelf/events.py
+++ b/borageshelf/events.py
@@ -23,7 +23,9 @@
 # About 4 MB of lines, 1 percent of an entry's memory.
 QUEUE_LIMIT_LINES: Final = 8_000
 FLUSH_INTERVAL_MS: Final = 100
-WRITE_LIMIT_BYTES: Final = 65_536
+# A pipe takes a write of this size whole or not at all, so no line is torn
+# when the reader is slow, and collectors that cut long writes lose nothing.
+WRITE_LIMIT_BYTES: Final = 4_096
 # Share of the queue in use from which lines of a level are dropped.
 _QUEUE_SHARE_LIMITS: Final = {1: 0.5, 2: 0.9, 3: 1.0}
 
@@ -56,6 +58,7 @@
         self._unwritten = b''
         self.dropped_lines = 0
         self._unreported_lines = 0
+        self._is_flush_due = False
         self._logger = structlog.wrap_logger(
             self,
             processors=[structlog.processors.JSONRenderer(_serialize)],
@@ -92,6 +95,18 @@
         """Queue a line that is dropped first under load."""
         self.record(event, Level.DETAIL, **fields)
 
+    def record_order(self, event: str, **fields: Any) -> None:
+        """Queue a line about an order that is sent now.
+
+        The line is written in the next round of the event loop instead of the
+        next interval, together with those of other orders. So hardly any order
+        of a process that is killed is missing in its log.
+        """
+        self.record(event, **fields)
+        if not self._is_flush_due:
+            self._is_flush_due = True
+            asyncio.get_running_loop().call_soon(self.flush)
+
     def record_failure(self, error: Exception) -> None:
         """Queue a line about an unexpected exception."""
         self.record_state('unexpected error', error=repr(error))
@@ -112,6 +127,7 @@
 
     def flush(self) -> None:
         """Write as many queued lines as the descriptor accepts now."""
+        self._is_flush_due = False
         while self._unwritten or self._lines:
             if not self._unwritten:
                 self._unwritten = self._take_batch()
@@ -133,9 +149,11 @@
     def _take_batch(self) -> bytes:
         parts: list[bytes] = []
         size_bytes = 0
-        while self._lines and size_bytes < WRITE_LIMIT_BYTES:
+        while self._lines:
+            size_bytes += len(self._lines[0])
+            if parts and size_bytes > WRITE_LIMIT_BYTES:
+                break
             parts.append(self._lines.popleft())
-            size_bytes += len(parts[-1])
         return b''.join(parts)
 
 
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -430,6 +430,13 @@
         self._fleet.touch(target)
         run = target.runs.get(key)
         if run is None:
+            self._record(
+                'end of an unknown run',
+                task=end.task,
+                attempt=end.attempt,
+                target=target.target_id,
+                how=end.kind.value,
+            )
             # An earlier session may have reported the same end, and the
             # changes that it caused may not be committed yet.
             known = self.jobs.get(end.task.split('.')[0])
@@ -498,6 +505,12 @@
             return
         run = target.runs.get((effect.task, effect.attempt))
         if run is not None and not run.is_sent:
+            self._record(
+                'start not sent',
+                task=effect.task,
+                attempt=effect.attempt,
+                target=effect.target_id,
+            )
             self._drop_run(run)
             self._mark_dirty(run.task.group.job)
 
@@ -1022,14 +1035,24 @@
             attempt=run.attempt,
             target=run.target_id,
             cause=cause,
+            proof=self._describe_proof(run),
             ran_ms=moment.elapsed_ms - run.started_at_ms,
             is_confirmed=run.is_confirmed,
+            is_restored=run.is_restored,
         )
         measurements.RUNS_LOST.labels(cause).inc()
         self._drop_run(run)
         self._mark_dirty(job)
         self._break_gang(run.task)
 
+    def _describe_proof(self, run: jobs.Run) -> str:
+        """Say what is known of the executor on which a lost run was."""
+        target = self.targets[run.target_id]
+        executor_hash = target.compute_executor_hash()
+        if run.executor_hash in (0, executor_hash):
+            return f'same incarnation {target.incarnation}'
+        return f'replaced by {target.incarnation}'
+
     def _break_gang(self, task: jobs.Task) -> None:
         """Stop the other members of a gang after the end of one of them."""
         group = task.group
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import json
 from typing import Any
 
 import pytest
@@ -154,9 +155,10 @@
         self.executor = FakeExecutor()
         self.sent: list[messages.AnyMessage] = []
         self.requested_sessions = 0
+        self.event_log = events.EventLog('agent', 'test', descriptor=1)
         self.driver = driver.ExecutorDriver(
             self.executor,
-            events.EventLog('agent', 'test', descriptor=1),
+            self.event_log,
             self.sent.append,
             self._request_session,
             LEASE_LIMIT_MS,
@@ -278,6 +280,42 @@
     run_scenario(scenario)
 
 
+def test_log_shows_each_order_to_the_executor_and_its_answer(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a history of a run that leaves open what was ordered.
+
+    Without these lines no log tells whether a run was started twice by a late
+    order, after a refused stop, or by another incarnation of the executor.
+    """
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 1
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 2)
+        harness.driver.order_stop(messages.Stop(TOKEN, TASK, 1))
+        await harness.wait_for(messages.Ends)
+        harness.event_log.flush()
+
+    run_scenario(scenario)
+    found = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
+    orders = [line for line in found if line.get('task') == TASK]
+    assert [line['event'] for line in orders][:6] == [
+        'start sent',
+        'start not answered',
+        'start sent',
+        'start answered',
+        'stop sent',
+        'stop answered',
+    ]
+    sent = [line for line in orders if line['event'].endswith('sent')]
+    assert {line['token'] for line in sent} == {TOKEN}
+    assert {line['incarnation'] for line in sent} == {ANNOUNCEMENT.incarnation}
+    assert [line['tries'] for line in sent] == [1, 2, 1]
+    assert orders[3]['outcome'] == 'started'
+
+
 @pytest.mark.parametrize(
     'outcome',
     [
