--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from borageshelf.decisions import crash_blame
 from borageshelf.model import workflows
 from tests import workflow_support as support
 
@@ -74,6 +75,14 @@
         self._reports_due.append((now_ms + CRASH_REPORT_MS, fake))
         self._restarts_due.append((now_ms + RESTART_MS, fake))
 
+    def report_crashes(self, due_ms: int) -> None:
+        """Let the agents report the crashes that are due by a time."""
+        for report_due_ms, fake in list(self._reports_due):
+            if due_ms >= report_due_ms:
+                self._reports_due.remove((report_due_ms, fake))
+                if self.are_crashes_reported:
+                    self.cluster.crash(fake)
+
     def take_over(self) -> None:
         """Replace the owner; the executors that are up attach to it."""
         self.cluster.take_over()
@@ -92,11 +101,7 @@
                 fake.running.clear()
                 continue
             self._advance_runs(fake)
-        for due_ms, fake in list(self._reports_due):
-            if cluster.now_ms >= due_ms:
-                self._reports_due.remove((due_ms, fake))
-                if self.are_crashes_reported:
-                    cluster.crash(fake)
+        self.report_crashes(cluster.now_ms)
         for due_ms, fake in list(self._restarts_due):
             if cluster.now_ms >= due_ms:
                 self._restarts_due.remove((due_ms, fake))
@@ -192,6 +197,85 @@
     assert day.starts[deadly_task] <= STARTS_LIMIT
 
 
+@pytest.mark.parametrize('crash_number', [1, 2, 3])
+@pytest.mark.parametrize('delay_ticks', range(5))
+def test_crashes_stay_counted_if_the_owner_is_replaced_at_one(
+    delay_ticks: int, crash_number: int
+) -> None:
+    """Guards against evidence that is lost with the owner.
+
+    The owner goes before an agent has reported the crash, or after it has
+    committed the crash and ordered the next start.
+    """
+    day, deadly_task, sound_ids = make_day_with_one_deadly_task()
+    crashed_at_ticks: list[int] = []
+
+    def disturb(tick: int) -> None:
+        if day.culprits[deadly_task] > len(crashed_at_ticks):
+            crashed_at_ticks.append(tick)
+        if len(crashed_at_ticks) < crash_number:
+            return
+        if tick == crashed_at_ticks[crash_number - 1] + delay_ticks:
+            day.take_over()
+
+    day.disturb = disturb
+    day.play(40_000)
+    core = day.cluster.core
+    assert core.epoch == 2
+    assert day.starts[deadly_task] <= STARTS_LIMIT
+    assert core.find_state(deadly_task.split('.')[0]) == 'failed'
+    assert {core.find_state(each) for each in sound_ids} == {'completed'}
+
+
+@pytest.mark.parametrize('crash_number', [1, 2, 3])
+def test_crash_is_counted_if_its_owner_goes_before_the_commit(
+    crash_number: int,
+) -> None:
+    """Guards against a crash that was reported to a former owner only."""
+    day, deadly_task, sound_ids = make_day_with_one_deadly_task()
+
+    def disturb(tick: int) -> None:
+        is_replaced = day.cluster.core.epoch > 1
+        if is_replaced or day.culprits[deadly_task] < crash_number:
+            return
+        core = day.cluster.core
+        day.report_crashes(day.cluster.now_ms + CRASH_REPORT_MS)
+        core.schedule(day.cluster.moment)
+        core.take_batch()
+        day.take_over()
+
+    day.disturb = disturb
+    day.play(40_000)
+    counted = [
+        fields
+        for event, fields in day.cluster.log_lines
+        if event == 'crash counted' and fields['task'] == deadly_task
+    ]
+    # Both owners count the crash that the first one did not commit.
+    assert len(counted) == day.culprits[deadly_task] + 1
+    core = day.cluster.core
+    assert core.epoch == 2
+    assert day.starts[deadly_task] <= STARTS_LIMIT
+    assert core.find_state(deadly_task.split('.')[0]) == 'failed'
+    assert {core.find_state(each) for each in sound_ids} == {'completed'}
+
+
+def test_evidence_is_the_same_for_the_next_owner() -> None:
+    """Guards against a record that leaves out a part of the evidence."""
+    day, deadly_task, _ = make_day_with_one_deadly_task()
+    workflow_id = deadly_task.split('.')[0]
+
+    def list_histories() -> list[crash_blame.History]:
+        tasks = day.cluster.core.jobs[workflow_id].groups[0].tasks
+        return [task.crash_history for task in tasks]
+
+    while list_histories()[0].crashes < 2:
+        day.play(TICK_MS)
+    histories = list_histories()
+    day.take_over()
+    assert list_histories() == histories
+
+
 def test_crashes_stay_counted_while_the_store_refuses_commits() -> None:
     day, deadly_task, _ = make_day_with_one_deadly_task()
     core = day.cluster.core
