Test that a burst beside a shrunk capacity starts nothing above it

The owner's core keeps counting runs that are being stopped through a new session and a new owner; the agent's driver counts them until an inspection lists their ends. Both pass on the code as it is.

--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -86,6 +86,44 @@
     assert len(fake.running) == 4
 
 
+def test_burst_beside_a_capacity_below_the_runs_starts_nothing() -> None:
+    """Guards against starts in place of runs that are still being stopped.
+
+    A new session of the agent and a new owner count them too.
+    """
+    cluster = make_cluster(1)
+    fake = cluster.targets['vm-0']
+    fake.capacity = resources.Resources(4_000, 256_000)
+    cluster.attach(fake)
+    cluster.submit(support.make_workflow(support.make_step(4)))
+    cluster.run_until_idle()
+    assert len(fake.running) == 4
+    fake.capacity = resources.Resources(2_000, 256_000)
+    cluster.core.update_target_state(
+        cluster.core.targets['vm-0'], fake.make_state(), cluster.moment
+    )
+    cluster.cancel(ID)
+    for number in range(6):
+        cluster.submit(
+            support.make_workflow(workflow_id=f'{number:016x}'),
+            token=10 + number,
+        )
+    cluster.run_until_idle()
+    stopping = list(fake.running)
+    for is_new_owner in (False, True, False):
+        if is_new_owner:
+            cluster.take_over()
+        cluster.attach(fake)
+        cluster.run_until_idle()
+        assert fake.stop_orders >= set(fake.running)
+        assert set(fake.running) <= set(stopping)
+        cluster.end_run(next(iter(fake.running)), STOPPED)
+        cluster.run_until_idle()
+    started = set(fake.running) - set(stopping)
+    assert len(started) == 1
+    assert len(fake.running) == 2
+
+
 def test_repeated_submission_runs_once() -> None:
     """Guards against a second execution after a lost answer.
 
