Start nothing beside a late run of unknown size

A start that the agent has reported as refused may still be carried out, for example by an executor that has restarted under its id.

test_nothing_starts_beside_a_run_of_unknown_size failed before (the start went out). Also test the agent in a burst beside a capacity below the runs.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -304,9 +304,8 @@
             key = (row.task, row.attempt)
             run = former_runs.get(key)
             if run is None:
-                run = runs.AgentRun(
-                    _make_unknown_terms(row.task, row.attempt),
-                    runs.RunState.RUNNING,
+                run = _make_unknown_run(
+                    row.task, row.attempt, runs.RunState.RUNNING
                 )
             run.state = runs.RunState.RUNNING
             run.row = row
@@ -363,8 +362,9 @@
         key = (order.task, order.attempt)
         run = self._runs.get(key)
         if run is None:
-            terms = _make_unknown_terms(order.task, order.attempt)
-            run = runs.AgentRun(terms, runs.RunState.STOPPING)
+            run = _make_unknown_run(
+                order.task, order.attempt, runs.RunState.STOPPING
+            )
             self._runs[key] = run
         run.state = runs.RunState.STOPPING
         self._session_tasks.start(self._stop(run, order.token))
@@ -384,6 +384,7 @@
             run = self._runs.get((terms.task, terms.attempt))
             if run is not None:
                 run.terms = terms
+                run.is_known = True
 
     def forget_workflow(self, workflow_id: str) -> None:
         """Drop the specification of an ended workflow."""
@@ -405,9 +406,14 @@
     def _has_room(
         self, added: resources.Resources, announcement: targets.Announcement
     ) -> bool:
-        """Tell whether all known runs and an added size fit."""
+        """Tell whether all runs and an added size fit.
+
+        Nothing fits beside a listed run of unknown size.
+        """
         reserved = added
         for run in self._runs.values():
+            if run.row is not None and not run.is_known:
+                return False
             reserved = reserved.plus(run.terms.reserved)
         return reserved.fits_in(announcement.capacity)
 
@@ -633,7 +639,7 @@
                 self.order_stop(
                     messages.Stop(self._token, row.task, row.attempt)
                 )
-                continue
+                run = self._runs[key]
             run.row = row
         self._pacer.record_filler_usage(self._get_capacity())
         for key, run in list(self._runs.items()):
@@ -824,8 +830,11 @@
         )
 
 
-def _make_unknown_terms(task: str, attempt: int) -> messages.RunTerms:
-    return messages.RunTerms(task, attempt, resources.NOTHING)
+def _make_unknown_run(
+    task: str, attempt: int, state: runs.RunState
+) -> runs.AgentRun:
+    terms = messages.RunTerms(task, attempt, resources.NOTHING)
+    return runs.AgentRun(terms, state, is_known=False)
 
 
 def _make_row(
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -22,15 +22,22 @@
         to start or stop the run, or listed it in a snapshot; 0 before. An
         inspection that begins later and does not list the run proves that it
         does not exist.
+    :ivar is_known: whether the owner has told the terms of the run
     :ivar may_have_arrived: whether the executor may have received its start
     :ivar row: the run in the last inspection that listed it
     :ivar refusal_reason: reported to the owner if the run does not exist
     :ivar is_unhealthy: whether that report calls the executor unhealthy
     """
 
-    def __init__(self, terms: messages.RunTerms, state: RunState) -> None:
+    def __init__(
+        self,
+        terms: messages.RunTerms,
+        state: RunState,
+        is_known: bool = True,
+    ) -> None:
         self.terms = terms
         self.state = state
+        self.is_known = is_known
         self.confirmed_at_ms = 0
         self.may_have_arrived = False
         self.pace_percent = pacing.FULL_PACE_PERCENT
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -43,6 +43,8 @@
         self.lost_starts = 0
         self.applies_lost_starts = False
         self.lost_inspections = 0
+        # Whether stopped runs go on until the test ends them.
+        self.are_stops_slow = False
         self.is_down = False
         self.outcome = STARTED
         self.measured: dict[str, int] = {}
@@ -80,7 +82,7 @@
     ) -> None:
         await asyncio.sleep(0)
         self.stops.append((task, attempt))
-        if (task, attempt) in self.running:
+        if (task, attempt) in self.running and not self.are_stops_slow:
             self.end(task, attempt, task_executor.EndKind.STOPPED)
 
     def end(
@@ -409,6 +411,68 @@
     run_scenario(scenario)
 
 
+def test_burst_beside_a_capacity_below_the_runs_starts_nothing() -> None:
+    """Guards against starts in place of runs that are still being stopped."""
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.are_stops_slow = True
+        tasks = [f'{ID}.0.0.{number}' for number in range(4)]
+        for task in tasks:
+            harness.start(task=task)
+        await harness.wait_until(lambda: len(executor.running) == 4)
+        announce_capacity(harness, 2, resources.Resources(2_000, 8_000))
+        for task in tasks[1:]:
+            harness.driver.order_stop(messages.Stop(TOKEN, task, 1))
+        await harness.wait_until(lambda: len(executor.stops) == 3)
+
+        async def order_burst(step: int) -> None:
+            refused_count = len(harness.list_sent(messages.StartRefused))
+            for number in range(8):
+                harness.start(task=f'{ID}.0.{step}.{number}')
+            await harness.wait_for(messages.StartRefused, refused_count + 7)
+
+        # The stops are answered and their ends are not listed yet.
+        await order_burst(1)
+        assert len(executor.starts) == 4
+        for count, task in enumerate(tasks[1:3], 1):
+            executor.end(task, 1, task_executor.EndKind.STOPPED)
+            await harness.wait_for(messages.Ends, count)
+            await order_burst(1 + count)
+            assert len(executor.starts) == 4
+        executor.end(tasks[3], 1, task_executor.EndKind.STOPPED)
+        await harness.wait_for(messages.Ends, 3)
+        await order_burst(4)
+        await harness.wait_until(lambda: len(executor.starts) == 5)
+        assert len(executor.running) == 2
+
+    run_scenario(scenario)
+
+
+def test_nothing_starts_beside_a_run_of_unknown_size() -> None:
+    """Guards against starts above the capacity after a late start.
+
+    The owner counts a run that was reported as refused no more, so the agent
+    does not know the size of one that the executor starts late.
+    """
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.are_stops_slow = True
+        harness.executor.running[(TASK, 3)] = 0
+        await harness.wait_until(lambda: (TASK, 3) in harness.executor.stops)
+        harness.start(task=f'{ID}.0.0.1')
+        refusals = harness.list_sent(messages.StartRefused)
+        assert [refused.reason for refused in refusals] == ['no room']
+        harness.executor.end(TASK, 3, task_executor.EndKind.STOPPED)
+        await harness.wait_for(messages.Ends)
+        harness.start(task=f'{ID}.0.0.1', attempt=2)
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+
+    run_scenario(scenario)
+
+
 def test_draining_executor_gets_no_start() -> None:
     """Guards against new runs on an executor that is about to end."""
 
