--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -154,6 +154,19 @@
                 'executor drains', incarnation=announcement.incarnation
             )
             self.send_report()
+        elif announcement.capacity != former.capacity:
+            self._record_capacity(former.capacity, announcement.capacity)
+
+    def _record_capacity(
+        self, former: resources.Resources, capacity: resources.Resources
+    ) -> None:
+        self._event_log.record_state(
+            'capacity changed',
+            former_millicores=former.processor_millicores,
+            millicores=capacity.processor_millicores,
+            former_memory_mb=former.memory_mb,
+            memory_mb=capacity.memory_mb,
+        )
 
     def handle_departure(self, instance_id: str) -> None:
         """Handle an executor's message that it is shutting down."""
