Start nothing on a restarted executor before it announces itself

An agent that learned from an inspection that its executor had restarted under its id took over the capacity and the labels of the former incarnation, which need not be the same. Its clock starts anew, so the announcement also looked recent. Now nothing fits until the new incarnation has announced itself.

test_restarted_executor_gets_no_start_before_it_announces_itself failed before (the start was not refused).

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -815,8 +815,13 @@
         if inspection.born_at_ms == announcement.born_at_ms:
             return True
         self._report_executor_gone(announcement, messages.GoneCause.RESTARTED)
+        # The new incarnation may have another capacity and other labels, so
+        # nothing fits before its first announcement.
         self.announcement = dataclasses.replace(
-            announcement, born_at_ms=inspection.born_at_ms, sequence=0
+            announcement,
+            born_at_ms=inspection.born_at_ms,
+            sequence=0,
+            capacity=resources.NOTHING,
         )
         self._renew_session()
         return False
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -667,6 +667,30 @@
     run_scenario(scenario)
 
 
+def test_restarted_executor_gets_no_start_before_it_announces_itself() -> None:
+    """Guards against a start on the capacity of the former incarnation."""
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.born_at_ms = 2
+        await harness.wait_for(messages.ExecutorGone)
+        harness.driver.begin_session(messages.Welcome(1, TOKEN, GRANT_MS, ()))
+        snapshot = await harness.wait_for(messages.Snapshot, 2)
+        assert snapshot.state.capacity == resources.NOTHING
+        harness.extend_grant()
+        harness.start()
+        refusals = harness.list_sent(messages.StartRefused)
+        assert [refused.reason for refused in refusals] == ['no room']
+        harness.driver.handle_announcement(
+            dataclasses.replace(ANNOUNCEMENT, born_at_ms=2)
+        )
+        harness.start(attempt=2)
+        await harness.wait_until(lambda: len(executor.starts) == 1)
+
+    run_scenario(scenario)
+
+
 def test_next_owner_learns_which_runs_a_crash_took() -> None:
     async def scenario(harness: DriverHarness) -> None:
         await harness.begin_session()
