Keep a run whose order may reach the executor's next incarnation

An executor may restart under its id, and its next incarnation has seen no fencing token. A start that was on its way, repeated, or answered by the new incarnation before the agent had noticed the restart ran there, while the report of the crash made the owner drop the run and start the task elsewhere at once: two runs of one task.

The end of an incarnation proves the end of the runs that an inspection of it has shown, not of orders that are still open. The agent reports those as unproved. Where the next executor has another id, it refuses the order, so nothing waits.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -105,6 +105,8 @@
         # lost with it. Each owner that asks about it has to learn of them.
         self._inspected_incarnation = ''
         self._lost_runs: tuple[tuple[str, int], ...] = ()
+        self._unproved_runs: tuple[tuple[str, int], ...] = ()
+        self._inspection_begun_at_ms = 0
         # Earliest time at which the executor may have stopped answering.
         self._silent_since_ms = 0
         self._specs: dict[str, str] = {}
@@ -280,6 +282,7 @@
             self._unanswered_since_ms = 0
             if not self._check_incarnation(inspection):
                 return
+            self._inspection_begun_at_ms = begun_at_ms
             self._silent_since_ms = self._inspected_at_ms
             if self._gone_cause is not None:
                 # The executor was only unreachable. A new session reports
@@ -332,6 +335,7 @@
         )
         self._inspected_incarnation = self.incarnation
         self._lost_runs = ()
+        self._unproved_runs = ()
         state = self._make_state()
         self._reported_state = state
         self._is_ready = True
@@ -507,6 +511,7 @@
                 run.is_unhealthy = False
                 break
             had_arrived, run.may_have_arrived = run.may_have_arrived, True
+            run.open_tries += 1
             self._record_order('start sent', run, token, try_index + 1)
             try:
                 outcome = await self._executor.start(
@@ -531,10 +536,12 @@
                 )
                 if error.is_connection_refused:
                     run.may_have_arrived = had_arrived
+                    run.open_tries -= 1
                 run.refusal_reason = 'not answered'
                 run.is_unhealthy = True
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
+            run.open_tries -= 1
             self._event_log.record(
                 'start answered',
                 task=order.terms.task,
@@ -759,14 +766,13 @@
             self._unanswered_since_ms = now_ms
             self._event_log.record_state('executor lost', detail=str(error))
         if self._gone_cause is None:
+            cause = None
             if error.is_connection_refused:
-                self._report_executor_gone(
-                    self.announcement, messages.GoneCause.NOTHING_LISTENS
-                )
+                cause = messages.GoneCause.NOTHING_LISTENS
             elif now_ms > self._lease_end_ms + LEASE_END_MARGIN_MS:
-                self._report_executor_gone(
-                    self.announcement, messages.GoneCause.LEASE_ENDED
-                )
+                cause = messages.GoneCause.LEASE_ENDED
+            if cause:
+                self._report_executor_gone(self.announcement, cause)
         pause_ms = (
             GONE_RETRY_PAUSE_MS
             if self._gone_cause is not None
@@ -825,6 +831,13 @@
             self._lost_runs += tuple(
                 run.key for run in self._runs.values() if run.may_have_arrived
             )
+            # An order names the executor's id, which another one refuses.
+            if self._get_instance_id() == announcement.instance_id:
+                self._unproved_runs += tuple(
+                    run.key
+                    for run in self._runs.values()
+                    if run.may_start_later(self._inspection_begun_at_ms)
+                )
         self._runs.clear()
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
@@ -845,11 +858,17 @@
             incarnation=incarnation,
             cause=cause.value,
             reached=None if reached is None else len(reached),
+            unproved=len(self._unproved_runs),
         )
         silent_ms = clock.read_elapsed_ms() - self._silent_since_ms
         self._send(
             messages.ExecutorGone(
-                self._token, incarnation, cause, reached, silent_ms
+                self._token,
+                incarnation,
+                cause,
+                reached,
+                silent_ms,
+                self._unproved_runs if reached is not None else (),
             )
         )
 
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -24,6 +24,8 @@
         does not exist.
     :ivar is_known: whether the owner has told the terms of the run
     :ivar may_have_arrived: whether the executor may have received its start
+    :ivar open_tries: number of tries of its start without an answer, each of
+        which may still be carried out
     :ivar row: the run in the last inspection that listed it
     :ivar refusal_reason: reported to the owner if the run does not exist
     :ivar is_unhealthy: whether that report calls the executor unhealthy
@@ -40,6 +42,7 @@
         self.is_known = is_known
         self.confirmed_at_ms = 0
         self.may_have_arrived = False
+        self.open_tries = 0
         self.pace_percent = pacing.FULL_PACE_PERCENT
         self.row: task_executor.RunningTask | None = None
         self.refusal_reason = 'absent'
@@ -49,3 +52,20 @@
     def key(self) -> tuple[str, int]:
         """Task and attempt, which identify the run."""
         return self.terms.task, self.terms.attempt
+
+    def may_start_later(self, inspection_begun_at_ms: int) -> bool:
+        """Tell whether the next incarnation of the executor may start it.
+
+        An answer counts for the present incarnation only if that one has
+        answered an inspection since, because an executor may restart under
+        its id between two orders.
+
+        :param inspection_begun_at_ms: when the last inspection began that the
+            present incarnation has answered
+        """
+        if self.open_tries:
+            return True
+        is_on_this_incarnation = self.row is not None or (
+            0 < self.confirmed_at_ms <= inspection_begun_at_ms
+        )
+        return self.may_have_arrived and not is_on_this_incarnation
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -155,11 +155,13 @@
 
 
 class ExecutorGone(Message, frozen=True, array_like=True, tag=True):
-    """The executor has gone, so nothing runs on the target any more.
+    """An incarnation of the executor has gone, and its runs with it.
 
     :param reached: task and attempt of each run whose start the executor may
         have received; None if it is not known
     :param silent_ms: how long it has not answered any more, at least
+    :param unproved: task and attempt of each run that the next incarnation
+        may start, because an order is still on its way to the executor
     """
 
     token: int
@@ -167,6 +169,7 @@
     cause: GoneCause
     reached: tuple[tuple[str, int], ...] | None = None
     silent_ms: int = 0
+    unproved: tuple[tuple[str, int], ...] = ()
 
 
 # Sent to agents.
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -348,10 +348,13 @@
                 run
                 for run in missing
                 if run.executor_hash not in (0, executor_hash)
+                # The report of the crash has counted these.
+                and (run.task.name, run.attempt) not in target.unproved_runs
             ]
             self._handle_crash(target, crashed, None, moment)
         for run in missing:
             self._drop_lost_run(run, 'not listed in the snapshot', moment)
+        target.unproved_runs.clear()
         target.unexpected_runs = {
             key for key in listed if key not in target.runs
         }
@@ -386,7 +389,11 @@
         gone: messages.ExecutorGone,
         moment: clock.Moment,
     ) -> None:
-        """Drop all runs of a target whose executor has gone."""
+        """Drop the runs of a target whose executor has gone.
+
+        A run that the executor's next incarnation may start is kept until a
+        snapshot shows whether it has, or until its order has expired.
+        """
         target.is_ready = False
         target.unexpected_runs.clear()
         self._fleet.touch(target)
@@ -412,7 +419,17 @@
             crashed_at_ms = moment.elapsed_ms - gone.silent_ms
             self._handle_crash(target, crashed, crashed_at_ms, moment)
         for run in lost:
-            self._drop_lost_run(run, 'the executor has gone', moment)
+            key = (run.task.name, run.attempt)
+            is_unproved = key in gone.unproved or (
+                gone.reached is None and not run.is_confirmed
+            )
+            if is_unproved:
+                target.unproved_runs.setdefault(
+                    key, moment.elapsed_ms + self._grant_ms
+                )
+                self._mark_dirty(run.task.group.job)
+            else:
+                self._drop_lost_run(run, 'the executor has gone', moment)
 
     def handle_run_end(
         self,
@@ -576,6 +593,7 @@
         self._crash_tracker.forget_crashes(now_ms)
         for target in self.targets.values():
             self._crash_tracker.end_expired_isolation(target, now_ms)
+            self._drop_expired_runs(target, moment)
             if target.is_ready or now_ms < target.lost_deadline_ms:
                 continue
             if any(run.is_sent for run in target.runs.values()):
@@ -591,6 +609,16 @@
                     del self.archive[workflow_id]
                     self._expired_workflow_ids.append(workflow_id)
 
+    def _drop_expired_runs(
+        self, target: targets.Target, moment: clock.Moment
+    ) -> None:
+        """Drop the runs of an executor that has not come back in time."""
+        for key, deadline_ms in list(target.unproved_runs.items()):
+            if moment.elapsed_ms >= deadline_ms:
+                self._drop_lost_run(
+                    target.runs[key], 'its order has expired', moment
+                )
+
     def schedule(self, moment: clock.Moment) -> None:
         """Place waiting tasks on targets that have room."""
         for job in self.scheduler.place_waiting_tasks(
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -35,6 +35,8 @@
     :ivar unexpected_runs: task names and attempts of runs that the owner does
         not expect; nothing is placed beside them, because their sizes may be
         unknown
+    :ivar unproved_runs: runs whose executor has gone while an order for them
+        was on its way, and the elapsed time at which the order has expired
     :ivar progress_reported_at_ms: elapsed time of the last report of progress
     :ivar refusal_deadline_ms: elapsed time until which nothing is placed here
         after a refused start
@@ -66,6 +68,7 @@
         self.lost_deadline_ms = lost_deadline_ms
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.unexpected_runs: set[tuple[str, int]] = set()
+        self.unproved_runs: dict[tuple[str, int], int] = {}
         self.health = target_health.Health()
         self.sent_spec_ids: set[str] = set()
         self._uncommitted_ends: set[int] = set()
@@ -137,7 +140,9 @@
 
     def remove_run(self, run: jobs.Run) -> None:
         """Remove a run and its resources from the totals."""
-        if self.runs.pop((run.task.name, run.attempt), None) is not None:
+        key = (run.task.name, run.attempt)
+        self.unproved_runs.pop(key, None)
+        if self.runs.pop(key, None) is not None:
             self._adjust_totals(run, -1)
         if self.isolated_run is run:
             self.isolated_run = None
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -46,6 +46,7 @@
         self.lost_starts = 0
         self.applies_lost_starts = False
         self.lost_inspections = 0
+        self.inspection_s = 0.005
         # Whether stopped runs go on until the test ends them.
         self.are_stops_slow = False
         self.is_down = False
@@ -109,7 +110,7 @@
         lease_deadline_ms: int,
         wait_ms: int,
     ) -> task_executor.Inspection:
-        await asyncio.sleep(0.005)
+        await asyncio.sleep(self.inspection_s)
         if self.is_down:
             raise task_executor.ExecutorUnavailable('refused', True)
         if self.lost_inspections:
@@ -685,6 +686,43 @@
     run_scenario(scenario)
 
 
+def test_start_on_its_way_at_a_restart_is_not_proved_to_have_ended() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.start(task=f'{ID}.0.0.0')
+        key = (f'{ID}.0.0.0', 1)
+        await harness.wait_until(lambda: key in harness.executor.running)
+        await harness.wait_until(
+            lambda: harness.driver._runs[key].row is not None
+        )
+        harness.executor.lost_starts = 100
+        harness.executor.on_lost_start = lambda: setattr(
+            harness.executor, 'born_at_ms', 2
+        )
+        harness.start(task=f'{ID}.0.0.1')
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.RESTARTED
+        assert gone.unproved == ((f'{ID}.0.0.1', 1),)
+
+    run_scenario(scenario)
+
+
+def test_start_answered_by_the_next_incarnation_is_not_proved_to_have_ended() -> (
+    None
+):
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.inspection_s = 0.1
+        await asyncio.sleep(0.02)
+        harness.executor.born_at_ms = 2
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.unproved == ((TASK, 1),)
+
+    run_scenario(scenario)
+
+
 def test_new_agent_does_not_deny_the_runs_that_a_crash_took() -> None:
     async def scenario(harness: DriverHarness) -> None:
         harness.executor.is_down = True
