Take an executor's departure for its end only once nothing listens

The agent reported all runs as ended as soon as the executor said that it leaves. Its process still ran for a moment, and a delayed message of an earlier incarnation under the same id had the same effect on runs that went on. The report still gives the departure as its cause.

An acknowledgement that arrives after such a report is ignored as well: its number belongs to the incarnation that has gone.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -106,6 +106,7 @@
         self._inspected_incarnation = ''
         self._lost_runs: tuple[tuple[str, int], ...] = ()
         self._unproved_runs: tuple[tuple[str, int], ...] = ()
+        self._departed_incarnation = ''
         self._inspection_begun_at_ms = 0
         # Earliest time at which the executor may have stopped answering.
         self._silent_since_ms = 0
@@ -167,7 +168,8 @@
             self._event_log.record_state(
                 'executor left', incarnation=announcement.incarnation
             )
-            self._report_executor_gone(announcement, messages.GoneCause.LEFT)
+            # It runs until its process ends, which the next inspection shows.
+            self._departed_incarnation = announcement.incarnation
 
     # Sessions.
 
@@ -417,7 +419,9 @@
 
     def acknowledge_ends(self, order: messages.Acknowledged) -> None:
         """Let the executor forget acknowledged ends at the next inspection."""
-        if order.token == self._token:
+        # The numbers are those of an incarnation that has gone.
+        is_outdated = self._gone_cause is not None
+        if order.token == self._token and not is_outdated:
             self._acknowledged_end_number = max(
                 self._acknowledged_end_number, order.number
             )
@@ -771,6 +775,8 @@
                 cause = messages.GoneCause.NOTHING_LISTENS
             elif now_ms > self._lease_end_ms + LEASE_END_MARGIN_MS:
                 cause = messages.GoneCause.LEASE_ENDED
+            if cause and self._departed_incarnation == self.incarnation:
+                cause = messages.GoneCause.LEFT
             if cause:
                 self._report_executor_gone(self.announcement, cause)
         pause_ms = (
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -723,6 +723,35 @@
     run_scenario(scenario)
 
 
+def test_departure_proves_nothing_before_the_executor_has_ended() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        harness.driver.handle_departure('i-1')
+        await asyncio.sleep(0.2)
+        assert harness.list_sent(messages.ExecutorGone) == []
+        harness.executor.is_down = True
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.LEFT
+
+    run_scenario(scenario)
+
+
+def test_acknowledgement_for_a_crashed_incarnation_forgets_no_end() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.is_down = True
+        await harness.wait_for(messages.ExecutorGone)
+        harness.driver.acknowledge_ends(messages.Acknowledged(TOKEN, 7))
+        harness.executor.is_down = False
+        harness.executor.born_at_ms = 2
+        await harness.wait_until(lambda: harness.requested_sessions > 0)
+        assert harness.executor.acknowledged == 0
+
+    run_scenario(scenario)
+
+
 def test_new_agent_does_not_deny_the_runs_that_a_crash_took() -> None:
     async def scenario(harness: DriverHarness) -> None:
         harness.executor.is_down = True
