--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -306,9 +306,8 @@
             key = (row.task, row.attempt)
             run = former_runs.get(key)
             if run is None:
-                run = runs.AgentRun(
-                    _make_unknown_terms(row.task, row.attempt),
-                    runs.RunState.RUNNING,
+                run = _make_unknown_run(
+                    row.task, row.attempt, runs.RunState.RUNNING
                 )
             run.state = runs.RunState.RUNNING
             run.row = row
@@ -405,8 +404,9 @@
         key = (order.task, order.attempt)
         run = self._runs.get(key)
         if run is None:
-            terms = _make_unknown_terms(order.task, order.attempt)
-            run = runs.AgentRun(terms, runs.RunState.STOPPING)
+            run = _make_unknown_run(
+                order.task, order.attempt, runs.RunState.STOPPING
+            )
             self._runs[key] = run
         run.state = runs.RunState.STOPPING
         self._session_tasks.start(self._stop(run, order.token))
@@ -426,6 +426,7 @@
             run = self._runs.get((terms.task, terms.attempt))
             if run is not None:
                 run.terms = terms
+                run.is_known = True
 
     def forget_workflow(self, workflow_id: str) -> None:
         """Drop the specification of an ended workflow."""
@@ -447,9 +448,14 @@
     def _has_room(
         self, added: resources.Resources, announcement: targets.Announcement
     ) -> bool:
-        """Tell whether all known runs and an added size fit."""
+        """Tell whether all runs and an added size fit.
+
+        Nothing fits beside a listed run of unknown size.
+        """
         reserved = added
         for run in self._runs.values():
+            if run.row is not None and not run.is_known:
+                return False
             reserved = reserved.plus(run.terms.reserved)
         return reserved.fits_in(announcement.capacity)
 
@@ -622,7 +628,7 @@
         return age_ms <= ANNOUNCEMENT_AGE_LIMIT_MS
 
     async def _stop(self, run: runs.AgentRun, token: int) -> None:
-        """Order a stop, repeatedly until it is answered."""
+        """Order a stop, repeatedly until the executor accepts it."""
         tries = 0
         while self._token == token and run.key in self._runs:
             tries += 1
@@ -655,13 +661,15 @@
                 if error.outcome is task_executor.StartOutcome.FENCED:
                     self._renew_session()
                     return
-            else:
-                self._event_log.record(
-                    'stop answered',
-                    task=run.terms.task,
-                    attempt=run.terms.attempt,
-                    tries=tries,
-                )
+                # The executor has done nothing, so a late start may follow.
+                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+                continue
+            self._event_log.record(
+                'stop answered',
+                task=run.terms.task,
+                attempt=run.terms.attempt,
+                tries=tries,
+            )
             run.confirmed_at_ms = clock.read_elapsed_ms()
             return
 
@@ -716,7 +724,7 @@
                 self.order_stop(
                     messages.Stop(self._token, row.task, row.attempt)
                 )
-                continue
+                run = self._runs[key]
             run.row = row
         self._pacer.record_filler_usage(self._get_capacity())
         for key, run in list(self._runs.items()):
@@ -908,8 +916,11 @@
         )
 
 
-def _make_unknown_terms(task: str, attempt: int) -> messages.RunTerms:
-    return messages.RunTerms(task, attempt, resources.NOTHING)
+def _make_unknown_run(
+    task: str, attempt: int, state: runs.RunState
+) -> runs.AgentRun:
+    terms = messages.RunTerms(task, attempt, resources.NOTHING)
+    return runs.AgentRun(terms, state, is_known=False)
 
 
 def _make_row(
