Take no run for absent while the executor leaves ends out of its list

An executor lists 500 ended runs at a time. Behind an outage of the store more may wait for their acknowledgement.

The adapter says whether a list may leave ends out.

The three new tests fail without the change.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -108,6 +108,7 @@
         self._unproved_runs: tuple[tuple[str, int], ...] = ()
         self._departed_incarnation = ''
         self._inspection_begun_at_ms = 0
+        self._is_snapshot_complete = True
         # Earliest time at which the executor may have stopped answering.
         self._silent_since_ms = 0
         self._specs: dict[str, str] = {}
@@ -310,6 +311,9 @@
                 self._report_snapshot(inspection)
                 continue
             self._apply_inspection(inspection, begun_at_ms)
+            if inspection.has_all_ends and not self._is_snapshot_complete:
+                self._renew_session()
+                return
             await self._pace_fillers()
             if self._seen_end_number > self._acknowledged_end_number:
                 self._ends_acknowledged.clear()
@@ -349,6 +353,7 @@
             last_end=self._seen_end_number,
         )
         self._inspected_incarnation = self.incarnation
+        self._is_snapshot_complete = inspection.has_all_ends
         self._lost_runs = ()
         self._unproved_runs = ()
         state = self._make_state()
@@ -360,6 +365,7 @@
                 state,
                 tuple(_make_row(row) for row in inspection.running),
                 tuple(_make_end(end) for end in inspection.ended),
+                inspection.has_all_ends,
             )
         )
         self.send_report()
@@ -751,6 +757,8 @@
                 run = self._runs[key]
             run.row = row
         self._pacer.record_filler_usage(self._get_capacity())
+        if not inspection.has_all_ends:
+            return
         for key, run in list(self._runs.items()):
             was_confirmed_before = 0 < run.confirmed_at_ms < begun_at_ms
             if was_confirmed_before and key not in listed_keys:
--- a/borageshelf/platform/executor.py
+++ b/borageshelf/platform/executor.py
@@ -14,6 +14,8 @@
 ANSWER_LIMIT_BYTES: Final = 4_000_000
 # Bounds how long an inspection waits for a run to end.
 INSPECTION_WAIT_LIMIT_MS: Final = 2_000
+# An executor lists this many ended runs at a time, the oldest first.
+LISTED_ENDS_LIMIT: Final = 500
 
 _END_KINDS: Final = {
     'done': task_executor.EndKind.DONE,
@@ -149,6 +151,7 @@
                 inspected.born,
                 tuple(_decode_running_task(row) for row in inspected.running),
                 tuple(_decode_ended_run(row) for row in inspected.ended_runs),
+                len(inspected.ended_runs) < LISTED_ENDS_LIMIT,
             )
         except (msgspec.MsgspecError, IndexError, KeyError) as error:
             raise task_executor.ExecutorUnavailable(repr(error)) from error
--- a/borageshelf/ports/task_executor.py
+++ b/borageshelf/ports/task_executor.py
@@ -90,12 +90,15 @@
     :param clock_ms: present time of the executor's clock
     :param born_at_ms: start of the executor in Unix milliseconds, or 0 if it
         is not reported
+    :param has_all_ends: whether no ended run is left out; otherwise a run
+        that is not listed may have ended
     """
 
     clock_ms: int
     born_at_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    has_all_ends: bool = True
 
 
 class ExecutorUnavailable(Exception):
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -113,12 +113,17 @@
 
 
 class Snapshot(Message, frozen=True, array_like=True, tag=True):
-    """All runs of the executor, read after it has seen the new token."""
+    """All runs of the executor, read after it has seen the new token.
+
+    :param has_all_ends: whether a run that is not listed does not exist;
+        otherwise another snapshot follows
+    """
 
     token: int
     state: TargetState
     running: tuple[Row, ...]
     ended: tuple[Ended, ...]
+    has_all_ends: bool = True
 
 
 class Report(Message, frozen=True, array_like=True, tag=True):
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -340,7 +340,7 @@
         for key, run in list(target.runs.items()):
             if key in listed:
                 run.is_confirmed = run.is_sent = True
-            elif key not in ended and run.is_sent:
+            elif key not in ended and run.is_sent and snapshot.has_all_ends:
                 missing.append(run)
         if not was_draining:
             executor_hash = target.compute_executor_hash()
@@ -354,7 +354,8 @@
             self._handle_crash(target, crashed, None, moment)
         for run in missing:
             self._drop_lost_run(run, 'not listed in the snapshot', moment)
-        target.unproved_runs.clear()
+        if snapshot.has_all_ends:
+            target.unproved_runs.clear()
         target.unexpected_runs = {
             key for key in listed if key not in target.runs
         }
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -75,3 +75,19 @@
     (start,) = cluster.sent_starts
     send_gone(cluster, cluster.targets[start[0]], reached=None)
     assert len(cluster.sent_starts) == 1
+
+
+def test_run_whose_end_a_snapshot_leaves_out_is_not_started_again() -> None:
+    cluster = support.Cluster()
+    fake = cluster.add_target('vm-0')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    target = cluster.core.targets[fake.target_id]
+    snapshot = messages.Snapshot(0, fake.make_state(), (), (), False)
+    cluster.core.apply_snapshot(target, snapshot, cluster.moment)
+    cluster.run_until_idle()
+    assert len(cluster.sent_starts) == 1
+    complete = messages.Snapshot(0, fake.make_state(), (), ())
+    cluster.core.apply_snapshot(target, complete, cluster.moment)
+    cluster.run_until_idle()
+    assert len(cluster.sent_starts) == 2
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -47,6 +47,7 @@
         self.applies_lost_starts = False
         self.lost_inspections = 0
         self.inspection_s = 0.005
+        self.listed_ends_limit = 500
         # Whether stopped runs go on until the test ends them.
         self.are_stops_slow = False
         self.is_down = False
@@ -122,6 +123,7 @@
         self.acknowledged = max(self.acknowledged, acknowledged)
         if lease_deadline_ms:
             self.leases_ms.append(lease_deadline_ms)
+        ended = [end for end in self.ended if end.number > self.acknowledged]
         return task_executor.Inspection(
             self.read_clock_ms(),
             self.born_at_ms,
@@ -131,7 +133,8 @@
                 )
                 for task, attempt in self.running
             ),
-            tuple(end for end in self.ended if end.number > self.acknowledged),
+            tuple(ended[: self.listed_ends_limit]),
+            len(ended) <= self.listed_ends_limit,
         )
 
     async def pace(
@@ -651,6 +654,42 @@
     run_scenario(scenario)
 
 
+def test_run_whose_end_is_not_listed_yet_is_not_reported_as_absent() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        for number in range(3):
+            harness.start(task=f'{ID}.0.0.{number}')
+        await harness.wait_until(lambda: len(harness.executor.running) == 3)
+        harness.executor.listed_ends_limit = 2
+        for number in range(3):
+            harness.executor.end(
+                f'{ID}.0.0.{number}', 1, task_executor.EndKind.DONE
+            )
+        await harness.wait_for(messages.Ends)
+        await asyncio.sleep(0.4)
+        assert harness.list_sent(messages.StartRefused) == []
+        harness.driver.acknowledge_ends(messages.Acknowledged(TOKEN, 2))
+        last = await harness.wait_for(messages.Ends, 2)
+        assert last.ended[-1].task == f'{ID}.0.0.2'
+
+    run_scenario(scenario)
+
+
+def test_snapshot_without_all_ends_is_followed_by_a_complete_one() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        harness.executor.listed_ends_limit = 2
+        for number in range(3):
+            harness.executor.end(
+                f'{ID}.0.0.{number}', 1, task_executor.EndKind.DONE
+            )
+        await harness.begin_session()
+        assert not harness.list_sent(messages.Snapshot)[-1].has_all_ends
+        harness.driver.acknowledge_ends(messages.Acknowledged(TOKEN, 2))
+        await harness.wait_until(lambda: harness.requested_sessions > 1)
+
+    run_scenario(scenario)
+
+
 def test_restart_under_the_same_id_begins_a_new_session() -> None:
     """Guards against mixing up runs and ends of two incarnations.
 
