Count a crash once against a run that is kept

An agent repeats its report of a silent executor at each session, and each report counted one more crash against the run that the owner had kept.

The new test failed before: the evidence grew with each report.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -414,8 +414,12 @@
             crashed = [
                 run
                 for run in lost
-                if gone.reached is None
-                or (run.task.name, run.attempt) in gone.reached
+                # Reports are repeated; a run that was kept has been counted.
+                if (run.task.name, run.attempt) not in target.unproved_runs
+                and (
+                    gone.reached is None
+                    or (run.task.name, run.attempt) in gone.reached
+                )
             ]
             crashed_at_ms = moment.elapsed_ms - gone.silent_ms
             self._handle_crash(target, crashed, crashed_at_ms, moment)
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -91,3 +91,13 @@
     cluster.core.apply_snapshot(target, complete, cluster.moment)
     cluster.run_until_idle()
     assert len(cluster.sent_starts) == 2
+
+
+def test_repeated_report_of_a_crash_counts_once_against_a_kept_run() -> None:
+    cluster, fake = make_unproved_cluster()
+    key = (TASK, 1)
+    (run,) = cluster.core.jobs[TASK.split('.')[0]].list_runs()
+    history = run.task.crash_history
+    for _ in range(4):
+        send_gone(cluster, fake, reached=(key,), unproved=(key,))
+    assert run.task.crash_history == history
