Use the success of a run that was taken for lost

A caller's work was done twice although the owner knew of its success before the second start.

The acknowledgement makes an end final. So a success of an unfinished task counts whichever attempt it is of, and later attempts are stopped.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -467,6 +467,8 @@
             else:
                 known.effects.append(acknowledge)
                 self._mark_dirty(known)
+                if end.kind is task_executor.EndKind.DONE:
+                    self._use_success_of_dropped_run(known, end, moment)
             return
         job = run.task.group.job
         job.effects.append(acknowledge)
@@ -1008,9 +1010,40 @@
         job = task.group.job
         if not job.is_active or task.group.step.is_lasting:
             return
+        self._finish_task(task, moment)
+
+    def _use_success_of_dropped_run(
+        self, job: jobs.Job, end: messages.Ended, moment: clock.Moment
+    ) -> None:
+        """Finish a task whose successful run was taken for lost.
+
+        The acknowledgement makes its end final, so nothing may start the task
+        afterwards.
+        """
+        task = job.find_task(end.task)
+        if task is None or task.is_done or end.attempt > task.attempts:
+            return
+        if not job.is_active or task.group.step.is_lasting:
+            return
+        self._record(
+            'success of a dropped run used',
+            workflow=job.workflow_id,
+            task=end.task,
+            attempt=end.attempt,
+            other_runs=len(task.runs),
+        )
+        self._finish_task(task, moment)
+        if task.group.step.is_gang:
+            for member in task.group.tasks:
+                for run in list(member.runs.values()):
+                    self._stop_run(run)
+
+    def _finish_task(self, task: jobs.Task, moment: clock.Moment) -> None:
+        """Mark a task as done, stop its runs, and complete its workflow."""
+        job = task.group.job
         job.finish_task(task)
-        for other in list(task.runs.values()):
-            self._stop_run(other)
+        for run in list(task.runs.values()):
+            self._stop_run(run)
         if job.is_complete:
             self._end_workflow(job, records.Phase.COMPLETED, '', moment)
 
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -2,7 +2,11 @@
 
 from typing import Any
 
+import pytest
+
+from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
+from borageshelf.workflows import owner
 from tests import workflow_support as support
 
 TASK = '0123456789abcdef.0.0.0'
@@ -101,3 +105,28 @@
     for _ in range(4):
         send_gone(cluster, fake, reached=(key,), unproved=(key,))
     assert run.task.crash_history == history
+
+
+@pytest.mark.parametrize('is_restarted', [False, True])
+def test_success_of_a_dropped_run_is_not_acknowledged_and_started_again(
+    is_restarted: bool,
+) -> None:
+    cluster = support.Cluster()
+    fake = cluster.add_target('vm-0')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    refused = messages.StartRefused(0, TASK, 1, 'absent')
+    target = cluster.core.targets[fake.target_id]
+    cluster.core.handle_start_refusal(target, refused, cluster.moment)
+    if is_restarted:
+        cluster.now_ms += owner.START_REFUSAL_PAUSE_MS
+        cluster.run_until_idle()
+        assert fake.running == {TASK: 2}
+    count = len(cluster.sent_starts)
+    end = messages.Ended(1, TASK, 1, task_executor.EndKind.DONE, '')
+    cluster.core.handle_run_end(target, end, cluster.moment)
+    cluster.now_ms += 2 * owner.START_REFUSAL_PAUSE_MS
+    cluster.run_until_idle()
+    assert len(cluster.sent_starts) == count
+    assert cluster.core.find_state(TASK.split('.')[0]) == 'completed'
+    assert fake.stop_orders == ({TASK} if is_restarted else set())
