End only the runs of the incarnation that is reported as gone

A heartbeat that a partition has delayed may be the first that a restarted agent receives. The agent asked the executor under that former id, was refused or met another incarnation, and reported the former one as replaced. The owner dropped all runs of the target, which the present incarnation had, and started them elsewhere.

A report now ends the runs that were placed on the reported incarnation. A run that is kept carries a mark that its crash has been counted, in the stored record as well, so that neither a repeated report nor the next owner counts it again.

--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -21,6 +21,9 @@
 # Used where the caller gives no estimate; about the mean of the users' tasks.
 DEFAULT_ESTIMATE_MS: Final = 1_000
 
+# Stands for an incarnation whose end has been counted as a crash.
+COUNTED_EXECUTOR_HASH: Final = 0
+
 
 class Run:
     """One attempt of a task on a target.
@@ -32,8 +35,8 @@
     :ivar is_restored: whether an earlier owner has started the run
     :ivar is_isolated: whether its task is suspected of crashing executors,
         and the run has not yet shown otherwise
-    :ivar executor_hash: hash of the incarnation on which it was placed; 0 if
-        it is not known
+    :ivar executor_hash: hash of the incarnation on which it was placed, or
+        ``COUNTED_EXECUTOR_HASH``
     :ivar progress_at_ms: elapsed time of the last change of the progress
     :ivar slow_since_ms: elapsed time since which the run is throttled below
         the limit of slow runs, or 0
@@ -70,7 +73,7 @@
         self.is_stopping = False
         self.is_restored = False
         self.is_isolated = False
-        self.executor_hash = 0
+        self.executor_hash = COUNTED_EXECUTOR_HASH
 
 
 class Task:
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -295,6 +295,7 @@
         target.session = session
         target.is_ready = False
         target.data_centre = hello.data_centre
+        target.announced_incarnation = hello.incarnation
         target.sent_spec_ids.clear()
         target.clear_uncommitted_ends()
         self._fleet.touch(target)
@@ -336,20 +337,20 @@
         target.is_ready = True
         ended = {(end.task, end.attempt) for end in snapshot.ended}
         listed = {(row.task, row.attempt): row for row in snapshot.running}
+        executor_hash = target.compute_executor_hash()
         missing = []
         for key, run in list(target.runs.items()):
             if key in listed:
                 run.is_confirmed = run.is_sent = True
+                run.executor_hash = executor_hash
             elif key not in ended and run.is_sent and snapshot.has_all_ends:
                 missing.append(run)
         if not was_draining:
-            executor_hash = target.compute_executor_hash()
             crashed = [
                 run
                 for run in missing
-                if run.executor_hash not in (0, executor_hash)
-                # The report of the crash has counted these.
-                and (run.task.name, run.attempt) not in target.unproved_runs
+                if run.executor_hash
+                not in (jobs.COUNTED_EXECUTOR_HASH, executor_hash)
             ]
             self._handle_crash(target, crashed, None, moment)
         for run in missing:
@@ -390,10 +391,10 @@
         gone: messages.ExecutorGone,
         moment: clock.Moment,
     ) -> None:
-        """Drop the runs of a target whose executor has gone.
+        """Drop the runs of the incarnation of an executor that has gone.
 
-        A run that the executor's next incarnation may start is kept until a
-        snapshot shows whether it has, or until its order has expired.
+        A run that another incarnation may have is kept until a snapshot shows
+        whether it has, or until its order has expired.
         """
         target.is_ready = False
         target.unexpected_runs.clear()
@@ -408,14 +409,15 @@
             runs=len(target.runs),
         )
         measurements.EXECUTORS_GONE.labels(gone.cause.value).inc()
+        target.gone_incarnation = gone.incarnation
+        gone_hash = targets.hash_incarnation(gone.incarnation)
         lost = [run for run in target.runs.values() if run.is_sent]
         is_planned = gone.cause is messages.GoneCause.LEFT
         if not (is_planned or target.is_draining):
             crashed = [
                 run
                 for run in lost
-                # Reports are repeated; a run that was kept has been counted.
-                if (run.task.name, run.attempt) not in target.unproved_runs
+                if run.executor_hash == gone_hash
                 and (
                     gone.reached is None
                     or (run.task.name, run.attempt) in gone.reached
@@ -425,13 +427,18 @@
             self._handle_crash(target, crashed, crashed_at_ms, moment)
         for run in lost:
             key = (run.task.name, run.attempt)
-            is_unproved = key in gone.unproved or (
-                gone.reached is None and not run.is_confirmed
+            is_unproved = (
+                run.executor_hash != gone_hash
+                or key in gone.unproved
+                or (gone.reached is None and not run.is_confirmed)
             )
             if is_unproved:
                 target.unproved_runs.setdefault(
                     key, moment.elapsed_ms + self._grant_ms
                 )
+                if run.executor_hash == gone_hash:
+                    # A report may be repeated, even to the next owner.
+                    run.executor_hash = jobs.COUNTED_EXECUTOR_HASH
                 self._mark_dirty(run.task.group.job)
             else:
                 self._drop_lost_run(run, 'the executor has gone', moment)
@@ -620,6 +627,12 @@
         self, target: targets.Target, moment: clock.Moment
     ) -> None:
         """Drop the runs of an executor that has not come back in time."""
+        is_back = (
+            target.session != targets.UNATTACHED
+            and target.announced_incarnation != target.gone_incarnation
+        )
+        if is_back:
+            return
         for key, deadline_ms in list(target.unproved_runs.items()):
             if moment.elapsed_ms >= deadline_ms:
                 self._drop_lost_run(
@@ -1115,7 +1128,9 @@
         """Say what is known of the executor on which a lost run was."""
         target = self.targets[run.target_id]
         executor_hash = target.compute_executor_hash()
-        if run.executor_hash in (0, executor_hash):
+        if run.executor_hash == jobs.COUNTED_EXECUTOR_HASH:
+            return f'crashed, now {target.incarnation}'
+        if run.executor_hash == executor_hash:
             return f'same incarnation {target.incarnation}'
         return f'replaced by {target.incarnation}'
 
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -37,6 +37,9 @@
         unknown
     :ivar unproved_runs: runs whose executor has gone while an order for them
         was on its way, and the elapsed time at which the order has expired
+    :ivar announced_incarnation: incarnation of the executor that the agent
+        knew at the begin of the session
+    :ivar gone_incarnation: the last one that was reported as gone
     :ivar progress_reported_at_ms: elapsed time of the last report of progress
     :ivar refusal_deadline_ms: elapsed time until which nothing is placed here
         after a refused start
@@ -65,6 +68,8 @@
         self.is_draining = False
         self.leaves_deadline_ms = 0
         self.incarnation = ''
+        self.announced_incarnation = ''
+        self.gone_incarnation = ''
         self.lost_deadline_ms = lost_deadline_ms
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.unexpected_runs: set[tuple[str, int]] = set()
@@ -149,7 +154,7 @@
 
     def compute_executor_hash(self) -> int:
         """Return a short identity of the executor's incarnation."""
-        return int(xxhash.xxh32_intdigest(self.incarnation.encode()))
+        return hash_incarnation(self.incarnation)
 
     def _adjust_totals(self, run: jobs.Run, sign: int) -> None:
         step = run.task.group.step
@@ -195,3 +200,8 @@
             del images[image]
             self.baseline_latency_shares.pop(image, None)
             self.placement_latency_shares.pop(image, None)
+
+
+def hash_incarnation(incarnation: str) -> int:
+    """Return a short identity of an executor's incarnation."""
+    return int(xxhash.xxh32_intdigest(incarnation.encode()))
--- /dev/null
+++ b/tests/test_gone_executors.py
@@ -0,0 +1,125 @@
+"""A report that an executor has gone ends the runs of that one only."""
+
+import dataclasses
+
+import msgspec
+
+from borageshelf.workflows import messages
+from tests import test_proofs_of_ends as proofs
+from tests import test_workflow_driver as driver_tests
+from tests import workflow_support as support
+
+KEY = (proofs.TASK, 1)
+
+
+def count_crashes(cluster: support.Cluster) -> int:
+    """Return how many crashes count against the task."""
+    job = cluster.core.jobs['0123456789abcdef']
+    return job.tasks[0].crash_history.crashes
+
+
+def test_repeated_report_of_a_crash_counts_it_once() -> None:
+    cluster, fake = proofs.make_unproved_cluster()
+    crashes = count_crashes(cluster)
+    proofs.send_gone(cluster, fake, reached=(KEY,), unproved=(KEY,))
+    assert count_crashes(cluster) == crashes
+
+
+def test_next_owner_does_not_count_a_crash_again() -> None:
+    cluster, fake = proofs.make_unproved_cluster()
+    crashes = count_crashes(cluster)
+    fake.running.clear()
+    cluster.take_over()
+    cluster.restart(fake)
+    cluster.run_until_idle()
+    assert count_crashes(cluster) == crashes
+
+
+def test_report_about_an_older_incarnation_drops_no_run_of_a_newer_one() -> (
+    None
+):
+    cluster = support.Cluster()
+    for number in range(2):
+        cluster.add_target(f'vm-{number}')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (start,) = cluster.sent_starts
+    fake = cluster.targets[start[0]]
+    # Its agent starts again and adopts the run.
+    cluster.attach(fake)
+    target = cluster.core.targets[fake.target_id]
+    # The next process of the agent meets a delayed heartbeat first.
+    gone = messages.ExecutorGone(
+        0, f'{fake.target_id}/0', messages.GoneCause.REPLACED, None
+    )
+    cluster.core.handle_executor_gone(target, gone, cluster.moment)
+    cluster.run_until_idle()
+    assert len(cluster.sent_starts) == 1
+
+
+def test_order_does_not_expire_while_its_executor_is_back() -> None:
+    cluster, fake = proofs.make_unproved_cluster()
+    fake.start_count += 1
+    hello = messages.AgentHello(
+        fake.target_id, 'boot', 'tajo-norte', fake.make_state().incarnation
+    )
+    # The late order has reached the next incarnation, which answers late.
+    target = cluster.core.attach(hello, 99, cluster.moment)
+    for _ in range(4):
+        cluster.now_ms += support.GRANT_MS // 4
+        cluster.core.extend_grant(target, cluster.moment)
+    cluster.run_until_idle()
+    assert len(cluster.sent_starts) == 1
+
+
+def test_owner_counts_a_crash_once_whose_executor_is_then_replaced() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await harness.begin_session()
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        harness.executor.is_down = True
+        await harness.wait_for(messages.ExecutorGone)
+        harness.driver.handle_announcement(
+            dataclasses.replace(
+                driver_tests.ANNOUNCEMENT, instance_id='i-2', born_at_ms=2
+            )
+        )
+        cluster = support.Cluster()
+        fake = cluster.add_target('vm-0')
+        cluster.submit(support.make_workflow())
+        cluster.run_until_idle()
+        incarnation = fake.make_state().incarnation
+        for reported in harness.list_sent(messages.ExecutorGone):
+            gone = msgspec.structs.replace(reported, incarnation=incarnation)
+            cluster.core.handle_executor_gone(
+                cluster.core.targets[fake.target_id], gone, cluster.moment
+            )
+        assert count_crashes(cluster) == 1
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_new_agent_with_an_outdated_announcement_ends_no_newer_run() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        harness.driver.handle_announcement(driver_tests.ANNOUNCEMENT)
+        # The executor has restarted since that announcement was sent.
+        harness.executor.born_at_ms = 2
+        harness.executor.running[KEY] = 0
+        harness.driver.begin_session(
+            messages.Welcome(1, driver_tests.TOKEN, 5_000, ())
+        )
+        gone = await harness.wait_for(messages.ExecutorGone)
+        cluster = support.Cluster()
+        for number in range(2):
+            cluster.add_target(f'vm-{number}')
+        cluster.submit(support.make_workflow())
+        cluster.run_until_idle()
+        ((target_id, _, _),) = cluster.sent_starts
+        cluster.attach(cluster.targets[target_id])
+        cluster.core.handle_executor_gone(
+            cluster.core.targets[target_id], gone, cluster.moment
+        )
+        cluster.run_until_idle()
+        assert len(cluster.sent_starts) == 1
+
+    driver_tests.run_scenario(scenario)
