--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -28,7 +28,7 @@
 
 
 def make_unproved_cluster() -> tuple[support.Cluster, support.FakeTarget]:
-    """Return a cluster whose one run may be started by the next incarnation."""
+    """Return a cluster with a run that the next incarnation may start."""
     cluster = support.Cluster()
     fakes = [cluster.add_target(f'vm-{number}') for number in range(2)]
     cluster.submit(support.make_workflow())
@@ -40,9 +40,7 @@
     return cluster, fake
 
 
-def test_run_that_the_next_incarnation_may_start_is_not_started_elsewhere() -> (
-    None
-):
+def test_late_run_of_the_next_incarnation_is_not_started_elsewhere() -> None:
     cluster, fake = make_unproved_cluster()
     assert len(cluster.sent_starts) == 1
     # The late order reaches the next incarnation.
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -770,9 +770,7 @@
     run_scenario(scenario)
 
 
-def test_start_answered_by_the_next_incarnation_is_not_proved_to_have_ended() -> (
-    None
-):
+def test_start_answered_by_the_next_incarnation_is_unproved() -> None:
     async def scenario(harness: DriverHarness) -> None:
         await harness.begin_session()
         harness.executor.inspection_s = 0.1
