End a takeover whose lease has ended after an unanswered try

After one try without an answer, a commit was repeated on every error but a conflict. Callers saw accepted work that nobody ran.

The head tells whether an earlier try was carried out. If not, no try can be any more, since each one names the lease, so the commit fails and the next takeover begins with a new lease.

test_acquisition_ends_when_its_lease_has_expired_meanwhile failed before (no end within 5 s).

--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -197,6 +197,8 @@
                     is_uncertain = True
                 elif not is_uncertain:
                     raise
+                elif error.code is errors.LEASE_LOST:
+                    return await self._resolve_lost_lease(head, error)
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
     async def _resolve_conflict(self, head: records.HeadRecord) -> int:
@@ -204,18 +206,43 @@
 
         :raises OwnershipLost: if another head is stored
         """
+        entry = await self._read_head()
+        if entry is not None and _has_commit_id(entry, head):
+            return entry.revision
+        raise OwnershipLost
+
+    async def _resolve_lost_lease(
+        self, head: records.HeadRecord, error: errors.BorageshelfError
+    ) -> int:
+        """Return the revision of the head if an earlier try has stored it.
+
+        Otherwise no try takes effect any more, because each one has the lease
+        that has ended.
+
+        :raises BorageshelfError: the given error, if nothing was written
+        :raises OwnershipLost: if another head is stored
+        """
+        entry = await self._read_head()
+        revision = entry.revision if entry else store_interface.MUST_NOT_EXIST
+        if revision == self._head_revision:
+            raise error
+        return await self._resolve_conflict(head)
+
+    async def _read_head(self) -> store_interface.Entry | None:
+        """Return the stored head as soon as the store answers."""
         while True:
             try:
-                entry = await self._store.get(records.HEAD_KEY)
-                break
+                return await self._store.get(records.HEAD_KEY)
             except errors.BorageshelfError as error:
                 self._on_store_error(error)
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
-        if entry is not None:
-            found = decode(entry.value, records.HeadRecord)
-            if found.commit_id == head.commit_id:
-                return entry.revision
-        raise OwnershipLost
+
+
+def _has_commit_id(
+    entry: store_interface.Entry, head: records.HeadRecord
+) -> bool:
+    found = decode(entry.value, records.HeadRecord)
+    return bool(found.commit_id == head.commit_id)
 
 
 def encode(record: Any) -> bytes:
