Bind kept runs to their grants, and acknowledge ends to a known incarnation only

A run that was kept because its report named another incarnation expired although its agent had got a later grant for it. And the first inspection after a restart still acknowledged the ends of the former incarnation, whose numbers start anew, so an end could be forgotten before it was seen.

test_kept_run_does_not_expire_before_the_grant_of_its_agent and test_restarted_executor_forgets_no_end_before_its_restart_is_known failed before.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -274,12 +274,17 @@
             )
             if self._gone_cause is not None or self._unanswered_since_ms:
                 wait_ms = 0
-            self._record_acknowledgement()
+            acknowledged_end_number = 0
+            if not (is_first or self._unanswered_since_ms):
+                # Otherwise another incarnation may answer, whose ends have
+                # the same numbers.
+                acknowledged_end_number = self._acknowledged_end_number
+                self._record_acknowledgement()
             try:
                 inspection = await self._executor.inspect(
                     self._get_instance_id(),
                     token,
-                    self._acknowledged_end_number,
+                    acknowledged_end_number,
                     lease_deadline_ms,
                     wait_ms,
                 )
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -627,11 +627,11 @@
         self, target: targets.Target, moment: clock.Moment
     ) -> None:
         """Drop the runs of an executor that has not come back in time."""
-        is_back = (
-            target.session != targets.UNATTACHED
-            and target.announced_incarnation != target.gone_incarnation
-        )
-        if is_back:
+        is_back = target.announced_incarnation != target.gone_incarnation
+        is_attached = target.session != targets.UNATTACHED
+        if is_attached and is_back:
+            return
+        if not is_attached and moment.elapsed_ms < target.lost_deadline_ms:
             return
         for key, deadline_ms in list(target.unproved_runs.items()):
             if moment.elapsed_ms >= deadline_ms:
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -1,9 +1,9 @@
 """A report that an executor has gone ends the runs of that one only."""
 
 import dataclasses
+from typing import Any
 
-import msgspec
-
+from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
 from tests import test_proofs_of_ends as proofs
 from tests import test_workflow_driver as driver_tests
@@ -65,9 +65,9 @@
     )
     # The late order has reached the next incarnation, which answers late.
     target = cluster.core.attach(hello, 99, cluster.moment)
-    for _ in range(4):
-        cluster.now_ms += support.GRANT_MS // 4
-        cluster.core.extend_grant(target, cluster.moment)
+    cluster.now_ms += 3_000
+    cluster.core.extend_grant(target, cluster.moment)
+    cluster.now_ms += 3_000
     cluster.run_until_idle()
     assert len(cluster.sent_starts) == 1
 
@@ -88,11 +88,10 @@
         fake = cluster.add_target('vm-0')
         cluster.submit(support.make_workflow())
         cluster.run_until_idle()
-        incarnation = fake.make_state().incarnation
-        for reported in harness.list_sent(messages.ExecutorGone):
-            gone = msgspec.structs.replace(reported, incarnation=incarnation)
-            cluster.core.handle_executor_gone(
-                cluster.core.targets[fake.target_id], gone, cluster.moment
+        for gone in harness.list_sent(messages.ExecutorGone):
+            assert gone.incarnation == driver_tests.ANNOUNCEMENT.incarnation
+            proofs.send_gone(
+                cluster, fake, reached=gone.reached, unproved=gone.unproved
             )
         assert count_crashes(cluster) == 1
 
@@ -123,3 +122,95 @@
         assert len(cluster.sent_starts) == 1
 
     driver_tests.run_scenario(scenario)
+
+
+def test_restarted_executor_forgets_no_end_before_its_restart_is_known() -> (
+    None
+):
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.end(driver_tests.TASK, 1, task_executor.EndKind.DONE)
+        await harness.wait_for(messages.Ends)
+        harness.driver.acknowledge_ends(
+            messages.Acknowledged(driver_tests.TOKEN, 1)
+        )
+        await harness.wait_until(lambda: executor.acknowledged == 1)
+        # It restarts under its id, and a late start ends there at once.
+        executor.lost_inspections = 2
+        executor.born_at_ms = 2
+        executor.acknowledged = 0
+        executor.ended.clear()
+        executor.end(driver_tests.TASK, 2, task_executor.EndKind.DONE)
+        await harness.wait_for(messages.ExecutorGone)
+        assert executor.acknowledged == 0
+
+    driver_tests.run_scenario(scenario)
+
+
+class RefusingExecutor(driver_tests.FakeExecutor):
+    """An executor that refuses each inspection."""
+
+    async def inspect(
+        self, *arguments: Any, **fields: Any
+    ) -> task_executor.Inspection:
+        """Refuse."""
+        raise task_executor.OrderRefused(task_executor.StartOutcome.UNHEALTHY)
+
+
+def test_runs_end_with_the_lease_though_inspections_are_refused() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        harness.driver._executor = RefusingExecutor()
+        harness.driver.handle_announcement(driver_tests.ANNOUNCEMENT)
+        harness.driver.begin_session(
+            messages.Welcome(1, driver_tests.TOKEN, 5_000, ())
+        )
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.LEASE_ENDED
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_later_report_of_another_incarnation_keeps_a_newer_run() -> None:
+    cluster = support.Cluster()
+    for number in range(2):
+        cluster.add_target(f'vm-{number}')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (start,) = cluster.sent_starts
+    fake = cluster.targets[start[0]]
+    cluster.attach(fake)
+    gone = messages.ExecutorGone(
+        0, f'{fake.target_id}/0', messages.GoneCause.REPLACED, None
+    )
+    target = cluster.core.targets[fake.target_id]
+    cluster.core.handle_executor_gone(target, gone, cluster.moment)
+    # Its agent reports on and gets grants, but has no snapshot yet.
+    cluster.now_ms += 3_000
+    cluster.core.extend_grant(target, cluster.moment)
+    cluster.now_ms += 3_000
+    cluster.run_until_idle()
+    assert len(cluster.sent_starts) == 1
+
+
+def test_kept_run_does_not_expire_before_the_grant_of_its_agent() -> None:
+    cluster = support.Cluster()
+    for number in range(2):
+        cluster.add_target(f'vm-{number}')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (start,) = cluster.sent_starts
+    fake = cluster.targets[start[0]]
+    cluster.attach(fake)
+    gone = messages.ExecutorGone(
+        0, f'{fake.target_id}/0', messages.GoneCause.REPLACED, None
+    )
+    target = cluster.core.targets[fake.target_id]
+    cluster.core.handle_executor_gone(target, gone, cluster.moment)
+    cluster.now_ms += 3_000
+    cluster.core.extend_grant(target, cluster.moment)
+    # The stream breaks, and its snapshot is lost.
+    cluster.core.detach(fake.target_id, fake.session)
+    cluster.now_ms += 3_000
+    cluster.run_until_idle()
+    assert len(cluster.sent_starts) == 1
