--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -33,7 +33,7 @@
     :ivar is_isolated: whether its task is suspected of crashing executors,
         and the run has not yet shown otherwise
     :ivar executor_hash: hash of the incarnation on which it was placed; 0 if
-        it is not known
+        it is not known, or if its crash has been counted
     :ivar progress_at_ms: elapsed time of the last change of the progress
     :ivar slow_since_ms: elapsed time since which the run is throttled below
         the limit of slow runs, or 0
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -336,14 +336,15 @@
         target.is_ready = True
         ended = {(end.task, end.attempt) for end in snapshot.ended}
         listed = {(row.task, row.attempt): row for row in snapshot.running}
+        executor_hash = target.compute_executor_hash()
         missing = []
         for key, run in list(target.runs.items()):
             if key in listed:
                 run.is_confirmed = run.is_sent = True
+                run.executor_hash = run.executor_hash or executor_hash
             elif key not in ended and run.is_sent and snapshot.has_all_ends:
                 missing.append(run)
         if not was_draining:
-            executor_hash = target.compute_executor_hash()
             crashed = [
                 run
                 for run in missing
@@ -415,7 +416,7 @@
                 run
                 for run in lost
                 # Reports are repeated; a run that was kept has been counted.
-                if (run.task.name, run.attempt) not in target.unproved_runs
+                if run.executor_hash
                 and (
                     gone.reached is None
                     or (run.task.name, run.attempt) in gone.reached
@@ -432,6 +433,8 @@
                 target.unproved_runs.setdefault(
                     key, moment.elapsed_ms + self._grant_ms
                 )
+                # Stored, so that the next owner does not count it again.
+                run.executor_hash = 0
                 self._mark_dirty(run.task.group.job)
             else:
                 self._drop_lost_run(run, 'the executor has gone', moment)
@@ -1115,7 +1118,9 @@
         """Say what is known of the executor on which a lost run was."""
         target = self.targets[run.target_id]
         executor_hash = target.compute_executor_hash()
-        if run.executor_hash in (0, executor_hash):
+        if not run.executor_hash:
+            return f'unknown incarnation, now {target.incarnation}'
+        if run.executor_hash == executor_hash:
             return f'same incarnation {target.incarnation}'
         return f'replaced by {target.incarnation}'
 
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -59,7 +59,7 @@
     """A run that may exist on a target.
 
     :param executor_hash: hash of the incarnation of the executor on which it
-        was placed; 0 if it is not known
+        was placed; 0 if it is not known, or if its crash has been counted
     """
 
     attempt: int
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -130,3 +130,17 @@
     assert len(cluster.sent_starts) == count
     assert cluster.core.find_state(TASK.split('.')[0]) == 'completed'
     assert fake.stop_orders == ({TASK} if is_restarted else set())
+
+
+def test_next_owner_does_not_count_the_crash_of_a_kept_run_again() -> None:
+    """Guards against a sound task that is given up for one silent executor.
+
+    Found by a play (lost-answers-and-mute-executors on cmgts-sched, seed 2,
+    LOST): the agent repeated its report to the next owner as well.
+    """
+    cluster, fake = make_unproved_cluster()
+    cluster.take_over()
+    send_gone(cluster, fake, reached=((TASK, 1),), unproved=((TASK, 1),))
+    (job,) = cluster.core.jobs.values()
+    assert job.tasks[0].crash_history.crashes == 1
+    assert len(cluster.sent_starts) == 1
