Count each crash of an executor once while its runs are kept

An agent reports a crash again when the executor is back and on each new stream, and a new owner also learns of it from the incarnation. Each of these counted the crash again for the runs that were kept, which are those started just before it: a deadly task was given up early, and a sound one could be.

Whether the crash has been counted is now part of the stored run. A run that the next incarnation has started belongs to that one from then on; before, it counted as crashed when it was only missing there.

--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -34,6 +34,8 @@
         and the run has not yet shown otherwise
     :ivar executor_hash: hash of the incarnation on which it was placed; 0 if
         it is not known
+    :ivar is_crash_counted: whether the crash of that incarnation is part of
+        the task's history; the run is kept because the next one may start it
     :ivar progress_at_ms: elapsed time of the last change of the progress
     :ivar slow_since_ms: elapsed time since which the run is throttled below
         the limit of slow runs, or 0
@@ -43,6 +45,7 @@
         'attempt',
         'executor_hash',
         'is_confirmed',
+        'is_crash_counted',
         'is_isolated',
         'is_restored',
         'is_sent',
@@ -71,6 +74,7 @@
         self.is_restored = False
         self.is_isolated = False
         self.executor_hash = 0
+        self.is_crash_counted = False
 
 
 class Task:
@@ -447,7 +451,10 @@
                     task.checkpoint,
                     tuple(
                         records.RunRecord(
-                            run.attempt, run.target_id, run.executor_hash
+                            run.attempt,
+                            run.target_id,
+                            run.executor_hash,
+                            run.is_crash_counted,
                         )
                         for run in task.runs.values()
                     ),
@@ -490,6 +497,7 @@
                 run.is_restored = True
                 run.is_isolated = task.crash_history.is_suspect
                 run.executor_hash = stored.executor_hash
+                run.is_crash_counted = stored.is_crash_counted
                 self._append_run(run)
             self.is_started = self.is_started or record.attempts > 0
         for record in state.tasks:
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -337,19 +337,23 @@
         ended = {(end.task, end.attempt) for end in snapshot.ended}
         listed = {(row.task, row.attempt): row for row in snapshot.running}
         missing = []
+        executor_hash = target.compute_executor_hash()
         for key, run in list(target.runs.items()):
             if key in listed:
                 run.is_confirmed = run.is_sent = True
+                if run.executor_hash != executor_hash:
+                    # A late order has started it on this incarnation.
+                    run.executor_hash = executor_hash
+                    run.is_crash_counted = False
+                    self._mark_dirty(run.task.group.job)
             elif key not in ended and run.is_sent:
                 missing.append(run)
         if not was_draining:
-            executor_hash = target.compute_executor_hash()
             crashed = [
                 run
                 for run in missing
                 if run.executor_hash not in (0, executor_hash)
-                # The report of the crash has counted these.
-                and (run.task.name, run.attempt) not in target.unproved_runs
+                and not run.is_crash_counted
             ]
             self._handle_crash(target, crashed, None, moment)
         for run in missing:
@@ -413,11 +417,16 @@
             crashed = [
                 run
                 for run in lost
-                if gone.reached is None
-                or (run.task.name, run.attempt) in gone.reached
+                if not run.is_crash_counted
+                and (
+                    gone.reached is None
+                    or (run.task.name, run.attempt) in gone.reached
+                )
             ]
             crashed_at_ms = moment.elapsed_ms - gone.silent_ms
             self._handle_crash(target, crashed, crashed_at_ms, moment)
+            for run in crashed:
+                run.is_crash_counted = True
         for run in lost:
             key = (run.task.name, run.attempt)
             is_unproved = key in gone.unproved or (
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -60,11 +60,14 @@
 
     :param executor_hash: hash of the incarnation of the executor on which it
         was placed; 0 if it is not known
+    :param is_crash_counted: whether the crash of that incarnation is part of
+        the task's history
     """
 
     attempt: int
     target_id: str
     executor_hash: int = 0
+    is_crash_counted: bool = False
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+
 from borageshelf.workflows import messages
 from tests import workflow_support as support
 
@@ -75,3 +77,75 @@
     (start,) = cluster.sent_starts
     send_gone(cluster, cluster.targets[start[0]], reached=None)
     assert len(cluster.sent_starts) == 1
+
+
+def test_crash_that_is_reported_twice_counts_once() -> None:
+    """Guards against a sound task that is blamed twice for one crash.
+
+    An agent reports a crash again on a new stream, and when the executor is
+    back.
+    """
+    cluster, fake = make_unproved_cluster()
+    task = cluster.core.jobs[TASK.split('.')[0]].find_task(TASK)
+    assert task is not None
+    history = task.crash_history
+    assert history.crashes == 1
+    key = (TASK, 1)
+    send_gone(cluster, fake, reached=(key,), unproved=(key,))
+    assert task.crash_history == history
+    fake.running.clear()
+    cluster.restart(fake)
+    cluster.run_until_idle()
+    assert task.crash_history == history
+
+
+@pytest.mark.parametrize('is_reported', [True, False])
+def test_crash_that_a_former_owner_counted_counts_once(
+    is_reported: bool,
+) -> None:
+    """Guards against a second count by the next owner.
+
+    It learns of the crash from the agent's report or, once the executor is
+    back, from its incarnation.
+    """
+    cluster, fake = make_unproved_cluster()
+    fake.running.clear()
+    cluster.take_over()
+    task = cluster.core.jobs[TASK.split('.')[0]].find_task(TASK)
+    assert task is not None
+    history = task.crash_history
+    assert history.crashes == 1
+    if is_reported:
+        # An executor that has gone gives no snapshot.
+        hello = messages.AgentHello(
+            fake.target_id, 'boot', 'tajo-norte', fake.make_state().incarnation
+        )
+        cluster.core.attach(hello, 1, cluster.moment)
+        key = (TASK, 1)
+        send_gone(cluster, fake, reached=(key,), unproved=(key,))
+    cluster.restart(fake)
+    cluster.run_until_idle()
+    assert task.crash_history == history
+
+
+@pytest.mark.parametrize('has_crashed', [True, False])
+def test_late_run_is_blamed_for_a_crash_of_its_own_incarnation_only(
+    has_crashed: bool,
+) -> None:
+    """Guards against a run that counts as one of the former incarnation.
+
+    If it is missing while its executor is up, nothing has crashed.
+    """
+    cluster, fake = make_unproved_cluster()
+    task = cluster.core.jobs[TASK.split('.')[0]].find_task(TASK)
+    assert task is not None
+    cluster.restart(fake)
+    cluster.run_until_idle()
+    assert task.crash_history.crashes == 1
+    fake.running.clear()
+    if has_crashed:
+        cluster.restart(fake)
+    else:
+        cluster.attach(fake)
+    cluster.run_until_idle()
+    assert task.crash_history.crashes == 1 + has_crashed
