--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -341,12 +341,13 @@
         for key, run in list(target.runs.items()):
             if key in listed:
                 run.is_confirmed = run.is_sent = True
-                if run.executor_hash != executor_hash:
-                    # A late order has started it on this incarnation.
+                if run.executor_hash != executor_hash or run.is_crash_counted:
+                    # A late order has started it on this incarnation, or the
+                    # executor was only silent.
                     run.executor_hash = executor_hash
                     run.is_crash_counted = False
                     self._mark_dirty(run.task.group.job)
-            elif key not in ended and run.is_sent:
+            elif key not in ended and run.is_sent and snapshot.has_all_ends:
                 missing.append(run)
         if not was_draining:
             crashed = [
@@ -358,7 +359,8 @@
             self._handle_crash(target, crashed, None, moment)
         for run in missing:
             self._drop_lost_run(run, 'not listed in the snapshot', moment)
-        target.unproved_runs.clear()
+        if snapshot.has_all_ends:
+            target.unproved_runs.clear()
         target.unexpected_runs = {
             key for key in listed if key not in target.runs
         }
@@ -417,6 +419,7 @@
             crashed = [
                 run
                 for run in lost
+                # Reports are repeated; a run that was kept has been counted.
                 if not run.is_crash_counted
                 and (
                     gone.reached is None
@@ -471,6 +474,8 @@
             else:
                 known.effects.append(acknowledge)
                 self._mark_dirty(known)
+                if end.kind is task_executor.EndKind.DONE:
+                    self._use_success_of_dropped_run(known, end, moment)
             return
         job = run.task.group.job
         job.effects.append(acknowledge)
@@ -1012,9 +1017,40 @@
         job = task.group.job
         if not job.is_active or task.group.step.is_lasting:
             return
+        self._finish_task(task, moment)
+
+    def _use_success_of_dropped_run(
+        self, job: jobs.Job, end: messages.Ended, moment: clock.Moment
+    ) -> None:
+        """Finish a task whose successful run was taken for lost.
+
+        The acknowledgement makes its end final, so nothing may start the task
+        afterwards.
+        """
+        task = job.find_task(end.task)
+        if task is None or task.is_done or end.attempt > task.attempts:
+            return
+        if not job.is_active or task.group.step.is_lasting:
+            return
+        self._record(
+            'success of a dropped run used',
+            workflow=job.workflow_id,
+            task=end.task,
+            attempt=end.attempt,
+            other_runs=len(task.runs),
+        )
+        self._finish_task(task, moment)
+        if task.group.step.is_gang:
+            for member in task.group.tasks:
+                for run in list(member.runs.values()):
+                    self._stop_run(run)
+
+    def _finish_task(self, task: jobs.Task, moment: clock.Moment) -> None:
+        """Mark a task as done, stop its runs, and complete its workflow."""
+        job = task.group.job
         job.finish_task(task)
-        for other in list(task.runs.values()):
-            self._stop_run(other)
+        for run in list(task.runs.values()):
+            self._stop_run(run)
         if job.is_complete:
             self._end_workflow(job, records.Phase.COMPLETED, '', moment)
 
