--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -21,6 +21,9 @@
 # Used where the caller gives no estimate; about the mean of the users' tasks.
 DEFAULT_ESTIMATE_MS: Final = 1_000
 
+# Stands for an incarnation whose end has been counted as a crash.
+COUNTED_EXECUTOR_HASH: Final = 0
+
 
 class Run:
     """One attempt of a task on a target.
@@ -32,10 +35,8 @@
     :ivar is_restored: whether an earlier owner has started the run
     :ivar is_isolated: whether its task is suspected of crashing executors,
         and the run has not yet shown otherwise
-    :ivar executor_hash: hash of the incarnation on which it was placed; 0 if
-        it is not known
-    :ivar is_crash_counted: whether the crash of that incarnation is part of
-        the task's history; the run is kept because the next one may start it
+    :ivar executor_hash: hash of the incarnation on which it was placed, or
+        ``COUNTED_EXECUTOR_HASH``
     :ivar progress_at_ms: elapsed time of the last change of the progress
     :ivar slow_since_ms: elapsed time since which the run is throttled below
         the limit of slow runs, or 0
@@ -45,7 +46,6 @@
         'attempt',
         'executor_hash',
         'is_confirmed',
-        'is_crash_counted',
         'is_isolated',
         'is_restored',
         'is_sent',
@@ -73,8 +73,7 @@
         self.is_stopping = False
         self.is_restored = False
         self.is_isolated = False
-        self.executor_hash = 0
-        self.is_crash_counted = False
+        self.executor_hash = COUNTED_EXECUTOR_HASH
 
 
 class Task:
@@ -451,10 +450,7 @@
                     task.checkpoint,
                     tuple(
                         records.RunRecord(
-                            run.attempt,
-                            run.target_id,
-                            run.executor_hash,
-                            run.is_crash_counted,
+                            run.attempt, run.target_id, run.executor_hash
                         )
                         for run in task.runs.values()
                     ),
@@ -497,7 +493,6 @@
                 run.is_restored = True
                 run.is_isolated = task.crash_history.is_suspect
                 run.executor_hash = stored.executor_hash
-                run.is_crash_counted = stored.is_crash_counted
                 self._append_run(run)
             self.is_started = self.is_started or record.attempts > 0
         for record in state.tasks:
