--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -342,7 +342,9 @@
         for key, run in list(target.runs.items()):
             if key in listed:
                 run.is_confirmed = run.is_sent = True
-                run.executor_hash = executor_hash
+                if run.executor_hash != executor_hash:
+                    run.executor_hash = executor_hash
+                    self._mark_dirty(run.task.group.job)
             elif key not in ended and run.is_sent and snapshot.has_all_ends:
                 missing.append(run)
         if not was_draining:
