Start strong suspects of crashes where no other run is young

On fleets of two executors, sound tasks were beside deadly ones at each crash and were given up after five. A task with three counted crashes now starts only where no other run is younger than 2 s; a target is held free for it. Suspects of one workflow may share the isolation, and a crash counts as quick only against a task that is twice as likely as any other.

--- a/borageshelf/decisions/crash_blame.py
+++ b/borageshelf/decisions/crash_blame.py
@@ -17,6 +17,11 @@
 strong evidence. The rarer crashes are otherwise, the fewer it takes. Where
 executors crash all the time, evidence is weak; there a task is also at fault
 if executors crash at its start again and again.
+
+On a fleet of few executors, sound tasks are beside deadly ones at many crashes
+and look as likely. So a task under which three executors have crashed starts
+only where no other run is young: the next crash has no other candidate, and a
+sound task is not there at the crashes of others.
 """
 
 from collections import abc
@@ -40,6 +45,11 @@
 # they crash every ten seconds.
 QUICK_AGE_MS: Final = 300
 QUICK_CRASHES_LIMIT: Final = 3
+# Such a crash counts as quick only against a task that is so much likelier to
+# have caused it than any other. Where executors are few, all that waits starts
+# at once when one is back, and the sound tasks among it meet as many crashes
+# just after their start as the deadly one.
+QUICK_RATIO: Final = 2.0
 # The users' rules allow two more starts after the third crash. A crash long
 # after the start does not count, as among executors that crash by themselves
 # a longer task meets many. Neither does one that another task has probably
@@ -53,10 +63,16 @@
 ISOLATION_MS: Final = 800
 # A workflow must have a run within 3 s if there is room, by the rules of the
 # users' platform. A suspect that has found no target for isolation by then is
-# started beside other work; the second limit is for strong suspects.
+# started beside other work.
 ISOLATION_WAIT_MS: Final = 1_200
-LONG_ISOLATION_WAIT_MS: Final = 2_500
+# A task with so many counted crashes may be started only once or twice more,
+# so these starts have to tell whether it is deadly: it waits for longer, and
+# starts only where no run is young enough to share the blame. The users' rule
+# on work without any run counts at the end of a day; for a lasting task it
+# begins to count 6 s after its last run.
 STRONG_SUSPECT_CRASHES: Final = 3
+STRICT_ISOLATION_WAIT_MS: Final = 10_000
+LASTING_ISOLATION_WAIT_MS: Final = 5_000
 # Crashes after which the isolation covers the whole run.
 LONG_ISOLATION_CRASHES: Final = 2
 # A lasting task that runs for this long is taken for sound.
@@ -72,7 +88,7 @@
     :param crashes: number of executors that crashed under the task and may
         have done so because of it
     :param quick_crashes: number of executors that crashed just after the task
-        had been started there
+        had been started there, with no other task as likely to be the cause
     :param evidence: decimal logarithm of how much likelier these crashes are
         if the task is deadly than if it is not
     :param is_suspect: whether the task has to be started in isolation
@@ -83,6 +99,11 @@
     evidence: float = 0.0
     is_suspect: bool = False
 
+    @property
+    def is_strong_suspect(self) -> bool:
+        """Tell whether the next crash has to leave no doubt."""
+        return self.crashes >= STRONG_SUSPECT_CRASHES
+
     @property
     def is_at_fault(self) -> bool:
         """Tell whether the task must not be started again."""
@@ -135,6 +156,7 @@
     total = spontaneous_per_s + sum(expected)
     likeliest = max(expected, default=0.0)
     is_explained = likeliest >= EXPLAINED_SHARE * total
+    second_likeliest = max(sorted(expected)[:-1], default=0.0)
     histories = []
     for run, rate, own in zip(runs, rates, expected, strict=True):
         others = max(total - own, spontaneous_per_s)
@@ -144,12 +166,16 @@
         is_counted = is_quick or (
             is_early and (not is_explained or own >= COUNTED_RATIO * likeliest)
         )
+        crashes = run.history.crashes + is_counted
         histories.append(
             History(
-                run.history.crashes + is_counted,
-                run.history.quick_crashes + is_quick,
+                crashes,
+                run.history.quick_crashes
+                + (is_quick and own >= QUICK_RATIO * second_likeliest),
                 evidence,
-                run.history.is_suspect or evidence >= SUSPECT_EVIDENCE,
+                run.history.is_suspect
+                or evidence >= SUSPECT_EVIDENCE
+                or crashes >= STRONG_SUSPECT_CRASHES,
             )
         )
     return Verdict(tuple(histories), spontaneous_per_s / total)
@@ -170,14 +196,16 @@
 
 def clear_suspicion(history: History) -> History:
     """Return the history after a run that has outlasted its isolation."""
-    return dataclasses.replace(history, is_suspect=False)
+    return dataclasses.replace(history, is_suspect=history.is_strong_suspect)
 
 
-def compute_isolation_wait_ms(history: History) -> int:
+def compute_isolation_wait_ms(history: History, is_lasting: bool) -> int:
     """Return how long a suspect waits for a target to be isolated on."""
-    if history.crashes >= STRONG_SUSPECT_CRASHES:
-        return LONG_ISOLATION_WAIT_MS
-    return ISOLATION_WAIT_MS
+    if not history.is_strong_suspect:
+        return ISOLATION_WAIT_MS
+    if is_lasting:
+        return LASTING_ISOLATION_WAIT_MS
+    return STRICT_ISOLATION_WAIT_MS
 
 
 def compute_isolation_ms(
@@ -191,4 +219,8 @@
         return ISOLATION_MS
     if is_lasting:
         return SOUND_RUN_MS
-    return ISOLATION_MS + ESTIMATE_FACTOR * estimate_ms
+    isolation_ms = ISOLATION_MS + ESTIMATE_FACTOR * estimate_ms
+    if history.is_strong_suspect:
+        # Covers all ages at which a crash would count against the task.
+        isolation_ms = max(isolation_ms, ISOLATION_MS + COUNTED_AGE_MS)
+    return isolation_ms
--- a/borageshelf/workflows/crashes.py
+++ b/borageshelf/workflows/crashes.py
@@ -19,6 +19,9 @@
 ISOLATED_TARGETS_RATIO: Final = 1 / 2
 # A run that has lasted longer is less likely to crash its executor.
 YOUNG_RUN_MS: Final = 1_000
+# Time for the runs on a target to become too old for a crash to count against
+# them, and for the agent to list them.
+HOLD_MS: Final = crash_blame.COUNTED_AGE_MS + 500
 # Executors crash by themselves about as often as in this time before.
 CRASH_RATE_WINDOW_MS: Final = 30_000
 # Crashes in the whole fleet that are assumed beside the known ones, because a
@@ -78,7 +81,10 @@
             if not (history.is_suspect or history.crashes):
                 continue
             task.isolation_wait_deadline_ms = (
-                now_ms + crash_blame.compute_isolation_wait_ms(history)
+                now_ms
+                + crash_blame.compute_isolation_wait_ms(
+                    history, task.group.step.is_lasting
+                )
             )
             self._record(
                 'crash counted',
@@ -134,45 +140,88 @@
     def isolate(
         self, target: targets.Target, run: jobs.Run, now_ms: int
     ) -> None:
-        """Place nothing else on a target until a suspect has proved sound."""
+        """Place nothing else on a target until a suspect has proved sound.
+
+        Suspects of the same workflow may join it, as one that is at fault
+        ends the workflow.
+        """
+        if target.isolated_run is None:
+            target.isolation_deadline_ms = 0
         run.is_isolated = True
         target.isolated_run = run
-        target.isolation_deadline_ms = now_ms + _compute_isolation_ms(run)
+        target.hold_deadline_ms = 0
+        target.isolation_deadline_ms = max(
+            target.isolation_deadline_ms, now_ms + _compute_isolation_ms(run)
+        )
         self._fleet.touch(target)
 
-    def can_isolate(self, service: str) -> bool:
+    def can_isolate(self, service: str, now_ms: int) -> bool:
         """Tell whether one more target of a service may be in isolation."""
         target_count = isolated_count = 0
         for target in self._fleet.targets.values():
             if target.service == service and target.is_ready:
                 target_count += 1
-                isolated_count += target.isolated_run is not None
+                isolated_count += (
+                    target.isolated_run is not None or target.is_held(now_ms)
+                )
         return isolated_count < max(target_count * ISOLATED_TARGETS_RATIO, 1)
 
+    def hold(self, target: targets.Target, now_ms: int) -> None:
+        """Place nothing on a target until its young runs have grown old.
+
+        A strong suspect starts there then, so that a crash leaves no doubt.
+        """
+        target.hold_deadline_ms = now_ms + HOLD_MS
+        self._fleet.touch(target)
+
+    def list_held_targets(
+        self, service: str, now_ms: int
+    ) -> list[targets.Target]:
+        """Return the targets on which nothing but a suspect is placed."""
+        return [
+            target
+            for target in self._fleet.targets.values()
+            if target.service == service
+            and target.is_held(now_ms)
+            and target.can_accept_suspect(now_ms)
+        ]
+
     def end_expired_isolation(
         self, target: targets.Target, now_ms: int
     ) -> None:
-        """Clear the suspect of a target if its run has lasted long enough."""
-        run = target.isolated_run
-        if run is None or now_ms < target.isolation_deadline_ms:
+        """Clear the suspects of a target if they have run long enough."""
+        if (
+            target.isolated_run is None
+            or now_ms < target.isolation_deadline_ms
+        ):
             return
-        is_listed = run.is_confirmed or run.task.group.step.is_lasting
-        if not (target.is_ready and run.is_sent and is_listed):
-            # The run may not have started yet, or its end is not known yet.
-            target.isolation_deadline_ms = now_ms + _compute_isolation_ms(run)
+        isolated = list(target.list_isolated_runs())
+        if not all(
+            target.is_ready
+            and run.is_sent
+            and (run.is_confirmed or run.task.group.step.is_lasting)
+            for run in isolated
+        ):
+            # A run may not have started yet, or its end is not known yet.
+            target.isolation_deadline_ms = now_ms + max(
+                map(_compute_isolation_ms, isolated)
+            )
             return
-        run.is_isolated = False
         target.isolated_run = None
         self._fleet.touch(target)
-        task = run.task
-        task.set_crash_history(crash_blame.clear_suspicion(task.crash_history))
-        self._record(
-            'suspect cleared',
-            workflow=task.group.job.workflow_id,
-            task=task.name,
-            attempt=run.attempt,
-            target=target.target_id,
-        )
+        for run in isolated:
+            run.is_isolated = False
+            task = run.task
+            task.set_crash_history(
+                crash_blame.clear_suspicion(task.crash_history)
+            )
+            self._record(
+                'suspect cleared',
+                workflow=task.group.job.workflow_id,
+                task=task.name,
+                attempt=run.attempt,
+                target=target.target_id,
+            )
 
 
 def _find_age_ms(run: jobs.Run, crashed_at_ms: int | None) -> int | None:
@@ -185,11 +234,11 @@
     return max(crashed_at_ms - run.started_at_ms, 0)
 
 
-def is_young(run: jobs.Run, now_ms: int) -> bool:
+def is_young(run: jobs.Run, now_ms: int, limit_ms: int) -> bool:
     """Tell whether a run has just started, as far as its owner knows."""
     is_unlisted = not (run.is_confirmed or run.task.group.step.is_lasting)
     age_ms = now_ms - run.started_at_ms
-    return is_unlisted or age_ms <= YOUNG_RUN_MS
+    return is_unlisted or age_ms <= limit_ms
 
 
 def _compute_isolation_ms(run: jobs.Run) -> int:
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -482,7 +482,9 @@
                 )
                 task.isolation_wait_deadline_ms = (
                     now_ms
-                    + crash_blame.compute_isolation_wait_ms(task.crash_history)
+                    + crash_blame.compute_isolation_wait_ms(
+                        task.crash_history, task.group.step.is_lasting
+                    )
                 )
             for stored in record.runs:
                 run = Run(task, stored.attempt, stored.target_id, now_ms)
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -6,9 +6,10 @@
 
 from collections import abc
 import math
-from typing import Final
+from typing import Any, Final
 
 from borageshelf import clock
+from borageshelf.decisions import crash_blame
 from borageshelf.decisions import filler_effects
 from borageshelf.decisions import workflow_order
 from borageshelf.decisions import workflow_placement
@@ -183,8 +184,8 @@
     def _place_suspect(self, group: jobs.Group, now_ms: int) -> bool:
         """Place a suspected task in isolation; tell whether one was placed.
 
-        Only one task of a workflow is in isolation at a time, because one
-        that is at fault ends the workflow.
+        Only one target is in isolation for a workflow at a time, because a
+        task that is at fault ends the workflow.
         """
         job = group.job
         waiting = [
@@ -192,11 +193,7 @@
             for task in group.suspects
             if task.is_waiting and task.awaits_isolation(now_ms)
         ]
-        if (
-            not waiting
-            or any(run.is_isolated for run in job.list_runs())
-            or not self._crash_tracker.can_isolate(job.terms.service)
-        ):
+        if not waiting:
             return False
         task = max(waiting, key=lambda task: task.crash_history.crashes)
         target = self._choose_for_isolation(task, now_ms)
@@ -216,8 +213,58 @@
         """Return the target where a crash of the executor does least harm.
 
         Targets where another task has just started, or that crash under
-        various tasks, come last, as the crash would prove little there.
+        various tasks, come last, as the crash would prove little there. A
+        strong suspect does not start there at all: the target is held until
+        those tasks have lasted.
         """
+        is_strict = task.crash_history.is_strong_suspect
+        service = task.group.job.terms.service
+        isolated = [
+            run for run in task.group.job.list_runs() if run.is_isolated
+        ]
+        if isolated:
+            return self._choose_beside_siblings(task, isolated, now_ms)
+        can_isolate = self._crash_tracker.can_isolate(service, now_ms)
+        candidates = []
+        if can_isolate:
+            candidates += self._fleet.get_index(service).list_targets()
+        if is_strict:
+            candidates += self._crash_tracker.list_held_targets(
+                service, now_ms
+            )
+        ranked = self._rank_for_isolation(task, candidates, now_ms)
+        if not ranked:
+            return None
+        (is_doubtful, *_), target = min(ranked, key=lambda item: item[0])
+        if not (is_strict and is_doubtful):
+            return target
+        if can_isolate and not target.is_held(now_ms):
+            self._crash_tracker.hold(target, now_ms)
+            self._fleet.reindex(target, now_ms)
+        return None
+
+    def _choose_beside_siblings(
+        self, task: jobs.Task, isolated: list[jobs.Run], now_ms: int
+    ) -> targets.Target | None:
+        """Return the target of the workflow's isolated suspects if it fits.
+
+        A crash there leaves no doubt about the workflow, and suspects that
+        start together prove sound sooner than one after the other.
+        """
+        target = self._fleet.targets[isolated[-1].target_id]
+        if not target.can_accept_sibling_suspect(now_ms):
+            return None
+        if not self._rank_for_isolation(task, [target], now_ms):
+            return None
+        return target
+
+    def _rank_for_isolation(
+        self,
+        task: jobs.Task,
+        candidates: abc.Iterable[workflow_placement.Target],
+        now_ms: int,
+    ) -> list[tuple[tuple[Any, ...], targets.Target]]:
+        """Return the candidates that have room, with their ranks."""
         group = task.group
         sibling_counts = group.count_runs_by_target()
         request = workflow_placement.PlacementRequest(
@@ -226,10 +273,13 @@
             task.avoided,
             self._get_sibling_rack(group, sibling_counts),
         )
-        candidates = []
-        for candidate in self._fleet.get_index(
-            group.job.terms.service
-        ).list_targets():
+        young_limit_ms = (
+            crash_blame.COUNTED_AGE_MS
+            if task.crash_history.is_strong_suspect
+            else crashes.YOUNG_RUN_MS
+        )
+        ranked = []
+        for candidate in candidates:
             score = workflow_placement.compute_score(
                 request, candidate, self._predict_harmless_latency_share
             )
@@ -237,17 +287,15 @@
             if score is not None:
                 rank = (
                     any(
-                        crashes.is_young(run, now_ms)
+                        crashes.is_young(run, now_ms, young_limit_ms)
                         for run in target.runs.values()
                     ),
                     round(target.spontaneous_crashes),
                     len(target.runs),
                     score,
                 )
-                candidates.append((rank, target))
-        if not candidates:
-            return None
-        return min(candidates, key=lambda item: item[0])[1]
+                ranked.append((rank, target))
+        return ranked
 
     def _add_run(
         self, task: jobs.Task, target: targets.Target, now_ms: int
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -1,5 +1,6 @@
 """The owner's view of targets: capacity, runs and agent sessions."""
 
+from collections import abc
 from typing import Final
 
 import xxhash
@@ -38,9 +39,12 @@
     :ivar progress_reported_at_ms: elapsed time of the last report of progress
     :ivar refusal_deadline_ms: elapsed time until which nothing is placed here
         after a refused start
-    :ivar isolated_run: run of a suspected task beside which nothing is placed
+    :ivar isolated_run: last started run of a suspected task; beside it only
+        other suspects of its workflow are placed
     :ivar isolation_deadline_ms: elapsed time at which the isolation ends if
-        that run still exists
+        such a run still exists
+    :ivar hold_deadline_ms: elapsed time until which nothing but a suspected
+        task is placed here
     :ivar spontaneous_crashes: crashes of the executor that no task is likely
         to have caused
     """
@@ -78,6 +82,7 @@
         self.progress_reported_at_ms = 0
         self.isolated_run: jobs.Run | None = None
         self.isolation_deadline_ms = 0
+        self.hold_deadline_ms = 0
         self.spontaneous_crashes = 0.0
 
     def is_healthy(self, now_ms: int) -> bool:
@@ -90,17 +95,32 @@
 
     def can_accept_runs(self, now_ms: int) -> bool:
         """Tell whether new runs may be placed here now."""
+        return self.can_accept_suspect(now_ms) and not self.is_held(now_ms)
+
+    def is_held(self, now_ms: int) -> bool:
+        """Tell whether the target is kept free for a suspected task."""
+        return now_ms < self.hold_deadline_ms
+
+    def can_accept_suspect(self, now_ms: int) -> bool:
+        """Tell whether a suspected task may be placed here now."""
+        return self.isolated_run is None and self.can_accept_sibling_suspect(
+            now_ms
+        )
+
+    def can_accept_sibling_suspect(self, now_ms: int) -> bool:
+        """Tell whether a suspect may join those of its workflow here."""
         return (
             self.is_healthy(now_ms)
             and not self.unexpected_runs
-            and self.isolated_run is None
             and now_ms >= self.refusal_deadline_ms
         )
 
     def find_retry_deadline_ms(self, now_ms: int) -> int:
         """Return when the passing of time allows new runs; 0 if never."""
         deadline_ms = max(
-            self.refusal_deadline_ms, self.health.suspect_deadline_ms
+            self.refusal_deadline_ms,
+            self.health.suspect_deadline_ms,
+            self.hold_deadline_ms,
         )
         return deadline_ms if deadline_ms > now_ms else 0
 
@@ -140,7 +160,11 @@
         if self.runs.pop((run.task.name, run.attempt), None) is not None:
             self._adjust_totals(run, -1)
         if self.isolated_run is run:
-            self.isolated_run = None
+            self.isolated_run = next(self.list_isolated_runs(), None)
+
+    def list_isolated_runs(self) -> abc.Iterator[jobs.Run]:
+        """Yield the runs of suspected tasks of the workflow in isolation."""
+        return (run for run in self.runs.values() if run.is_isolated)
 
     def compute_executor_hash(self) -> int:
         """Return a short identity of the executor's incarnation."""
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -6,7 +6,10 @@
 
 import pytest
 
+from borageshelf.decisions import crash_blame
+from borageshelf.model import resources
 from borageshelf.model import workflows
+from tests.soak import plans
 from tests import workflow_support as support
 
 TICK_MS = 100
@@ -22,6 +25,8 @@
 
     :param deadly: tells of a task whether it crashes its executor
     :param crash_age_ms: run time after which a deadly task does so
+    :ivar run_ms: run times of the workflows that do not take ``RUN_MS``
+    :ivar restart_ms: time after which a crashed executor is back
     :ivar crashes: crashes under each task that ran on the executor
     :ivar culprits: crashes that each deadly task caused
     """
@@ -37,6 +42,8 @@
             self.cluster.add_target(f'vm-{number:02}', millicores=8_000)
         self._deadly = deadly
         self._crash_age_ms = crash_age_ms
+        self.run_ms: dict[str, int] = {}
+        self.restart_ms = RESTART_MS
         self.crashes: collections.Counter[str] = collections.Counter()
         self.culprits: collections.Counter[str] = collections.Counter()
         self.starts: collections.Counter[str] = collections.Counter()
@@ -44,6 +51,8 @@
         self._reports_due: list[tuple[int, support.FakeTarget]] = []
         self._restarts_due: list[tuple[int, support.FakeTarget]] = []
         self._down: set[str] = set()
+        # Runs on each executor at its last crash.
+        self._reached: dict[str, tuple[tuple[str, int], ...]] = {}
         self._counted_starts = 0
         # Called before each tick with the number of the tick.
         self.disturb: abc.Callable[[int], None] = lambda tick: None
@@ -69,10 +78,11 @@
             return
         self.crashes.update(fake.running.keys())
         self._down.add(fake.target_id)
+        self._reached[fake.target_id] = tuple(fake.running.items())
         fake.running.clear()
         now_ms = self.cluster.now_ms
         self._reports_due.append((now_ms + CRASH_REPORT_MS, fake))
-        self._restarts_due.append((now_ms + RESTART_MS, fake))
+        self._restarts_due.append((now_ms + self.restart_ms, fake))
 
     def take_over(self) -> None:
         """Replace the owner; the executors that are up attach to it."""
@@ -96,7 +106,7 @@
             if cluster.now_ms >= due_ms:
                 self._reports_due.remove((due_ms, fake))
                 if self.are_crashes_reported:
-                    cluster.crash(fake)
+                    cluster.crash(fake, reached=self._reached[fake.target_id])
         for due_ms, fake in list(self._restarts_due):
             if cluster.now_ms >= due_ms:
                 self._restarts_due.remove((due_ms, fake))
@@ -116,11 +126,12 @@
             key = (fake.target_id, task, attempt)
             age_ms = self._run_ages_ms.get(key, 0)
             self._run_ages_ms[key] = age_ms + TICK_MS
+            run_ms = self.run_ms.get(task.split('.')[0], RUN_MS)
             if self._deadly(task) and age_ms >= self._crash_age_ms:
                 self.culprits[task] += 1
                 self.crash(fake)
                 return
-            if age_ms >= RUN_MS and not self._is_lasting(task):
+            if age_ms >= run_ms and not self._is_lasting(task):
                 self.cluster.end_run(task)
 
     def _is_lasting(self, task: str) -> bool:
@@ -264,3 +275,99 @@
     day.play(60_000)
     states = {day.cluster.core.find_state(each) for each in ids}
     assert states == {'completed'}
+
+
+def test_strong_suspect_starts_where_no_other_run_is_young() -> None:
+    """Guards against crashes that leave two candidates again and again."""
+    day = CrashDay(2)
+    suspect_id, other_id = f'{1:016x}', f'{2:016x}'
+    suspect = f'{suspect_id}.0.0.0'
+    day.submit(other_id, support.make_step(8))
+    day.play(100)
+    day.submit(suspect_id, support.make_step())
+    task = day.cluster.core.jobs[suspect_id].find_task(suspect)
+    assert task is not None
+    history = crash_blame.History(3, is_suspect=True)
+    task.set_crash_history(history)
+    task.isolation_wait_deadline_ms = (
+        day.cluster.now_ms
+        + crash_blame.compute_isolation_wait_ms(history, is_lasting=False)
+    )
+    day.play(RUN_MS - 500)
+    assert not day.starts[suspect]
+    day.play(1_000)
+    assert day.starts[suspect]
+
+
+def test_strong_suspect_does_not_wait_for_isolation_for_ever() -> None:
+    """Guards against work that is lost because it is never isolated."""
+    day = CrashDay(2)
+    suspect_id = f'{1:016x}'
+    suspect = f'{suspect_id}.0.0.0'
+    day.disturb = lambda tick: day.submit(
+        f'{100 + tick:016x}', support.make_step(2, estimate_ms=100)
+    )
+    day.submit(suspect_id, support.make_step())
+    task = day.cluster.core.jobs[suspect_id].find_task(suspect)
+    assert task is not None
+    task.set_crash_history(crash_blame.History(3, is_suspect=True))
+    day.play(12_000)
+    assert day.starts[suspect]
+
+
+def make_steps(submission: plans.Submission) -> list[workflows.Step]:
+    """Return the steps of a workflow of the soak."""
+    return [
+        support.make_step(
+            phase['Count'],
+            demand=resources.Resources(phase['Cpu'], phase['MemMb']),
+            estimate_ms=phase['EstimateMs'],
+            after=tuple(phase.get('After', ())),
+            spread_limit=phase.get('AntiAffinity', 0),
+            is_lasting=phase.get('LongRunning', False),
+        )
+        for phase in submission.document['Phases']
+    ]
+
+
+# The workflows of these seeds of the soak, which saw sound ones of 27010 and of
+# 27012 given up.
+@pytest.mark.parametrize('seed', [27006, 27008, 27010, 27012])
+@pytest.mark.parametrize('target_count', [2, 3])
+@pytest.mark.parametrize('crash_age_ms', [0, 300, 1_500])
+def test_sound_work_among_few_executors_is_not_given_up(
+    crash_age_ms: int, target_count: int, seed: int
+) -> None:
+    """Guards against blaming what is on both executors at each crash."""
+    submissions = list(plans.make_plan(seed).submissions)
+    deadly_ids = {item.workflow_id for item in submissions if item.is_deadly}
+    day = CrashDay(
+        target_count,
+        lambda task: task.split('.')[0] in deadly_ids,
+        crash_age_ms,
+    )
+    day.restart_ms = 1_500
+    day.run_ms = {
+        item.workflow_id: int(item.document['Spec'].strip('!'))
+        for item in submissions
+        if not item.is_deadly
+    }
+
+    def disturb(tick: int) -> None:
+        while submissions and submissions[0].at_ms <= tick * TICK_MS:
+            item = submissions.pop(0)
+            day.submit(item.workflow_id, *make_steps(item))
+
+    day.disturb = disturb
+    day.play(60_000)
+    core = day.cluster.core
+    # Some are refused, because too few executors are up.
+    for item in plans.make_plan(seed).submissions:
+        if item.is_deadly:
+            expected = 'failed'
+        elif item.is_long_running:
+            expected = 'running'
+        else:
+            expected = 'completed'
+        assert core.find_state(item.workflow_id) in (expected, None)
+    assert max(day.culprits.values()) <= STARTS_LIMIT
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -209,9 +209,12 @@
         self,
         fake: FakeTarget,
         cause: messages.GoneCause = messages.GoneCause.NOTHING_LISTENS,
+        reached: tuple[tuple[str, int], ...] | None = None,
     ) -> list[str]:
         """Crash an executor, and let its agent report it.
 
+        :param reached: tasks and attempts of the runs whose starts had
+            reached it; None if the agent does not know them
         :return: the tasks that ran there
         """
         lost = list(fake.running)
@@ -220,7 +223,7 @@
         target = self.core.targets.get(fake.target_id)
         if target is not None and target.session == fake.session:
             gone = messages.ExecutorGone(
-                0, fake.make_state().incarnation, cause
+                0, fake.make_state().incarnation, cause, reached=reached
             )
             self.core.handle_executor_gone(target, gone, self.moment)
             self.apply_effects(self.core.take_immediate_effects())
