--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -330,7 +330,7 @@
     ]
 
 
-# The workflows of these seeds of the soak, which saw sound ones of 27010 and of
+# The workflows of these seeds of the soak, which saw sound ones of 27010 and
 # 27012 given up.
 @pytest.mark.parametrize('seed', [27006, 27008, 27010, 27012])
 @pytest.mark.parametrize('target_count', [2, 3])
