Count the crash of an executor that drains

An executor that vanishes without its departure while it drains has crashed. The stand-in no longer announces the departure of an executor that has crashed. The new test fails on the code before.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -401,8 +401,9 @@
         )
         measurements.EXECUTORS_GONE.labels(gone.cause.value).inc()
         lost = [run for run in target.runs.values() if run.is_sent]
-        is_planned = gone.cause is messages.GoneCause.LEFT
-        if not (is_planned or target.is_draining):
+        # An executor that drains may crash, too; its young runs show it, as
+        # it gets none in the time before it leaves.
+        if gone.cause is not messages.GoneCause.LEFT:
             crashed = [
                 run
                 for run in lost
--- a/standins/platform_executor.py
+++ b/standins/platform_executor.py
@@ -210,7 +210,12 @@
         self.is_down = False
 
     async def leave(self) -> None:
-        """Announce to the agent that it leaves, and end."""
+        """Announce to the agent that it leaves, and end.
+
+        One that has crashed announces nothing.
+        """
+        if self.is_down:
+            return
         path = f'/-/Instances.Leave/{self.instance_id}'
         try:
             await self._agent_client.post(
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -9,6 +9,7 @@
 from borageshelf.decisions import crash_blame
 from borageshelf.model import resources
 from borageshelf.model import workflows
+from borageshelf.workflows import messages
 from tests.soak import plans
 from tests import workflow_support as support
 
@@ -277,6 +278,33 @@
     assert states == {'completed'}
 
 
+@pytest.mark.parametrize(
+    ('cause', 'crashes'),
+    [
+        (messages.GoneCause.NOTHING_LISTENS, 1),
+        (messages.GoneCause.LEFT, 0),
+    ],
+)
+def test_crash_of_a_draining_executor_counts_and_its_departure_does_not(
+    cause: messages.GoneCause, crashes: int
+) -> None:
+    """Guards against a sixth start; soak seed 27008 saw one."""
+    cluster = support.Cluster()
+    fake = cluster.add_target('vm-0')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (task_name,) = fake.running
+    cluster.now_ms += 500
+    fake.is_draining = True
+    target = cluster.core.targets['vm-0']
+    cluster.core.update_target_state(target, fake.make_state(), cluster.moment)
+    cluster.crash(fake, cause)
+    job = cluster.core.jobs[task_name.split('.')[0]]
+    task = job.find_task(task_name)
+    assert task is not None
+    assert task.crash_history.crashes == crashes
+
+
 def test_strong_suspect_starts_where_no_other_run_is_young() -> None:
     """Guards against crashes that leave two candidates again and again."""
     day = CrashDay(2)
