--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -450,14 +450,18 @@
     async def _send_effects(self) -> None:
         """Send learned effects of fillers to agents that run serving tasks.
 
-        Each round also logs the totals of the fleet.
+        Each round also logs the totals of the fleet, and the workflows that
+        have had nothing at work for a while.
         """
         sent_pairs: tuple[tuple[str, str, float], ...] = ()
         while True:
             await asyncio.sleep(EFFECTS_INTERVAL_MS / 1000)
+            moment = clock.read_moment()
             self._event_log.record_detail(
-                'fleet', **self._core.describe_fleet(clock.read_moment())
+                'fleet', **self._core.describe_fleet(moment)
             )
+            for fields in self._core.describe_idle_workflows(moment):
+                self._event_log.record_detail('workflow idle', **fields)
             pairs = self._core.scheduler.filler_effects.list_effects()
             if pairs == sent_pairs:
                 continue
--- /dev/null
+++ b/borageshelf/workflows/idle.py
@@ -0,0 +1,136 @@
+"""Explains in the log why an accepted workflow has nothing at work.
+
+Part of the owner's core; does no I/O and changes nothing.
+"""
+
+import collections
+from collections import abc
+from typing import Any, Final
+
+from borageshelf import clock
+from borageshelf.decisions import workflow_placement
+from borageshelf.workflows import fleet
+from borageshelf.workflows import jobs
+from borageshelf.workflows import targets
+
+# Time without a run at work after which a workflow is explained.
+IDLE_LIMIT_MS: Final = 5_000
+# Limits the lines per round when the whole fleet is full.
+EXPLAINED_LIMIT: Final = 5
+
+
+def describe_idle_workflows(
+    active_jobs: abc.Iterable[jobs.Job],
+    known_fleet: fleet.Fleet,
+    moment: clock.Moment,
+) -> list[dict[str, Any]]:
+    """Return the fields of a log line for each idle workflow, oldest first."""
+    idle: list[dict[str, Any]] = []
+    for job in active_jobs:
+        if len(idle) == EXPLAINED_LIMIT:
+            break
+        since_ms = _find_idle_since_ms(job, known_fleet)
+        if since_ms is None or moment.elapsed_ms - since_ms < IDLE_LIMIT_MS:
+            continue
+        idle.append(
+            {
+                'workflow': job.workflow_id,
+                'idle_ms': moment.elapsed_ms - since_ms,
+                'cause': _find_cause(job, known_fleet, moment),
+                'runs': [
+                    _describe_run(run, known_fleet) for run in job.list_runs()
+                ],
+            }
+        )
+    return idle
+
+
+def _find_idle_since_ms(job: jobs.Job, known_fleet: fleet.Fleet) -> int | None:
+    """Return since when nothing is known to be at work; None if it is."""
+    runs = list(job.list_runs())
+    if not runs:
+        return job.idle_since_ms
+    for run in runs:
+        target = known_fleet.targets.get(run.target_id)
+        if target is not None and target.is_ready and run.is_confirmed:
+            return None
+    return max(run.started_at_ms for run in runs)
+
+
+def _find_cause(
+    job: jobs.Job, known_fleet: fleet.Fleet, moment: clock.Moment
+) -> str:
+    now_ms = moment.elapsed_ms
+    if job.live_runs:
+        return 'no target lists its runs'
+    groups = [
+        group
+        for group in job.groups
+        if group.waiting_count and job.is_ready(group, moment.wall_ms)
+    ]
+    if not groups:
+        return 'no step is due'
+    waiting = [
+        task for group in groups for task in group.tasks if task.is_waiting
+    ]
+    if all(task.awaits_isolation(now_ms) for task in waiting):
+        return 'suspected of crashes, waits for isolation'
+    if all(task.not_before_ms > now_ms for task in waiting):
+        return 'waits after a failure'
+    service = job.terms.service
+    usable = known_fleet.get_index(service).list_targets()
+    if not usable:
+        return (
+            f'no usable target: {_count_states(service, known_fleet, now_ms)}'
+        )
+    has_room = any(
+        workflow_placement.has_room(group.step, target)
+        for group in groups
+        for target in usable
+    )
+    return 'not placed' if has_room else 'no room'
+
+
+def _count_states(
+    service: str, known_fleet: fleet.Fleet, now_ms: int
+) -> dict[str, int]:
+    """Return how many targets of a service are in which state."""
+    return dict(
+        collections.Counter(
+            _describe_target(target, now_ms)
+            for target in known_fleet.targets.values()
+            if target.service == service
+        )
+    )
+
+
+def _describe_target(target: targets.Target, now_ms: int) -> str:
+    """Return why nothing may be placed on a target."""
+    if not target.is_ready:
+        return 'not ready'
+    if target.is_draining:
+        return 'draining'
+    if target.health.is_suspect(now_ms):
+        return 'fails work'
+    if target.unexpected_runs:
+        return 'unexpected runs'
+    if target.isolated_run is not None:
+        return 'isolated'
+    if target.is_held(now_ms):
+        return 'held for a suspect'
+    return 'refused a start'
+
+
+def _describe_run(run: jobs.Run, known_fleet: fleet.Fleet) -> str:
+    target = known_fleet.targets.get(run.target_id)
+    flags = [
+        name
+        for name, is_set in (
+            ('sent', run.is_sent),
+            ('listed', run.is_confirmed),
+            ('stopping', run.is_stopping),
+            ('target ready', target is not None and target.is_ready),
+        )
+        if is_set
+    ]
+    return f'{run.task.name}/{run.attempt} on {run.target_id}: {flags}'
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -22,6 +22,7 @@
 from borageshelf.workflows import crashes
 from borageshelf.workflows import effects
 from borageshelf.workflows import fleet
+from borageshelf.workflows import idle
 from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
 from borageshelf.workflows import records
@@ -752,6 +753,14 @@
             'waiting_millicores': sum(waiting),
         }
 
+    def describe_idle_workflows(
+        self, moment: clock.Moment
+    ) -> list[dict[str, Any]]:
+        """Return why workflows have nothing at work, for the log."""
+        return idle.describe_idle_workflows(
+            self._active_jobs.values(), self._fleet, moment
+        )
+
     def mark_end_committed(self, effect: effects.Acknowledge) -> int | None:
         """Record that the state changes caused by an end are committed.
 
