--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -98,12 +98,17 @@
         self._clock_reading: _ClockReading | None = None
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
+        self._recorded_end_number = 0
         self._ends_acknowledged = asyncio.Event()
         self._runs: dict[tuple[str, int], runs.AgentRun] = {}
         # Incarnation that this process has inspected, and the runs that were
         # lost with it. Each owner that asks about it has to learn of them.
         self._inspected_incarnation = ''
         self._lost_runs: tuple[tuple[str, int], ...] = ()
+        self._unproved_runs: tuple[tuple[str, int], ...] = ()
+        self._departed_incarnation = ''
+        self._inspection_begun_at_ms = 0
+        self._is_snapshot_complete = True
         # Earliest time at which the executor may have stopped answering.
         self._silent_since_ms = 0
         self._specs: dict[str, str] = {}
@@ -153,6 +158,19 @@
                 'executor drains', incarnation=announcement.incarnation
             )
             self.send_report()
+        elif announcement.capacity != former.capacity:
+            self._record_capacity(former.capacity, announcement.capacity)
+
+    def _record_capacity(
+        self, former: resources.Resources, capacity: resources.Resources
+    ) -> None:
+        self._event_log.record_state(
+            'capacity changed',
+            former_millicores=former.processor_millicores,
+            millicores=capacity.processor_millicores,
+            former_memory_mb=former.memory_mb,
+            memory_mb=capacity.memory_mb,
+        )
 
     def handle_departure(self, instance_id: str) -> None:
         """Handle an executor's message that it is shutting down."""
@@ -164,7 +182,8 @@
             self._event_log.record_state(
                 'executor left', incarnation=announcement.incarnation
             )
-            self._report_executor_gone(announcement, messages.GoneCause.LEFT)
+            # It runs until its process ends, which the next inspection shows.
+            self._departed_incarnation = announcement.incarnation
 
     # Sessions.
 
@@ -255,6 +274,7 @@
             )
             if self._gone_cause is not None or self._unanswered_since_ms:
                 wait_ms = 0
+            self._record_acknowledgement()
             try:
                 inspection = await self._executor.inspect(
                     self._get_instance_id(),
@@ -278,6 +298,7 @@
             self._unanswered_since_ms = 0
             if not self._check_incarnation(inspection):
                 return
+            self._inspection_begun_at_ms = begun_at_ms
             self._silent_since_ms = self._inspected_at_ms
             if self._gone_cause is not None:
                 # The executor was only unreachable. A new session reports
@@ -290,6 +311,9 @@
                 self._report_snapshot(inspection)
                 continue
             self._apply_inspection(inspection, begun_at_ms)
+            if inspection.has_all_ends and not self._is_snapshot_complete:
+                self._renew_session()
+                return
             await self._pace_fillers()
             if self._seen_end_number > self._acknowledged_end_number:
                 self._ends_acknowledged.clear()
@@ -304,21 +328,34 @@
             key = (row.task, row.attempt)
             run = former_runs.get(key)
             if run is None:
-                run = runs.AgentRun(
-                    _make_unknown_terms(row.task, row.attempt),
-                    runs.RunState.RUNNING,
+                run = _make_unknown_run(
+                    row.task, row.attempt, runs.RunState.RUNNING
                 )
             run.state = runs.RunState.RUNNING
             run.row = row
             run.may_have_arrived = True
             run.confirmed_at_ms = clock.read_elapsed_ms()
             self._runs[key] = run
+        for end in inspection.ended:
+            self._record_end(end)
         self._seen_end_number = max(
             (end.number for end in inspection.ended),
             default=self._acknowledged_end_number,
         )
+        self._event_log.record_state(
+            'snapshot taken',
+            incarnation=self.incarnation,
+            token=self._token,
+            running=len(inspection.running),
+            ended=len(inspection.ended),
+            unknown=len(inspection.running)
+            - len(former_runs.keys() & self._runs.keys()),
+            last_end=self._seen_end_number,
+        )
         self._inspected_incarnation = self.incarnation
+        self._is_snapshot_complete = inspection.has_all_ends
         self._lost_runs = ()
+        self._unproved_runs = ()
         state = self._make_state()
         self._reported_state = state
         self._is_ready = True
@@ -328,10 +365,32 @@
                 state,
                 tuple(_make_row(row) for row in inspection.running),
                 tuple(_make_end(end) for end in inspection.ended),
+                inspection.has_all_ends,
             )
         )
         self.send_report()
 
+    def _record_acknowledgement(self) -> None:
+        """Log which ends the executor may forget, once for each number."""
+        if self._acknowledged_end_number > self._recorded_end_number:
+            self._recorded_end_number = self._acknowledged_end_number
+            self._event_log.record(
+                'ends acknowledged',
+                number=self._acknowledged_end_number,
+                incarnation=self.incarnation,
+                token=self._token,
+            )
+
+    def _record_end(self, end: task_executor.EndedRun) -> None:
+        self._event_log.record(
+            'end seen',
+            task=end.task,
+            attempt=end.attempt,
+            how=end.kind.value,
+            number=end.number,
+            incarnation=self.incarnation,
+        )
+
     def _renew_session(self) -> None:
         """Request a session with a new token and a new snapshot."""
         self.end_session()
@@ -342,6 +401,13 @@
     def order_start(self, order: messages.Start) -> None:
         """Start a run, or refuse to."""
         if order.token != self._token or not self._is_ready:
+            self._event_log.record(
+                'start of a former session',
+                task=order.terms.task,
+                attempt=order.terms.attempt,
+                token=order.token,
+                session_token=self._token,
+            )
             return
         if order.spec is not None:
             self._specs[order.workflow_id] = order.spec
@@ -363,15 +429,18 @@
         key = (order.task, order.attempt)
         run = self._runs.get(key)
         if run is None:
-            terms = _make_unknown_terms(order.task, order.attempt)
-            run = runs.AgentRun(terms, runs.RunState.STOPPING)
+            run = _make_unknown_run(
+                order.task, order.attempt, runs.RunState.STOPPING
+            )
             self._runs[key] = run
         run.state = runs.RunState.STOPPING
         self._session_tasks.start(self._stop(run, order.token))
 
     def acknowledge_ends(self, order: messages.Acknowledged) -> None:
         """Let the executor forget acknowledged ends at the next inspection."""
-        if order.token == self._token:
+        # The numbers are those of an incarnation that has gone.
+        is_outdated = self._gone_cause is not None
+        if order.token == self._token and not is_outdated:
             self._acknowledged_end_number = max(
                 self._acknowledged_end_number, order.number
             )
@@ -384,6 +453,7 @@
             run = self._runs.get((terms.task, terms.attempt))
             if run is not None:
                 run.terms = terms
+                run.is_known = True
 
     def forget_workflow(self, workflow_id: str) -> None:
         """Drop the specification of an ended workflow."""
@@ -405,9 +475,14 @@
     def _has_room(
         self, added: resources.Resources, announcement: targets.Announcement
     ) -> bool:
-        """Tell whether all known runs and an added size fit."""
+        """Tell whether all runs and an added size fit.
+
+        Nothing fits beside a listed run of unknown size.
+        """
         reserved = added
         for run in self._runs.values():
+            if run.row is not None and not run.is_known:
+                return False
             reserved = reserved.plus(run.terms.reserved)
         return reserved.fits_in(announcement.capacity)
 
@@ -423,6 +498,8 @@
             task=terms.task,
             attempt=terms.attempt,
             reason=reason,
+            incarnation=self.incarnation,
+            token=self._token,
         )
         self._send(
             messages.StartRefused(
@@ -457,6 +534,8 @@
                 run.is_unhealthy = False
                 break
             had_arrived, run.may_have_arrived = run.may_have_arrived, True
+            run.open_tries += 1
+            self._record_order('start sent', run, token, try_index + 1)
             try:
                 outcome = await self._executor.start(
                     self._get_instance_id(),
@@ -480,10 +559,19 @@
                 )
                 if error.is_connection_refused:
                     run.may_have_arrived = had_arrived
+                    run.open_tries -= 1
                 run.refusal_reason = 'not answered'
                 run.is_unhealthy = True
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
+            run.open_tries -= 1
+            self._event_log.record(
+                'start answered',
+                task=order.terms.task,
+                attempt=order.terms.attempt,
+                tries=try_index + 1,
+                outcome=outcome.value,
+            )
             if outcome is task_executor.StartOutcome.TOO_LATE:
                 self._clock_reading = None
                 run.refusal_reason = outcome.value
@@ -570,8 +658,11 @@
         return age_ms <= ANNOUNCEMENT_AGE_LIMIT_MS
 
     async def _stop(self, run: runs.AgentRun, token: int) -> None:
-        """Order a stop, repeatedly until it is answered."""
+        """Order a stop, repeatedly until the executor accepts it."""
+        tries = 0
         while self._token == token and run.key in self._runs:
+            tries += 1
+            self._record_order('stop sent', run, token, tries)
             try:
                 await self._executor.stop(
                     self._get_instance_id(),
@@ -579,8 +670,15 @@
                     run.terms.attempt,
                     token,
                 )
-            except task_executor.ExecutorUnavailable:
+            except task_executor.ExecutorUnavailable as error:
                 measurements.EXECUTOR_FAILURES.inc()
+                self._event_log.record(
+                    'stop not answered',
+                    task=run.terms.task,
+                    attempt=run.terms.attempt,
+                    tries=tries,
+                    detail=str(error),
+                )
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
             except task_executor.OrderRefused as error:
@@ -593,9 +691,31 @@
                 if error.outcome is task_executor.StartOutcome.FENCED:
                     self._renew_session()
                     return
+                # The executor has done nothing, so a late start may follow.
+                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+                continue
+            self._event_log.record(
+                'stop answered',
+                task=run.terms.task,
+                attempt=run.terms.attempt,
+                tries=tries,
+            )
             run.confirmed_at_ms = clock.read_elapsed_ms()
             return
 
+    def _record_order(
+        self, event: str, run: runs.AgentRun, token: int, tries: int
+    ) -> None:
+        """Log an order that is sent to the executor."""
+        self._event_log.record_order(
+            event,
+            task=run.terms.task,
+            attempt=run.terms.attempt,
+            token=token,
+            tries=tries,
+            incarnation=self.incarnation,
+        )
+
     # Results of inspections.
 
     def _apply_inspection(
@@ -610,13 +730,7 @@
             self._seen_end_number = max(self._seen_end_number, end.number)
             self._runs.pop((end.task, end.attempt), None)
             measurements.RUNS_ENDED.labels(end.kind.value).inc()
-            self._event_log.record(
-                'end seen',
-                task=end.task,
-                attempt=end.attempt,
-                how=end.kind.value,
-                number=end.number,
-            )
+            self._record_end(end)
         if new_ends:
             self._send(
                 messages.Ends(
@@ -630,12 +744,21 @@
             run = self._runs.get(key)
             if run is None:
                 # A late start, carried out after it was reported as refused.
+                self._event_log.record(
+                    'unknown run listed',
+                    task=row.task,
+                    attempt=row.attempt,
+                    token=self._token,
+                    incarnation=self.incarnation,
+                )
                 self.order_stop(
                     messages.Stop(self._token, row.task, row.attempt)
                 )
-                continue
+                run = self._runs[key]
             run.row = row
         self._pacer.record_filler_usage(self._get_capacity())
+        if not inspection.has_all_ends:
+            return
         for key, run in list(self._runs.items()):
             was_confirmed_before = 0 < run.confirmed_at_ms < begun_at_ms
             if was_confirmed_before and key not in listed_keys:
@@ -668,14 +791,15 @@
             self._unanswered_since_ms = now_ms
             self._event_log.record_state('executor lost', detail=str(error))
         if self._gone_cause is None:
+            cause = None
             if error.is_connection_refused:
-                self._report_executor_gone(
-                    self.announcement, messages.GoneCause.NOTHING_LISTENS
-                )
+                cause = messages.GoneCause.NOTHING_LISTENS
             elif now_ms > self._lease_end_ms + LEASE_END_MARGIN_MS:
-                self._report_executor_gone(
-                    self.announcement, messages.GoneCause.LEASE_ENDED
-                )
+                cause = messages.GoneCause.LEASE_ENDED
+            if cause and self._departed_incarnation == self.incarnation:
+                cause = messages.GoneCause.LEFT
+            if cause:
+                self._report_executor_gone(self.announcement, cause)
         pause_ms = (
             GONE_RETRY_PAUSE_MS
             if self._gone_cause is not None
@@ -711,8 +835,13 @@
         if inspection.born_at_ms == announcement.born_at_ms:
             return True
         self._report_executor_gone(announcement, messages.GoneCause.RESTARTED)
+        # The new incarnation may have another capacity and other labels, so
+        # nothing fits before its first announcement.
         self.announcement = dataclasses.replace(
-            announcement, born_at_ms=inspection.born_at_ms, sequence=0
+            announcement,
+            born_at_ms=inspection.born_at_ms,
+            sequence=0,
+            capacity=resources.NOTHING,
         )
         self._renew_session()
         return False
@@ -734,9 +863,17 @@
             self._lost_runs += tuple(
                 run.key for run in self._runs.values() if run.may_have_arrived
             )
+            # An order names the executor's id, which another one refuses.
+            if self._get_instance_id() == announcement.instance_id:
+                self._unproved_runs += tuple(
+                    run.key
+                    for run in self._runs.values()
+                    if run.may_start_later(self._inspection_begun_at_ms)
+                )
         self._runs.clear()
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
+        self._recorded_end_number = 0
         self._clock_reading = None
         if self._token:
             self._send_executor_gone(announcement, cause)
@@ -753,11 +890,17 @@
             incarnation=incarnation,
             cause=cause.value,
             reached=None if reached is None else len(reached),
+            unproved=len(self._unproved_runs),
         )
         silent_ms = clock.read_elapsed_ms() - self._silent_since_ms
         self._send(
             messages.ExecutorGone(
-                self._token, incarnation, cause, reached, silent_ms
+                self._token,
+                incarnation,
+                cause,
+                reached,
+                silent_ms,
+                self._unproved_runs if reached is not None else (),
             )
         )
 
@@ -824,8 +967,11 @@
         )
 
 
-def _make_unknown_terms(task: str, attempt: int) -> messages.RunTerms:
-    return messages.RunTerms(task, attempt, resources.NOTHING)
+def _make_unknown_run(
+    task: str, attempt: int, state: runs.RunState
+) -> runs.AgentRun:
+    terms = messages.RunTerms(task, attempt, resources.NOTHING)
+    return runs.AgentRun(terms, state, is_known=False)
 
 
 def _make_row(
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -84,6 +84,8 @@
 
     :param lease_id: lease of the owner's key
     :param list_entries: returns the addresses of this entry and its peers
+    :param confirmed_at_ms: elapsed time at which the acquisition of the
+        ownership was sent to the store; its answer may have come later
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         owner_policy: policy.OwnerPolicy,
         event_log: events.EventLog,
         list_entries: abc.Callable[[], tuple[messages.EntryAddress, ...]],
+        confirmed_at_ms: int,
     ) -> None:
         self._store = store
         self._journal = owner_journal
@@ -101,7 +104,7 @@
         self._grant_ms = owner_policy.grant_ms
         self._event_log = event_log
         self._list_entries = list_entries
-        self._ownership_confirmed_at_ms = clock.read_elapsed_ms()
+        self._ownership_confirmed_at_ms = confirmed_at_ms
         self._store_answered_at_ms = clock.read_elapsed_ms()
         # The former owner may extend grants until its last confirmation is
         # too old, and the last grants remain valid for their full duration.
@@ -176,6 +179,12 @@
             active=len(loaded.specs),
             ended=len(loaded.states) - len(loaded.specs),
         )
+        for target in self._core.targets.values():
+            self._event_log.record_detail(
+                'runs restored',
+                target=target.target_id,
+                runs=[f'{task}/{attempt}' for task, attempt in target.runs],
+            )
 
     async def run(self) -> None:
         """Run until the ownership ends, then close all sessions."""
@@ -351,6 +360,15 @@
         self, session: AgentSession, message: messages.AnyMessage
     ) -> None:
         session.last_received_at_ms = clock.read_elapsed_ms()
+        if self._sessions.get(session.target.target_id) is not session:
+            # What waited on a former stream of the agent is outdated.
+            self._event_log.record(
+                'message of a replaced session',
+                target=session.target.target_id,
+                kind=type(message).__name__,
+                token=session.token,
+            )
+            return
         if getattr(message, 'token', session.token) == session.token:
             self._handle(message, session, clock.read_moment())
 
@@ -406,6 +424,8 @@
         self._event_log.record_state(
             'snapshot applied',
             target=target.target_id,
+            incarnation=target.incarnation,
+            token=session.token,
             running=len(message.running),
             ended=len(message.ended),
             kept=len(known),
@@ -590,7 +610,7 @@
             waited_ms = run.started_at_ms - job.accepted_at_ms
             measurements.FIRST_START_SECONDS.observe(waited_ms / 1000)
         measurements.RUNS_STARTED.inc()
-        self._event_log.record(
+        self._event_log.record_order(
             'run ordered',
             workflow=job.workflow_id,
             task=effect.task,
@@ -618,11 +638,12 @@
         if session is None:
             # The next snapshot will list the run, which is stopped then.
             return
-        self._event_log.record(
+        self._event_log.record_order(
             'stop ordered',
             task=effect.task,
             attempt=effect.attempt,
             target=effect.target_id,
+            token=session.token,
         )
         session.outbox.send(
             messages.Stop(session.token, effect.task, effect.attempt)
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -113,12 +113,17 @@
 
 
 class Snapshot(Message, frozen=True, array_like=True, tag=True):
-    """All runs of the executor, read after it has seen the new token."""
+    """All runs of the executor, read after it has seen the new token.
+
+    :param has_all_ends: whether a run that is not listed does not exist;
+        otherwise another snapshot follows
+    """
 
     token: int
     state: TargetState
     running: tuple[Row, ...]
     ended: tuple[Ended, ...]
+    has_all_ends: bool = True
 
 
 class Report(Message, frozen=True, array_like=True, tag=True):
@@ -155,11 +160,13 @@
 
 
 class ExecutorGone(Message, frozen=True, array_like=True, tag=True):
-    """The executor has gone, so nothing runs on the target any more.
+    """An incarnation of the executor has gone, and its runs with it.
 
     :param reached: task and attempt of each run whose start the executor may
         have received; None if it is not known
     :param silent_ms: how long it has not answered any more, at least
+    :param unproved: task and attempt of each run that the next incarnation
+        may start, because an order is still on its way to the executor
     """
 
     token: int
@@ -167,6 +174,7 @@
     cause: GoneCause
     reached: tuple[tuple[str, int], ...] | None = None
     silent_ms: int = 0
+    unproved: tuple[tuple[str, int], ...] = ()
 
 
 # Sent to agents.
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -296,6 +296,7 @@
         target.session = session
         target.is_ready = False
         target.data_centre = hello.data_centre
+        target.announced_incarnation = hello.incarnation
         target.sent_spec_ids.clear()
         target.clear_uncommitted_ends()
         self._fleet.touch(target)
@@ -337,22 +338,26 @@
         target.is_ready = True
         ended = {(end.task, end.attempt) for end in snapshot.ended}
         listed = {(row.task, row.attempt): row for row in snapshot.running}
+        executor_hash = target.compute_executor_hash()
         missing = []
         for key, run in list(target.runs.items()):
             if key in listed:
                 run.is_confirmed = run.is_sent = True
-            elif key not in ended and run.is_sent:
+                run.executor_hash = executor_hash
+            elif key not in ended and run.is_sent and snapshot.has_all_ends:
                 missing.append(run)
         if not was_draining:
-            executor_hash = target.compute_executor_hash()
             crashed = [
                 run
                 for run in missing
-                if run.executor_hash not in (0, executor_hash)
+                if run.executor_hash
+                not in (jobs.COUNTED_EXECUTOR_HASH, executor_hash)
             ]
             self._handle_crash(target, crashed, None, moment)
         for run in missing:
             self._drop_lost_run(run, 'not listed in the snapshot', moment)
+        if snapshot.has_all_ends:
+            target.unproved_runs.clear()
         target.unexpected_runs = {
             key for key in listed if key not in target.runs
         }
@@ -387,7 +392,11 @@
         gone: messages.ExecutorGone,
         moment: clock.Moment,
     ) -> None:
-        """Drop all runs of a target whose executor has gone."""
+        """Drop the runs of the incarnation of an executor that has gone.
+
+        A run that another incarnation may have is kept until a snapshot shows
+        whether it has, or until its order has expired.
+        """
         target.is_ready = False
         target.unexpected_runs.clear()
         self._fleet.touch(target)
@@ -401,6 +410,8 @@
             runs=len(target.runs),
         )
         measurements.EXECUTORS_GONE.labels(gone.cause.value).inc()
+        target.gone_incarnation = gone.incarnation
+        gone_hash = targets.hash_incarnation(gone.incarnation)
         lost = [run for run in target.runs.values() if run.is_sent]
         # An executor that drains may crash, too; its young runs show it, as
         # it gets none in the time before it leaves.
@@ -408,13 +419,31 @@
             crashed = [
                 run
                 for run in lost
-                if gone.reached is None
-                or (run.task.name, run.attempt) in gone.reached
+                if run.executor_hash == gone_hash
+                and (
+                    gone.reached is None
+                    or (run.task.name, run.attempt) in gone.reached
+                )
             ]
             crashed_at_ms = moment.elapsed_ms - gone.silent_ms
             self._handle_crash(target, crashed, crashed_at_ms, moment)
         for run in lost:
-            self._drop_lost_run(run, 'the executor has gone', moment)
+            key = (run.task.name, run.attempt)
+            is_unproved = (
+                run.executor_hash != gone_hash
+                or key in gone.unproved
+                or (gone.reached is None and not run.is_confirmed)
+            )
+            if is_unproved:
+                target.unproved_runs.setdefault(
+                    key, moment.elapsed_ms + self._grant_ms
+                )
+                if run.executor_hash == gone_hash:
+                    # A report may be repeated, even to the next owner.
+                    run.executor_hash = jobs.COUNTED_EXECUTOR_HASH
+                self._mark_dirty(run.task.group.job)
+            else:
+                self._drop_lost_run(run, 'the executor has gone', moment)
 
     def handle_run_end(
         self,
@@ -432,6 +461,13 @@
         self._fleet.touch(target)
         run = target.runs.get(key)
         if run is None:
+            self._record(
+                'end of an unknown run',
+                task=end.task,
+                attempt=end.attempt,
+                target=target.target_id,
+                how=end.kind.value,
+            )
             # An earlier session may have reported the same end, and the
             # changes that it caused may not be committed yet.
             known = self.jobs.get(end.task.split('.')[0])
@@ -440,6 +476,8 @@
             else:
                 known.effects.append(acknowledge)
                 self._mark_dirty(known)
+                if end.kind is task_executor.EndKind.DONE:
+                    self._use_success_of_dropped_run(known, end, moment)
             return
         job = run.task.group.job
         job.effects.append(acknowledge)
@@ -500,6 +538,12 @@
             return
         run = target.runs.get((effect.task, effect.attempt))
         if run is not None and not run.is_sent:
+            self._record(
+                'start not sent',
+                task=effect.task,
+                attempt=effect.attempt,
+                target=effect.target_id,
+            )
             self._drop_run(run)
             self._mark_dirty(run.task.group.job)
 
@@ -565,6 +609,7 @@
         self._crash_tracker.forget_crashes(now_ms)
         for target in self.targets.values():
             self._crash_tracker.end_expired_isolation(target, now_ms)
+            self._drop_expired_runs(target, moment)
             if target.is_ready or now_ms < target.lost_deadline_ms:
                 continue
             if any(run.is_sent for run in target.runs.values()):
@@ -580,6 +625,22 @@
                     del self.archive[workflow_id]
                     self._expired_workflow_ids.append(workflow_id)
 
+    def _drop_expired_runs(
+        self, target: targets.Target, moment: clock.Moment
+    ) -> None:
+        """Drop the runs of an executor that has not come back in time."""
+        is_back = (
+            target.session != targets.UNATTACHED
+            and target.announced_incarnation != target.gone_incarnation
+        )
+        if is_back:
+            return
+        for key, deadline_ms in list(target.unproved_runs.items()):
+            if moment.elapsed_ms >= deadline_ms:
+                self._drop_lost_run(
+                    target.runs[key], 'its order has expired', moment
+                )
+
     def schedule(self, moment: clock.Moment) -> None:
         """Place waiting tasks on targets that have room."""
         for job in self.scheduler.place_waiting_tasks(
@@ -972,9 +1033,40 @@
         job = task.group.job
         if not job.is_active or task.group.step.is_lasting:
             return
+        self._finish_task(task, moment)
+
+    def _use_success_of_dropped_run(
+        self, job: jobs.Job, end: messages.Ended, moment: clock.Moment
+    ) -> None:
+        """Finish a task whose successful run was taken for lost.
+
+        The acknowledgement makes its end final, so nothing may start the task
+        afterwards.
+        """
+        task = job.find_task(end.task)
+        if task is None or task.is_done or end.attempt > task.attempts:
+            return
+        if not job.is_active or task.group.step.is_lasting:
+            return
+        self._record(
+            'success of a dropped run used',
+            workflow=job.workflow_id,
+            task=end.task,
+            attempt=end.attempt,
+            other_runs=len(task.runs),
+        )
+        self._finish_task(task, moment)
+        if task.group.step.is_gang:
+            for member in task.group.tasks:
+                for run in list(member.runs.values()):
+                    self._stop_run(run)
+
+    def _finish_task(self, task: jobs.Task, moment: clock.Moment) -> None:
+        """Mark a task as done, stop its runs, and complete its workflow."""
+        job = task.group.job
         job.finish_task(task)
-        for other in list(task.runs.values()):
-            self._stop_run(other)
+        for run in list(task.runs.values()):
+            self._stop_run(run)
         if job.is_complete:
             self._end_workflow(job, records.Phase.COMPLETED, '', moment)
 
@@ -1032,14 +1124,26 @@
             attempt=run.attempt,
             target=run.target_id,
             cause=cause,
+            proof=self._describe_proof(run),
             ran_ms=moment.elapsed_ms - run.started_at_ms,
             is_confirmed=run.is_confirmed,
+            is_restored=run.is_restored,
         )
         measurements.RUNS_LOST.labels(cause).inc()
         self._drop_run(run)
         self._mark_dirty(job)
         self._break_gang(run.task)
 
+    def _describe_proof(self, run: jobs.Run) -> str:
+        """Say what is known of the executor on which a lost run was."""
+        target = self.targets[run.target_id]
+        executor_hash = target.compute_executor_hash()
+        if run.executor_hash == jobs.COUNTED_EXECUTOR_HASH:
+            return f'crashed, now {target.incarnation}'
+        if run.executor_hash == executor_hash:
+            return f'same incarnation {target.incarnation}'
+        return f'replaced by {target.incarnation}'
+
     def _break_gang(self, task: jobs.Task) -> None:
         """Stop the other members of a gang after the end of one of them."""
         group = task.group
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -36,6 +36,11 @@
     :ivar unexpected_runs: task names and attempts of runs that the owner does
         not expect; nothing is placed beside them, because their sizes may be
         unknown
+    :ivar unproved_runs: runs whose executor has gone while an order for them
+        was on its way, and the elapsed time at which the order has expired
+    :ivar announced_incarnation: incarnation of the executor that the agent
+        knew at the begin of the session
+    :ivar gone_incarnation: the last one that was reported as gone
     :ivar progress_reported_at_ms: elapsed time of the last report of progress
     :ivar refusal_deadline_ms: elapsed time until which nothing is placed here
         after a refused start
@@ -67,9 +72,12 @@
         self.is_draining = False
         self.leaves_deadline_ms = 0
         self.incarnation = ''
+        self.announced_incarnation = ''
+        self.gone_incarnation = ''
         self.lost_deadline_ms = lost_deadline_ms
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.unexpected_runs: set[tuple[str, int]] = set()
+        self.unproved_runs: dict[tuple[str, int], int] = {}
         self.health = target_health.Health()
         self.sent_spec_ids: set[str] = set()
         self._uncommitted_ends: set[int] = set()
@@ -157,7 +165,9 @@
 
     def remove_run(self, run: jobs.Run) -> None:
         """Remove a run and its resources from the totals."""
-        if self.runs.pop((run.task.name, run.attempt), None) is not None:
+        key = (run.task.name, run.attempt)
+        self.unproved_runs.pop(key, None)
+        if self.runs.pop(key, None) is not None:
             self._adjust_totals(run, -1)
         if self.isolated_run is run:
             self.isolated_run = next(self.list_isolated_runs(), None)
@@ -168,7 +178,7 @@
 
     def compute_executor_hash(self) -> int:
         """Return a short identity of the executor's incarnation."""
-        return int(xxhash.xxh32_intdigest(self.incarnation.encode()))
+        return hash_incarnation(self.incarnation)
 
     def _adjust_totals(self, run: jobs.Run, sign: int) -> None:
         step = run.task.group.step
@@ -214,3 +224,8 @@
             del images[image]
             self.baseline_latency_shares.pop(image, None)
             self.placement_latency_shares.pop(image, None)
+
+
+def hash_incarnation(incarnation: str) -> int:
+    """Return a short identity of an executor's incarnation."""
+    return int(xxhash.xxh32_intdigest(incarnation.encode()))
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import json
 from typing import Any
 
 import pytest
@@ -37,12 +38,18 @@
         self.ended: list[task_executor.EndedRun] = []
         self.starts: list[task_executor.StartOrder] = []
         self.stops: list[tuple[str, int]] = []
+        self.refused_stops = 0
+        self.stop_refusal = task_executor.StartOutcome.UNHEALTHY
         self.paces: dict[str, int] = {}
         self.leases_ms: list[int] = []
         self.acknowledged = 0
         self.lost_starts = 0
         self.applies_lost_starts = False
         self.lost_inspections = 0
+        self.inspection_s = 0.005
+        self.listed_ends_limit = 500
+        # Whether stopped runs go on until the test ends them.
+        self.are_stops_slow = False
         self.is_down = False
         self.outcome = STARTED
         self.measured: dict[str, int] = {}
@@ -79,8 +86,11 @@
         self, instance_id: str, task: str, attempt: int, token: int
     ) -> None:
         await asyncio.sleep(0)
+        if self.refused_stops:
+            self.refused_stops -= 1
+            raise task_executor.OrderRefused(self.stop_refusal)
         self.stops.append((task, attempt))
-        if (task, attempt) in self.running:
+        if (task, attempt) in self.running and not self.are_stops_slow:
             self.end(task, attempt, task_executor.EndKind.STOPPED)
 
     def end(
@@ -101,7 +111,7 @@
         lease_deadline_ms: int,
         wait_ms: int,
     ) -> task_executor.Inspection:
-        await asyncio.sleep(0.005)
+        await asyncio.sleep(self.inspection_s)
         if self.is_down:
             raise task_executor.ExecutorUnavailable('refused', True)
         if self.lost_inspections:
@@ -113,6 +123,7 @@
         self.acknowledged = max(self.acknowledged, acknowledged)
         if lease_deadline_ms:
             self.leases_ms.append(lease_deadline_ms)
+        ended = [end for end in self.ended if end.number > self.acknowledged]
         return task_executor.Inspection(
             self.read_clock_ms(),
             self.born_at_ms,
@@ -122,7 +133,8 @@
                 )
                 for task, attempt in self.running
             ),
-            tuple(end for end in self.ended if end.number > self.acknowledged),
+            tuple(ended[: self.listed_ends_limit]),
+            len(ended) <= self.listed_ends_limit,
         )
 
     async def pace(
@@ -154,9 +166,10 @@
         self.executor = FakeExecutor()
         self.sent: list[messages.AnyMessage] = []
         self.requested_sessions = 0
+        self.event_log = events.EventLog('agent', 'test', descriptor=1)
         self.driver = driver.ExecutorDriver(
             self.executor,
-            events.EventLog('agent', 'test', descriptor=1),
+            self.event_log,
             self.sent.append,
             self._request_session,
             LEASE_LIMIT_MS,
@@ -278,6 +291,42 @@
     run_scenario(scenario)
 
 
+def test_log_shows_each_order_to_the_executor_and_its_answer(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a history of a run that leaves open what was ordered.
+
+    Without these lines no log tells whether a run was started twice by a late
+    order, after a refused stop, or by another incarnation of the executor.
+    """
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 1
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 2)
+        harness.driver.order_stop(messages.Stop(TOKEN, TASK, 1))
+        await harness.wait_for(messages.Ends)
+        harness.event_log.flush()
+
+    run_scenario(scenario)
+    found = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
+    orders = [line for line in found if line.get('task') == TASK]
+    assert [line['event'] for line in orders][:6] == [
+        'start sent',
+        'start not answered',
+        'start sent',
+        'start answered',
+        'stop sent',
+        'stop answered',
+    ]
+    sent = [line for line in orders if line['event'].endswith('sent')]
+    assert {line['token'] for line in sent} == {TOKEN}
+    assert {line['incarnation'] for line in sent} == {ANNOUNCEMENT.incarnation}
+    assert [line['tries'] for line in sent] == [1, 2, 1]
+    assert orders[3]['outcome'] == 'started'
+
+
 @pytest.mark.parametrize(
     'outcome',
     [
@@ -308,6 +357,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        task_executor.StartOutcome.UNHEALTHY,
+        task_executor.StartOutcome.OTHER_INSTANCE,
+        task_executor.StartOutcome.INVALID,
+    ],
+)
+def test_refused_stop_does_not_prove_that_a_late_start_is_void(
+    refusal: task_executor.StartOutcome,
+) -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 100
+        harness.executor.refused_stops = 3
+        harness.executor.stop_refusal = refusal
+        harness.start()
+        await harness.wait_for(messages.StartRefused)
+        assert harness.executor.refused_stops == 0
+        assert harness.executor.stops == [(TASK, 1)]
+
+    run_scenario(scenario)
+
+
 def test_start_above_the_capacity_is_refused() -> None:
     """Guards against an overloaded executor if the owner miscounts."""
 
@@ -409,6 +482,68 @@
     run_scenario(scenario)
 
 
+def test_burst_beside_a_capacity_below_the_runs_starts_nothing() -> None:
+    """Guards against starts in place of runs that are still being stopped."""
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.are_stops_slow = True
+        tasks = [f'{ID}.0.0.{number}' for number in range(4)]
+        for task in tasks:
+            harness.start(task=task)
+        await harness.wait_until(lambda: len(executor.running) == 4)
+        announce_capacity(harness, 2, resources.Resources(2_000, 8_000))
+        for task in tasks[1:]:
+            harness.driver.order_stop(messages.Stop(TOKEN, task, 1))
+        await harness.wait_until(lambda: len(executor.stops) == 3)
+
+        async def order_burst(step: int) -> None:
+            refused_count = len(harness.list_sent(messages.StartRefused))
+            for number in range(8):
+                harness.start(task=f'{ID}.0.{step}.{number}')
+            await harness.wait_for(messages.StartRefused, refused_count + 7)
+
+        # The stops are answered and their ends are not listed yet.
+        await order_burst(1)
+        assert len(executor.starts) == 4
+        for count, task in enumerate(tasks[1:3], 1):
+            executor.end(task, 1, task_executor.EndKind.STOPPED)
+            await harness.wait_for(messages.Ends, count)
+            await order_burst(1 + count)
+            assert len(executor.starts) == 4
+        executor.end(tasks[3], 1, task_executor.EndKind.STOPPED)
+        await harness.wait_for(messages.Ends, 3)
+        await order_burst(4)
+        await harness.wait_until(lambda: len(executor.starts) == 5)
+        assert len(executor.running) == 2
+
+    run_scenario(scenario)
+
+
+def test_nothing_starts_beside_a_run_of_unknown_size() -> None:
+    """Guards against starts above the capacity after a late start.
+
+    The owner counts a run that was reported as refused no more, so the agent
+    does not know the size of one that the executor starts late.
+    """
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.are_stops_slow = True
+        harness.executor.running[(TASK, 3)] = 0
+        await harness.wait_until(lambda: (TASK, 3) in harness.executor.stops)
+        harness.start(task=f'{ID}.0.0.1')
+        refusals = harness.list_sent(messages.StartRefused)
+        assert [refused.reason for refused in refusals] == ['no room']
+        harness.executor.end(TASK, 3, task_executor.EndKind.STOPPED)
+        await harness.wait_for(messages.Ends)
+        harness.start(task=f'{ID}.0.0.1', attempt=2)
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+
+    run_scenario(scenario)
+
+
 def test_draining_executor_gets_no_start() -> None:
     """Guards against new runs on an executor that is about to end."""
 
@@ -519,6 +654,42 @@
     run_scenario(scenario)
 
 
+def test_run_whose_end_is_not_listed_yet_is_not_reported_as_absent() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        for number in range(3):
+            harness.start(task=f'{ID}.0.0.{number}')
+        await harness.wait_until(lambda: len(harness.executor.running) == 3)
+        harness.executor.listed_ends_limit = 2
+        for number in range(3):
+            harness.executor.end(
+                f'{ID}.0.0.{number}', 1, task_executor.EndKind.DONE
+            )
+        await harness.wait_for(messages.Ends)
+        await asyncio.sleep(0.4)
+        assert harness.list_sent(messages.StartRefused) == []
+        harness.driver.acknowledge_ends(messages.Acknowledged(TOKEN, 2))
+        last = await harness.wait_for(messages.Ends, 2)
+        assert last.ended[-1].task == f'{ID}.0.0.2'
+
+    run_scenario(scenario)
+
+
+def test_snapshot_without_all_ends_is_followed_by_a_complete_one() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        harness.executor.listed_ends_limit = 2
+        for number in range(3):
+            harness.executor.end(
+                f'{ID}.0.0.{number}', 1, task_executor.EndKind.DONE
+            )
+        await harness.begin_session()
+        assert not harness.list_sent(messages.Snapshot)[-1].has_all_ends
+        harness.driver.acknowledge_ends(messages.Acknowledged(TOKEN, 2))
+        await harness.wait_until(lambda: harness.requested_sessions > 1)
+
+    run_scenario(scenario)
+
+
 def test_restart_under_the_same_id_begins_a_new_session() -> None:
     """Guards against mixing up runs and ends of two incarnations.
 
@@ -536,6 +707,30 @@
     run_scenario(scenario)
 
 
+def test_restarted_executor_gets_no_start_before_it_announces_itself() -> None:
+    """Guards against a start on the capacity of the former incarnation."""
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.born_at_ms = 2
+        await harness.wait_for(messages.ExecutorGone)
+        harness.driver.begin_session(messages.Welcome(1, TOKEN, GRANT_MS, ()))
+        snapshot = await harness.wait_for(messages.Snapshot, 2)
+        assert snapshot.state.capacity == resources.NOTHING
+        harness.extend_grant()
+        harness.start()
+        refusals = harness.list_sent(messages.StartRefused)
+        assert [refused.reason for refused in refusals] == ['no room']
+        harness.driver.handle_announcement(
+            dataclasses.replace(ANNOUNCEMENT, born_at_ms=2)
+        )
+        harness.start(attempt=2)
+        await harness.wait_until(lambda: len(executor.starts) == 1)
+
+    run_scenario(scenario)
+
+
 def test_next_owner_learns_which_runs_a_crash_took() -> None:
     async def scenario(harness: DriverHarness) -> None:
         await harness.begin_session()
@@ -554,6 +749,70 @@
     run_scenario(scenario)
 
 
+def test_start_on_its_way_at_a_restart_is_not_proved_to_have_ended() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.start(task=f'{ID}.0.0.0')
+        key = (f'{ID}.0.0.0', 1)
+        await harness.wait_until(lambda: key in harness.executor.running)
+        await harness.wait_until(
+            lambda: harness.driver._runs[key].row is not None
+        )
+        harness.executor.lost_starts = 100
+        harness.executor.on_lost_start = lambda: setattr(
+            harness.executor, 'born_at_ms', 2
+        )
+        harness.start(task=f'{ID}.0.0.1')
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.RESTARTED
+        assert gone.unproved == ((f'{ID}.0.0.1', 1),)
+
+    run_scenario(scenario)
+
+
+def test_start_answered_by_the_next_incarnation_is_unproved() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.inspection_s = 0.1
+        await asyncio.sleep(0.02)
+        harness.executor.born_at_ms = 2
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.unproved == ((TASK, 1),)
+
+    run_scenario(scenario)
+
+
+def test_departure_proves_nothing_before_the_executor_has_ended() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        harness.driver.handle_departure('i-1')
+        await asyncio.sleep(0.2)
+        assert harness.list_sent(messages.ExecutorGone) == []
+        harness.executor.is_down = True
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.LEFT
+
+    run_scenario(scenario)
+
+
+def test_acknowledgement_for_a_crashed_incarnation_forgets_no_end() -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.is_down = True
+        await harness.wait_for(messages.ExecutorGone)
+        harness.driver.acknowledge_ends(messages.Acknowledged(TOKEN, 7))
+        harness.executor.is_down = False
+        harness.executor.born_at_ms = 2
+        await harness.wait_until(lambda: harness.requested_sessions > 0)
+        assert harness.executor.acknowledged == 0
+
+    run_scenario(scenario)
+
+
 def test_new_agent_does_not_deny_the_runs_that_a_crash_took() -> None:
     async def scenario(harness: DriverHarness) -> None:
         harness.executor.is_down = True
