--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -35,7 +35,7 @@
 SHUTDOWN_MARGIN_SHARE: Final = 0.2
 # Requests that still arrive show that the load balancer has not noticed yet.
 # Clients of a busy entry send several in this time.
-QUIET_MS: Final = 300
+QUIET_MS: Final = 800
 # A request that has been accepted by then can be answered in time.
 LAST_REQUEST_MS: Final = 300
 DRAIN_POLL_INTERVAL_MS: Final = 50
