Keep an unproved run for longer while its executor is back

Found by the model search (3 faults, 1 event): a start is carried out by the next incarnation under the same id, the agent reports the restart and is paused before the first inspection of the new session, and the run expires after a grant, although it has a whole lease on a clock that has begun anew.

The bound is three grants if another incarnation has answered, and the end of a grant no longer drops such runs before.

test_late_run_is_not_started_elsewhere_while_its_agent_is_paused failed before.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -52,6 +52,14 @@
 # the fleet is unknown.
 FLEET_DISCOVERY_MS: Final = 2_000
 
+# An incarnation that is back has begun its clock anew, so an order that is
+# carried out seconds late gets a whole lease there.
+BACK_CAUSES: Final = (
+    messages.GoneCause.REPLACED,
+    messages.GoneCause.RESTARTED,
+)
+LATE_ORDER_GRANTS: Final = 2
+
 
 RecordEvent = abc.Callable[..., None]
 
@@ -429,6 +437,9 @@
             ]
             crashed_at_ms = moment.elapsed_ms - gone.silent_ms
             self._handle_crash(target, crashed, crashed_at_ms, moment)
+        expiry_ms = target.lost_deadline_ms
+        if gone.cause in BACK_CAUSES:
+            expiry_ms += LATE_ORDER_GRANTS * self._grant_ms
         for run in lost:
             key = (run.task.name, run.attempt)
             is_unproved = (
@@ -437,8 +448,8 @@
                 or (gone.reached is None and not run.is_confirmed)
             )
             if is_unproved:
-                target.unproved_runs.setdefault(
-                    key, moment.elapsed_ms + self._grant_ms
+                target.unproved_runs[key] = max(
+                    target.unproved_runs.get(key, 0), expiry_ms
                 )
                 if run.executor_hash == gone_hash:
                     # A report may be repeated, even to the next owner.
@@ -614,11 +625,15 @@
             self._drop_expired_runs(target, moment)
             if target.is_ready or now_ms < target.lost_deadline_ms:
                 continue
-            if any(run.is_sent for run in target.runs.values()):
+            granted = [
+                run
+                for key, run in target.runs.items()
+                if run.is_sent and key not in target.unproved_runs
+            ]
+            if granted:
                 self._record('target lost', target=target.target_id)
-                for run in list(target.runs.values()):
-                    if run.is_sent:
-                        self._drop_lost_run(run, 'the grant has ended', moment)
+            for run in granted:
+                self._drop_lost_run(run, 'the grant has ended', moment)
         if now_ms >= self._next_expiry_ms:
             self._next_expiry_ms = now_ms + 1_000
             for workflow_id, archived in list(self.archive.items()):
