--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded exhaustive search of the protocol between owner and executors."""
--- /dev/null
+++ b/tests/model/search.py
@@ -0,0 +1,210 @@
+"""Searches all histories within bounds for one that breaks the promise.
+
+Python's coroutines can't be copied, so each history is played from its start.
+A history follows the default but for a few choices; the search tries all with
+one choice, then all with two, and so on, so a counterexample is one of the
+shortest. A state that was reached before with as many choices left is not
+followed again.
+"""
+
+import argparse
+import collections
+from collections import abc
+import dataclasses
+import time
+
+from borageshelf.workflows import channel
+from tests.model import choices
+from tests.model import fingerprints
+from tests.model import virtual_time
+from tests.model import world as model_world
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Bounds of a search.
+
+    :param depth: number of branch points at which choices are made
+    :param faults: number of faults in a history
+    :param events: number of other choices in a history
+    """
+
+    depth: int = 40
+    faults: int = 1
+    events: int = 1
+
+
+# Position of a branch point and the choice there.
+Deviation = tuple[int, choices.Choice]
+
+
+@dataclasses.dataclass
+class Result:
+    """Outcome of a search.
+
+    :ivar deviations: choices of the counterexample, if there is one
+    :ivar lines: the counterexample, for people
+    :ivar states: number of different states visited
+    """
+
+    histories: int = 0
+    states: int = 0
+    depth: int = 0
+    is_complete: bool = True
+    violation: str = ''
+    deviations: tuple[Deviation, ...] = ()
+    lines: tuple[str, ...] = ()
+    failures: tuple[str, ...] = ()
+
+
+class Search:
+    """One search."""
+
+    def __init__(
+        self,
+        scenario: model_world.Scenario,
+        bounds: Bounds,
+        time_limit_s: float = 0,
+    ) -> None:
+        self._scenario = scenario
+        self._bounds = bounds
+        self._stop_at_s = time.monotonic() + time_limit_s
+        self._has_limit = time_limit_s > 0
+        self._seen: dict[int, list[tuple[int, int]]] = {}
+        self._next: collections.deque[tuple[Deviation, ...]] = (
+            collections.deque()
+        )
+        self.result = Result()
+
+    def run(self) -> Result:
+        """Search until a counterexample or the bounds are met."""
+        self._next.append(())
+        while self._next and not self.result.violation:
+            if self._has_limit and time.monotonic() > self._stop_at_s:
+                self.result.is_complete = False
+                break
+            self._play(self._next.popleft())
+        self.result.states = len(self._seen)
+        return self.result
+
+    def _play(self, deviations: tuple[Deviation, ...]) -> None:
+        """Play one history and note those that branch off it."""
+        result = self.result
+        result.histories += 1
+        faults = sum(choice.is_fault for _, choice in deviations)
+        events = len(deviations) - faults
+        left = self._bounds.faults - faults, self._bounds.events - events
+        with play(self._scenario) as world:
+            for step, item in _walk(world, deviations, self._bounds.depth):
+                if step <= (deviations[-1][0] if deviations else -1):
+                    continue
+                result.depth = max(result.depth, step)
+                if not self._is_new(fingerprints.compute(world), left):
+                    return
+                if step >= self._bounds.depth:
+                    continue
+                for choice in choices.list_choices(world, item):
+                    if left[0 if choice.is_fault else 1] > 0:
+                        self._next.append((*deviations, (step, choice)))
+            if world.promise.violation:
+                result.violation = world.promise.violation
+                result.deviations = deviations
+                result.lines = tuple(world.lines)
+            if world.failures and not result.failures:
+                result.failures = (
+                    f'{deviations}',
+                    *world.failures,
+                )
+
+    def _is_new(self, fingerprint: int, left: tuple[int, int]) -> bool:
+        known = self._seen.setdefault(fingerprint, [])
+        if any(
+            faults >= left[0] and events >= left[1] for faults, events in known
+        ):
+            return False
+        known.append(left)
+        return True
+
+
+class play:
+    """A world at the first branch point of its histories."""
+
+    def __init__(self, scenario: model_world.Scenario) -> None:
+        self._world = model_world.World(scenario)
+        self._clocks = virtual_time.install(self._world.clock)
+        self._connect = channel.connect
+
+    def __enter__(self) -> model_world.World:
+        self._clocks.__enter__()
+        channel.connect = self._world.connect
+        self._world.begin()
+        return self._world
+
+    def __exit__(self, *error: object) -> None:
+        self._world.close()
+        channel.connect = self._connect
+        self._clocks.__exit__(None, None, None)
+
+
+def _walk(
+    world: model_world.World,
+    deviations: tuple[Deviation, ...],
+    depth: int,
+) -> abc.Iterator[tuple[int, model_world.Item]]:
+    """Play a history; yield each branch point before its default."""
+    chosen = dict(deviations)
+    step = 0
+    while (item := world.proceed_to_branch()) is not None:
+        yield step, item
+        choices.take(world, item, chosen.get(step))
+        step += 1
+
+
+def replay(
+    scenario: model_world.Scenario, deviations: tuple[Deviation, ...]
+) -> tuple[str, ...]:
+    """Return the lines of a history."""
+    with play(scenario) as world:
+        for _ in _walk(world, deviations, 0):
+            pass
+        return tuple(world.lines)
+
+
+def main() -> None:
+    """Search from the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--depth', type=int, default=40)
+    parser.add_argument('--faults', type=int, default=1)
+    parser.add_argument('--events', type=int, default=1)
+    parser.add_argument('--tasks', type=int, default=1)
+    parser.add_argument('--ends-limit', type=int, default=500)
+    parser.add_argument('--duration-ms', type=int, default=9_000)
+    parser.add_argument('--exclude', action='append', default=[])
+    parser.add_argument('--time-limit-s', type=float, default=0)
+    options = parser.parse_args()
+    begun_at_s = time.monotonic()
+    result = Search(
+        model_world.Scenario(
+            options.tasks,
+            options.ends_limit,
+            frozenset(options.exclude),
+            options.duration_ms,
+        ),
+        Bounds(options.depth, options.faults, options.events),
+        options.time_limit_s,
+    ).run()
+    print('\n'.join(result.lines))
+    print('\n'.join(result.failures))
+    print(
+        f'{result.histories} histories, {result.states} states, depth'
+        f' {result.depth}, complete {result.is_complete},'
+        f' {time.monotonic() - begun_at_s:.1f} s'
+    )
+    if result.violation:
+        print(f'VIOLATION: {result.violation}')
+        for step, choice in result.deviations:
+            print(f'  step {step}: {choice.text}')
+
+
+if __name__ == '__main__':
+    main()
