--- a/tests/model/search.py
+++ b/tests/model/search.py
@@ -180,14 +180,18 @@
     parser.add_argument('--ends-limit', type=int, default=500)
     parser.add_argument('--duration-ms', type=int, default=9_000)
     parser.add_argument('--exclude', action='append', default=[])
+    parser.add_argument('--only', action='append', default=[])
     parser.add_argument('--time-limit-s', type=float, default=0)
     options = parser.parse_args()
     begun_at_s = time.monotonic()
+    excluded = set(options.exclude)
+    if options.only:
+        excluded |= {*choices.FAULTS, *choices.EVENTS} - set(options.only)
     result = Search(
         model_world.Scenario(
             options.tasks,
             options.ends_limit,
-            frozenset(options.exclude),
+            frozenset(excluded),
             options.duration_ms,
         ),
         Bounds(options.depth, options.faults, options.events),
--- a/tests/model/streams.py
+++ b/tests/model/streams.py
@@ -70,6 +70,10 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def list_received(self) -> list[messages.AnyMessage | None]:
+        """Return the messages that were delivered and not yet taken."""
+        return [None if item is _END else item for item in self._inbox]
+
     async def receive(self) -> abc.AsyncIterator[messages.AnyMessage]:
         """Yield the received messages until the end of the stream."""
         while True:
--- a/tests/model/virtual_time.py
+++ b/tests/model/virtual_time.py
@@ -123,6 +123,12 @@
             return None
         return math.ceil(self._timers[0][0] * 1000 - 1e-6)
 
+    def is_due(self) -> bool:
+        """Tell whether there may be something to run."""
+        return bool(self._ready) or bool(
+            self._timers and self._timers[0][0] <= self.time() + 1e-9
+        )
+
     def list_timers(self) -> list[int]:
         """Return the remaining time of each timer in milliseconds."""
         return sorted(
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -384,8 +384,8 @@
                     self.answer_parked(executor)
                     has_run = True
             for process in self.all_processes:
-                if process.is_running and process.loop.run_ready():
-                    has_run = True
+                if process.loop.is_due() and process.is_running:
+                    has_run = process.loop.run_ready() or has_run
             if not has_run:
                 return
 
