--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import json
 from typing import Any
 
 import pytest
@@ -37,12 +38,16 @@
         self.ended: list[task_executor.EndedRun] = []
         self.starts: list[task_executor.StartOrder] = []
         self.stops: list[tuple[str, int]] = []
+        self.refused_stops = 0
+        self.stop_refusal = task_executor.StartOutcome.UNHEALTHY
         self.paces: dict[str, int] = {}
         self.leases_ms: list[int] = []
         self.acknowledged = 0
         self.lost_starts = 0
         self.applies_lost_starts = False
         self.lost_inspections = 0
+        # Whether stopped runs go on until the test ends them.
+        self.are_stops_slow = False
         self.is_down = False
         self.outcome = STARTED
         self.measured: dict[str, int] = {}
@@ -79,8 +84,11 @@
         self, instance_id: str, task: str, attempt: int, token: int
     ) -> None:
         await asyncio.sleep(0)
+        if self.refused_stops:
+            self.refused_stops -= 1
+            raise task_executor.OrderRefused(self.stop_refusal)
         self.stops.append((task, attempt))
-        if (task, attempt) in self.running:
+        if (task, attempt) in self.running and not self.are_stops_slow:
             self.end(task, attempt, task_executor.EndKind.STOPPED)
 
     def end(
@@ -154,9 +162,10 @@
         self.executor = FakeExecutor()
         self.sent: list[messages.AnyMessage] = []
         self.requested_sessions = 0
+        self.event_log = events.EventLog('agent', 'test', descriptor=1)
         self.driver = driver.ExecutorDriver(
             self.executor,
-            events.EventLog('agent', 'test', descriptor=1),
+            self.event_log,
             self.sent.append,
             self._request_session,
             LEASE_LIMIT_MS,
@@ -278,6 +287,42 @@
     run_scenario(scenario)
 
 
+def test_log_shows_each_order_to_the_executor_and_its_answer(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a history of a run that leaves open what was ordered.
+
+    Without these lines no log tells whether a run was started twice by a late
+    order, after a refused stop, or by another incarnation of the executor.
+    """
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 1
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 2)
+        harness.driver.order_stop(messages.Stop(TOKEN, TASK, 1))
+        await harness.wait_for(messages.Ends)
+        harness.event_log.flush()
+
+    run_scenario(scenario)
+    found = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
+    orders = [line for line in found if line.get('task') == TASK]
+    assert [line['event'] for line in orders][:6] == [
+        'start sent',
+        'start not answered',
+        'start sent',
+        'start answered',
+        'stop sent',
+        'stop answered',
+    ]
+    sent = [line for line in orders if line['event'].endswith('sent')]
+    assert {line['token'] for line in sent} == {TOKEN}
+    assert {line['incarnation'] for line in sent} == {ANNOUNCEMENT.incarnation}
+    assert [line['tries'] for line in sent] == [1, 2, 1]
+    assert orders[3]['outcome'] == 'started'
+
+
 @pytest.mark.parametrize(
     'outcome',
     [
@@ -308,6 +353,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        task_executor.StartOutcome.UNHEALTHY,
+        task_executor.StartOutcome.OTHER_INSTANCE,
+        task_executor.StartOutcome.INVALID,
+    ],
+)
+def test_refused_stop_does_not_prove_that_a_late_start_is_void(
+    refusal: task_executor.StartOutcome,
+) -> None:
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 100
+        harness.executor.refused_stops = 3
+        harness.executor.stop_refusal = refusal
+        harness.start()
+        await harness.wait_for(messages.StartRefused)
+        assert harness.executor.refused_stops == 0
+        assert harness.executor.stops == [(TASK, 1)]
+
+    run_scenario(scenario)
+
+
 def test_start_above_the_capacity_is_refused() -> None:
     """Guards against an overloaded executor if the owner miscounts."""
 
@@ -409,6 +478,68 @@
     run_scenario(scenario)
 
 
+def test_burst_beside_a_capacity_below_the_runs_starts_nothing() -> None:
+    """Guards against starts in place of runs that are still being stopped."""
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.are_stops_slow = True
+        tasks = [f'{ID}.0.0.{number}' for number in range(4)]
+        for task in tasks:
+            harness.start(task=task)
+        await harness.wait_until(lambda: len(executor.running) == 4)
+        announce_capacity(harness, 2, resources.Resources(2_000, 8_000))
+        for task in tasks[1:]:
+            harness.driver.order_stop(messages.Stop(TOKEN, task, 1))
+        await harness.wait_until(lambda: len(executor.stops) == 3)
+
+        async def order_burst(step: int) -> None:
+            refused_count = len(harness.list_sent(messages.StartRefused))
+            for number in range(8):
+                harness.start(task=f'{ID}.0.{step}.{number}')
+            await harness.wait_for(messages.StartRefused, refused_count + 7)
+
+        # The stops are answered and their ends are not listed yet.
+        await order_burst(1)
+        assert len(executor.starts) == 4
+        for count, task in enumerate(tasks[1:3], 1):
+            executor.end(task, 1, task_executor.EndKind.STOPPED)
+            await harness.wait_for(messages.Ends, count)
+            await order_burst(1 + count)
+            assert len(executor.starts) == 4
+        executor.end(tasks[3], 1, task_executor.EndKind.STOPPED)
+        await harness.wait_for(messages.Ends, 3)
+        await order_burst(4)
+        await harness.wait_until(lambda: len(executor.starts) == 5)
+        assert len(executor.running) == 2
+
+    run_scenario(scenario)
+
+
+def test_nothing_starts_beside_a_run_of_unknown_size() -> None:
+    """Guards against starts above the capacity after a late start.
+
+    The owner counts a run that was reported as refused no more, so the agent
+    does not know the size of one that the executor starts late.
+    """
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.are_stops_slow = True
+        harness.executor.running[(TASK, 3)] = 0
+        await harness.wait_until(lambda: (TASK, 3) in harness.executor.stops)
+        harness.start(task=f'{ID}.0.0.1')
+        refusals = harness.list_sent(messages.StartRefused)
+        assert [refused.reason for refused in refusals] == ['no room']
+        harness.executor.end(TASK, 3, task_executor.EndKind.STOPPED)
+        await harness.wait_for(messages.Ends)
+        harness.start(task=f'{ID}.0.0.1', attempt=2)
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+
+    run_scenario(scenario)
+
+
 def test_draining_executor_gets_no_start() -> None:
     """Guards against new runs on an executor that is about to end."""
 
