--- a/tests/model/processes.py
+++ b/tests/model/processes.py
@@ -75,6 +75,10 @@
         details = ', '.join(f'{key} {value}' for key, value in shown.items())
         self._world.note_event(self._process, f'{event} {details}')
 
+    def record_order(self, event: str, **fields: Any) -> None:
+        """Add a line."""
+        self.record(event, **fields)
+
     def record_state(self, event: str, **fields: Any) -> None:
         """Add a line."""
         self.record(event, **fields)
@@ -138,6 +142,7 @@
                 entry.revision if entry else store_interface.MUST_NOT_EXIST,
                 lambda error: None,
             )
+            confirmed_at_ms = self.world.clock.now_ms
             if not await owner_journal.acquire(
                 owner_entry.revision if owner_entry else 0, '1'
             ):
@@ -145,7 +150,13 @@
         except errors.BorageshelfError:
             return
         owner_runtime = runtime.OwnerRuntime(
-            self.store_port, owner_journal, '1', POLICY, self.log, lambda: ()
+            self.store_port,
+            owner_journal,
+            '1',
+            POLICY,
+            self.log,
+            lambda: (),
+            confirmed_at_ms,
         )
         while True:
             try:
--- a/tests/model/search.py
+++ b/tests/model/search.py
@@ -20,6 +20,13 @@
 from tests.model import world as model_world
 
 
+# States are compared at the first branch points after a choice, where most
+# histories meet, and then now and then, since a fingerprint takes longer than
+# playing on to the next branch point.
+EARLY_POINTS = 2
+FINGERPRINT_INTERVAL = 10
+
+
 @dataclasses.dataclass(frozen=True)
 class Bounds:
     """Bounds of a search.
@@ -44,10 +51,16 @@
 
     :ivar deviations: choices of the counterexample, if there is one
     :ivar lines: the counterexample, for people
-    :ivar states: number of different states visited
+    :ivar histories: number of histories that were played
+    :ivar points: number of branch points that were visited
+    :ivar states: number of different states among those that were compared
+    :ivar depth: number of the last branch point
+    :ivar is_complete: whether all histories within the bounds were played
+    :ivar failures: errors that the program did not expect, with their history
     """
 
     histories: int = 0
+    points: int = 0
     states: int = 0
     depth: int = 0
     is_complete: bool = True
@@ -94,13 +107,17 @@
         faults = sum(choice.is_fault for _, choice in deviations)
         events = len(deviations) - faults
         left = self._bounds.faults - faults, self._bounds.events - events
+        first_step = deviations[-1][0] + 1 if deviations else 0
         with play(self._scenario) as world:
-            for step, item in _walk(world, deviations, self._bounds.depth):
-                if step <= (deviations[-1][0] if deviations else -1):
+            for step, item in _walk(world, deviations):
+                if step < first_step:
                     continue
                 result.depth = max(result.depth, step)
-                if not self._is_new(fingerprints.compute(world), left):
-                    return
+                result.points += 1
+                is_early = step - first_step < EARLY_POINTS
+                if is_early or step % FINGERPRINT_INTERVAL == 0:
+                    if not self._is_new(fingerprints.compute(world), left):
+                        return
                 if step >= self._bounds.depth:
                     continue
                 for choice in choices.list_choices(world, item):
@@ -147,9 +164,7 @@
 
 
 def _walk(
-    world: model_world.World,
-    deviations: tuple[Deviation, ...],
-    depth: int,
+    world: model_world.World, deviations: tuple[Deviation, ...]
 ) -> abc.Iterator[tuple[int, model_world.Item]]:
     """Play a history; yield each branch point before its default."""
     chosen = dict(deviations)
@@ -165,7 +180,7 @@
 ) -> tuple[str, ...]:
     """Return the lines of a history."""
     with play(scenario) as world:
-        for _ in _walk(world, deviations, 0):
+        for _ in _walk(world, deviations):
             pass
         return tuple(world.lines)
 
@@ -200,7 +215,8 @@
     print('\n'.join(result.lines))
     print('\n'.join(result.failures))
     print(
-        f'{result.histories} histories, {result.states} states, depth'
+        f'{result.histories} histories, {result.points} branch points,'
+        f' {result.states} states, depth'
         f' {result.depth}, complete {result.is_complete},'
         f' {time.monotonic() - begun_at_s:.1f} s'
     )
