--- /dev/null
+++ b/tests/model/safeguards.py
@@ -0,0 +1,292 @@
+"""Safeguards of the program that a search can take out.
+
+Each one is a rule of the program's own code without which a task can be
+started twice. The search has to find that out, or it would prove nothing.
+"""
+
+from collections import abc
+import contextlib
+import dataclasses
+from typing import Any, Final
+from unittest import mock
+
+from borageshelf.agent.workflows import driver
+from borageshelf.agent.workflows import runs
+from borageshelf.entry.workflows import runtime
+from borageshelf.ports import store as store_interface
+from borageshelf.ports import task_executor
+from borageshelf.workflows import journal
+from borageshelf.workflows import owner
+from borageshelf.workflows import targets
+from tests.model import choices
+from tests.model import executors
+from tests.model import processes
+from tests.model import search
+from tests.model import world
+
+Patch = abc.Callable[[], contextlib.AbstractContextManager[Any]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Safeguard:
+    """A rule, and the search that shows that it is needed.
+
+    :param remove: takes the rule out of the program
+    :param kinds: kinds of choices that the search uses
+    """
+
+    name: str
+    remove: Patch
+    bounds: search.Bounds
+    kinds: tuple[str, ...]
+    is_placed_later: bool = False
+
+    def search(self, time_limit_s: float = 0) -> search.Result:
+        """Search for a counterexample without the safeguard."""
+        everything = {*choices.FAULTS, *choices.EVENTS}
+        scenario = world.Scenario(
+            excluded=frozenset(everything - set(self.kinds)),
+            is_placed_later=self.is_placed_later,
+        )
+        with self.remove():
+            return search.Search(scenario, self.bounds, time_limit_s).run()
+
+
+@contextlib.contextmanager
+def _acknowledge_at_once() -> abc.Iterator[None]:
+    """Acknowledge an end before the commit of what it changes."""
+    original = owner.Owner.handle_run_end
+
+    def handle_run_end(
+        self: owner.Owner, target: Any, end: Any, moment: Any
+    ) -> None:
+        original(self, target, end, moment)
+        for job in self.jobs.values():
+            early = [
+                effect
+                for effect in job.effects
+                if type(effect).__name__ == 'Acknowledge'
+            ]
+            for effect in early:
+                job.effects.remove(effect)
+                self._immediate_effects.append(effect)
+
+    with mock.patch.object(owner.Owner, 'handle_run_end', handle_run_end):
+        yield
+
+
+@contextlib.contextmanager
+def _start_before_commit() -> abc.Iterator[None]:
+    """Send a start before the commit of the run."""
+    original = owner.Owner.schedule
+
+    def schedule(self: owner.Owner, moment: Any) -> None:
+        original(self, moment)
+        for job in self.jobs.values():
+            early = [
+                effect
+                for effect in job.effects
+                if type(effect).__name__ == 'SendStart'
+            ]
+            for effect in early:
+                job.effects.remove(effect)
+                self._immediate_effects.append(effect)
+
+    with mock.patch.object(owner.Owner, 'schedule', schedule):
+        yield
+
+
+@contextlib.contextmanager
+def _believe_late_refusals() -> abc.Iterator[None]:
+    """Take a refusal after a try without an answer for a proof."""
+    with mock.patch.object(driver, '_REFUSALS', ()):
+        yield
+
+
+@contextlib.contextmanager
+def _refuse_without_stop() -> abc.Iterator[None]:
+    """Refuse a start whose order was not answered without a stop."""
+
+    async def stop(
+        self: driver.ExecutorDriver, run: runs.AgentRun, token: int
+    ) -> None:
+        self._runs.pop(run.key, None)
+        self._refuse(run.terms, run.refusal_reason)
+
+    with mock.patch.object(driver.ExecutorDriver, '_stop', stop):
+        yield
+
+
+@contextlib.contextmanager
+def _use_one_token() -> abc.Iterator[None]:
+    """Let the orders of all sessions carry the same fencing token."""
+    original = processes.ExecutorPort._send
+
+    async def send(
+        self: processes.ExecutorPort, order: executors.Order
+    ) -> Any:
+        if isinstance(order, executors.Start):
+            start = dataclasses.replace(order.order, token=1)
+            return await original(
+                self, dataclasses.replace(order, order=start)
+            )
+        return await original(self, dataclasses.replace(order, token=1))
+
+    with mock.patch.object(processes.ExecutorPort, '_send', send):
+        yield
+
+
+@contextlib.contextmanager
+def _give_up_silent_targets_at_once() -> abc.Iterator[None]:
+    """Drop the runs of a silent target before its grant has ended."""
+
+    def extend(self: owner.Owner, target: targets.Target, now_ms: int) -> None:
+        target.lost_deadline_ms = now_ms + 2_000
+
+    with mock.patch.object(owner.Owner, '_extend_lost_deadline', extend):
+        yield
+
+
+@contextlib.contextmanager
+def _ignore_former_grants() -> abc.Iterator[None]:
+    """Let a new owner ignore the grants of the former one."""
+    original = owner.Owner.__init__
+
+    def initialise(self: owner.Owner, *arguments: Any) -> None:
+        values = list(arguments)
+        values[4] = values[3]
+        original(self, *values)
+
+    with mock.patch.object(owner.Owner, '__init__', initialise):
+        yield
+
+
+@contextlib.contextmanager
+def _commit_without_head() -> abc.Iterator[None]:
+    """Commit without comparing the revision of the head."""
+    original = journal.Journal._commit_transaction
+
+    async def commit(
+        self: journal.Journal,
+        transaction: store_interface.Transaction,
+        head: Any,
+    ) -> int:
+        return await original(
+            self,
+            dataclasses.replace(transaction, expected_revisions=()),
+            head,
+        )
+
+    with mock.patch.object(journal.Journal, '_commit_transaction', commit):
+        yield
+
+
+@contextlib.contextmanager
+def _believe_refused_stops() -> abc.Iterator[None]:
+    """Take a refused stop for one that was carried out."""
+    original = driver.ExecutorDriver._stop
+
+    async def stop(
+        self: driver.ExecutorDriver, run: runs.AgentRun, token: int
+    ) -> None:
+        executor = self._executor
+        port = mock.Mock(wraps=executor)
+
+        async def order_stop(*arguments: Any) -> None:
+            with contextlib.suppress(task_executor.OrderRefused):
+                await executor.stop(*arguments)
+
+        port.stop = order_stop
+        self._executor = port
+        try:
+            await original(self, run, token)
+        finally:
+            self._executor = executor
+
+    with mock.patch.object(driver.ExecutorDriver, '_stop', stop):
+        yield
+
+
+@contextlib.contextmanager
+def _receive_from_former_streams() -> abc.Iterator[None]:
+    """Apply the messages of a session that another one has replaced."""
+
+    def receive(
+        self: runtime.OwnerRuntime, session: Any, message: Any
+    ) -> None:
+        if getattr(message, 'token', session.token) == session.token:
+            moment = runtime.clock.read_moment()
+            self._handle(message, session, moment)
+
+    with mock.patch.object(runtime.OwnerRuntime, '_receive', receive):
+        yield
+
+
+LATE_ORDERS: Final = ('keep for later', 'carry out the late order')
+SAFEGUARDS: Final = (
+    Safeguard(
+        'an end is acknowledged after its commit',
+        _acknowledge_at_once,
+        search.Bounds(12, 2, 1),
+        ('end done', 'pause', 'cut off from the store', 'hand over to'),
+    ),
+    Safeguard(
+        'a start is sent after its commit',
+        _start_before_commit,
+        search.Bounds(30, 2, 0),
+        ('keep for later', 'cut off from the store'),
+        is_placed_later=True,
+    ),
+    Safeguard(
+        'a refusal after a try without an answer proves nothing',
+        _believe_late_refusals,
+        search.Bounds(12, 2, 1),
+        (*LATE_ORDERS, 'unhealthy'),
+    ),
+    Safeguard(
+        'a start without an answer is stopped before it is refused',
+        _refuse_without_stop,
+        search.Bounds(12, 2, 1),
+        (*LATE_ORDERS, 'unhealthy'),
+    ),
+    Safeguard(
+        'a refused stop proves nothing',
+        _believe_refused_stops,
+        search.Bounds(20, 2, 1),
+        (*LATE_ORDERS, 'unhealthy'),
+    ),
+    Safeguard(
+        'each session has a higher fencing token',
+        _use_one_token,
+        search.Bounds(12, 2, 1),
+        (*LATE_ORDERS, 'break stream', 'kill the agent of'),
+    ),
+    Safeguard(
+        'a silent target is given up after its grant',
+        _give_up_silent_targets_at_once,
+        search.Bounds(12, 1, 0),
+        ('pause', 'kill the agent of'),
+    ),
+    Safeguard(
+        'a new owner waits for the grants of the former one',
+        _ignore_former_grants,
+        search.Bounds(12, 2, 0),
+        ('pause', 'hand over to', 'kill the agent of'),
+    ),
+    Safeguard(
+        'a commit compares the revision of the head',
+        _commit_without_head,
+        search.Bounds(12, 2, 1),
+        ('hand over to', 'end done', 'pause'),
+    ),
+    Safeguard(
+        'messages of a replaced session are ignored',
+        _receive_from_former_streams,
+        search.Bounds(12, 2, 1),
+        (
+            'break stream',
+            'break stream unnoticed by the owner',
+            'deliver what waits on stream',
+        ),
+    ),
+)
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -25,6 +25,9 @@
 ORDER_TIMEOUT_MS: Final = 800
 AGENT_START_MS: Final = 300
 CONNECT_TIMEOUT_MS: Final = 600
+# Enough for the first sessions and grants, and for a commit.
+ATTACH_MS: Final = 700
+COMMIT_MS: Final = 100
 HEARTBEAT_MS: Final = executors.HEARTBEAT_INTERVAL_MS
 
 
@@ -34,13 +37,17 @@
 
     :param tasks: number of workflows, each with one task
     :param ends_limit: number of ends that an executor lists at a time
-    :param excluded: kinds of faults that do not happen
+    :param excluded: kinds of choices that do not exist
+    :param duration_ms: end of a history, from the start of the processes
+    :param is_placed_later: whether the workflows are accepted before there
+        are any targets
     """
 
     tasks: int = 1
     ends_limit: int = 500
     excluded: frozenset[str] = frozenset()
     duration_ms: int = 9_000
+    is_placed_later: bool = False
 
 
 @dataclasses.dataclass(eq=False)
@@ -233,16 +240,32 @@
         self.settle()
         while self.items:
             self.handle(self.items[0])
+        steps = [self._attach_agents, self._submit]
+        if self.scenario.is_placed_later:
+            steps.reverse()
+        for step in steps:
+            step()
+        self.settle()
+        self.lines.clear()
+
+    def _attach_agents(self) -> None:
         for name in self.executors:
             self.start_agent(name)
             self._beat(name)
-        until_ms = self.clock.now_ms + 700
-        while self.clock.now_ms < until_ms:
-            self.proceed_by_default()
+        if not self.scenario.is_placed_later:
+            self._pass_time(ATTACH_MS)
+
+    def _submit(self) -> None:
         for number in range(self.scenario.tasks):
             self.owners[0].submit(f'{number:016x}')
-        self.settle()
-        self.lines.clear()
+        if self.scenario.is_placed_later:
+            self._pass_time(COMMIT_MS)
+
+    def _pass_time(self, duration_ms: int) -> None:
+        """Let time pass without any choice."""
+        until_ms = self.clock.now_ms + duration_ms
+        while self.clock.now_ms < until_ms:
+            self.proceed_by_default()
 
     def close(self) -> None:
         """Cancel what is left of all processes."""
