--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -108,6 +108,7 @@
         self._unproved_runs: tuple[tuple[str, int], ...] = ()
         self._departed_incarnation = ''
         self._inspection_begun_at_ms = 0
+        self._is_snapshot_complete = True
         # Earliest time at which the executor may have stopped answering.
         self._silent_since_ms = 0
         self._specs: dict[str, str] = {}
@@ -157,6 +158,19 @@
                 'executor drains', incarnation=announcement.incarnation
             )
             self.send_report()
+        elif announcement.capacity != former.capacity:
+            self._record_capacity(former.capacity, announcement.capacity)
+
+    def _record_capacity(
+        self, former: resources.Resources, capacity: resources.Resources
+    ) -> None:
+        self._event_log.record_state(
+            'capacity changed',
+            former_millicores=former.processor_millicores,
+            millicores=capacity.processor_millicores,
+            former_memory_mb=former.memory_mb,
+            memory_mb=capacity.memory_mb,
+        )
 
     def handle_departure(self, instance_id: str) -> None:
         """Handle an executor's message that it is shutting down."""
@@ -297,6 +311,9 @@
                 self._report_snapshot(inspection)
                 continue
             self._apply_inspection(inspection, begun_at_ms)
+            if inspection.has_all_ends and not self._is_snapshot_complete:
+                self._renew_session()
+                return
             await self._pace_fillers()
             if self._seen_end_number > self._acknowledged_end_number:
                 self._ends_acknowledged.clear()
@@ -336,6 +353,7 @@
             last_end=self._seen_end_number,
         )
         self._inspected_incarnation = self.incarnation
+        self._is_snapshot_complete = inspection.has_all_ends
         self._lost_runs = ()
         self._unproved_runs = ()
         state = self._make_state()
@@ -347,6 +365,7 @@
                 state,
                 tuple(_make_row(row) for row in inspection.running),
                 tuple(_make_end(end) for end in inspection.ended),
+                inspection.has_all_ends,
             )
         )
         self.send_report()
@@ -738,6 +757,8 @@
                 run = self._runs[key]
             run.row = row
         self._pacer.record_filler_usage(self._get_capacity())
+        if not inspection.has_all_ends:
+            return
         for key, run in list(self._runs.items()):
             was_confirmed_before = 0 < run.confirmed_at_ms < begun_at_ms
             if was_confirmed_before and key not in listed_keys:
@@ -814,8 +835,13 @@
         if inspection.born_at_ms == announcement.born_at_ms:
             return True
         self._report_executor_gone(announcement, messages.GoneCause.RESTARTED)
+        # The new incarnation may have another capacity and other labels, so
+        # nothing fits before its first announcement.
         self.announcement = dataclasses.replace(
-            announcement, born_at_ms=inspection.born_at_ms, sequence=0
+            announcement,
+            born_at_ms=inspection.born_at_ms,
+            sequence=0,
+            capacity=resources.NOTHING,
         )
         self._renew_session()
         return False
