--- a/tests/model/fingerprints.py
+++ b/tests/model/fingerprints.py
@@ -44,6 +44,10 @@
         'running_percent',
     }
 )
+# Times on an executor's clock, whose offset the executor's start defines.
+_EXECUTOR_TIMES: Final = frozenset(
+    {'clock_ms', 'executor_ms', 'lease_deadline_ms'}
+)
 _OPAQUE: Final = (
     abc.Coroutine,
     asyncio.AbstractEventLoop,
@@ -117,6 +121,8 @@
             return value
         if 'grant' in name and 'deadline' not in name:
             return value
+        if name in _EXECUTOR_TIMES:
+            return value - self._now_ms
         if value > virtual_time.WALL_CLOCK_START_MS:
             value -= virtual_time.WALL_CLOCK_START_MS
         relative_ms = value - self._now_ms
