Keep an unproved run no longer because its report is repeated

Found while reading the diff. Since each repeated report of a silent executor moved the time at which a kept run is given up, because the agent's grant had been extended meanwhile. A task could wait for as long as its executor stayed silent and the agent went on to report.

Only a report that another incarnation has answered sets the time anew.

The new test failed before: no second start within the grant.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -437,8 +437,9 @@
             ]
             crashed_at_ms = moment.elapsed_ms - gone.silent_ms
             self._handle_crash(target, crashed, crashed_at_ms, moment)
+        is_back = gone.cause in BACK_CAUSES
         expiry_ms = target.lost_deadline_ms
-        if gone.cause in BACK_CAUSES:
+        if is_back:
             expiry_ms += LATE_ORDER_GRANTS * self._grant_ms
         for run in lost:
             key = (run.task.name, run.attempt)
@@ -448,9 +449,8 @@
                 or (gone.reached is None and not run.is_confirmed)
             )
             if is_unproved:
-                target.unproved_runs[key] = max(
-                    target.unproved_runs.get(key, 0), expiry_ms
-                )
+                if key not in target.unproved_runs or is_back:
+                    target.unproved_runs[key] = expiry_ms
                 if run.executor_hash == gone_hash:
                     # A report may be repeated, even to the next owner.
                     run.executor_hash = jobs.COUNTED_EXECUTOR_HASH
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -245,3 +245,17 @@
     (job,) = cluster.core.jobs.values()
     assert job.tasks[0].crash_history.crashes == 1
     assert len(cluster.sent_starts) == 1
+
+
+def test_repeated_reports_of_a_silent_executor_keep_no_run_for_longer() -> (
+    None
+):
+    cause = messages.GoneCause.LEASE_ENDED
+    cluster, fake = make_unproved_cluster(cause)
+    fake.running.clear()
+    target = cluster.core.targets[fake.target_id]
+    for _ in range(5):
+        cluster.now_ms += support.GRANT_MS // 4
+        cluster.core.extend_grant(target, cluster.moment)
+        send_gone(cluster, fake, cause, reached=((TASK, 1),))
+    assert [start[2] for start in cluster.sent_starts] == [1, 2]
