Give no port to two processes of a test

All 35 failed attempts were on port 16259. Free ports are looked up process by process, and a port whose server does not listen yet still looks free.

A port that was returned once is not returned again.

--- a/bench/local_fleet.py
+++ b/bench/local_fleet.py
@@ -175,15 +175,21 @@
     return process, 'http://' + line.split('listening on ')[1].strip()
 
 
+_returned_ports: set[int] = set()
+
+
 def find_free_ports(count: int) -> list[int]:
     """Return TCP ports that were free when they were checked.
 
     They lie below the ephemeral range. The kernel may assign a free port of
-    that range to an outgoing connection before a server listens on it.
+    that range to an outgoing connection before a server listens on it. No
+    port is returned twice, because its server may not listen yet.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = random.randint(*SERVER_PORT_RANGE)
+        if port in _returned_ports:
+            continue
         with socket.socket() as probe:
             # Servers set this option too: a port whose only connections are
             # closed (TIME_WAIT) counts as free.
@@ -192,8 +198,8 @@
                 probe.bind((HOST, port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        _returned_ports.add(port)
+        ports.append(port)
     return ports
 
 
