--- a/review/standin.py
+++ b/review/standin.py
@@ -62,11 +62,16 @@
 
 
 def find_ports(count):
-    """Return free ports."""
+    """Return free ports below those that connections are given."""
     sockets = []
-    for _ in range(count):
+    while len(sockets) < count:
         sock = socket.socket()
-        sock.bind((HOST, 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((HOST, random.randrange(15_000, 32_000)))
+        except OSError:
+            sock.close()
+            continue
         sockets.append(sock)
     ports = [sock.getsockname()[1] for sock in sockets]
     for sock in sockets:
@@ -476,8 +481,8 @@
 
     async def start(self):
         """Listen, work and send heartbeats."""
-        self.server = await HttpServer(self._handle).start()
-        self.port = self.server.port
+        self.port = find_ports(1)[0]
+        self.server = await HttpServer(self._handle).start(self.port)
         self.tasks = [
             asyncio.ensure_future(self._work()),
             asyncio.ensure_future(self._beat()),
