--- a/review/standin.py
+++ b/review/standin.py
@@ -1042,6 +1042,10 @@
     async def run():
         nonlocal status
         deployment = Deployment(record)
+        # All processes are ended also if the script is told to stop.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             async with asyncio.timeout(LIMIT_S):
                 status = await case(deployment, record, has_trouble)
@@ -1049,6 +1053,8 @@
             record.write('not finished in time')
         except NotStarted:
             record.write('the deployment did not start')
+        except asyncio.CancelledError:
+            record.write('told to stop')
         finally:
             await deployment.stop()
             for writer in open_writers:
