Log each lasting task without a run, and each pause of a target once

Now `lasting task waits` tells of each lasting task without a run for 2 s, with the time since its last run may have ended, the cause, and the states of the targets that have room for it; refused and unsent starts don't begin that time anew. `target suspect` is written once a pause, with its length. `Task.not_before_ms` goes, as nothing ever set it.

No decision changes.

--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -470,8 +470,8 @@
     async def _send_effects(self) -> None:
         """Send learned effects of fillers to agents that run serving tasks.
 
-        Each round also logs the totals of the fleet, and the workflows that
-        have had nothing at work for a while.
+        Each round also logs the totals of the fleet, and the workflows and
+        lasting tasks that have had nothing at work for a while.
         """
         sent_pairs: tuple[tuple[str, str, float], ...] = ()
         while True:
@@ -482,6 +482,8 @@
             )
             for fields in self._core.describe_idle_workflows(moment):
                 self._event_log.record_detail('workflow idle', **fields)
+            for fields in self._core.describe_waiting_tasks(moment):
+                self._event_log.record_detail('lasting task waits', **fields)
             pairs = self._core.scheduler.filler_effects.list_effects()
             if pairs == sent_pairs:
                 continue
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -82,7 +82,8 @@
     :ivar number: index among all tasks of the workflow
     :ivar index: index among the tasks of the group
     :ivar avoided: targets on which the task failed
-    :ivar not_before_ms: elapsed time before which it is not started
+    :ivar waiting_since_ms: elapsed time at which its last run may have ended;
+        before its first run, that of the acceptance or of the takeover
     :ivar crash_history: crashes of executors under the task
     :ivar isolation_wait_deadline_ms: elapsed time from which a suspect is
         started beside other work if no target could be isolated for it
@@ -99,9 +100,9 @@
         'is_done',
         'isolation_wait_deadline_ms',
         'name',
-        'not_before_ms',
         'number',
         'runs',
+        'waiting_since_ms',
     )
 
     def __init__(self, group: 'Group', number: int, index: int) -> None:
@@ -117,7 +118,7 @@
         self.checkpoint = ''
         self.runs: dict[int, Run] = {}
         self.is_done = False
-        self.not_before_ms = 0
+        self.waiting_since_ms = group.job.accepted_at_ms
         self.avoided: tuple[str, ...] = ()
         self.crash_history = crash_blame.NO_CRASHES
         self.isolation_wait_deadline_ms = 0
@@ -355,11 +356,17 @@
         task.runs[run.attempt] = run
         self._live_runs += 1
 
-    def remove_run(self, run: Run) -> None:
-        """Remove a run that has ended."""
+    def remove_run(self, run: Run, ended_at_ms: int | None = None) -> None:
+        """Remove a run.
+
+        :param ended_at_ms: elapsed time at which it may have ended; None if it
+            never began, so that its task goes on to wait
+        """
         task = run.task
         if task.runs.pop(run.attempt, None) is None:
             return
+        if ended_at_ms is not None:
+            task.waiting_since_ms = ended_at_ms
         self._live_runs -= 1
         if not task.is_done:
             task.group.running_percent -= run.progress_percent
@@ -474,6 +481,7 @@
             task.attempts = record.attempts
             task.failures = record.failures
             task.checkpoint = record.checkpoint
+            task.waiting_since_ms = now_ms
             if record.crashes is not None:
                 task.set_crash_history(
                     crash_blame.History(
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -323,6 +323,7 @@
         self, target: targets.Target, moment: clock.Moment
     ) -> None:
         """Extend the grant of a target whose report is answered with one."""
+        target.contact_at_ms = moment.elapsed_ms
         self._extend_lost_deadline(target, moment.elapsed_ms)
 
     def apply_snapshot(
@@ -381,6 +382,7 @@
         for run in target.runs.values():
             if run.is_stopping or not run.task.group.job.is_active:
                 self._stop_run(run)
+        target.contact_at_ms = moment.elapsed_ms
         return [run for key, run in target.runs.items() if key in listed]
 
     def update_target_state(
@@ -495,7 +497,7 @@
         job = run.task.group.job
         job.effects.append(acknowledge)
         self._mark_dirty(job)
-        self._drop_run(run)
+        self._drop_run(run, _find_earliest_end_ms(target, run))
         task = run.task
         if end.checkpoint and not task.is_done:
             task.checkpoint = end.checkpoint
@@ -538,8 +540,11 @@
         self._drop_run(run)
         self._mark_dirty(job)
         if refused.is_unhealthy:
-            target.health = target_health.record_stall(
-                target.health, moment.elapsed_ms
+            self._change_health(
+                target,
+                target_health.record_stall(target.health, moment.elapsed_ms),
+                'a start was refused as unhealthy',
+                moment,
             )
         target.refusal_deadline_ms = moment.elapsed_ms + START_REFUSAL_PAUSE_MS
         self._break_gang(run.task)
@@ -839,6 +844,14 @@
             self._active_jobs.values(), self._fleet, moment
         )
 
+    def describe_waiting_tasks(
+        self, moment: clock.Moment
+    ) -> list[dict[str, Any]]:
+        """Return why lasting tasks have no run, for the log."""
+        return idle.describe_waiting_tasks(
+            self._active_jobs.values(), self._fleet, moment
+        )
+
     def mark_end_committed(self, effect: effects.Acknowledge) -> int | None:
         """Record that the state changes caused by an end are committed.
 
@@ -997,15 +1010,14 @@
         job = task.group.job
         is_first_failure_here = target.target_id not in task.avoided
         if is_first_failure_here and not task.avoided:
-            target.health = target_health.record_failure(
-                target.health, job.workflow_id, moment.elapsed_ms
+            self._change_health(
+                target,
+                target_health.record_failure(
+                    target.health, job.workflow_id, moment.elapsed_ms
+                ),
+                'several workflows failed on the target',
+                moment,
             )
-            if target.health.is_suspect(moment.elapsed_ms):
-                self._record(
-                    'target suspect',
-                    target=target.target_id,
-                    cause='several workflows failed on the target',
-                )
         if is_first_failure_here:
             task.avoided = (*task.avoided, target.target_id)
         if not job.is_active or task.is_done or task.group.step.is_lasting:
@@ -1019,6 +1031,27 @@
             cause = f'task {task.name} failed {task.failures} times'
             self._end_workflow(job, records.Phase.FAILED, cause, moment)
 
+    def _change_health(
+        self,
+        target: targets.Target,
+        health: target_health.Health,
+        cause: str,
+        moment: clock.Moment,
+    ) -> None:
+        """Set the health of a target; a new pause of it is logged."""
+        is_new_pause = (
+            health.suspect_deadline_ms != target.health.suspect_deadline_ms
+        )
+        target.health = health
+        if is_new_pause and health.is_suspect(moment.elapsed_ms):
+            self._record(
+                'target suspect',
+                target=target.target_id,
+                cause=cause,
+                pause_ms=health.suspect_deadline_ms - moment.elapsed_ms,
+                runs=len(target.runs),
+            )
+
     def _handle_crash(
         self,
         target: targets.Target,
@@ -1122,12 +1155,17 @@
                 effects.SendStop(run.target_id, run.task.name, run.attempt)
             )
 
-    def _drop_run(self, run: jobs.Run) -> None:
+    def _drop_run(self, run: jobs.Run, ended_at_ms: int | None = None) -> None:
+        """Drop a run.
+
+        :param ended_at_ms: elapsed time at which it may have ended; None if it
+            never began
+        """
         target = self.targets.get(run.target_id)
         if target is not None:
             target.remove_run(run)
             self._fleet.touch(target)
-        run.task.group.job.remove_run(run)
+        run.task.group.job.remove_run(run, ended_at_ms)
 
     def _drop_lost_run(
         self, run: jobs.Run, cause: str, moment: clock.Moment
@@ -1147,7 +1185,8 @@
             is_restored=run.is_restored,
         )
         measurements.RUNS_LOST.labels(cause).inc()
-        self._drop_run(run)
+        target = self.targets[run.target_id]
+        self._drop_run(run, _find_earliest_end_ms(target, run))
         self._mark_dirty(job)
         self._break_gang(run.task)
 
@@ -1208,13 +1247,17 @@
             now_ms - run.progress_at_ms < STALL_LIMIT_MS for run in active_runs
         ):
             return
-        target.health = target_health.record_stall(target.health, now_ms)
-        self._fleet.touch(target)
-        self._record(
-            'target suspect',
-            target=target.target_id,
-            cause='no run makes progress',
-            runs=len(active_runs),
+        self._change_health(
+            target,
+            target_health.record_stall(target.health, now_ms),
+            'no run makes progress',
+            moment,
         )
+        self._fleet.touch(target)
         for run in active_runs:
             self._stop_run(run)
+
+
+def _find_earliest_end_ms(target: targets.Target, run: jobs.Run) -> int:
+    """Return the time since which a run that has ended may not have run."""
+    return max(target.contact_at_ms, run.started_at_ms)
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -329,9 +329,7 @@
         waiting = [
             task
             for task in group.tasks
-            if task.is_waiting
-            and task.not_before_ms <= now_ms
-            and not task.awaits_isolation(now_ms)
+            if task.is_waiting and not task.awaits_isolation(now_ms)
         ]
         if group.step.is_gang and len(waiting) < group.step.count:
             return False
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -42,6 +42,8 @@
         knew at the begin of the session
     :ivar gone_incarnation: the last one that was reported as gone
     :ivar progress_reported_at_ms: elapsed time of the last report of progress
+    :ivar contact_at_ms: elapsed time of the last report in which the session
+        told the ends of all runs until then
     :ivar refusal_deadline_ms: elapsed time until which nothing is placed here
         after a refused start
     :ivar isolated_run: last started run of a suspected task; beside it only
@@ -88,6 +90,7 @@
         self.filler_sizes_millicores: dict[str, int] = {}
         self.refusal_deadline_ms = 0
         self.progress_reported_at_ms = 0
+        self.contact_at_ms = 0
         self.isolated_run: jobs.Run | None = None
         self.isolation_deadline_ms = 0
         self.hold_deadline_ms = 0
