Show lasting tasks that pauses of targets leave without a run (LOST)

Callers see a lasting task that does not run although sound targets have room for it. After all targets have failed or refused work for a while, the pauses that the owner gives them (2.5, 5, then 10 s) go on for up to 10 s after the trouble, while the rule allows 7 s of calm. In calm, rare failures of lasting tasks add up for ever, because such a task never ends as done, and withhold their only target for 10 s; the rule allows 9 s.

--- /dev/null
+++ b/tests/test_lasting_waits.py
@@ -0,0 +1,163 @@
+"""How long lasting tasks wait for a run where sound targets have room.
+
+The users' rules allow 9 s after the end of the last run, and 7 s after the end
+of the last disruption.
+"""
+
+import collections
+from typing import Final
+
+import pytest
+
+from borageshelf.ports import task_executor
+from borageshelf.workflows import messages
+from tests import workflow_support as support
+
+TICK_MS: Final = 100
+REPORT_MS: Final = 400
+FAILING_RUN_MS: Final = 300
+SHORT_RUN_MS: Final = 1_000
+ARRIVAL_MS: Final = 200
+# Bounds of rule LOST of the users' platform.
+LAST_RUN_LIMIT_MS: Final = 9_000
+CALM_LIMIT_MS: Final = 7_000
+
+
+class Day:
+    """Targets that fail or refuse work for a while.
+
+    :ivar has_arrivals: whether short workflows arrive all the time
+    :ivar failing: ids of the targets that fail what they start
+    :ivar refusing: ids of the targets that refuse starts as unhealthy
+    :ivar waits_ms: time since the last run of each lasting task without one
+    """
+
+    def __init__(self, target_count: int, labels: tuple[str, ...]) -> None:
+        self.cluster = support.Cluster()
+        for number in range(target_count):
+            self.cluster.add_target(f'vm-{number:02}', labels=labels)
+        self.has_arrivals = True
+        self.failing: set[str] = set()
+        self.refusing: set[str] = set()
+        self.waits_ms: collections.Counter[str] = collections.Counter()
+        self._started_at_ms: dict[tuple[str, int], int] = {}
+        self._checked_starts = 0
+        self._short_ids = iter(range(1_000, 10_000))
+
+    def submit_lasting(self, workflow_id: str, count: int) -> None:
+        """Submit a workflow of lasting tasks."""
+        self.cluster.submit(
+            support.make_workflow(
+                support.make_step(count, is_lasting=True, label='a'),
+                workflow_id=workflow_id,
+            ),
+            token=len(self.cluster.replies) + 1,
+        )
+
+    def play(self, duration_ms: int) -> None:
+        """Let time pass."""
+        for _ in range(duration_ms // TICK_MS):
+            self._tick()
+
+    def count_waiting(self) -> int:
+        """Return the number of lasting tasks without a run."""
+        return sum(wait_ms > 0 for wait_ms in self.waits_ms.values())
+
+    def fail(self, task: str) -> None:
+        """Let a run fail by the fault of its task."""
+        self.cluster.end_run(task, task_executor.EndKind.FAILED)
+
+    def _tick(self) -> None:
+        cluster = self.cluster
+        cluster.now_ms += TICK_MS
+        if self.has_arrivals and cluster.now_ms % ARRIVAL_MS == 0:
+            short_id = f'{next(self._short_ids):016x}'
+            cluster.submit(support.make_workflow(workflow_id=short_id))
+        cluster.run_until_idle()
+        for start in cluster.sent_starts[self._checked_starts :]:
+            target_id, task, attempt = start
+            self._started_at_ms[task, attempt] = cluster.now_ms
+            if target_id in self.refusing:
+                self._refuse(target_id, task, attempt)
+        self._checked_starts = len(cluster.sent_starts)
+        for fake in cluster.targets.values():
+            for task, attempt in list(fake.running.items()):
+                age_ms = cluster.now_ms - self._started_at_ms[task, attempt]
+                if fake.target_id in self.failing and age_ms >= FAILING_RUN_MS:
+                    self.fail(task)
+                elif not _is_lasting(task) and age_ms >= SHORT_RUN_MS:
+                    cluster.end_run(task)
+            if cluster.now_ms % REPORT_MS == 0:
+                target = cluster.core.targets[fake.target_id]
+                cluster.core.extend_grant(target, cluster.moment)
+        running = set(cluster.list_running())
+        for job in cluster.core.jobs.values():
+            for name in (task.name for task in job.tasks):
+                if _is_lasting(name):
+                    self.waits_ms[name] += TICK_MS
+                    if name in running:
+                        self.waits_ms[name] = 0
+
+    def _refuse(self, target_id: str, task: str, attempt: int) -> None:
+        cluster = self.cluster
+        del cluster.targets[target_id].running[task]
+        target = cluster.core.targets[target_id]
+        refused = messages.StartRefused(
+            0, task, attempt, 'status 503', is_unhealthy=True
+        )
+        cluster.core.handle_start_refusal(target, refused, cluster.moment)
+
+
+def _is_lasting(task: str) -> bool:
+    return int(task.split('.')[0], 16) < 1_000
+
+
+def make_day(target_count: int = 4) -> Day:
+    """Return a day on which lasting tasks already run."""
+    day = Day(target_count, ('a', 'r1'))
+    for number in range(3):
+        day.submit_lasting(f'{number:016x}', count=4)
+    day.play(1_000)
+    assert day.count_waiting() == 0
+    return day
+
+
+@pytest.mark.parametrize('trouble_ms', range(1_000, 26_000, 1_000))
+def test_lasting_task_runs_soon_after_its_targets_stop_failing(
+    trouble_ms: int,
+) -> None:
+    """Guards against pauses of targets that outlast the failures (LOST)."""
+    day = make_day()
+    day.failing.update(day.cluster.targets)
+    day.play(trouble_ms)
+    day.failing.clear()
+    day.play(CALM_LIMIT_MS)
+    assert day.count_waiting() == 0
+
+
+@pytest.mark.parametrize('trouble_ms', range(1_000, 26_000, 1_000))
+def test_lasting_task_runs_soon_after_its_targets_stop_refusing(
+    trouble_ms: int,
+) -> None:
+    """Guards against pauses of targets that outlast the refusals (LOST)."""
+    day = make_day()
+    day.refusing.update(day.cluster.targets)
+    for task in day.cluster.list_running():
+        day.fail(task)
+    day.play(trouble_ms)
+    day.refusing.clear()
+    day.play(CALM_LIMIT_MS)
+    assert day.count_waiting() == 0
+
+
+def test_rare_failures_of_lasting_tasks_withhold_no_sound_target() -> None:
+    """Guards against failures that add up for ever, as in review/5 (LOST)."""
+    day = make_day(target_count=1)
+    day.has_arrivals = False
+    longest_ms = 0
+    for number in range(6):
+        day.fail(f'{number % 3:016x}.0.0.{number % 4}')
+        for _ in range(12_000 // TICK_MS):
+            day.play(TICK_MS)
+            longest_ms = max(longest_ms, *day.waits_ms.values())
+    assert longest_ms < LAST_RUN_LIMIT_MS
