Start overdue tasks on targets that only pauses of ours withhold

Callers saw a lasting task without a run for up to 10 s beside sound targets with room (LOST). Cause: pauses of targets that failed or refused work are set, doubled and renewed without regard to the tasks that wait for them; the same goes for holds and isolation.

`workflows/overdue.py` bounds them at the task: a lasting task without a run for 3 s starts on a target that is ready, has room and is only paused, and so does one task of any other workflow without a run for 2 s if it does not risk its last attempt. The time counts from the earliest moment at which the last run may have ended, and refused or unsent starts don't begin it anew, so a series of pauses doesn't add up.

--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -83,7 +83,10 @@
     :ivar index: index among the tasks of the group
     :ivar avoided: targets on which the task failed
     :ivar waiting_since_ms: elapsed time at which its last run may have ended;
-        before its first run, that of the acceptance or of the takeover
+        before its first run, that of the acceptance, of the takeover, or at
+        which its step became ready
+    :ivar overdue_retry_deadline_ms: elapsed time from which withheld targets
+        are tried again
     :ivar crash_history: crashes of executors under the task
     :ivar isolation_wait_deadline_ms: elapsed time from which a suspect is
         started beside other work if no target could be isolated for it
@@ -101,6 +104,7 @@
         'isolation_wait_deadline_ms',
         'name',
         'number',
+        'overdue_retry_deadline_ms',
         'runs',
         'waiting_since_ms',
     )
@@ -119,6 +123,7 @@
         self.runs: dict[int, Run] = {}
         self.is_done = False
         self.waiting_since_ms = group.job.accepted_at_ms
+        self.overdue_retry_deadline_ms = 0
         self.avoided: tuple[str, ...] = ()
         self.crash_history = crash_blame.NO_CRASHES
         self.isolation_wait_deadline_ms = 0
@@ -171,6 +176,7 @@
 class Group:
     """The tasks of one step in one occurrence of the workflow.
 
+    :ivar was_ready: whether its tasks' turn has been noticed
     :ivar waiting_count: number of tasks that need a run
     :ivar running_percent: sum of the progress of the runs of unfinished tasks
     :ivar misfit: the last choice of a target that found none, or None
@@ -189,6 +195,7 @@
         'suspects',
         'tasks',
         'waiting_count',
+        'was_ready',
     )
 
     def __init__(
@@ -204,11 +211,20 @@
         ]
         self.done_count = 0
         self.is_complete = False
+        self.was_ready = False
         self.waiting_count = len(self.tasks)
         self.running_percent = 0
         self.misfit: Misfit | None = None
         self.suspects: list[Task] = []
 
+    def note_ready(self, now_ms: int) -> None:
+        """Note that the tasks may start; before, they did not wait."""
+        if not self.was_ready:
+            self.was_ready = True
+            for task in self.tasks:
+                if not task.attempts:
+                    task.waiting_since_ms = now_ms
+
     def count_runs_by_target(self) -> dict[str, int]:
         """Return the number of the group's runs on each target."""
         counts: dict[str, int] = {}
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -19,6 +19,7 @@
 from borageshelf.workflows import fleet
 from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
+from borageshelf.workflows import overdue
 from borageshelf.workflows import targets
 
 # The rules of the users' platform require a workflow to run within 3 s if
@@ -48,6 +49,9 @@
         self._fleet = known_fleet
         self._crash_tracker = crash_tracker
         self._set_aside = set_aside
+        self._overdue_placer = overdue.OverduePlacer(
+            known_fleet, self._place_task, self._predict_latency_share
+        )
         self.filler_effects = filler_effects.FillerEffects()
         # Effects and latencies that placement uses until the next refresh.
         self._placement_effects = filler_effects.FillerEffects()
@@ -110,6 +114,8 @@
                 for group in job.groups
                 if group.waiting_count and job.is_ready(group, moment.wall_ms)
             ]
+            for group in groups:
+                group.note_ready(now_ms)
             if groups:
                 rank = workflow_order.compute_rank(
                     _make_candidate(job), now_ms
@@ -119,11 +125,14 @@
         changed = self._place_suspects(
             [group for _, _, groups in waiting for group in groups], now_ms
         )
+        self._overdue_placer.begin_pass(now_ms)
         for _, job, groups in waiting:
             try:
                 for group in groups:
                     if self._place_group(group, moment):
                         changed[job.workflow_id] = job
+                    if self._overdue_placer.place_group(group, now_ms):
+                        changed[job.workflow_id] = job
             except Exception as error:
                 # An error that ended the ownership would meet the next owner.
                 self._set_aside(job.workflow_id, repr(error))
@@ -187,7 +196,6 @@
         Only one target is in isolation for a workflow at a time, because a
         task that is at fault ends the workflow.
         """
-        job = group.job
         waiting = [
             task
             for task in group.suspects
@@ -199,12 +207,9 @@
         target = self._choose_for_isolation(task, now_ms)
         if target is None:
             return False
-        run = self._add_run(task, target, now_ms)
+        run = self._place_task(task, target, now_ms)
         self._crash_tracker.isolate(target, run, now_ms)
         self._fleet.reindex(target, now_ms)
-        job.effects.append(
-            effects.SendStart(target.target_id, task.name, run.attempt)
-        )
         return True
 
     def _choose_for_isolation(
@@ -308,6 +313,17 @@
             self._crash_tracker.watch_lasting_run(run)
         return run
 
+    def _place_task(
+        self, task: jobs.Task, target: targets.Target, now_ms: int
+    ) -> jobs.Run:
+        """Place a task that is no member of a gang on a target."""
+        run = self._add_run(task, target, now_ms)
+        self._fleet.reindex(target, now_ms)
+        task.group.job.effects.append(
+            effects.SendStart(target.target_id, task.name, run.attempt)
+        )
+        return run
+
     def _place_group(self, group: jobs.Group, moment: clock.Moment) -> bool:
         """Place the waiting tasks of a group; tell whether any was placed."""
         job = group.job
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -118,6 +118,16 @@
             now_ms
         )
 
+    def is_withheld(self, now_ms: int) -> bool:
+        """Tell whether only a pause of ours keeps new runs away."""
+        return (
+            self.is_ready
+            and not self.is_draining
+            and not self.unexpected_runs
+            and now_ms >= self.refusal_deadline_ms
+            and not self.can_accept_runs(now_ms)
+        )
+
     def can_accept_sibling_suspect(self, now_ms: int) -> bool:
         """Tell whether a suspect may join those of its workflow here."""
         return (
--- a/tests/test_lasting_waits.py
+++ b/tests/test_lasting_waits.py
@@ -11,6 +11,7 @@
 
 from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
+from borageshelf.workflows import overdue
 from tests import workflow_support as support
 
 TICK_MS: Final = 100
@@ -112,6 +113,11 @@
     return int(task.split('.')[0], 16) < 1_000
 
 
+def overdue_limit_ms() -> int:
+    """Return the time in which a workflow without any run gets one."""
+    return overdue.WORKFLOW_WAIT_LIMIT_MS + overdue.RETRY_INTERVAL_MS
+
+
 def make_day(target_count: int = 4) -> Day:
     """Return a day on which lasting tasks already run."""
     day = Day(target_count, ('a', 'r1'))
@@ -161,3 +167,32 @@
             day.play(TICK_MS)
             longest_ms = max(longest_ms, *day.waits_ms.values())
     assert longest_ms < LAST_RUN_LIMIT_MS
+
+
+def test_idle_workflow_gets_one_run_where_all_targets_are_paused() -> None:
+    """Guards against an accepted workflow without any run, with room (LOST).
+
+    A run on a paused target must not cost the last attempt of a task.
+    """
+    day = make_day()
+    day.has_arrivals = False
+    day.refusing.update(day.cluster.targets)
+    day.cluster.submit(
+        support.make_workflow(
+            support.make_step(3, estimate_ms=60_000), workflow_id='1' * 16
+        )
+    )
+    day.play(10_000)
+    day.refusing.clear()
+    job = day.cluster.core.jobs['1' * 16]
+    job.tasks[0].failures = job.terms.attempts_limit - 1
+    is_paused = [
+        target.health.is_suspect(day.cluster.now_ms + overdue_limit_ms())
+        for target in day.cluster.core.targets.values()
+    ]
+    assert all(is_paused)
+    earlier_starts = len(day.cluster.sent_starts)
+    day.play(overdue_limit_ms())
+    starts = [task for _, task, _ in day.cluster.sent_starts[earlier_starts:]]
+    assert starts
+    assert starts[0] != job.tasks[0].name
