Forget failures on a target after a while

Cause: only a run that ends as done cleared the failures, and lasting tasks never do, so that failures of minutes added up. Failures, and the length of the last pause, are now forgotten 10 s after the last failure or pause. Two tests; both failed before (a target suspect at the second of ten failures 10 s apart; a pause of 10 s instead of 2.5 s).

--- a/borageshelf/decisions/target_health.py
+++ b/borageshelf/decisions/target_health.py
@@ -4,6 +4,8 @@
 a success in between. A workflow whose tasks fail on several targets is at
 fault itself, and its failures do not count against them. A suspect target is
 tried again after a pause, which doubles while the target keeps failing.
+Failures are forgotten after a while: lasting tasks never succeed, so that on a
+target with nothing else their rare failures would add up.
 """
 
 import dataclasses
@@ -15,6 +17,9 @@
 SUSPECT_WORKFLOWS: Final = 2
 BASE_PAUSE_MS: Final = 2_500
 PAUSE_LIMIT_MS: Final = 10_000
+# Failures are forgotten if no other one follows within this time, or within
+# this time after the pause that they caused.
+FAILURE_MEMORY_MS: Final = 10_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,6 +28,8 @@
 
     :param failed_workflows: ids of the workflows that failed on the target
         since the last success
+    :param memory_deadline_ms: elapsed time at which the failures and the
+        length of the latest pause are forgotten
     :param suspect_deadline_ms: elapsed time until which the target gets no
         work
     :param pause_ms: length of the latest pause, 0 before the first
@@ -31,6 +38,7 @@
     failed_workflows: frozenset[str] = frozenset()
     suspect_deadline_ms: int = 0
     pause_ms: int = 0
+    memory_deadline_ms: int = 0
 
     def is_suspect(self, now_ms: int) -> bool:
         """Tell whether the target gets no work at this time."""
@@ -49,23 +57,42 @@
 
     :param workflow_id: workflow that has not failed on any other target
     """
+    health = _forget(health, now_ms)
     failed_workflows = health.failed_workflows | {workflow_id}
-    if len(failed_workflows) < SUSPECT_WORKFLOWS:
-        return dataclasses.replace(health, failed_workflows=failed_workflows)
-    pause_ms = min(max(2 * health.pause_ms, BASE_PAUSE_MS), PAUSE_LIMIT_MS)
-    if health.is_suspect(now_ms):
-        return dataclasses.replace(health, failed_workflows=failed_workflows)
+    is_evidence = len(failed_workflows) >= SUSPECT_WORKFLOWS
+    if not is_evidence or health.is_suspect(now_ms):
+        return dataclasses.replace(
+            health,
+            failed_workflows=failed_workflows,
+            memory_deadline_ms=_remember_until(health, now_ms),
+        )
+    paused = _pause(health, now_ms)
     # All but one of the needed failures are kept, so that one more failure
     # after the pause makes the target suspect again.
     kept_workflows = frozenset(list(failed_workflows)[: SUSPECT_WORKFLOWS - 1])
-    return Health(kept_workflows, now_ms + pause_ms, pause_ms)
+    return dataclasses.replace(paused, failed_workflows=kept_workflows)
 
 
 def record_stall(health: Health, now_ms: int) -> Health:
     """Return the health after a run that made no progress."""
+    health = _forget(health, now_ms)
+    return health if health.is_suspect(now_ms) else _pause(health, now_ms)
+
+
+def _pause(health: Health, now_ms: int) -> Health:
     pause_ms = min(max(2 * health.pause_ms, BASE_PAUSE_MS), PAUSE_LIMIT_MS)
-    if health.is_suspect(now_ms):
-        return health
-    return dataclasses.replace(
+    paused = dataclasses.replace(
         health, suspect_deadline_ms=now_ms + pause_ms, pause_ms=pause_ms
     )
+    return dataclasses.replace(
+        paused, memory_deadline_ms=_remember_until(paused, now_ms)
+    )
+
+
+def _remember_until(health: Health, now_ms: int) -> int:
+    return max(health.suspect_deadline_ms, now_ms) + FAILURE_MEMORY_MS
+
+
+def _forget(health: Health, now_ms: int) -> Health:
+    """Return the health without failures that are too long ago."""
+    return Health() if now_ms >= health.memory_deadline_ms else health
--- a/tests/test_workflow_decisions.py
+++ b/tests/test_workflow_decisions.py
@@ -281,6 +281,28 @@
     assert target_health.record_success(again) == target_health.Health()
 
 
+def test_rare_failures_do_not_make_a_target_suspect() -> None:
+    """Guards against failures that add up where no run ever succeeds."""
+    health = target_health.Health()
+    for number in range(10):
+        now_ms = number * target_health.FAILURE_MEMORY_MS
+        health = target_health.record_failure(health, str(number), now_ms)
+        assert not health.is_suspect(now_ms)
+
+
+def test_pause_is_short_again_after_a_target_has_worked_for_a_while() -> None:
+    """Guards against pauses that only grow on targets of lasting tasks."""
+    now_ms = 0
+    health = target_health.Health()
+    for _ in range(3):
+        health = target_health.record_stall(health, now_ms)
+        now_ms = health.suspect_deadline_ms
+    assert health.pause_ms == target_health.PAUSE_LIMIT_MS
+    now_ms += target_health.FAILURE_MEMORY_MS
+    health = target_health.record_stall(health, now_ms)
+    assert health.pause_ms == target_health.BASE_PAUSE_MS
+
+
 def test_invalid_workflows_are_described() -> None:
     """Guards against accepting a workflow that can never end."""
     small = resources.Resources(1, 1)
