End the pause of a target on which an overdue task goes on

A paused target that ran an overdue task stayed paused for up to 10 s, so all else that waited there had to become overdue as well. The test failed before: the target was still paused.

--- a/borageshelf/decisions/target_health.py
+++ b/borageshelf/decisions/target_health.py
@@ -33,12 +33,14 @@
     :param suspect_deadline_ms: elapsed time until which the target gets no
         work
     :param pause_ms: length of the latest pause, 0 before the first
+    :param is_stalled: whether runs that stood still caused the latest pause
     """
 
     failed_workflows: frozenset[str] = frozenset()
     suspect_deadline_ms: int = 0
     pause_ms: int = 0
     memory_deadline_ms: int = 0
+    is_stalled: bool = False
 
     def is_suspect(self, now_ms: int) -> bool:
         """Tell whether the target gets no work at this time."""
@@ -52,6 +54,15 @@
     return Health()
 
 
+def record_lasting_run(health: Health) -> Health:
+    """Return the health after a run that began in a pause and goes on.
+
+    Targets that fail or refuse work do so at the start. It proves nothing
+    about stalls.
+    """
+    return health if health.is_stalled else record_success(health)
+
+
 def record_failure(health: Health, workflow_id: str, now_ms: int) -> Health:
     """Return the health after a failed run.
 
@@ -73,9 +84,15 @@
     return dataclasses.replace(paused, failed_workflows=kept_workflows)
 
 
+def record_refusal(health: Health, now_ms: int) -> Health:
+    """Return the health after the target refused a start as unhealthy."""
+    health = _forget(health, now_ms)
+    return health if health.is_suspect(now_ms) else _pause(health, now_ms)
+
+
 def record_stall(health: Health, now_ms: int) -> Health:
     """Return the health after a run that made no progress."""
-    health = _forget(health, now_ms)
+    health = dataclasses.replace(_forget(health, now_ms), is_stalled=True)
     return health if health.is_suspect(now_ms) else _pause(health, now_ms)
 
 
--- a/borageshelf/workflows/overdue.py
+++ b/borageshelf/workflows/overdue.py
@@ -13,6 +13,7 @@
 from collections import abc
 from typing import Any, Final
 
+from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_placement
 from borageshelf.workflows import fleet
 from borageshelf.workflows import jobs
@@ -26,6 +27,8 @@
 # A task is not tried again on withheld targets sooner than this.
 RETRY_INTERVAL_MS: Final = 2_000
 PASS_INTERVAL_MS: Final = 200
+# A run that has lasted for this long shows that its target is sound.
+SOUND_RUN_MS: Final = 2_000
 
 PlaceTask = abc.Callable[[jobs.Task, targets.Target, int], jobs.Run]
 
@@ -51,6 +54,8 @@
         # placed on each target, in the current pass.
         self._withheld: dict[str, list[targets.Target]] = {}
         self._placed_counts: dict[str, int] = {}
+        # Runs on paused targets that have not lasted long enough yet.
+        self._probes: list[tuple[jobs.Run, targets.Target]] = []
 
     def begin_pass(self, now_ms: int) -> None:
         """Begin a scheduling pass; most passes leave overdue tasks out."""
@@ -59,6 +64,7 @@
         if now_ms < self._next_pass_ms:
             return
         self._next_pass_ms = now_ms + PASS_INTERVAL_MS
+        self._end_pauses(now_ms)
         for target in self._fleet.targets.values():
             if target.is_withheld(now_ms):
                 self._withheld.setdefault(target.service, []).append(target)
@@ -81,10 +87,27 @@
             self._placed_counts[target.target_id] = (
                 self._placed_counts.get(target.target_id, 0) + 1
             )
-            self._place(task, target, now_ms)
+            run = self._place(task, target, now_ms)
+            self._probes.append((run, target))
             is_any_placed = True
         return is_any_placed
 
+    def _end_pauses(self, now_ms: int) -> None:
+        """End the pauses of targets on which an overdue task goes on."""
+        probes, self._probes = self._probes, []
+        for run, target in probes:
+            if run.attempt not in run.task.runs:
+                continue
+            if not (
+                target.is_ready
+                and run.is_sent
+                and now_ms - run.started_at_ms >= SOUND_RUN_MS
+            ):
+                self._probes.append((run, target))
+                continue
+            target.health = target_health.record_lasting_run(target.health)
+            self._fleet.touch(target)
+
     def _choose(
         self,
         task: jobs.Task,
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -542,7 +542,7 @@
         if refused.is_unhealthy:
             self._change_health(
                 target,
-                target_health.record_stall(target.health, moment.elapsed_ms),
+                target_health.record_refusal(target.health, moment.elapsed_ms),
                 'a start was refused as unhealthy',
                 moment,
             )
--- a/tests/test_lasting_waits.py
+++ b/tests/test_lasting_waits.py
@@ -196,3 +196,18 @@
     starts = [task for _, task, _ in day.cluster.sent_starts[earlier_starts:]]
     assert starts
     assert starts[0] != job.tasks[0].name
+
+
+def test_target_that_runs_an_overdue_task_gets_work_again() -> None:
+    """Guards against pauses that go on although the target is sound."""
+    day = make_day(target_count=1)
+    day.has_arrivals = False
+    day.refusing.update(day.cluster.targets)
+    day.fail(f'{1:016x}.0.0.0')
+    day.play(10_000)
+    day.refusing.clear()
+    target = day.cluster.core.targets['vm-00']
+    paused_until_ms = target.health.suspect_deadline_ms
+    day.play(overdue_limit_ms() + overdue.SOUND_RUN_MS)
+    assert day.cluster.now_ms < paused_until_ms
+    assert target.can_accept_runs(day.cluster.now_ms)
