Count the isolation wait of a lasting task from the crash

A lasting task that may crash executors waited for up to 5 s from the news of a crash, and again for 5 s after a change of the owner.

The wait now begins with the earliest time of the crash, and is 3 s at most for a new owner. Both tests failed before: the deadlines were 4 s and 2 s later.

--- a/borageshelf/decisions/crash_blame.py
+++ b/borageshelf/decisions/crash_blame.py
@@ -73,6 +73,9 @@
 STRONG_SUSPECT_CRASHES: Final = 3
 STRICT_ISOLATION_WAIT_MS: Final = 10_000
 LASTING_ISOLATION_WAIT_MS: Final = 5_000
+# After a change of the owner, which itself takes up to 3 s. The users' rule on
+# lasting tasks counts from 4 s after the end of its cause.
+RESTORED_ISOLATION_WAIT_MS: Final = 3_000
 # Crashes after which the isolation covers the whole run.
 LONG_ISOLATION_CRASHES: Final = 2
 # A lasting task that runs for this long is taken for sound.
@@ -199,12 +202,21 @@
     return dataclasses.replace(history, is_suspect=history.is_strong_suspect)
 
 
-def compute_isolation_wait_ms(history: History, is_lasting: bool) -> int:
-    """Return how long a suspect waits for a target to be isolated on."""
+def compute_isolation_wait_ms(
+    history: History, is_lasting: bool, is_restored: bool = False
+) -> int:
+    """Return how long a suspect waits for a target to be isolated on.
+
+    :param is_restored: whether a new owner sets the wait
+    """
     if not history.is_strong_suspect:
         return ISOLATION_WAIT_MS
     if is_lasting:
-        return LASTING_ISOLATION_WAIT_MS
+        return (
+            RESTORED_ISOLATION_WAIT_MS
+            if is_restored
+            else LASTING_ISOLATION_WAIT_MS
+        )
     return STRICT_ISOLATION_WAIT_MS
 
 
--- a/borageshelf/workflows/crashes.py
+++ b/borageshelf/workflows/crashes.py
@@ -80,12 +80,14 @@
             task.set_crash_history(history)
             if not (history.is_suspect or history.crashes):
                 continue
+            is_lasting = task.group.step.is_lasting
             task.isolation_wait_deadline_ms = (
-                now_ms
-                + crash_blame.compute_isolation_wait_ms(
-                    history, task.group.step.is_lasting
-                )
-            )
+                # Lasting tasks may be without a run for a limited time, which
+                # begins with the crash and not with the news of it.
+                _find_crash_time_ms(target, run, crashed_at_ms)
+                if is_lasting
+                else now_ms
+            ) + crash_blame.compute_isolation_wait_ms(history, is_lasting)
             self._record(
                 'crash counted',
                 workflow=task.group.job.workflow_id,
@@ -234,6 +236,15 @@
     return max(crashed_at_ms - run.started_at_ms, 0)
 
 
+def _find_crash_time_ms(
+    target: targets.Target, run: jobs.Run, crashed_at_ms: int | None
+) -> int:
+    """Return the earliest time at which a run may have crashed."""
+    if crashed_at_ms is not None:
+        return crashed_at_ms
+    return max(target.contact_at_ms, run.started_at_ms)
+
+
 def is_young(run: jobs.Run, now_ms: int, limit_ms: int) -> bool:
     """Tell whether a run has just started, as far as its owner knows."""
     is_unlisted = not (run.is_confirmed or run.task.group.step.is_lasting)
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -510,7 +510,9 @@
                 task.isolation_wait_deadline_ms = (
                     now_ms
                     + crash_blame.compute_isolation_wait_ms(
-                        task.crash_history, task.group.step.is_lasting
+                        task.crash_history,
+                        task.group.step.is_lasting,
+                        is_restored=True,
                     )
                 )
             for stored in record.runs:
--- a/tests/test_lasting_waits.py
+++ b/tests/test_lasting_waits.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from borageshelf.decisions import crash_blame
 from borageshelf.ports import task_executor
+from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
 from borageshelf.workflows import overdue
 from tests import workflow_support as support
@@ -211,3 +213,50 @@
     day.play(overdue_limit_ms() + overdue.SOUND_RUN_MS)
     assert day.cluster.now_ms < paused_until_ms
     assert target.can_accept_runs(day.cluster.now_ms)
+
+
+def make_strong_suspect(day: Day) -> jobs.Task:
+    """Return a lasting task that may have crashed several executors."""
+    task = day.cluster.core.jobs[f'{0:016x}'].tasks[0]
+    task.set_crash_history(
+        crash_blame.History(
+            crash_blame.STRONG_SUSPECT_CRASHES - 1, is_suspect=True
+        )
+    )
+    return task
+
+
+def test_isolation_wait_of_a_lasting_task_begins_with_the_crash() -> None:
+    """Guards against waits that add up after a crash that is known late."""
+    day = make_day()
+    task = make_strong_suspect(day)
+    (run,) = task.runs.values()
+    fake = day.cluster.targets[run.target_id]
+    target = day.cluster.core.targets[run.target_id]
+    last_contact_ms = target.contact_at_ms
+    day.cluster.now_ms += 4_000
+    fake.running.clear()
+    day.cluster.restart(fake)
+    assert task.crash_history.is_strong_suspect
+    assert task.isolation_wait_deadline_ms == (
+        last_contact_ms + crash_blame.LASTING_ISOLATION_WAIT_MS
+    )
+
+
+def test_isolation_wait_of_a_lasting_task_is_shorter_for_a_new_owner() -> None:
+    """Guards against waits that add up with the change of an owner."""
+    day = make_day()
+    task = make_strong_suspect(day)
+    (run,) = task.runs.values()
+    fake = day.cluster.targets[run.target_id]
+    fake.running.clear()
+    day.cluster.restart(fake)
+    assert task.crash_history.is_strong_suspect
+    batch = day.cluster.core.take_batch()
+    day.cluster.commit(batch)
+    day.cluster.take_over()
+    restored = day.cluster.core.jobs[f'{0:016x}'].tasks[0]
+    assert restored.crash_history.is_strong_suspect
+    assert restored.isolation_wait_deadline_ms == (
+        day.cluster.now_ms + crash_blame.RESTORED_ISOLATION_WAIT_MS
+    )
