Judge a stall by the estimate and the shown progress of a run

Cause: a run without a new whole percent for 2 s counted as stalled, whatever a percent of it takes.

`decisions/stalls.py` derives the limit from the estimate and from the time that the shown percents took; a run whose work would be lost is stopped only once it has stood still for as long as that work took; each stall of a task doubles the limit of its next run, for estimates that are far too low. Short runs have the limit that they had.

--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -82,6 +82,7 @@
     :ivar number: index among all tasks of the workflow
     :ivar index: index among the tasks of the group
     :ivar avoided: targets on which the task failed
+    :ivar stalls: number of its runs that were stopped as stalled
     :ivar waiting_since_ms: elapsed time at which its last run may have ended;
         before its first run, that of the acceptance, of the takeover, or at
         which its step became ready
@@ -106,6 +107,7 @@
         'number',
         'overdue_retry_deadline_ms',
         'runs',
+        'stalls',
         'waiting_since_ms',
     )
 
@@ -124,6 +126,7 @@
         self.is_done = False
         self.waiting_since_ms = group.job.accepted_at_ms
         self.overdue_retry_deadline_ms = 0
+        self.stalls = 0
         self.avoided: tuple[str, ...] = ()
         self.crash_history = crash_blame.NO_CRASHES
         self.isolation_wait_deadline_ms = 0
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from borageshelf import clock
+from borageshelf.decisions import stalls
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_admission
 from borageshelf import measurements
@@ -34,9 +35,6 @@
 COMMIT_ENTRIES_LIMIT: Final = 30
 # A target that refused a start is tried again after one report interval.
 START_REFUSAL_PAUSE_MS: Final = 400
-# Progress is reported every 400 ms; a run without progress in five reports
-# has stalled.
-STALL_LIMIT_MS: Final = 2_000
 # Reserved for the stop of a checkpointing task, which takes up to 900 ms (site
 # files).
 CHECKPOINT_STOP_MS: Final = 1_200
@@ -1244,7 +1242,8 @@
             and not run.task.group.step.is_lasting
         ]
         if not active_runs or any(
-            now_ms - run.progress_at_ms < STALL_LIMIT_MS for run in active_runs
+            now_ms - run.progress_at_ms < _find_stall_limit_ms(run)
+            for run in active_runs
         ):
             return
         self._change_health(
@@ -1255,9 +1254,24 @@
         )
         self._fleet.touch(target)
         for run in active_runs:
+            run.task.stalls += 1
             self._stop_run(run)
 
 
 def _find_earliest_end_ms(target: targets.Target, run: jobs.Run) -> int:
     """Return the time since which a run that has ended may not have run."""
     return max(target.contact_at_ms, run.started_at_ms)
+
+
+def _find_stall_limit_ms(run: jobs.Run) -> int:
+    """Return the time without progress after which a run has stalled."""
+    group = run.task.group
+    return stalls.compute_stall_limit_ms(
+        stalls.Progress(
+            max(run.progress_at_ms - run.started_at_ms, 0),
+            run.progress_percent,
+            group.get_estimate_ms(),
+            group.step.is_checkpointing,
+            run.task.stalls,
+        )
+    )
