Withhold targets whose executors crash again and again by themselves

Callers saw sound lasting workflows shown as failed where an executor goes down and up by turns. Cause: after each crash it comes back empty, which makes it the best target, and the tasks that it attracts meet one crash after the other until they are taken for deadly.

From the second crash within 10 s on that no task is likely to have caused, a target gets no work for 2.5 s, then 5 s, as long as three quarters of the targets of the service stay in use.

The new test failed before for two of three periods.

--- a/borageshelf/decisions/target_health.py
+++ b/borageshelf/decisions/target_health.py
@@ -4,8 +4,10 @@
 a success in between. A workflow whose tasks fail on several targets is at
 fault itself, and its failures do not count against them. A suspect target is
 tried again after a pause, which doubles while the target keeps failing.
-Failures are forgotten after a while: lasting tasks never succeed, so that on a
-target with nothing else their rare failures would add up.
+So is one whose executor crashes again and again by itself: it comes back empty
+and would attract all work. Failures are forgotten after a while: lasting tasks
+never succeed, so that on a target with nothing else their rare failures would
+add up.
 """
 
 import dataclasses
@@ -17,6 +19,9 @@
 SUSPECT_WORKFLOWS: Final = 2
 BASE_PAUSE_MS: Final = 2_500
 PAUSE_LIMIT_MS: Final = 10_000
+# The pause after crashes is not passed over for any task, so it has to end
+# before the users' rules ask for a run.
+CRASH_PAUSE_LIMIT_MS: Final = 5_000
 # Failures are forgotten if no other one follows within this time, or within
 # this time after the pause that they caused.
 FAILURE_MEMORY_MS: Final = 10_000
@@ -96,8 +101,24 @@
     return health if health.is_suspect(now_ms) else _pause(health, now_ms)
 
 
-def _pause(health: Health, now_ms: int) -> Health:
-    pause_ms = min(max(2 * health.pause_ms, BASE_PAUSE_MS), PAUSE_LIMIT_MS)
+def record_crash(health: Health, now_ms: int) -> Health:
+    """Return the health after a crash that no task is likely to have caused.
+
+    :param health: health by crashes only, as each incarnation begins with none
+        of the failures of the former one
+    """
+    health = _forget(health, now_ms)
+    if health.memory_deadline_ms:
+        return _pause(health, now_ms, CRASH_PAUSE_LIMIT_MS)
+    return dataclasses.replace(
+        health, memory_deadline_ms=_remember_until(health, now_ms)
+    )
+
+
+def _pause(
+    health: Health, now_ms: int, limit_ms: int = PAUSE_LIMIT_MS
+) -> Health:
+    pause_ms = min(max(2 * health.pause_ms, BASE_PAUSE_MS), limit_ms)
     paused = dataclasses.replace(
         health, suspect_deadline_ms=now_ms + pause_ms, pause_ms=pause_ms
     )
--- a/borageshelf/workflows/crashes.py
+++ b/borageshelf/workflows/crashes.py
@@ -10,6 +10,7 @@
 
 from borageshelf import clock
 from borageshelf.decisions import crash_blame
+from borageshelf.decisions import target_health
 from borageshelf.workflows import fleet
 from borageshelf.workflows import jobs
 from borageshelf.workflows import targets
@@ -17,6 +18,8 @@
 # Share of a service's targets that may be in isolation at a time. The others
 # remain for all other work.
 ISOLATED_TARGETS_RATIO: Final = 1 / 2
+# Fewer than this share of a service's targets are withheld because of crashes.
+UNSTABLE_TARGETS_RATIO: Final = 1 / 4
 # A run that has lasted longer is less likely to crash its executor.
 YOUNG_RUN_MS: Final = 1_000
 # Time for the runs on a target to become too old for a crash to count against
@@ -24,6 +27,9 @@
 HOLD_MS: Final = crash_blame.COUNTED_AGE_MS + 500
 # Executors crash by themselves about as often as in this time before.
 CRASH_RATE_WINDOW_MS: Final = 30_000
+# A crash with at least this probability that no task has caused it is put down
+# to the executor.
+SPONTANEOUS_SHARE: Final = 0.5
 # Crashes in the whole fleet that are assumed beside the known ones, because a
 # wave of crashes begins before its rate is known.
 ASSUMED_CRASHES: Final = 3
@@ -59,9 +65,11 @@
         :param crashed_at_ms: elapsed time of the crash; None if not known
         :return: the tasks that must not be started again
         """
+        now_ms = moment.elapsed_ms
         if not runs:
+            if crashed_at_ms is not None:
+                self._note_spontaneous_crash(target, now_ms)
             return []
-        now_ms = moment.elapsed_ms
         verdict = crash_blame.judge_crash(
             [
                 crash_blame.CrashedRun(
@@ -73,6 +81,8 @@
             self._estimate_spontaneous_rate(now_ms),
         )
         target.spontaneous_crashes += verdict.spontaneous_share
+        if verdict.spontaneous_share >= SPONTANEOUS_SHARE:
+            self._note_spontaneous_crash(target, now_ms)
         self._spontaneous.append((now_ms, verdict.spontaneous_share))
         at_fault = []
         for run, history in zip(runs, verdict.histories, strict=True):
@@ -104,6 +114,37 @@
                 at_fault.append(task)
         return at_fault
 
+    def _note_spontaneous_crash(
+        self, target: targets.Target, now_ms: int
+    ) -> None:
+        """Place nothing for a while on a target that goes on to crash.
+
+        Most targets stay in use: a task that crashes executors would meet all
+        sound work on the few that are left.
+        """
+        stability = target_health.record_crash(target.stability, now_ms)
+        others = [
+            other
+            for other in self._fleet.targets.values()
+            if other.service == target.service and other is not target
+        ]
+        unstable_count = 1 + sum(
+            other.stability.is_suspect(now_ms) for other in others
+        )
+        if unstable_count >= (
+            len(others) + 1
+        ) * UNSTABLE_TARGETS_RATIO and stability.is_suspect(now_ms):
+            return
+        target.stability = stability
+        self._fleet.touch(target)
+        if stability.is_suspect(now_ms):
+            self._record(
+                'target suspect',
+                target=target.target_id,
+                cause='the executor crashes again and again',
+                pause_ms=stability.suspect_deadline_ms - now_ms,
+            )
+
     def _estimate_spontaneous_rate(self, now_ms: int) -> float:
         """Return how often one executor crashes by itself, per second."""
         while self._spontaneous and (
--- a/borageshelf/workflows/idle.py
+++ b/borageshelf/workflows/idle.py
@@ -193,6 +193,8 @@
         return 'draining'
     if target.health.is_suspect(now_ms):
         return 'fails work'
+    if target.stability.is_suspect(now_ms):
+        return 'crashes again and again'
     if target.unexpected_runs:
         return 'unexpected runs'
     if target.isolated_run is not None:
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -44,6 +44,8 @@
     :ivar progress_reported_at_ms: elapsed time of the last report of progress
     :ivar contact_at_ms: elapsed time of the last report in which the session
         told the ends of all runs until then
+    :ivar health: failures of the executor's incarnation
+    :ivar stability: crashes of the executor by itself
     :ivar refusal_deadline_ms: elapsed time until which nothing is placed here
         after a refused start
     :ivar isolated_run: last started run of a suspected task; beside it only
@@ -81,6 +83,7 @@
         self.unexpected_runs: set[tuple[str, int]] = set()
         self.unproved_runs: dict[tuple[str, int], int] = {}
         self.health = target_health.Health()
+        self.stability = target_health.Health()
         self.sent_spec_ids: set[str] = set()
         self._uncommitted_ends: set[int] = set()
         self._highest_end_number = 0
@@ -102,6 +105,7 @@
             self.is_ready
             and not self.is_draining
             and not self.health.is_suspect(now_ms)
+            and not self.stability.is_suspect(now_ms)
         )
 
     def can_accept_runs(self, now_ms: int) -> bool:
@@ -119,10 +123,15 @@
         )
 
     def is_withheld(self, now_ms: int) -> bool:
-        """Tell whether only a pause of ours keeps new runs away."""
+        """Tell whether only a guess of ours keeps new runs away.
+
+        Each run on an executor that crashes again and again brings its task
+        closer to being given up, so those are left out.
+        """
         return (
             self.is_ready
             and not self.is_draining
+            and not self.stability.is_suspect(now_ms)
             and not self.unexpected_runs
             and now_ms >= self.refusal_deadline_ms
             and not self.can_accept_runs(now_ms)
@@ -141,6 +150,7 @@
         deadline_ms = max(
             self.refusal_deadline_ms,
             self.health.suspect_deadline_ms,
+            self.stability.suspect_deadline_ms,
             self.hold_deadline_ms,
         )
         return deadline_ms if deadline_ms > now_ms else 0
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -483,3 +483,24 @@
             expected = 'completed'
         assert core.find_state(item.workflow_id) in (expected, None)
     assert max(day.culprits.values()) <= STARTS_LIMIT
+
+
+@pytest.mark.parametrize('period_ticks', [14, 21, 30])
+def test_lasting_work_is_not_given_up_for_an_executor_that_flaps(
+    period_ticks: int,
+) -> None:
+    """Guards against an empty executor that attracts work and crashes."""
+    day = CrashDay(target_count=8)
+    day.restart_ms = 700
+    workflow_ids = [f'{number:016x}' for number in range(4)]
+    for workflow_id in workflow_ids:
+        day.submit(workflow_id, support.make_step(15, is_lasting=True))
+
+    def disturb(tick: int) -> None:
+        if tick % period_ticks == period_ticks - 1:
+            day.crash(day.cluster.targets['vm-00'])
+
+    day.disturb = disturb
+    day.play(20_000)
+    core = day.cluster.core
+    assert {core.find_state(each) for each in workflow_ids} == {'running'}
