Count the grants of a former owner from its last commit

A VM that was lost for good together with the owner left its lasting tasks without a run for a takeover (up to 2.7 s) and 8.4 s more: the new owner counted the time in which the former one might extend grants (2.5 s) and the last grant from its own acquisition.

A grant is extended only within 2.5 s of a commit that took effect, and each commit changes the head. So entries note since when the head has its revision, from the owner's answers and with a read when their stream to the owner ends; if the acquisition finds the same revision, the wait begins then. Otherwise it begins with the acquisition, as before.

The log has a line `former grants`.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -107,6 +107,10 @@
         self.is_stopping = False
         self._owner: records.OwnerRecord | None = None
         self._owner_revision = 0
+        # Revision of the head, and the elapsed time at which it was first
+        # seen. As long as it stays, no commit of an owner has taken effect.
+        self._head_revision = 0
+        self._head_seen_at_ms = 0
         self._key_absent_since_ms = 0
         self._has_read_key = False
         self._peers: dict[str, _Peer] = {}
@@ -337,6 +341,23 @@
             self._step_down_if_newer(owner.epoch)
         self.owner_changed.set()
 
+    # The head.
+
+    def _note_head(self, revision: int) -> None:
+        """Note since when the head has a revision."""
+        if revision != self._head_revision:
+            self._head_revision = revision
+            self._head_seen_at_ms = clock.read_elapsed_ms()
+
+    async def _look_at_head(self) -> None:
+        """Note the revision of the head, when the owner may have gone."""
+        try:
+            entry = await self._store.get(records.HEAD_KEY)
+        except errors.BorageshelfError:
+            return
+        if entry is not None:
+            self._note_head(entry.revision)
+
     # Following and taking over.
 
     async def _follow_or_take_over(self) -> None:
@@ -424,6 +445,7 @@
             finally:
                 is_owner_cut = link.is_owner_cut
                 ping_task.cancel()
+                self._background.start(self._look_at_head())
                 if self.owner_link is link:
                     self.owner_link = None
                     self._event_log.record_state(
@@ -460,6 +482,7 @@
             self._apply_configuration(message.document)
         elif isinstance(message, messages.Answer):
             self._largest_millicores = message.largest_millicores
+            self._note_head(message.head_revision)
             if message.store_silent_ms > STORE_SILENCE_LIMIT_MS:
                 self._background.start(
                     self._close_if_owner_is_cut(link, message.head_revision)
@@ -609,6 +632,8 @@
         if entry is not None:
             head = journal.decode(entry.value, records.HeadRecord)
             head_revision = entry.revision
+        self._note_head(head_revision)
+        head_seen_at_ms = self._head_seen_at_ms
         lease = await self._store.grant_lease(runtime.LEASE_TTL_MS)
         own_record = records.OwnerRecord(
             head.epoch + 1,
@@ -638,6 +663,13 @@
             self._event_log,
             self.list_entries,
             confirmed_at_ms,
+            head_seen_at_ms,
+        )
+        self._event_log.record_detail(
+            'former grants',
+            epoch=own_record.epoch,
+            left_ms=owner_runtime.former_grants_deadline_ms
+            - clock.read_elapsed_ms(),
         )
         while True:
             try:
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -86,6 +86,9 @@
     :param list_entries: returns the addresses of this entry and its peers
     :param confirmed_at_ms: elapsed time at which the acquisition of the
         ownership was sent to the store; its answer may have come later
+    :param head_seen_at_ms: elapsed time at which the head was already as the
+        acquisition found it, so that the former owner has not confirmed its
+        ownership later; None if that is not known
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         event_log: events.EventLog,
         list_entries: abc.Callable[[], tuple[messages.EntryAddress, ...]],
         confirmed_at_ms: int,
+        head_seen_at_ms: int | None = None,
     ) -> None:
         self._store = store
         self._journal = owner_journal
@@ -108,8 +112,10 @@
         self._store_answered_at_ms = clock.read_elapsed_ms()
         # The former owner may extend grants until its last confirmation is
         # too old, and the last grants remain valid for their full duration.
-        former_grants_ms = (
-            CONFIRMATION_MAX_AGE_MS
+        now_ms = clock.read_elapsed_ms()
+        self.former_grants_deadline_ms = (
+            (now_ms if head_seen_at_ms is None else head_seen_at_ms)
+            + CONFIRMATION_MAX_AGE_MS
             + owner_policy.grant_ms
             + GRANT_CLOCK_MARGIN_MS
         )
@@ -117,8 +123,8 @@
             owner_journal.epoch,
             owner_policy.grant_ms + GRANT_CLOCK_MARGIN_MS,
             owner_policy.retention_ms,
-            clock.read_elapsed_ms(),
-            clock.read_elapsed_ms() + former_grants_ms,
+            now_ms,
+            self.former_grants_deadline_ms,
             journal.encode,
             event_log.record,
         )
--- a/tests/test_election_cut_entry.py
+++ b/tests/test_election_cut_entry.py
@@ -9,6 +9,7 @@
 from bench import local_fleet
 from borageshelf import clock
 from borageshelf.entry.workflows import election
+from borageshelf.entry.workflows import runtime
 from borageshelf import errors
 from borageshelf import events
 from borageshelf.workflows import channel
@@ -17,6 +18,9 @@
 from standins import memory_store
 
 HOST = '127.0.0.1'
+POLICY = policy.OwnerPolicy(5_000, 60_000)
+# Entries learn of a commit with the answer to their next ping.
+PING_MS = election.PING_INTERVAL_MS + 100
 
 
 class CutStore:
@@ -65,7 +69,7 @@
         self.election = election.Election(
             election.Identity(name, f'boot-{name}', address, 1_000),
             self.store,
-            policy.OwnerPolicy(5_000, 60_000),
+            POLICY,
             events.EventLog('entry', name, os.open(os.devnull, os.O_WRONLY)),
             lambda: (0, b''),
             lambda document: None,
@@ -196,6 +200,47 @@
     asyncio.run(check())
 
 
+def test_wait_for_former_grants_begins_with_the_last_commit() -> None:
+    """Guards against lasting tasks without a run after a takeover (LOST).
+
+    Nobody can extend a grant long after the last commit, however long the
+    takeover takes.
+    """
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        async with run_entries(store, 3) as entries:
+            owner = sort_owner_first(entries)[0]
+            former_epoch = find_epoch(owner)
+            await wait_until(
+                lambda: all(
+                    entry.election.owner_link is not None
+                    for entry in entries
+                    if entry is not owner
+                )
+            )
+            owner.store.is_cut = True
+            cut_at_ms = clock.read_elapsed_ms()
+            await wait_until(
+                lambda: max(map(find_epoch, entries)) > former_epoch
+            )
+            assert clock.read_elapsed_ms() - cut_at_ms > 1_000
+            successor = next(
+                entry.election.local_owner
+                for entry in entries
+                if entry is not owner and entry.election.local_owner
+            )
+            grants_ms = (
+                runtime.CONFIRMATION_MAX_AGE_MS
+                + POLICY.grant_ms
+                + runtime.GRANT_CLOCK_MARGIN_MS
+            )
+            left_ms = successor.former_grants_deadline_ms - cut_at_ms
+            assert left_ms <= grants_ms + PING_MS
+
+    asyncio.run(check())
+
+
 def test_owner_is_kept_while_its_answers_are_lost() -> None:
     """Guards against owners that replace each other on a lossy store.
 
