Count an executor's lease on a clock without suspensions

The executor counts its lease on its steady clock, which stands still while the VM is suspended.

The lease moves to executor_lease.py. Each order with an extension counts from its sending until it is known to have had no effect.

The model search and the tests of the driver pass.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -11,6 +11,7 @@
 import dataclasses
 from typing import Final
 
+from borageshelf.agent.workflows import executor_lease
 from borageshelf.agent.workflows import pacer
 from borageshelf.agent.workflows import runs
 from borageshelf import clock
@@ -42,11 +43,6 @@
 ACKNOWLEDGEMENT_WAIT_MS: Final = 150
 START_TRIES: Final = 4
 GRANT_WAIT_LIMIT_MS: Final = 1_000
-# The executor's clock may be 2% slow, so leases are shorter than the grant.
-LEASE_TO_GRANT_RATIO: Final = 0.975
-# A shorter lease would expire before its task has started.
-MIN_LEASE_MS: Final = 300
-LEASE_END_MARGIN_MS: Final = 300
 # Answers after which this try of a start has certainly done nothing.
 _REFUSALS: Final = (
     task_executor.StartOutcome.NO_ROOM,
@@ -56,17 +52,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class _ClockReading:
-    """A reading of the executor's clock.
-
-    :param elapsed_ms: the agent's clock when the answer arrived
-    """
-
-    executor_ms: int
-    elapsed_ms: int
-
-
 class ExecutorDriver:
     """Starts, stops and inspects runs on the executor beside the agent.
 
@@ -92,10 +77,7 @@
         self._is_ready = False
         self._grant_ms = 0
         self._grant_deadline_ms = 0
-        # A former process of this agent may have extended the lease just
-        # before this process started.
-        self._lease_end_ms = clock.read_elapsed_ms() + lease_limit_ms
-        self._clock_reading: _ClockReading | None = None
+        self._lease = executor_lease.ExecutorLease(lease_limit_ms)
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
@@ -269,9 +251,9 @@
             if wait_ms and self._pacer.is_needed:
                 wait_ms = PACED_INSPECTION_WAIT_MS
             begun_at_ms = clock.read_elapsed_ms()
-            lease_deadline_ms = (
-                0 if is_first else self._calculate_lease_deadline_ms()
-            )
+            extension = executor_lease.NO_EXTENSION
+            if not is_first:
+                extension = self._compute_lease_extension()
             if self._gone_cause is not None or self._unanswered_since_ms:
                 wait_ms = 0
             acknowledged_end_number = 0
@@ -281,12 +263,8 @@
                 acknowledged_end_number = self._acknowledged_end_number
                 self._record_acknowledgement()
             try:
-                inspection = await self._executor.inspect(
-                    self._get_instance_id(),
-                    token,
-                    acknowledged_end_number,
-                    lease_deadline_ms,
-                    wait_ms,
+                inspection = await self._inspect(
+                    token, acknowledged_end_number, extension, wait_ms
                 )
             except task_executor.ExecutorUnavailable as error:
                 self._note_silence(begun_at_ms, wait_ms)
@@ -299,7 +277,7 @@
             if self._token != token:
                 return
             self._inspected_at_ms = clock.read_elapsed_ms()
-            self._record_executor_clock(inspection.clock_ms)
+            self._lease.record_clock(inspection.clock_ms)
             self._unanswered_since_ms = 0
             if not self._check_incarnation(inspection):
                 return
@@ -326,6 +304,35 @@
                     self._ends_acknowledged, ACKNOWLEDGEMENT_WAIT_MS
                 )
 
+    async def _inspect(
+        self,
+        token: int,
+        acknowledged_end_number: int,
+        extension: executor_lease.Extension,
+        wait_ms: int,
+    ) -> task_executor.Inspection:
+        """Inspect the executor, and note whether this extends the lease."""
+        is_without_effect = False
+        self._lease.begin_extension(extension)
+        try:
+            return await self._executor.inspect(
+                self._get_instance_id(),
+                token,
+                acknowledged_end_number,
+                extension.lease_deadline_ms,
+                wait_ms,
+            )
+        except task_executor.ExecutorUnavailable as error:
+            is_without_effect = error.is_connection_refused
+            raise
+        except task_executor.OrderRefused as error:
+            is_without_effect = (
+                error.outcome is task_executor.StartOutcome.UNHEALTHY
+            )
+            raise
+        finally:
+            self._lease.end_extension(extension, is_without_effect)
+
     def _report_snapshot(self, inspection: task_executor.Inspection) -> None:
         former_runs = self._runs
         self._runs = {}
@@ -523,10 +530,10 @@
         for try_index in range(START_TRIES):
             if run.state is runs.RunState.STOPPING:
                 return
-            lease_deadline_ms = await self._wait_for_grant()
+            extension = await self._wait_for_grant()
             if self._token != token or run.key not in self._runs:
                 return
-            if not lease_deadline_ms:
+            if not extension.lease_deadline_ms:
                 run.refusal_reason = 'no grant'
                 break
             if self.announcement is None or self.announcement.is_draining:
@@ -542,16 +549,16 @@
             run.open_tries += 1
             self._record_order('start sent', run, token, try_index + 1)
             try:
-                outcome = await self._executor.start(
-                    self._get_instance_id(),
+                outcome = await self._send_start(
                     task_executor.StartOrder(
                         order.terms.task,
                         order.terms.attempt,
                         spec,
                         token,
-                        lease_deadline_ms,
+                        extension.lease_deadline_ms,
                         order.checkpoint,
                     ),
+                    extension,
                 )
             except task_executor.ExecutorUnavailable as error:
                 measurements.EXECUTOR_FAILURES.inc()
@@ -578,7 +585,7 @@
                 outcome=outcome.value,
             )
             if outcome is task_executor.StartOutcome.TOO_LATE:
-                self._clock_reading = None
+                self._lease.forget_clock()
                 run.refusal_reason = outcome.value
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
@@ -601,6 +608,26 @@
             run.state = runs.RunState.STOPPING
             await self._stop(run, token)
 
+    async def _send_start(
+        self,
+        order: task_executor.StartOrder,
+        extension: executor_lease.Extension,
+    ) -> task_executor.StartOutcome:
+        """Send a start, and note whether it extends the lease."""
+        is_without_effect = False
+        self._lease.begin_extension(extension)
+        try:
+            outcome = await self._executor.start(
+                self._get_instance_id(), order
+            )
+            is_without_effect = outcome is task_executor.StartOutcome.UNHEALTHY
+            return outcome
+        except task_executor.ExecutorUnavailable as error:
+            is_without_effect = error.is_connection_refused
+            raise
+        finally:
+            self._lease.end_extension(extension, is_without_effect)
+
     def _apply_start_outcome(
         self,
         run: runs.AgentRun,
@@ -630,19 +657,19 @@
             outcome is task_executor.StartOutcome.UNHEALTHY,
         )
 
-    async def _wait_for_grant(self) -> int:
-        """Return the lease deadline to request; 0 if nothing may start.
+    async def _wait_for_grant(self) -> executor_lease.Extension:
+        """Return the lease to request; ``NO_EXTENSION`` if none may start.
 
         A start needs a grant of the owner and a recent announcement of the
         executor. After a pause of this process, both may be outdated.
         """
         deadline_ms = clock.read_elapsed_ms() + GRANT_WAIT_LIMIT_MS
         while True:
-            lease_deadline_ms = self._calculate_lease_deadline_ms()
-            if lease_deadline_ms and self._is_announcement_recent():
-                return lease_deadline_ms
+            extension = self._compute_lease_extension()
+            if extension.lease_deadline_ms and self._is_announcement_recent():
+                return extension
             if clock.read_elapsed_ms() >= deadline_ms:
-                return 0
+                return executor_lease.NO_EXTENSION
             await asyncio.sleep(0.02)
 
     def _is_announcement_recent(self) -> bool:
@@ -651,7 +678,7 @@
         The age is counted on the executor's clock, because an announcement
         may have waited in a socket while this process was paused.
         """
-        announcement, reading = self.announcement, self._clock_reading
+        announcement, reading = self.announcement, self._lease.clock_reading
         if announcement is None or reading is None:
             return False
         if not announcement.clock_ms:
@@ -799,7 +826,7 @@
             cause = None
             if error.is_connection_refused:
                 cause = messages.GoneCause.NOTHING_LISTENS
-            elif now_ms > self._lease_end_ms + LEASE_END_MARGIN_MS:
+            elif self._lease.has_ended():
                 cause = messages.GoneCause.LEASE_ENDED
             if cause and self._departed_incarnation == self.incarnation:
                 cause = messages.GoneCause.LEFT
@@ -879,7 +906,7 @@
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
-        self._clock_reading = None
+        self._lease.forget_clock()
         if self._token:
             self._send_executor_gone(announcement, cause)
 
@@ -911,27 +938,11 @@
 
     # Leases.
 
-    def _record_executor_clock(self, executor_ms: int) -> None:
-        self._clock_reading = _ClockReading(
-            executor_ms, clock.read_elapsed_ms()
-        )
-
-    def _calculate_lease_deadline_ms(self) -> int:
-        """Return the lease deadline on the executor's clock; 0 for none.
-
-        The executor read its clock before its answer arrived, and the ratio
-        covers a slow clock, so the lease ends before the grant does. The end
-        of the grant is recorded as the latest end of the lease.
-        """
-        reading = self._clock_reading
-        now_ms = clock.read_elapsed_ms()
-        if reading is None or self._unanswered_since_ms:
-            return 0
-        if self._grant_deadline_ms - now_ms < MIN_LEASE_MS:
-            return 0
-        left_ms = self._grant_deadline_ms - reading.elapsed_ms
-        self._lease_end_ms = max(self._lease_end_ms, self._grant_deadline_ms)
-        return reading.executor_ms + int(left_ms * LEASE_TO_GRANT_RATIO)
+    def _compute_lease_extension(self) -> executor_lease.Extension:
+        """Return how far an order may extend the lease now."""
+        if self._unanswered_since_ms:
+            return executor_lease.NO_EXTENSION
+        return self._lease.compute_extension(self._grant_deadline_ms)
 
     # Helpers.
 
--- a/borageshelf/clock.py
+++ b/borageshelf/clock.py
@@ -35,6 +35,11 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
+def read_running_ms() -> int:
+    """Return the milliseconds since the boot without suspensions of the VM."""
+    return time.clock_gettime_ns(time.CLOCK_MONOTONIC) // 1_000_000
+
+
 def read_moment() -> Moment:
     """Return the present readings of both clocks."""
     return Moment(read_elapsed_ms(), read_wall_clock_ms())
--- a/tests/model/virtual_time.py
+++ b/tests/model/virtual_time.py
@@ -189,6 +189,9 @@
         mock.patch.object(
             clock, 'read_elapsed_ms', model_clock.read_elapsed_ms
         ),
+        mock.patch.object(
+            clock, 'read_running_ms', model_clock.read_elapsed_ms
+        ),
         mock.patch.object(
             clock, 'read_wall_clock_ms', model_clock.read_wall_clock_ms
         ),
