Report the end of the lease of an executor that refuses its inspections

An executor that refuses each inspection with 429 or 503 extends no lease, so its runs end with the lease. Nobody reported that: the agent reports on and gets grants, the owner keeps the runs, and their tasks don't run anywhere until the executor heals.

A refused order now counts as one that has not extended the lease, and once the lease has certainly ended on the executor's clock the agent reports its runs as ended. As the executor still answers, the report says so, and no crash counts against its tasks.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -98,6 +98,8 @@
         self._inspected_at_ms = 0
         # How the executor went, as long as it is gone.
         self._gone_cause: messages.GoneCause | None = None
+        # Whether the last inspection was answered with a refusal.
+        self._is_refused = False
         self._pacer = pacer.FillerPacer(
             executor, event_log, lambda: self._runs.values()
         )
@@ -276,6 +278,7 @@
                 continue
             if self._token != token:
                 return
+            self._is_refused = False
             self._inspected_at_ms = clock.read_elapsed_ms()
             self._lease.record_clock(inspection.clock_ms)
             self._unanswered_since_ms = 0
@@ -818,6 +821,7 @@
         once its lease has expired.
         """
         measurements.EXECUTOR_FAILURES.inc()
+        self._is_refused = False
         now_ms = clock.read_elapsed_ms()
         if not self._unanswered_since_ms:
             self._unanswered_since_ms = now_ms
@@ -842,7 +846,10 @@
     async def _handle_refused_inspection(
         self, error: task_executor.OrderRefused
     ) -> bool:
-        """Handle a refused inspection; return whether the session ended."""
+        """Handle a refused inspection; return whether the session ended.
+
+        A refused inspection extends no lease, so the runs end with the lease.
+        """
         self._event_log.record_state(
             'inspection refused', reason=error.outcome.value
         )
@@ -854,6 +861,12 @@
             self._report_executor_gone(
                 self.announcement, messages.GoneCause.REPLACED
             )
+            return False
+        self._is_refused = True
+        if self._gone_cause is None and self._lease.has_ended():
+            self._report_executor_gone(
+                self.announcement, messages.GoneCause.LEASE_ENDED
+            )
         return False
 
     def _check_incarnation(self, inspection: task_executor.Inspection) -> bool:
@@ -933,6 +946,7 @@
                 reached,
                 silent_ms,
                 self._unproved_runs if reached is not None else (),
+                self._is_refused and cause is messages.GoneCause.LEASE_ENDED,
             )
         )
 
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -167,6 +167,8 @@
     :param silent_ms: how long it has not answered any more, at least
     :param unproved: task and attempt of each run that the next incarnation
         may start, because an order is still on its way to the executor
+    :param is_answering: whether the executor still answers, so that its runs
+        have ended without a crash
     """
 
     token: int
@@ -175,6 +177,7 @@
     reached: tuple[tuple[str, int], ...] | None = None
     silent_ms: int = 0
     unproved: tuple[tuple[str, int], ...] = ()
+    is_answering: bool = False
 
 
 # Sent to agents.
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -425,7 +425,10 @@
         lost = [run for run in target.runs.values() if run.is_sent]
         # An executor that drains may crash, too; its young runs show it, as
         # it gets none in the time before it leaves.
-        if gone.cause is not messages.GoneCause.LEFT:
+        has_crashed = (
+            gone.cause is not messages.GoneCause.LEFT and not gone.is_answering
+        )
+        if has_crashed:
             crashed = [
                 run
                 for run in lost
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -1,5 +1,6 @@
 """A report that an executor has gone ends the runs of that one only."""
 
+import asyncio
 import dataclasses
 from typing import Any
 
@@ -171,6 +172,51 @@
     driver_tests.run_scenario(scenario)
 
 
+def test_refused_inspections_that_extend_no_lease_keep_no_run() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        harness.driver.handle_announcement(driver_tests.ANNOUNCEMENT)
+        harness.driver.begin_session(
+            messages.Welcome(1, driver_tests.TOKEN, 1_500, ())
+        )
+        await harness.wait_for(messages.Snapshot)
+        harness.extend_grant()
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        harness.driver._executor = RefusingExecutor()
+
+        async def extend_grants() -> None:
+            while True:
+                await asyncio.sleep(0.1)
+                harness.extend_grant()
+
+        extending = asyncio.create_task(extend_grants())
+        gone = await harness.wait_for(messages.ExecutorGone)
+        extending.cancel()
+        assert gone.cause is messages.GoneCause.LEASE_ENDED
+        assert gone.reached == (KEY,)
+        assert gone.is_answering
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_executor_that_refuses_its_inspections_has_not_crashed() -> None:
+    cluster = support.Cluster()
+    for number in range(2):
+        cluster.add_target(f'vm-{number}')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (start,) = cluster.sent_starts
+    proofs.send_gone(
+        cluster,
+        cluster.targets[start[0]],
+        messages.GoneCause.LEASE_ENDED,
+        reached=(KEY,),
+        is_answering=True,
+    )
+    assert count_crashes(cluster) == 0
+    assert [start[2] for start in cluster.sent_starts] == [1, 2]
+
+
 def test_later_report_of_another_incarnation_keeps_a_newer_run() -> None:
     cluster = support.Cluster()
     for number in range(2):
