Count an answered start as ended once nothing listens any more

A crash right after a start left its task without a run for a whole grant (5.9 s) unless the executor came back: the run counted as one that the next incarnation may have, because no inspection had listed it yet, and an executor may restart under its id between two orders.

If a later inspection finds nothing listening, each incarnation that answered before has gone, and without an open try nothing can start the run any more. So the run is reported as ended at once. A start that was answered only after the begin of that inspection stays unproved.

test_answered_start_needs_no_inspection_if_nothing_listens_later failed before. The model search and the tests of the driver pass (1 min 14 s).

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -270,7 +270,7 @@
                 )
             except task_executor.ExecutorUnavailable as error:
                 self._note_silence(begun_at_ms, wait_ms)
-                await self._handle_unanswered_inspection(error)
+                await self._handle_unanswered_inspection(error, begun_at_ms)
                 continue
             except task_executor.OrderRefused as error:
                 if await self._handle_refused_inspection(error):
@@ -813,7 +813,7 @@
         self._silent_since_ms = now_ms if is_broken else begun_at_ms
 
     async def _handle_unanswered_inspection(
-        self, error: task_executor.ExecutorUnavailable
+        self, error: task_executor.ExecutorUnavailable, begun_at_ms: int
     ) -> None:
         """Handle an inspection that was not answered.
 
@@ -835,7 +835,11 @@
             if cause and self._departed_incarnation == self.incarnation:
                 cause = messages.GoneCause.LEFT
             if cause:
-                self._report_executor_gone(self.announcement, cause)
+                self._report_executor_gone(
+                    self.announcement,
+                    cause,
+                    begun_at_ms if error.is_connection_refused else 0,
+                )
         pause_ms = (
             GONE_RETRY_PAUSE_MS
             if self._gone_cause is not None
@@ -895,8 +899,14 @@
         self,
         announcement: targets.Announcement | None,
         cause: messages.GoneCause,
+        refused_at_ms: int = 0,
     ) -> None:
-        """Forget all runs and report that nothing runs on the executor."""
+        """Forget all runs and report that nothing runs on the executor.
+
+        :param refused_at_ms: begin of the inspection that found nothing
+            listening, so that each incarnation that answered before it has
+            gone; 0 if none did
+        """
         if announcement is None:
             return
         is_back = cause in (
@@ -910,10 +920,11 @@
             )
             # An order names the executor's id, which another one refuses.
             if self._get_instance_id() == announcement.instance_id:
+                proved_at_ms = max(self._inspection_begun_at_ms, refused_at_ms)
                 self._unproved_runs += tuple(
                     run.key
                     for run in self._runs.values()
-                    if run.may_start_later(self._inspection_begun_at_ms)
+                    if run.may_start_later(proved_at_ms)
                 )
         self._runs.clear()
         self._seen_end_number = 0
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -53,19 +53,18 @@
         """Task and attempt, which identify the run."""
         return self.terms.task, self.terms.attempt
 
-    def may_start_later(self, inspection_begun_at_ms: int) -> bool:
-        """Tell whether the next incarnation of the executor may start it.
+    def may_start_later(self, proved_at_ms: int) -> bool:
+        """Tell whether the next incarnation of the executor may have it.
 
-        An answer counts for the present incarnation only if that one has
-        answered an inspection since, because an executor may restart under
-        its id between two orders.
+        An answer proves the end of the run only together with a later proof,
+        because an executor may restart under its id between two orders.
 
-        :param inspection_begun_at_ms: when the last inspection began that the
-            present incarnation has answered
+        :param proved_at_ms: begin of the last inspection that the present
+            incarnation has answered, or that found nothing listening
         """
         if self.open_tries:
             return True
-        is_on_this_incarnation = self.row is not None or (
-            0 < self.confirmed_at_ms <= inspection_begun_at_ms
+        has_ended = self.row is not None or (
+            0 < self.confirmed_at_ms <= proved_at_ms
         )
-        return self.may_have_arrived and not is_on_this_incarnation
+        return self.may_have_arrived and not has_ended
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -149,6 +149,40 @@
     driver_tests.run_scenario(scenario)
 
 
+def test_answered_start_needs_no_inspection_if_nothing_listens_later() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.inspection_s = 0.2
+        await asyncio.sleep(0.02)
+        executor.lost_inspections = 1
+        harness.start()
+        await harness.wait_until(lambda: executor.lost_inspections == 0)
+        executor.is_down = True
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.NOTHING_LISTENS
+        assert gone.reached == (KEY,)
+        assert gone.unproved == ()
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_start_answered_during_a_refused_inspection_is_unproved() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.inspection_s = 0.2
+        await asyncio.sleep(0.02)
+        harness.start()
+        await harness.wait_until(lambda: len(executor.starts) == 1)
+        executor.is_down = True
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.NOTHING_LISTENS
+        assert gone.unproved == (KEY,)
+
+    driver_tests.run_scenario(scenario)
+
+
 class RefusingExecutor(driver_tests.FakeExecutor):
     """An executor that refuses each inspection."""
 
