Count open orders as void once another executor id answers

An executor crashed while the answer to a start was missing, and another one came up at its address under another id.

An order names the executor's id and any other id refuses it, so only an incarnation under the same id leaves a doubt. The cause REPLACED now always means another id, RESTARTED the same one; with REPLACED the agent reports no order as open, also for an older incarnation that it has inspected, and the owner believes this of runs that an earlier report has marked, and of runs that a new agent process doesn't know.

The four new tests failed before.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -135,7 +135,10 @@
                 incarnation=announcement.incarnation,
                 former=former.incarnation if former else '',
             )
-            self._report_executor_gone(former, messages.GoneCause.REPLACED)
+            cause = messages.GoneCause.REPLACED
+            if former and former.instance_id == announcement.instance_id:
+                cause = messages.GoneCause.RESTARTED
+            self._report_executor_gone(former, cause)
             self._renew_session()
         elif announcement.is_draining and not former.is_draining:
             self._event_log.record_state(
@@ -246,7 +249,9 @@
         """Report a snapshot of the executor, then the changes on it."""
         if self._gone_cause is not None and self.announcement is not None:
             # The report to the former owner may not have been committed.
-            self._send_executor_gone(self.announcement, self._gone_cause)
+            self._send_executor_gone(
+                self.announcement.incarnation, self._gone_cause
+            )
         is_first = True
         while self._token == token:
             wait_ms = 0 if is_first else INSPECTION_WAIT_MS
@@ -918,26 +923,40 @@
             self._lost_runs += tuple(
                 run.key for run in self._runs.values() if run.may_have_arrived
             )
-            # An order names the executor's id, which another one refuses.
-            if self._get_instance_id() == announcement.instance_id:
-                proved_at_ms = max(self._inspection_begun_at_ms, refused_at_ms)
-                self._unproved_runs += tuple(
-                    run.key
-                    for run in self._runs.values()
-                    if run.may_start_later(proved_at_ms)
-                )
+            proved_at_ms = max(self._inspection_begun_at_ms, refused_at_ms)
+            self._unproved_runs += tuple(
+                run.key
+                for run in self._runs.values()
+                if run.may_start_later(proved_at_ms)
+            )
+        if cause is messages.GoneCause.REPLACED:
+            self._prove_ends_of_unproved_runs(announcement)
         self._runs.clear()
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
         self._lease.forget_clock()
         if self._token:
-            self._send_executor_gone(announcement, cause)
+            self._send_executor_gone(announcement.incarnation, cause)
+
+    def _prove_ends_of_unproved_runs(
+        self, announcement: targets.Announcement
+    ) -> None:
+        """Count all orders as void, because another executor id answers.
+
+        An order names the executor's id, which another one refuses.
+        """
+        has_unproved_runs = bool(self._unproved_runs)
+        self._unproved_runs = ()
+        is_older = self._inspected_incarnation != announcement.incarnation
+        if has_unproved_runs and is_older and self._token:
+            self._send_executor_gone(
+                self._inspected_incarnation, messages.GoneCause.REPLACED
+            )
 
     def _send_executor_gone(
-        self, announcement: targets.Announcement, cause: messages.GoneCause
+        self, incarnation: str, cause: messages.GoneCause
     ) -> None:
-        incarnation = announcement.incarnation
         reached = None
         if incarnation == self._inspected_incarnation:
             reached = self._lost_runs
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -17,7 +17,11 @@
 
 
 class GoneCause(enum.Enum):
-    """How an agent learned that its executor has gone."""
+    """How an agent learned that its executor has gone.
+
+    ``REPLACED``: an executor with another id answers; ``RESTARTED``: another
+    incarnation under the same id does.
+    """
 
     NOTHING_LISTENS = 'nothing listens'
     REPLACED = 'replaced'
@@ -166,7 +170,7 @@
         have received; None if it is not known
     :param silent_ms: how long it has not answered any more, at least
     :param unproved: task and attempt of each run that the next incarnation
-        may start, because an order is still on its way to the executor
+        may start, because an order is still on its way to the executor id
     :param is_answering: whether the executor still answers, so that its runs
         have ended without a crash
     """
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -446,10 +446,19 @@
             expiry_ms += LATE_ORDER_GRANTS * self._grant_ms
         for run in lost:
             key = (run.task.name, run.attempt)
+            is_of_incarnation = run.executor_hash == gone_hash or (
+                run.executor_hash == jobs.COUNTED_EXECUTOR_HASH
+                and gone.reached is not None
+                and key in gone.reached
+            )
             is_unproved = (
-                run.executor_hash != gone_hash
+                not is_of_incarnation
                 or key in gone.unproved
-                or (gone.reached is None and not run.is_confirmed)
+                or (
+                    gone.reached is None
+                    and not run.is_confirmed
+                    and gone.cause is not messages.GoneCause.REPLACED
+                )
             )
             if is_unproved:
                 if key not in target.unproved_runs or is_back:
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -251,6 +251,100 @@
     assert [start[2] for start in cluster.sent_starts] == [1, 2]
 
 
+class ReplacedExecutor(driver_tests.FakeExecutor):
+    """An executor at whose address another id answers."""
+
+    async def inspect(
+        self, *arguments: Any, **fields: Any
+    ) -> task_executor.Inspection:
+        """Refuse."""
+        raise task_executor.OrderRefused(
+            task_executor.StartOutcome.OTHER_INSTANCE
+        )
+
+
+async def crash_with_an_open_order(
+    harness: driver_tests.DriverHarness,
+) -> None:
+    """Crash an executor while the answer to a start is missing."""
+    await harness.begin_session()
+    harness.executor.lost_starts = 100
+    harness.start()
+    await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+    harness.executor.is_down = True
+    gone = await harness.wait_for(messages.ExecutorGone)
+    assert gone.unproved == (KEY,)
+
+
+def test_open_order_is_void_once_another_executor_id_answers() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await crash_with_an_open_order(harness)
+        harness.driver._executor = ReplacedExecutor()
+        gone = await harness.wait_for(messages.ExecutorGone, 2)
+        assert gone.cause is messages.GoneCause.REPLACED
+        assert (gone.reached, gone.unproved) == ((KEY,), ())
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_open_order_is_void_once_another_executor_id_announces_itself() -> (
+    None
+):
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await crash_with_an_open_order(harness)
+        # It restarts under its id first and is not inspected.
+        for instance_id, born_at_ms in (('i-1', 2), ('i-2', 3)):
+            harness.driver.handle_announcement(
+                dataclasses.replace(
+                    driver_tests.ANNOUNCEMENT,
+                    instance_id=instance_id,
+                    born_at_ms=born_at_ms,
+                )
+            )
+            harness.driver.begin_session(
+                messages.Welcome(1, driver_tests.TOKEN, 5_000, ())
+            )
+        reports = [
+            (gone.incarnation, gone.cause, gone.reached, gone.unproved)
+            for gone in harness.list_sent(messages.ExecutorGone)[1:]
+        ]
+        assert reports == [
+            ('i-1/1', messages.GoneCause.RESTARTED, (KEY,), (KEY,)),
+            ('i-1/1', messages.GoneCause.REPLACED, (KEY,), ()),
+            ('i-1/2', messages.GoneCause.REPLACED, None, ()),
+        ]
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_kept_run_is_started_again_once_another_executor_id_answers() -> None:
+    cluster, fake = proofs.make_unproved_cluster(
+        messages.GoneCause.NOTHING_LISTENS
+    )
+    fake.running.clear()
+    proofs.send_gone(
+        cluster, fake, messages.GoneCause.REPLACED, reached=(KEY,)
+    )
+    assert [start[2] for start in cluster.sent_starts] == [1, 2]
+    assert count_crashes(cluster) == 1
+
+
+def test_new_agent_proves_the_end_of_an_order_to_a_replaced_executor() -> None:
+    cluster = support.Cluster()
+    for number in range(2):
+        cluster.add_target(f'vm-{number}')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (start,) = cluster.sent_starts
+    proofs.send_gone(
+        cluster,
+        cluster.targets[start[0]],
+        messages.GoneCause.REPLACED,
+        reached=None,
+    )
+    assert [start[2] for start in cluster.sent_starts] == [1, 2]
+
+
 def test_later_report_of_another_incarnation_keeps_a_newer_run() -> None:
     cluster = support.Cluster()
     for number in range(2):
