Count the wait for an open order from the order

A run whose start may still be on its way at the end of its executor is kept until that order has expired. The wait began anew with each report of another incarnation (three grants) and with each owner, so its task stayed without a run while the executor went down and up by turns, and long after.

The wait now counts from the start itself: the agent reports how old the last open order is, or its own age if it doesn't know the orders. Nothing that has been seen before has the run once nothing listens any more, so one grant is enough then. A silent executor may have restarted unnoticed and needs two, one that was back under its id three, as before.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -88,6 +88,9 @@
         self._inspected_incarnation = ''
         self._lost_runs: tuple[tuple[str, int], ...] = ()
         self._unproved_runs: tuple[tuple[str, int], ...] = ()
+        # When the last of their starts was sent.
+        self._begun_at_running_ms = clock.read_running_ms()
+        self._unproved_order_at_running_ms = self._begun_at_running_ms
         self._departed_incarnation = ''
         self._inspection_begun_at_ms = 0
         self._is_snapshot_complete = True
@@ -555,6 +558,7 @@
                 break
             had_arrived, run.may_have_arrived = run.may_have_arrived, True
             run.open_tries += 1
+            run.ordered_at_running_ms = clock.read_running_ms()
             self._record_order('start sent', run, token, try_index + 1)
             try:
                 outcome = await self._send_start(
@@ -924,11 +928,13 @@
                 run.key for run in self._runs.values() if run.may_have_arrived
             )
             proved_at_ms = max(self._inspection_begun_at_ms, refused_at_ms)
-            self._unproved_runs += tuple(
-                run.key
-                for run in self._runs.values()
-                if run.may_start_later(proved_at_ms)
-            )
+            for run in self._runs.values():
+                if run.may_start_later(proved_at_ms):
+                    self._unproved_runs += (run.key,)
+                    self._unproved_order_at_running_ms = max(
+                        self._unproved_order_at_running_ms,
+                        run.ordered_at_running_ms,
+                    )
         if cause is messages.GoneCause.REPLACED:
             self._prove_ends_of_unproved_runs(announcement)
         self._runs.clear()
@@ -968,6 +974,9 @@
             unproved=len(self._unproved_runs),
         )
         silent_ms = clock.read_elapsed_ms() - self._silent_since_ms
+        ordered_at_running_ms = self._begun_at_running_ms
+        if reached is not None:
+            ordered_at_running_ms = self._unproved_order_at_running_ms
         self._send(
             messages.ExecutorGone(
                 self._token,
@@ -977,6 +986,7 @@
                 silent_ms,
                 self._unproved_runs if reached is not None else (),
                 self._is_refused and cause is messages.GoneCause.LEASE_ENDED,
+                clock.read_running_ms() - ordered_at_running_ms,
             )
         )
 
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -26,6 +26,8 @@
     :ivar may_have_arrived: whether the executor may have received its start
     :ivar open_tries: number of tries of its start without an answer, each of
         which may still be carried out
+    :ivar ordered_at_running_ms: when the last try was sent, on the clock
+        without suspensions
     :ivar row: the run in the last inspection that listed it
     :ivar refusal_reason: reported to the owner if the run does not exist
     :ivar is_unhealthy: whether that report calls the executor unhealthy
@@ -43,6 +45,7 @@
         self.confirmed_at_ms = 0
         self.may_have_arrived = False
         self.open_tries = 0
+        self.ordered_at_running_ms = 0
         self.pace_percent = pacing.FULL_PACE_PERCENT
         self.row: task_executor.RunningTask | None = None
         self.refusal_reason = 'absent'
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -173,6 +173,8 @@
         may start, because an order is still on its way to the executor id
     :param is_answering: whether the executor still answers, so that its runs
         have ended without a crash
+    :param order_age_ms: time since the last start of an unproved run was
+        sent, at least; if ``reached`` is None, since the last of any run
     """
 
     token: int
@@ -182,6 +184,7 @@
     silent_ms: int = 0
     unproved: tuple[tuple[str, int], ...] = ()
     is_answering: bool = False
+    order_age_ms: int = 0
 
 
 # Sent to agents.
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -52,13 +52,17 @@
 # the fleet is unknown.
 FLEET_DISCOVERY_MS: Final = 2_000
 
-# An incarnation that is back has begun its clock anew, so an order that is
-# carried out seconds late gets a whole lease there.
-BACK_CAUSES: Final = (
-    messages.GoneCause.REPLACED,
-    messages.GoneCause.RESTARTED,
-)
-LATE_ORDER_GRANTS: Final = 2
+# Grants after which the run of a late start does not exist any more. A start
+# arrives within one of them. An incarnation that may be back has begun its
+# clock anew, so the run has a whole lease there; one that was seen may also
+# have extended it.
+LATE_START_GRANTS: Final = {
+    messages.GoneCause.NOTHING_LISTENS: 1,
+    messages.GoneCause.LEFT: 1,
+    messages.GoneCause.LEASE_ENDED: 2,
+    messages.GoneCause.RESTARTED: 3,
+    messages.GoneCause.REPLACED: 3,
+}
 
 
 RecordEvent = abc.Callable[..., None]
@@ -440,10 +444,6 @@
             ]
             crashed_at_ms = moment.elapsed_ms - gone.silent_ms
             self._handle_crash(target, crashed, crashed_at_ms, moment)
-        is_back = gone.cause in BACK_CAUSES
-        expiry_ms = target.lost_deadline_ms
-        if is_back:
-            expiry_ms += LATE_ORDER_GRANTS * self._grant_ms
         for run in lost:
             key = (run.task.name, run.attempt)
             is_of_incarnation = run.executor_hash == gone_hash or (
@@ -461,8 +461,10 @@
                 )
             )
             if is_unproved:
-                if key not in target.unproved_runs or is_back:
-                    target.unproved_runs[key] = expiry_ms
+                ordered_by_ms = moment.elapsed_ms
+                if is_of_incarnation:
+                    ordered_by_ms -= gone.order_age_ms
+                self._keep_unproved_run(target, key, ordered_by_ms, gone.cause)
                 if run.executor_hash == gone_hash:
                     # A report may be repeated, even to the next owner.
                     run.executor_hash = jobs.COUNTED_EXECUTOR_HASH
@@ -470,6 +472,31 @@
             else:
                 self._drop_lost_run(run, 'the executor has gone', moment)
 
+    def _keep_unproved_run(
+        self,
+        target: targets.Target,
+        key: tuple[str, int],
+        ordered_by_ms: int,
+        cause: messages.GoneCause,
+    ) -> None:
+        """Keep a run until a snapshot shows it, or its start has expired.
+
+        The wait counts from the start, so repeated reports don't prolong it.
+        If nothing listens, the incarnations that were seen before have gone.
+        """
+        former = target.unproved_runs.get(key)
+        if former is not None:
+            ordered_by_ms = min(ordered_by_ms, former.ordered_by_ms)
+        expiry_ms = ordered_by_ms + LATE_START_GRANTS[cause] * self._grant_ms
+        if (
+            former is not None
+            and cause is not messages.GoneCause.NOTHING_LISTENS
+        ):
+            expiry_ms = max(expiry_ms, former.expiry_ms)
+        target.unproved_runs[key] = targets.UnprovedRun(
+            ordered_by_ms, expiry_ms
+        )
+
     def handle_run_end(
         self,
         target: targets.Target,
@@ -664,8 +691,8 @@
             return
         if not is_attached and moment.elapsed_ms < target.lost_deadline_ms:
             return
-        for key, deadline_ms in list(target.unproved_runs.items()):
-            if moment.elapsed_ms >= deadline_ms:
+        for key, unproved in list(target.unproved_runs.items()):
+            if moment.elapsed_ms >= unproved.expiry_ms:
                 self._drop_lost_run(
                     target.runs[key], 'its order has expired', moment
                 )
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -1,6 +1,7 @@
 """The owner's view of targets: capacity, runs and agent sessions."""
 
 from collections import abc
+import dataclasses
 from typing import Final
 
 import xxhash
@@ -15,6 +16,19 @@
 UNATTACHED: Final = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class UnprovedRun:
+    """A run that the next incarnation of its executor may have.
+
+    :param ordered_by_ms: elapsed time by which its last start was sent
+    :param expiry_ms: elapsed time at which the run does not exist any more,
+        wherever its start has arrived
+    """
+
+    ordered_by_ms: int
+    expiry_ms: int
+
+
 class Target:
     """One target; implements ``workflow_placement.Target``.
 
@@ -37,7 +51,7 @@
         not expect; nothing is placed beside them, because their sizes may be
         unknown
     :ivar unproved_runs: runs whose executor has gone while an order for them
-        was on its way, and the elapsed time at which the order has expired
+        was on its way
     :ivar announced_incarnation: incarnation of the executor that the agent
         knew at the begin of the session
     :ivar gone_incarnation: the last one that was reported as gone
@@ -77,7 +91,7 @@
         self.lost_deadline_ms = lost_deadline_ms
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.unexpected_runs: set[tuple[str, int]] = set()
-        self.unproved_runs: dict[tuple[str, int], int] = {}
+        self.unproved_runs: dict[tuple[str, int], UnprovedRun] = {}
         self.health = target_health.Health()
         self.sent_spec_ids: set[str] = set()
         self._uncommitted_ends: set[int] = set()
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -4,6 +4,7 @@
 import dataclasses
 from typing import Any
 
+from borageshelf import clock
 from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
 from tests import test_proofs_of_ends as proofs
@@ -276,6 +277,37 @@
     assert gone.unproved == (KEY,)
 
 
+def test_report_says_how_old_the_open_orders_are() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await crash_with_an_open_order(harness)
+        await asyncio.sleep(0.3)
+        harness.driver.begin_session(
+            messages.Welcome(2, driver_tests.TOKEN + 1, 5_000, ())
+        )
+        second = await harness.wait_for(messages.ExecutorGone, 2)
+        first = harness.list_sent(messages.ExecutorGone)[0]
+        assert first.order_age_ms < 300 <= second.order_age_ms
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_new_agent_knows_that_earlier_orders_are_older_than_itself() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        begun_at_ms = clock.read_running_ms()
+        await asyncio.sleep(0.2)
+        harness.executor.is_down = True
+        harness.driver.handle_announcement(driver_tests.ANNOUNCEMENT)
+        harness.driver.begin_session(
+            messages.Welcome(1, driver_tests.TOKEN, 5_000, ())
+        )
+        gone = await harness.wait_for(messages.ExecutorGone)
+        age_ms = clock.read_running_ms() - begun_at_ms
+        assert gone.reached is None
+        assert 200 <= gone.order_age_ms <= age_ms + 100
+
+    driver_tests.run_scenario(scenario)
+
+
 def test_open_order_is_void_once_another_executor_id_answers() -> None:
     async def scenario(harness: driver_tests.DriverHarness) -> None:
         await crash_with_an_open_order(harness)
