Refuse a start at once that was never sent to the executor

A start that was ordered while the executor did not answer was not sent, as nothing may extend the lease then. All the same it was "stopped" before it was refused, and stops to a silent executor are repeated until it answers or its lease has ended. So its task waited up to 6.7 s for an executor that had never seen the order. The same held, for a second or two, if each try met a refused connection, or a missing grant, a drain or too little room before the first.

Without a try that may have arrived there is nothing to stop, so the run is refused at once; if the executor is silent, as unhealthy, so that the task is not placed there again.

Both new tests failed before (no refusal within 20 s; a stop was sent).

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -614,6 +614,13 @@
                 # paced at once.
                 await self._pace_fillers()
             return
+        if run.state is runs.RunState.STARTING and not run.may_have_arrived:
+            del self._runs[run.key]
+            is_silent = bool(self._unanswered_since_ms)
+            self._refuse(
+                run.terms, run.refusal_reason, run.is_unhealthy or is_silent
+            )
+            return
         # The start may still be carried out, so the run is stopped before
         # it is refused.
         if run.state is runs.RunState.STARTING:
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -381,6 +381,42 @@
     run_scenario(scenario)
 
 
+def test_start_that_a_silent_executor_was_never_sent_is_refused() -> None:
+    """Guards against a task that waits for the lease of that executor."""
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_inspections = 10_000
+        await harness.wait_until(
+            lambda: harness.executor.lost_inspections < 9_999
+        )
+        harness.start()
+        refused = await harness.wait_for(messages.StartRefused)
+        assert refused.reason == 'no grant'
+        assert refused.is_unhealthy
+        assert not (harness.executor.starts or harness.executor.stops)
+
+    run_scenario(scenario)
+
+
+def test_start_that_no_connection_has_carried_needs_no_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def refuse_connection(*arguments: Any) -> Any:
+        raise task_executor.ExecutorUnavailable('refused', True)
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        monkeypatch.setattr(harness.executor, 'start', refuse_connection)
+        harness.start()
+        refused = await harness.wait_for(messages.StartRefused)
+        assert refused.reason == 'not answered'
+        assert refused.is_unhealthy
+        assert harness.executor.stops == []
+
+    run_scenario(scenario)
+
+
 def test_start_above_the_capacity_is_refused() -> None:
     """Guards against an overloaded executor if the owner miscounts."""
 
