Decode the documents of other writers in one place, with limits

Seen: a heartbeat, configuration, record or answer with 5,000 nested lists raised RecursionError, which is neither a msgspec error nor a ValueError, to loops that handle only those; the watch of the configuration and the agents' search for the owner ended with it at each try. Numbers above 64 bits were accepted and failed only when they were encoded for another process (OverflowError). The rows of an inspection were converted by int() and raised TypeError. Addresses with the port 99999, -1 or a text were accepted, and int(port) raised ValueError to the loop that connected.

Cause: each module called msgspec by itself and listed the errors that it knew of. Types had no ranges.

Change: borageshelf/decoding.py decodes JSON and MessagePack and parses addresses; it raises Unreadable only. JSON is limited to 64 levels, so that all processes agree about a document however much of their stack is in use. borageshelf/model/numbers.py has the types that declare ranges; numbers are limited to 2**53, as the numbers of submissions were already. The rows of an inspection are typed; one odd row makes the whole answer unusable as before, because a run that is not listed counts as ended.

--- a/borageshelf/agent/links.py
+++ b/borageshelf/agent/links.py
@@ -14,6 +14,7 @@
 
 from borageshelf import clock as clock_module
 from borageshelf.decisions import retries
+from borageshelf import decoding
 from borageshelf import loop
 from borageshelf.protocol import inner_grpc
 from borageshelf.protocol import inner_pb2
@@ -91,6 +92,7 @@
                 grpclib.exceptions.GRPCError,
                 grpclib.exceptions.StreamTerminatedError,
                 grpclib.exceptions.ProtocolError,
+                decoding.Unreadable,
             ):
                 self.failures += 1
             finally:
@@ -103,8 +105,8 @@
             await asyncio.sleep(min(delay_ms, 2000) / 1000)
 
     async def _attach(self) -> None:
-        host, _, port = self.address.rpartition(':')
-        channel = grpclib.client.Channel(host.strip('[]'), int(port))
+        parsed = decoding.parse_address(self.address)
+        channel = grpclib.client.Channel(parsed.host, parsed.port)
         try:
             stub = inner_grpc.InnerStub(channel)
             async with stub.Attach.open() as stream:
--- a/borageshelf/commands/http_documents.py
+++ b/borageshelf/commands/http_documents.py
@@ -12,6 +12,7 @@
 from typing import Any, Final
 import urllib.parse
 
+from borageshelf import decoding
 from borageshelf import errors
 
 REQUEST_TIMEOUT_S: Final = 15.0
@@ -73,8 +74,12 @@
             connection.request(method, target, body, headers)
             response = connection.getresponse()
             data = response.read(ANSWER_LIMIT_BYTES)
-            return Answer(response.status, json.loads(data))
-        except (OSError, http.client.HTTPException, ValueError) as error:
+            return Answer(response.status, decoding.decode_json(data, object))
+        except (
+            OSError,
+            http.client.HTTPException,
+            decoding.Unreadable,
+        ) as error:
             raise errors.BorageshelfError(
                 errors.OUTCOME_UNKNOWN,
                 f'{self._url.netloc} sent no complete answer: {error!r}',
--- a/borageshelf/configuration/contents.py
+++ b/borageshelf/configuration/contents.py
@@ -16,7 +16,9 @@
 import msgspec
 import xxhash
 
+from borageshelf import decoding
 from borageshelf import errors
+from borageshelf.model import numbers
 from borageshelf.model import objects
 
 ROOT_KEY: Final = 'config/root'
@@ -60,10 +62,10 @@
     :param parts: content hashes, sorted by section
     """
 
-    version: int
+    version: numbers.WholeNumber
     parent: str
     author: str
-    published_at_ms: int
+    published_at_ms: numbers.WholeNumber
     reason: str
     publication_id: str
     parts: tuple[str, ...]
@@ -76,7 +78,7 @@
     :param publication: hash of the publication
     """
 
-    version: int
+    version: numbers.WholeNumber
     publication: str
     publication_id: str
 
@@ -91,10 +93,10 @@
 
     publication_id: str
     author: str
-    refused_at_ms: int
+    refused_at_ms: numbers.WholeNumber
     reason: str
-    base_version: int
-    found_version: int
+    base_version: numbers.WholeNumber
+    found_version: numbers.WholeNumber
     detail: str
 
 
@@ -186,8 +188,8 @@
     :raises BorageshelfError: ``INTERNAL`` if the data does not match the type
     """
     try:
-        return msgspec.json.decode(data, type=record_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decoding.decode_json(data, record_type)
+    except decoding.Unreadable as error:
         raise errors.BorageshelfError(
             errors.INTERNAL, f'stored configuration is damaged: {error}'
         ) from error
--- a/borageshelf/entry/callers.py
+++ b/borageshelf/entry/callers.py
@@ -17,6 +17,7 @@
 from twisted.web import server
 
 from borageshelf import clock
+from borageshelf import decoding
 from borageshelf.entry import bounded_site
 from borageshelf.entry import call_tries
 from borageshelf.entry import calls
@@ -186,10 +187,10 @@
 
     async def _submit_job(self, request: server.Request) -> None:
         try:
-            document = msgspec.json.decode(
-                _read_body(request), type=documents.JobRequest
+            document = decoding.decode_json(
+                _read_body(request), documents.JobRequest
             )
-        except msgspec.MsgspecError as error:
+        except decoding.Unreadable as error:
             raise errors.BorageshelfError(
                 errors.BAD_REQUEST, str(error)
             ) from error
--- a/borageshelf/entry/documents.py
+++ b/borageshelf/entry/documents.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from borageshelf import errors
+from borageshelf.model import numbers
 from borageshelf.shards import records
 
 
@@ -27,10 +28,10 @@
 
     task_id: str
     phase: str
-    attempt: int
-    evictions: int
+    attempt: numbers.WholeNumber
+    evictions: numbers.WholeNumber
     target: str = ''
-    code: int = errors.PENDING.number
+    code: numbers.WholeNumber = errors.PENDING.number
     result: str = ''
 
 
@@ -42,7 +43,7 @@
     """
 
     job_id: str
-    code: int
+    code: numbers.WholeNumber
     code_name: str
     work: str = errors.Category.PENDING.value
     result: str = ''
@@ -58,11 +59,11 @@
         expected to fail, or 0
     """
 
-    code: int
+    code: numbers.WholeNumber
     code_name: str
     work: str
     detail: str
-    retry_deadline_ms: int = 0
+    retry_deadline_ms: numbers.WholeNumber = 0
 
 
 def describe_job(
--- a/borageshelf/entry/jobs.py
+++ b/borageshelf/entry/jobs.py
@@ -16,6 +16,7 @@
 from borageshelf import clock
 from borageshelf.configuration import propagation
 from borageshelf.decisions import retries
+from borageshelf import decoding
 from borageshelf.entry import batch as batch_module
 from borageshelf.entry import call_claims
 from borageshelf.entry import documents
@@ -93,9 +94,14 @@
 
         :raises BorageshelfError: see ``BatchService.request``
         """
-        tasks = msgspec.msgpack.decode(
-            message.document, type=tuple[records.TaskRecord, ...]
-        )
+        try:
+            tasks = decoding.decode_msgpack(
+                message.document, tuple[records.TaskRecord, ...]
+            )
+        except decoding.Unreadable as error:
+            raise errors.BorageshelfError(
+                errors.BAD_REQUEST, str(error)
+            ) from error
         self._check_queue_limit(message.shard, tasks[0].job_id)
         reply = await self._batch.request(
             message.shard,
--- a/borageshelf/entry/membership.py
+++ b/borageshelf/entry/membership.py
@@ -16,8 +16,10 @@
 
 from borageshelf import clock
 from borageshelf.decisions import retries
+from borageshelf import decoding
 from borageshelf import errors
 from borageshelf import loop
+from borageshelf.model import numbers
 from borageshelf.ports import store as store_interface
 
 KEY_PREFIX: Final = 'entries/'
@@ -42,9 +44,11 @@
     boot_id: str
     address: str
     data_centre: str
-    shards: dict[int, int] = dataclasses.field(default_factory=dict)
+    shards: dict[int, numbers.WholeNumber] = dataclasses.field(
+        default_factory=dict
+    )
     leaving: bool = False
-    config_version: int = 0
+    config_version: numbers.WholeNumber = 0
 
 
 class Membership:
@@ -241,6 +245,8 @@
 def _decode(entry: store_interface.Entry) -> Member | None:
     """Return the member of a key, or None if its value is unreadable."""
     try:
-        return msgspec.json.decode(entry.value, type=Member)
-    except msgspec.MsgspecError:
+        member = decoding.decode_json(entry.value, Member)
+        decoding.parse_address(member.address)
+    except decoding.Unreadable:
         return None
+    return member
--- a/borageshelf/entry/peers.py
+++ b/borageshelf/entry/peers.py
@@ -6,8 +6,8 @@
 
 import grpclib.client
 import grpclib.exceptions
-import msgspec
 
+from borageshelf import decoding
 from borageshelf.entry import documents
 from borageshelf import errors
 from borageshelf.protocol import inner_grpc
@@ -119,8 +119,8 @@
         return inner_grpc.InnerStub(channel)
 
     def _open_channel(self, address: str) -> grpclib.client.Channel:
-        host, port = _split_address(address)
-        return grpclib.client.Channel(host, port)
+        parsed = decoding.parse_address(address)
+        return grpclib.client.Channel(parsed.host, parsed.port)
 
     async def _send_request(
         self,
@@ -151,10 +151,10 @@
     A timeout or another error is no proof, because the network may be
     partitioned.
     """
-    host, port = _split_address(address)
+    parsed = decoding.parse_address(address)
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000):
-            _, writer = await asyncio.open_connection(host, port)
+            _, writer = await asyncio.open_connection(parsed.host, parsed.port)
     except ConnectionRefusedError:
         return True
     except OSError:
@@ -163,11 +163,6 @@
     return False
 
 
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
-
-
 def _check_answer(answer: Any) -> None:
     code = errors.find(answer.code)
     if code not in (errors.OK, errors.PENDING):
@@ -176,4 +171,9 @@
 
 def _decode_job(answer: inner_pb2.JobAnswer) -> documents.JobAnswer:
     _check_answer(answer)
-    return msgspec.json.decode(answer.document, type=documents.JobAnswer)
+    try:
+        return decoding.decode_json(answer.document, documents.JobAnswer)
+    except decoding.Unreadable as error:
+        raise errors.BorageshelfError(
+            errors.OUTCOME_UNKNOWN, f'malformed answer: {error}'
+        ) from error
--- a/borageshelf/model/resources.py
+++ b/borageshelf/model/resources.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from borageshelf.model import numbers
+
 
 @dataclasses.dataclass(frozen=True)
 class Resources:
@@ -12,9 +14,9 @@
     :param accelerators: number of whole accelerators
     """
 
-    processor_millicores: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    processor_millicores: numbers.Number = 0
+    memory_mb: numbers.Number = 0
+    accelerators: numbers.Number = 0
 
     def plus(self, other: 'Resources') -> 'Resources':
         """Return the sum of both vectors."""
--- a/borageshelf/model/workflows.py
+++ b/borageshelf/model/workflows.py
@@ -8,13 +8,11 @@
 import dataclasses
 from typing import Final
 
+from borageshelf.model import numbers as number_types
 from borageshelf.model import resources
 
 # The state of a larger workflow would not fit into one value of the store.
 TASKS_LIMIT: Final = 5_000
-# Larger integers are not exact in every JSON parser, and the records of the
-# store hold 64 bits.
-NUMBER_LIMIT: Final = 2**53
 
 
 @dataclasses.dataclass(frozen=True)
@@ -187,12 +185,14 @@
             step.latency_target_ms,
             step.absent_limit,
         )
-        if max(map(abs, numbers)) > NUMBER_LIMIT:
-            return f'step {number} has a number above {NUMBER_LIMIT}'
+        if max(map(abs, numbers)) > number_types.NUMBER_LIMIT:
+            return (
+                f'step {number} has a number above {number_types.NUMBER_LIMIT}'
+            )
     if max(abs(workflow.first_start_ms), abs(workflow.period_ms)) > (
-        NUMBER_LIMIT
+        number_types.NUMBER_LIMIT
     ):
-        return f'a time is above {NUMBER_LIMIT}'
+        return f'a time is above {number_types.NUMBER_LIMIT}'
     if workflow.occurrences > 1 and workflow.period_ms < 0:
         return 'the period is negative'
     return ''
--- a/borageshelf/node_settings.py
+++ b/borageshelf/node_settings.py
@@ -9,8 +9,7 @@
 import pathlib
 from typing import Final
 
-import msgspec
-
+from borageshelf import decoding
 from borageshelf import settings
 
 MAXIMUM_PORT: Final = 65_535
@@ -120,8 +119,8 @@
     :raises SettingsError: with all faults
     """
     try:
-        loaded = msgspec.json.decode(text, type=NodeSettings)
-    except msgspec.MsgspecError as error:
+        loaded = decoding.decode_json(text, NodeSettings)
+    except decoding.Unreadable as error:
         raise SettingsError([str(error)]) from error
     faults = list(_find_faults(loaded))
     if faults:
--- a/borageshelf/platform/caller_site.py
+++ b/borageshelf/platform/caller_site.py
@@ -4,11 +4,11 @@
 from collections import abc
 from typing import Any, Final
 
-import msgspec
 from twisted.web import resource
 from twisted.web import server
 
 from borageshelf import clock
+from borageshelf import decoding
 from borageshelf.entry import bounded_site
 from borageshelf.entry.workflows import request_service
 from borageshelf import events
@@ -151,7 +151,7 @@
             )
         try:
             workflow = documents.decode_workflow(workflow_id, body)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except decoding.Unreadable as error:
             return self._write(
                 request, 400, documents.encode_refusal(str(error))
             )
--- a/borageshelf/platform/documents.py
+++ b/borageshelf/platform/documents.py
@@ -2,13 +2,15 @@
 
 The structures here have the field names of the documents that callers,
 operators and executors send. A document that cannot be decoded yields None or
-raises ``ValueError``; the calling module decides how to respond.
+raises ``decoding.Unreadable``; the calling module decides how to respond.
 """
 
 from typing import Any, Final
 
 import msgspec
 
+from borageshelf import decoding
+from borageshelf.model import numbers
 from borageshelf.model import resources
 from borageshelf.model import targets
 from borageshelf.model import workflows
@@ -63,11 +65,11 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int = 3_000
-    target_latency_ms: int = 0
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1.0
+    timeout_ms: numbers.WholeNumber = 3_000
+    target_latency_ms: numbers.WholeNumber = 0
+    priority: numbers.Number = 0
+    max_attempts: numbers.WholeNumber = 1
+    slack_factor: numbers.Amount = 1.0
 
 
 class _Service(msgspec.Struct, rename='pascal'):
@@ -76,21 +78,21 @@
 
 
 class _Limits(msgspec.Struct, rename='pascal', frozen=True):
-    max_body_bytes: int = 262_144
-    idle_timeout_ms: int = 15_000
+    max_body_bytes: numbers.WholeNumber = 262_144
+    idle_timeout_ms: numbers.WholeNumber = 15_000
 
 
 class _Config(msgspec.Struct, rename='pascal'):
-    version: int
+    version: numbers.WholeNumber
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = _Limits()
 
 
 class _Capacity(msgspec.Struct, rename='pascal'):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: numbers.WholeNumber
+    mem_mb: numbers.WholeNumber
+    gpu: numbers.WholeNumber = 0
 
 
 class _Heartbeat(msgspec.Struct, rename='pascal'):
@@ -103,12 +105,12 @@
     service: str
     address: str
     state: str
-    seq_no: int
+    seq_no: numbers.WholeNumber
     capacity: _Capacity
     labels: list[str] = []
-    remaining_ms: int = 0
-    clock_ms: int = 0
-    born: int = msgspec.field(name='born', default=0)
+    remaining_ms: numbers.Number = 0
+    clock_ms: numbers.WholeNumber = 0
+    born: numbers.WholeNumber = msgspec.field(name='born', default=0)
 
 
 class _State(msgspec.Struct, rename='pascal'):
@@ -122,9 +124,9 @@
 def decode_workflow(workflow_id: str, body: bytes) -> workflows.Workflow:
     """Decode a submitted workflow.
 
-    :raises ValueError: if the document is malformed
+    :raises decoding.Unreadable: if the document is malformed
     """
-    job = msgspec.json.decode(body, type=_Job)
+    job = decoding.decode_json(body, _Job)
     steps = tuple(
         workflows.Step(
             count=phase.count,
@@ -159,9 +161,9 @@
 def decode_configuration(body: bytes) -> workflows.QueueConfiguration:
     """Decode the configuration that operators write to the store.
 
-    :raises ValueError: if the document is malformed
+    :raises decoding.Unreadable: if the document is malformed
     """
-    config = msgspec.json.decode(body, type=_Config)
+    config = decoding.decode_json(body, _Config)
     return workflows.QueueConfiguration(
         config.version,
         tuple(
@@ -199,14 +201,13 @@
         program sent it
     """
     try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
-    except msgspec.MsgspecError:
+        heartbeat = decoding.decode_json(body, _Heartbeat)
+        decoding.parse_address(heartbeat.address)
+    except decoding.Unreadable:
         return None
     if not instance_id or heartbeat.state not in ('ready', 'draining'):
         return None
     capacity = heartbeat.capacity
-    if min(capacity.cpu, capacity.mem_mb, capacity.gpu) < 0:
-        return None
     is_draining = heartbeat.state == 'draining'
     return targets.Announcement(
         instance_id,
--- a/borageshelf/platform/executor.py
+++ b/borageshelf/platform/executor.py
@@ -1,9 +1,11 @@
 """HTTP adapter of the executor that runs workflow tasks on the agent's VM."""
 
-from typing import Any, Final
+from typing import Final
 
 import msgspec
 
+from borageshelf import decoding
+from borageshelf.model import numbers
 from borageshelf.ports import http_client
 from borageshelf.ports import task_executor
 
@@ -74,19 +76,33 @@
     wait_ms: int = 0
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    attempt: numbers.WholeNumber
+    checkpoint: str | None
+    progress_percent: numbers.Amount
+    measured: numbers.Amount = 0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: numbers.WholeNumber
+    task: str
+    attempt: numbers.WholeNumber
+    kind: str
+    checkpoint: str | None
+
+
 class _HoldAnswer(msgspec.Struct, rename='pascal'):
     """The running tasks and the ended runs of the executor.
 
-    :param running: rows of task, attempt, checkpoint, progress in percent
-        and measured value
-    :param ended_runs: rows of number, task, attempt, kind of end and
-        checkpoint
+    One malformed row makes the whole answer unusable, because a run that is
+    not listed counts as ended.
     """
 
-    clock_ms: int
-    running: list[list[Any]]
-    ended_runs: list[list[Any]]
-    born: int = msgspec.field(name='born', default=0)
+    clock_ms: numbers.WholeNumber
+    running: list[_RunningRow]
+    ended_runs: list[_EndedRow]
+    born: numbers.WholeNumber = msgspec.field(name='born', default=0)
 
 
 class _Refusal(msgspec.Struct, rename='pascal'):
@@ -145,7 +161,7 @@
         )
         _raise_refusal(answer)
         try:
-            inspected = msgspec.json.decode(answer.body, type=_HoldAnswer)
+            inspected = decoding.decode_json(answer.body, _HoldAnswer)
             return task_executor.Inspection(
                 inspected.clock_ms,
                 inspected.born,
@@ -153,7 +169,7 @@
                 tuple(_decode_ended_run(row) for row in inspected.ended_runs),
                 len(inspected.ended_runs) < LISTED_ENDS_LIMIT,
             )
-        except (msgspec.MsgspecError, IndexError, KeyError) as error:
+        except (decoding.Unreadable, KeyError) as error:
             raise task_executor.ExecutorUnavailable(repr(error)) from error
 
     async def pace(
@@ -205,8 +221,8 @@
         return task_executor.StartOutcome.STARTED
     if answer.status == 409:
         try:
-            refusal = msgspec.json.decode(answer.body, type=_Refusal)
-        except msgspec.MsgspecError:
+            refusal = decoding.decode_json(answer.body, _Refusal)
+        except decoding.Unreadable:
             return task_executor.StartOutcome.INVALID
         return _REFUSED_OUTCOMES.get(
             refusal.reason, task_executor.StartOutcome.INVALID
@@ -227,18 +243,21 @@
         raise task_executor.OrderRefused(outcome)
 
 
-def _decode_running_task(row: list[Any]) -> task_executor.RunningTask:
-    measured = int(row[4]) if len(row) > 4 else 0
+def _decode_running_task(row: _RunningRow) -> task_executor.RunningTask:
     return task_executor.RunningTask(
-        str(row[0]), int(row[1]), str(row[2] or ''), int(row[3]), measured
+        row.task,
+        row.attempt,
+        row.checkpoint or '',
+        int(row.progress_percent),
+        int(row.measured),
     )
 
 
-def _decode_ended_run(row: list[Any]) -> task_executor.EndedRun:
+def _decode_ended_run(row: _EndedRow) -> task_executor.EndedRun:
     return task_executor.EndedRun(
-        int(row[0]),
-        str(row[1]),
-        int(row[2]),
-        _END_KINDS[row[3]],
-        str(row[4] or ''),
+        row.number,
+        row.task,
+        row.attempt,
+        _END_KINDS[row.kind],
+        row.checkpoint or '',
     )
--- a/borageshelf/platform/store.py
+++ b/borageshelf/platform/store.py
@@ -11,7 +11,9 @@
 import msgspec
 
 from borageshelf import clock
+from borageshelf import decoding
 from borageshelf import errors
+from borageshelf.model import numbers
 from borageshelf.ports import http_client
 from borageshelf.ports import store as store_interface
 
@@ -37,23 +39,23 @@
     """
 
     key: str
-    revision: int
+    revision: numbers.WholeNumber
     value: str = ''
-    lease: int = 0
+    lease: numbers.WholeNumber = 0
     tombstone: bool = False
 
 
 class _KeyAnswer(_Item):
     """Answer to a read of one key; ``AtRev`` is the store's revision."""
 
-    at_rev: int = 0
+    at_rev: numbers.WholeNumber = 0
 
 
 class _RangeAnswer(msgspec.Struct):
     """One page of a listing."""
 
     items: list[_Item]
-    at_rev: int = msgspec.field(name='AtRev')
+    at_rev: numbers.WholeNumber = msgspec.field(name='AtRev')
     has_more: bool = msgspec.field(name='HasMore', default=False)
 
 
@@ -61,7 +63,7 @@
     """Changes after a revision; the next watch continues from ``AtRev``."""
 
     events: list[_Item]
-    at_rev: int = msgspec.field(name='AtRev')
+    at_rev: numbers.WholeNumber = msgspec.field(name='AtRev')
 
 
 class _Condition(msgspec.Struct, rename='pascal'):
@@ -87,7 +89,7 @@
 
 
 class _TransactionAnswer(msgspec.Struct, rename='pascal'):
-    revision: int
+    revision: numbers.WholeNumber
 
 
 class _LeaseRequest(msgspec.Struct, rename='pascal'):
@@ -95,8 +97,8 @@
 
 
 class _LeaseAnswer(msgspec.Struct, rename='pascal'):
-    ttl_ms: int
-    lease: int = 0
+    ttl_ms: numbers.WholeNumber
+    lease: numbers.WholeNumber = 0
 
 
 class PlatformStore:
@@ -298,8 +300,8 @@
     if answer.status != 200:
         raise _make_status_error(answer)
     try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(answer.body, kind)
+    except decoding.Unreadable as error:
         raise errors.BorageshelfError(
             errors.STORE_UNAVAILABLE, f'malformed answer of the store: {error}'
         ) from error
@@ -316,8 +318,8 @@
     if answer.status != 200:
         raise _make_status_error(answer)
     try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(answer.body, kind)
+    except decoding.Unreadable as error:
         raise errors.BorageshelfError(
             errors.STORE_UNCERTAIN, f'malformed answer of the store: {error}'
         ) from error
--- a/borageshelf/ports/executor.py
+++ b/borageshelf/ports/executor.py
@@ -4,6 +4,8 @@
 import dataclasses
 from typing import Protocol
 
+from borageshelf.model import numbers
+
 
 @dataclasses.dataclass(frozen=True)
 class ExecutorDescription:
@@ -14,8 +16,8 @@
     """
 
     service: str
-    slots: int
-    connections: int
+    slots: numbers.WholeNumber
+    connections: numbers.WholeNumber
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,7 +41,7 @@
     :param ran: whether the executor may have run the call
     """
 
-    code: int
+    code: numbers.WholeNumber
     ran: bool
     detail: str = ''
 
--- a/borageshelf/ports/http_executor.py
+++ b/borageshelf/ports/http_executor.py
@@ -12,9 +12,9 @@
 import dataclasses
 from typing import Final
 
-import msgspec
-
+from borageshelf import decoding
 from borageshelf import errors
+from borageshelf.model import numbers
 from borageshelf.ports import executor as executor_interface
 from borageshelf.ports import http_client
 
@@ -37,7 +37,7 @@
     :param ran: whether the call may have run
     """
 
-    code: int
+    code: numbers.WholeNumber
     detail: str = ''
     ran: bool = True
 
@@ -64,10 +64,10 @@
                 '/v1/describe', {}, DESCRIBE_TIMEOUT_MS, ERROR_LIMIT_BYTES
             )
             if answer.status == OK_STATUS:
-                return msgspec.json.decode(
-                    answer.body, type=executor_interface.ExecutorDescription
+                return decoding.decode_json(
+                    answer.body, executor_interface.ExecutorDescription
                 )
-        except (http_client.RequestFailed, msgspec.MsgspecError) as error:
+        except (http_client.RequestFailed, decoding.Unreadable) as error:
             raise errors.BorageshelfError(
                 errors.NO_TARGET, f'executor: {error}'
             ) from error
@@ -183,8 +183,8 @@
         if len(body) > ERROR_LIMIT_BYTES:
             break
     try:
-        error = msgspec.json.decode(body, type=ErrorAnswer)
-    except msgspec.MsgspecError as failure:
+        error = decoding.decode_json(body, ErrorAnswer)
+    except decoding.Unreadable as failure:
         return _make_status(
             errors.OUTCOME_UNKNOWN, f'status {answer.status}, {failure}'
         )
--- a/borageshelf/ports/http_store.py
+++ b/borageshelf/ports/http_store.py
@@ -10,7 +10,9 @@
 
 import msgspec
 
+from borageshelf import decoding
 from borageshelf import errors
+from borageshelf.model import numbers
 from borageshelf.ports import http_client
 from borageshelf.ports import store as store_interface
 
@@ -33,7 +35,7 @@
 class ErrorAnswer:
     """Body of every answer that is not a success."""
 
-    code: int
+    code: numbers.WholeNumber
     detail: str = ''
 
 
@@ -65,7 +67,7 @@
 class PutAnswer:
     """Answer to a put request."""
 
-    revision: int
+    revision: numbers.WholeNumber
 
 
 @dataclasses.dataclass(frozen=True)
@@ -226,9 +228,9 @@
     """
     try:
         if answer.status == OK_STATUS:
-            return msgspec.json.decode(answer.body, type=kind)
-        error = msgspec.json.decode(answer.body, type=ErrorAnswer)
-    except msgspec.MsgspecError as failure:
+            return decoding.decode_json(answer.body, kind)
+        error = decoding.decode_json(answer.body, ErrorAnswer)
+    except decoding.Unreadable as failure:
         raise errors.BorageshelfError(
             uncertain_code, f'{path}: status {answer.status}, {failure}'
         ) from failure
--- a/borageshelf/ports/http_worker.py
+++ b/borageshelf/ports/http_worker.py
@@ -10,7 +10,9 @@
 
 import msgspec
 
+from borageshelf import decoding
 from borageshelf import errors
+from borageshelf.model import numbers
 from borageshelf.ports import http_client
 from borageshelf.ports import worker as worker_interface
 
@@ -29,7 +31,7 @@
 class ErrorAnswer:
     """Body of every answer that is not a success."""
 
-    code: int
+    code: numbers.WholeNumber
     detail: str = ''
 
 
@@ -175,9 +177,9 @@
     """Decode an answer, or raise the error that it reports."""
     try:
         if answer.status == OK_STATUS:
-            return msgspec.json.decode(answer.body, type=kind)
-        error = msgspec.json.decode(answer.body, type=ErrorAnswer)
-    except msgspec.MsgspecError as failure:
+            return decoding.decode_json(answer.body, kind)
+        error = decoding.decode_json(answer.body, ErrorAnswer)
+    except decoding.Unreadable as failure:
         detail = f'status {answer.status}, {failure}'
         raise _make_unavailable_error(path, detail) from failure
     code = errors.find(error.code)
--- a/borageshelf/ports/store.py
+++ b/borageshelf/ports/store.py
@@ -7,6 +7,8 @@
 import dataclasses
 from typing import Protocol
 
+from borageshelf.model import numbers
+
 # Expected revision of a key that must not exist.
 MUST_NOT_EXIST = 0
 
@@ -22,7 +24,7 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: numbers.WholeNumber
     lease_id: str = ''
     deleted: bool = False
 
@@ -32,7 +34,7 @@
     """A lease; its keys are deleted unless it is renewed by the deadline."""
 
     lease_id: str
-    deadline_ms: int
+    deadline_ms: numbers.WholeNumber
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,7 +48,7 @@
         must list the prefix again
     """
 
-    revision: int
+    revision: numbers.WholeNumber
     entries: tuple[Entry, ...]
     compacted: bool = False
 
@@ -82,7 +84,7 @@
         the listing does not contain
     """
 
-    revision: int
+    revision: numbers.WholeNumber
     entries: tuple[Entry, ...]
 
 
--- a/borageshelf/ports/worker.py
+++ b/borageshelf/ports/worker.py
@@ -8,6 +8,7 @@
 import enum
 from typing import Protocol
 
+from borageshelf.model import numbers
 from borageshelf.model import resources
 
 
@@ -42,11 +43,11 @@
     """
 
     task_id: str
-    attempt: int
+    attempt: numbers.WholeNumber
     owner: str
     family: str
     declared: resources.Resources
-    lease_deadline_ms: int
+    lease_deadline_ms: numbers.WholeNumber
     checkpoint: str = ''
     arguments: bytes = b''
 
@@ -56,12 +57,12 @@
     """One attempt of which the worker has a record."""
 
     task_id: str
-    attempt: int
+    attempt: numbers.WholeNumber
     owner: str
     family: str
     declared: resources.Resources
     state: TaskState
-    lease_deadline_ms: int
+    lease_deadline_ms: numbers.WholeNumber
     result: bytes = b''
     checkpoint: str = ''
 
@@ -92,9 +93,9 @@
     """Resource usage of one task, measured at ``measured_at_ms``."""
 
     task_id: str
-    attempt: int
+    attempt: numbers.WholeNumber
     used: resources.Resources
-    measured_at_ms: int
+    measured_at_ms: numbers.WholeNumber
 
 
 class Worker(Protocol):
--- a/borageshelf/shards/codec.py
+++ b/borageshelf/shards/codec.py
@@ -1,19 +1,20 @@
 """Encoding of stored shard records as zlib-compressed MessagePack."""
 
-from typing import Final
+from typing import Final, TypeVar
 import zlib
 
 import msgspec
 import xxhash
 
+from borageshelf import decoding
+from borageshelf import errors
 from borageshelf.shards import records
 
 # Level 1 compresses three times as fast as the default level; the output is a
 # tenth larger.
 COMPRESSION_LEVEL: Final = 1
 
-_HEAD_DECODER: Final = msgspec.msgpack.Decoder(records.ShardHead)
-_SNAPSHOT_DECODER: Final = msgspec.msgpack.Decoder(records.Snapshot)
+Record = TypeVar('Record')
 
 
 def encode_head(head: records.ShardHead) -> bytes:
@@ -22,8 +23,11 @@
 
 
 def decode_head(value: bytes) -> records.ShardHead:
-    """Return the shard head in a store value."""
-    return _HEAD_DECODER.decode(zlib.decompress(value))
+    """Return the shard head in a store value.
+
+    :raises BorageshelfError: ``STORE_UNAVAILABLE`` if it holds none
+    """
+    return _decode(value, records.ShardHead)
 
 
 def encode_snapshot(snapshot: records.Snapshot) -> bytes:
@@ -32,8 +36,11 @@
 
 
 def decode_snapshot(value: bytes) -> records.Snapshot:
-    """Return the snapshot in a store value."""
-    return _SNAPSHOT_DECODER.decode(zlib.decompress(value))
+    """Return the snapshot in a store value.
+
+    :raises BorageshelfError: ``STORE_UNAVAILABLE`` if it holds none
+    """
+    return _decode(value, records.Snapshot)
 
 
 def measure_changes(changes: records.Changes) -> int:
@@ -44,3 +51,13 @@
 def compute_shard(record_id: str, shard_count: int) -> int:
     """Return the shard that the hash of a job id or claim id selects."""
     return int(xxhash.xxh64_intdigest(record_id.encode())) % shard_count
+
+
+def _decode(value: bytes, kind: type[Record]) -> Record:
+    try:
+        return decoding.decode_msgpack(zlib.decompress(value), kind)
+    except (zlib.error, decoding.Unreadable) as error:
+        raise errors.BorageshelfError(
+            errors.STORE_UNAVAILABLE,
+            f'stored value is not a {kind.__name__}: {error}',
+        ) from error
--- a/borageshelf/workflows/channel.py
+++ b/borageshelf/workflows/channel.py
@@ -16,6 +16,7 @@
 import grpclib.server
 import msgspec
 
+from borageshelf import decoding
 from borageshelf.workflows import messages
 
 METHOD_PATH: Final = '/borageshelf.Workflows/Exchange'
@@ -30,7 +31,7 @@
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
-    msgspec.MsgspecError,
+    decoding.Unreadable,
 )
 
 Batch = list[messages.AnyMessage]
@@ -42,7 +43,6 @@
     __content_subtype__ = 'msgpack'
 
     def __init__(self) -> None:
-        self._decoder = msgspec.msgpack.Decoder(Batch)
         self._encoder = msgspec.msgpack.Encoder()
 
     def encode(self, message: Any, message_type: Any) -> bytes:
@@ -50,8 +50,11 @@
         return self._encoder.encode(message)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Return the batch of messages that the bytes encode."""
-        return self._decoder.decode(data)
+        """Return the batch of messages that the bytes encode.
+
+        :raises decoding.Unreadable: if they encode none
+        """
+        return decoding.decode_msgpack(data, Batch)
 
 
 class Outbox:
@@ -146,10 +149,11 @@
     """Open a stream and run a handler on it until either side ends it.
 
     :raises ConnectionRefusedError: if no process listens at the address
+    :raises decoding.Unreadable: if it is no address
     :raises OSError: or another of ``CONNECTION_ERRORS`` if it can't be opened
     """
-    host, _, port = address.rpartition(':')
-    channel = grpclib.client.Channel(host, int(port), codec=Codec())
+    parsed = decoding.parse_address(address)
+    channel = grpclib.client.Channel(parsed.host, parsed.port, codec=Codec())
     try:
         method: Any = grpclib.client.StreamStreamMethod(
             channel, METHOD_PATH, list, list
--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from borageshelf import decoding
 from borageshelf import errors
 from borageshelf.ports import store as store_interface
 from borageshelf.workflows import records
@@ -257,8 +258,8 @@
         record, because another program wrote it
     """
     try:
-        return msgspec.msgpack.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_msgpack(value, kind)
+    except decoding.Unreadable as error:
         raise errors.BorageshelfError(
             errors.STORE_UNAVAILABLE,
             f'stored value is not a {kind.__name__}: {error}',
