Log an odd heartbeat once until the next valid one of its id

Seen: a writer that repeats an odd heartbeat fills the log of an agent with a line for each, in which nothing tells whose it is.

Change: the line names the id and is written once until a heartbeat of that id is readable, for 100 ids at most.

--- a/borageshelf/platform/registration.py
+++ b/borageshelf/platform/registration.py
@@ -14,6 +14,8 @@
 
 _HEARTBEAT_PATH: Final = b'/-/Instances.Heartbeat/'
 _LEAVE_PATH: Final = b'/-/Instances.Leave/'
+# Bounds the lines that one writer can cause by changing its id.
+LOGGED_IDS_LIMIT: Final = 100
 
 
 class PlatformRegistration(resource.Resource):
@@ -36,6 +38,7 @@
         self._note_announcement = note_announcement
         self._note_left = note_left
         self._event_log = event_log
+        self._unreadable_ids: set[str] = set()
 
     def make_site(self) -> Any:
         """Return the site that serves this resource."""
@@ -53,13 +56,25 @@
             request.setResponseCode(404)
             return b'{}'
         assert request.content is not None
+        instance_id = path[len(_HEARTBEAT_PATH) :].decode('latin-1')
         announcement = documents.decode_announcement(
-            path[len(_HEARTBEAT_PATH) :].decode('latin-1'),
-            request.content.read(),
-            clock.read_elapsed_ms(),
+            instance_id, request.content.read(), clock.read_elapsed_ms()
         )
         if announcement is None:
-            self._event_log.record_state('announcement not readable')
+            self._log_unreadable(instance_id)
         else:
+            self._unreadable_ids.discard(instance_id)
             self._note_announcement(announcement)
         return b'{}'
+
+    def _log_unreadable(self, instance_id: str) -> None:
+        """Log an unreadable heartbeat once until the next readable one."""
+        if (
+            instance_id in self._unreadable_ids
+            or len(self._unreadable_ids) >= LOGGED_IDS_LIMIT
+        ):
+            return
+        self._unreadable_ids.add(instance_id)
+        self._event_log.record_state(
+            'announcement not readable', instance=instance_id[:80]
+        )
