Accept heartbeats after one with an absurd sequence number

Seen: after a heartbeat whose SeqNo is within the limits of a number but far above those of the executor, all later ones counted as outdated. The agent went on with the capacity of the odd one, and after 4 s it started nothing because its announcement was too old.

Cause: is_newer_than compared sequence numbers without a bound.

Change: a lower number counts as a delayed report only if it is at most 1,000 lower. A delayed report is overtaken by a few others.

Result: the test fails without the change.

--- a/borageshelf/model/targets.py
+++ b/borageshelf/model/targets.py
@@ -1,9 +1,14 @@
 """Announcements of the executors beside the agents."""
 
 import dataclasses
+from typing import Final
 
 from borageshelf.model import resources
 
+# A delayed report is overtaken by a few others. A greater difference comes
+# from a sequence number of another writer, which no later report would exceed.
+OVERTAKING_REPORTS_LIMIT: Final = 1_000
+
 
 @dataclasses.dataclass(frozen=True)
 class Announcement:
@@ -46,4 +51,5 @@
             return self.born_at_ms > other.born_at_ms
         if self.instance_id != other.instance_id:
             return True
-        return self.sequence > other.sequence
+        overtaking_reports = other.sequence - self.sequence
+        return not 0 <= overtaking_reports <= OVERTAKING_REPORTS_LIMIT
--- a/tests/test_odd_heartbeats.py
+++ b/tests/test_odd_heartbeats.py
@@ -115,3 +115,19 @@
     for number in range(1_000):
         site.beat(b'odd', b'i-%d' % number)
     assert site.count_lines('announcement not readable') <= 100
+
+
+def test_absurd_sequence_number_hides_no_later_heartbeat() -> None:
+    """Guards against an executor that is ignored for good."""
+
+    def announce(sequence: int) -> targets.Announcement:
+        body = json.dumps({**HEARTBEAT, 'SeqNo': sequence}).encode()
+        found = documents.decode_announcement('i-1', body, 0)
+        assert found is not None
+        return found
+
+    sound, absurd, late = announce(1_200), announce(2**53), announce(1_190)
+    assert absurd.is_newer_than(sound)
+    assert announce(1_201).is_newer_than(absurd)
+    assert not late.is_newer_than(sound)
+    assert not sound.is_newer_than(sound)
