Log an odd configuration once

Seen: each time an entry lists the store again, as after an outage, it logs the same odd configuration again.

Change: the line is written once for each odd document.

--- a/borageshelf/entry/workflows/configuration.py
+++ b/borageshelf/entry/workflows/configuration.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from borageshelf import clock
+from borageshelf import decoding
 from borageshelf import errors
 from borageshelf import events
 from borageshelf import measurements
@@ -28,7 +29,8 @@
     the one in force, changes nothing.
 
     :param key: key of the document in the store
-    :param decode: decodes the document; raises ValueError if it is malformed
+    :param decode: decodes the document; raises ``decoding.Unreadable`` if it
+        is malformed
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         self._decode = decode
         self._event_log = event_log
         self._document = b''
+        self._unreadable_document: bytes | None = None
         self.configuration = workflows.QueueConfiguration()
 
     @property
@@ -58,10 +61,13 @@
         """Apply a document if its version is higher than the one in force."""
         try:
             configuration = self._decode(document)
-        except ValueError as error:
-            self._event_log.record_state(
-                'configuration not readable', detail=str(error)
-            )
+        except decoding.Unreadable as error:
+            # Each listing after an outage of the store finds it again.
+            if document != self._unreadable_document:
+                self._unreadable_document = document
+                self._event_log.record_state(
+                    'configuration not readable', detail=str(error)
+                )
             return
         if (
             self._document
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -79,7 +79,7 @@
 
     :param configuration_key: key of the queue configuration in the store
     :param read_configuration: decodes the queue configuration; raises
-        ValueError if it is malformed
+        ``decoding.Unreadable`` if it is malformed
     :param make_site: builds the platform's sites for callers
     :param reload: reads the settings file again
     """
