Replace an odd record of the owner like an absent one

Seen: after another writer had put any other value in place of the owner's key, the workflows stayed without an owner for good. An entry that started knew no owner and waited for the lease of the odd record, which has none. An entry that found the owner dead compared the revision of the former record and was always told that another entry had been faster. The owner itself left the odd record where it was, so that agents did not find it. A record with a high epoch made the owner step down. Other keys that begin like the owner's key counted as the owner's key.

Cause: a record that could not be read was skipped together with its revision; the listing and the watch cover a prefix; addresses and epochs were not checked.

Change: an odd record counts as an absent one at its own revision. Whoever owns the workflows writes its record again; without an owner an entry takes over. Epochs have a limit. Agents log an odd record once and go on with the entries that they know.

--- a/borageshelf/agent/workflows/owner_link.py
+++ b/borageshelf/agent/workflows/owner_link.py
@@ -57,6 +57,7 @@
         self._entries: tuple[str, ...] = ()
         self._last_received_at_ms = 0
         self._is_attached = False
+        self._unreadable_owner: bytes | None = None
 
     def set_seeds(self, seeds: abc.Sequence[str]) -> None:
         """Replace the seeds, the entries to try before others are known."""
@@ -98,15 +99,24 @@
     async def _read_owner_from_store(self) -> None:
         try:
             entry = await self._store.get(records.OWNER_KEY)
-            if entry is None:
-                return
-            owner = journal.decode(entry.value, records.OwnerRecord)
         except errors.BorageshelfError as error:
             measurements.STORE_FAILURES.labels(error.code.name).inc()
             self._event_log.record_detail(
                 'owner not found', detail=error.detail
             )
             return
+        if entry is None:
+            return
+        try:
+            owner = journal.decode_owner(entry.value)
+        except errors.BorageshelfError as error:
+            # The entries replace it; the agent goes on with those it knows.
+            if entry.value != self._unreadable_owner:
+                self._unreadable_owner = entry.value
+                self._event_log.record_state(
+                    'owner not readable', detail=error.detail
+                )
+            return
         self._owner_address = owner.address
 
     async def _attach(self, address: str) -> bool:
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -296,7 +296,7 @@
                 if revision < 0:
                     listing = await self._store.scan(records.OWNER_KEY)
                     revision = listing.revision
-                    self._apply_owner_key(next(iter(listing.entries), None))
+                    self._apply_owner_key(_find_owner_entry(listing.entries))
                 deadline_ms = clock.read_wall_clock_ms() + WATCH_TIMEOUT_MS
                 answer = await self._store.watch(
                     records.OWNER_KEY, revision, deadline_ms
@@ -311,23 +311,26 @@
                 revision = -1
                 continue
             revision = max(revision, answer.revision)
-            for entry in answer.entries:
-                self._apply_owner_key(entry)
+            changed = _find_owner_entry(answer.entries)
+            if changed is not None:
+                self._apply_owner_key(changed)
 
     def _apply_owner_key(self, entry: store_interface.Entry | None) -> None:
         self._has_read_key = True
-        if entry is None or entry.deleted:
+        self._owner_revision = 0
+        owner: records.OwnerRecord | None = None
+        if entry is not None and not entry.deleted:
+            self._owner_revision = entry.revision
+            owner = self._decode_owner(entry)
+        if owner is None:
+            # A record of another writer is replaced like an absent one. No
+            # lease removes it.
             if not self._key_absent_since_ms:
                 self._key_absent_since_ms = clock.read_elapsed_ms()
-            self._owner_revision = 0
             if self.local_owner is not None:
                 self.local_owner.restore_owner_key()
         else:
-            owner = _decode_owner(entry)
-            if owner is None:
-                return
             self._key_absent_since_ms = 0
-            self._owner_revision = entry.revision
             if self._owner is None or owner.epoch > self._owner.epoch:
                 self._event_log.record_state(
                     'owner known', owner=owner.entry_id, epoch=owner.epoch
@@ -337,6 +340,19 @@
             self._step_down_if_newer(owner.epoch)
         self.owner_changed.set()
 
+    def _decode_owner(
+        self, entry: store_interface.Entry
+    ) -> records.OwnerRecord | None:
+        try:
+            return journal.decode_owner(entry.value)
+        except errors.BorageshelfError as error:
+            self._event_log.record_state(
+                'owner not readable',
+                revision=entry.revision,
+                detail=error.detail,
+            )
+            return None
+
     # Following and taking over.
 
     async def _follow_or_take_over(self) -> None:
@@ -695,13 +711,10 @@
 )
 
 
-def _decode_owner(
-    entry: store_interface.Entry,
-) -> records.OwnerRecord | None:
-    try:
-        owner: records.OwnerRecord = journal.decode(
-            entry.value, records.OwnerRecord
-        )
-    except errors.BorageshelfError:
-        return None
-    return owner
+def _find_owner_entry(
+    entries: abc.Iterable[store_interface.Entry],
+) -> store_interface.Entry | None:
+    """Return the owner's key among the keys that begin like it."""
+    return next(
+        (entry for entry in entries if entry.key == records.OWNER_KEY), None
+    )
--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -264,3 +264,18 @@
             errors.STORE_UNAVAILABLE,
             f'stored value is not a {kind.__name__}: {error}',
         ) from error
+
+
+def decode_owner(value: bytes) -> records.OwnerRecord:
+    """Return the record of an owner that others can reach.
+
+    :raises BorageshelfError: see ``decode``
+    """
+    owner: records.OwnerRecord = decode(value, records.OwnerRecord)
+    try:
+        decoding.parse_address(owner.address)
+    except decoding.Unreadable as error:
+        raise errors.BorageshelfError(
+            errors.STORE_UNAVAILABLE, str(error)
+        ) from error
+    return owner
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
@@ -19,6 +19,9 @@
 JOBS_PREFIX: Final = PREFIX + 'job/'
 _SPEC_SUFFIX: Final = '/spec'
 _STATE_SUFFIX: Final = '/state'
+# Fencing tokens are a million times larger and must stay exact numbers.
+EPOCH_LIMIT: Final = 1_000_000_000
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=EPOCH_LIMIT)]
 
 
 class Phase(enum.IntEnum):
@@ -115,7 +118,7 @@
         unanswered commit took effect
     """
 
-    epoch: int = 0
+    epoch: Epoch = 0
     entry_id: str = ''
     boot_id: str = ''
     address: str = ''
@@ -125,7 +128,7 @@
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
     """Value of the owner key, which is bound to the lease of a live owner."""
 
-    epoch: int
+    epoch: Epoch
     entry_id: str
     boot_id: str
     address: str
