Set a workflow aside whose record holds absurd numbers

Seen: a stored specification with 2**40 tasks or occurrences fills the memory of each owner that loads it (MemoryError under a limit of 4 GB). A state with the task number -1, an attempt of 2**64-1 or evidence that is no number was restored, and the next commit of that workflow can't be encoded, which ends the ownership.

Cause: records were checked for their types only, and a specification was checked when it was submitted but not when it was loaded.

Change: the numbers of records have ranges, and the owner checks the specification like a submitted one. Such a workflow is set aside as any other whose record can't be read.

--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -20,6 +20,7 @@
 
 from borageshelf import decoding
 from borageshelf import errors
+from borageshelf.model import workflows
 from borageshelf.ports import store as store_interface
 from borageshelf.workflows import records
 
@@ -114,7 +115,7 @@
                         entry.value, records.StateRecord
                     )
                 else:
-                    spec = decode(entry.value, records.SpecRecord)
+                    spec = _decode_spec(entry.value)
                     specs[spec.workflow.workflow_id] = spec
             except errors.BorageshelfError as error:
                 unreadable[entry.key] = error.detail
@@ -246,6 +247,19 @@
     return bool(found.commit_id == head.commit_id)
 
 
+def _decode_spec(value: bytes) -> records.SpecRecord:
+    """Return the specification of a workflow.
+
+    :raises BorageshelfError: ``STORE_UNAVAILABLE`` also if it is none that an
+        owner accepts
+    """
+    spec: records.SpecRecord = decode(value, records.SpecRecord)
+    problem = workflows.find_validation_error(spec.workflow)
+    if problem:
+        raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, problem)
+    return spec
+
+
 def encode(record: Any) -> bytes:
     """Return the encoded form of a record."""
     return msgspec.msgpack.encode(record)
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from borageshelf.model import numbers
 from borageshelf.model import workflows
 
 PREFIX: Final = 'borageshelf/'
@@ -43,11 +44,11 @@
 
     queue: str
     service: str
-    priority: int
-    attempts_limit: int
-    slack_factor: float
-    latency_target_ms: int
-    accepted_at_ms: int
+    priority: numbers.Number
+    attempts_limit: numbers.Number
+    slack_factor: numbers.Amount
+    latency_target_ms: numbers.Number
+    accepted_at_ms: numbers.WholeNumber
     is_prompt: bool = True
 
 
@@ -65,17 +66,17 @@
         was placed; 0 if the end of that one has been counted as a crash
     """
 
-    attempt: int
+    attempt: numbers.WholeNumber
     target_id: str
-    executor_hash: int = 0
+    executor_hash: numbers.WholeNumber = 0
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
     """Crashes of executors under a task; see ``crash_blame.History``."""
 
-    crashes: int = 0
-    quick_crashes: int = 0
-    evidence: float = 0.0
+    crashes: numbers.WholeNumber = 0
+    quick_crashes: numbers.WholeNumber = 0
+    evidence: numbers.Amount = 0.0
     is_suspect: bool = False
 
 
@@ -88,10 +89,10 @@
     :param crashes: crashes of executors under the task; None for none
     """
 
-    number: int
+    number: numbers.WholeNumber
     is_done: bool = False
-    attempts: int = 0
-    failures: int = 0
+    attempts: numbers.WholeNumber = 0
+    failures: numbers.WholeNumber = 0
     checkpoint: str = ''
     runs: tuple[RunRecord, ...] = ()
     crashes: CrashRecord | None = None
@@ -105,7 +106,7 @@
     """
 
     phase: Phase = Phase.ACTIVE
-    ended_at_ms: int = 0
+    ended_at_ms: numbers.WholeNumber = 0
     cause: str = ''
     tasks: tuple[TaskRecord, ...] = ()
 
