Ignore keys of other writers beside those of a workflow

Seen: any key of another writer below the records of a workflow, such as borageshelf/job/ID/odd, set the sound workflow ID aside: it was scheduled no more and its callers got no answer. A specification that named another workflow replaced the specification of that one.

Cause: every key below the prefix that was not a state counted as a specification, and the id came from its content.

Change: a record is read only under exactly its key, and a specification must name the workflow of its key. Other keys are counted in the log line "foreign keys ignored".

--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -159,6 +159,12 @@
         """
         loaded = await self._journal.load()
         moment = clock.read_moment()
+        if loaded.foreign_keys:
+            self._event_log.record_state(
+                'foreign keys ignored',
+                count=len(loaded.foreign_keys),
+                first=loaded.foreign_keys[0],
+            )
         for key, detail in loaded.unreadable.items():
             self._core.set_aside(records.find_workflow_id(key), detail)
         for workflow_id, state in loaded.states.items():
--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -39,11 +39,13 @@
     :param specs: specifications by workflow id
     :param states: states by workflow id
     :param unreadable: what is wrong with the other records, by key
+    :param foreign_keys: keys that are not those of a workflow
     """
 
     specs: dict[str, records.SpecRecord]
     states: dict[str, records.StateRecord]
     unreadable: dict[str, str] = dataclasses.field(default_factory=dict)
+    foreign_keys: tuple[str, ...] = ()
 
 
 class Journal:
@@ -106,20 +108,24 @@
         specs: dict[str, records.SpecRecord] = {}
         states: dict[str, records.StateRecord] = {}
         unreadable: dict[str, str] = {}
+        foreign_keys: list[str] = []
         listing = await self._store.scan(records.JOBS_PREFIX)
         for entry in listing.entries:
-            workflow_id = records.parse_workflow_id(entry.key)
+            workflow_id = records.find_workflow_id(entry.key)
             try:
-                if workflow_id is not None:
+                if not workflow_id:
+                    foreign_keys.append(entry.key)
+                elif entry.key == records.make_state_key(workflow_id):
                     states[workflow_id] = decode(
                         entry.value, records.StateRecord
                     )
+                elif entry.key == records.make_spec_key(workflow_id):
+                    specs[workflow_id] = _decode_spec(workflow_id, entry.value)
                 else:
-                    spec = _decode_spec(entry.value)
-                    specs[spec.workflow.workflow_id] = spec
+                    foreign_keys.append(entry.key)
             except errors.BorageshelfError as error:
                 unreadable[entry.key] = error.detail
-        return StoredWorkflows(specs, states, unreadable)
+        return StoredWorkflows(specs, states, unreadable, tuple(foreign_keys))
 
     async def commit(
         self,
@@ -247,14 +253,16 @@
     return bool(found.commit_id == head.commit_id)
 
 
-def _decode_spec(value: bytes) -> records.SpecRecord:
+def _decode_spec(workflow_id: str, value: bytes) -> records.SpecRecord:
     """Return the specification of a workflow.
 
-    :raises BorageshelfError: ``STORE_UNAVAILABLE`` also if it is none that an
-        owner accepts
+    :raises BorageshelfError: ``STORE_UNAVAILABLE`` also if it is that of
+        another workflow, or if it is none that an owner accepts
     """
     spec: records.SpecRecord = decode(value, records.SpecRecord)
     problem = workflows.find_validation_error(spec.workflow)
+    if spec.workflow.workflow_id != workflow_id:
+        problem = f'specification of {spec.workflow.workflow_id[:80]}'
     if problem:
         raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, problem)
     return spec
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -146,7 +146,10 @@
 
 
 def find_workflow_id(key: str) -> str:
-    """Return the workflow id in a key below the prefix of workflows."""
+    """Return the workflow id in a key below the prefix of workflows.
+
+    It is '' in the key of another writer that names none.
+    """
     return key[len(JOBS_PREFIX) :].partition('/')[0]
 
 
--- a/tests/test_odd_workflow_records.py
+++ b/tests/test_odd_workflow_records.py
@@ -78,6 +78,8 @@
     (SPEC_KEY, make_spec(ODD_ID, workflow_support.make_step(count=2**40))),
     (SPEC_KEY, make_spec(ODD_ID, workflow_support.make_step(count=-3))),
     (SPEC_KEY, make_spec(ODD_ID, workflow_support.make_step(after=(7,)))),
+    # The specification of another workflow below the wrong key.
+    (SPEC_KEY, make_spec(SOUND_ID, workflow_support.make_step(count=9))),
     (STATE_KEY, replace_task_fields(number=-1)),
     (STATE_KEY, replace_task_fields(number=2**53)),
     (STATE_KEY, replace_task_fields(number=2**63)),
@@ -88,6 +90,15 @@
     (STATE_KEY, replace_task_fields(crashes=[0, 0, float('nan'), False])),
     (STATE_KEY, replace_task_fields(crashes=[0, 0, float('inf'), False])),
 )
+# Keys that hold neither a specification nor a state.
+FOREIGN_KEYS: Final = (
+    records.JOBS_PREFIX + 'odd',
+    records.JOBS_PREFIX + '/state',
+    f'{records.JOBS_PREFIX}{SOUND_ID}',
+    f'{records.JOBS_PREFIX}{SOUND_ID}/odd',
+    f'{records.JOBS_PREFIX}{SOUND_ID}/odd/state',
+    f'{records.JOBS_PREFIX}{SOUND_ID}/odd/spec',
+)
 
 
 async def load_beside(entries: dict[str, bytes]) -> tuple[Any, Any]:
@@ -133,3 +144,19 @@
         assert answer.outcome is effects.Outcome.UNKNOWN
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize('key', FOREIGN_KEYS)
+@pytest.mark.parametrize(
+    'value', [b'odd', odd_values.nest_msgpack(5_000), VALID_STATE, SOUND_SPEC]
+)
+def test_foreign_key_sets_no_workflow_aside(key: str, value: bytes) -> None:
+    """Guards against a key of another writer that stops a workflow."""
+
+    async def check() -> None:
+        owner, answer = await load_beside({key: value})
+        check_sound_workflow(owner)
+        assert not owner._core.set_aside_ids
+        assert answer.outcome is effects.Outcome.ABSENT
+
+    asyncio.run(check())
