--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -18,7 +18,9 @@
 
 import msgspec
 
+from borageshelf import decoding
 from borageshelf import errors
+from borageshelf.model import workflows
 from borageshelf.ports import store as store_interface
 from borageshelf.workflows import records
 
@@ -37,11 +39,13 @@
     :param specs: specifications by workflow id
     :param states: states by workflow id
     :param unreadable: what is wrong with the other records, by key
+    :param foreign_keys: keys that are not those of a workflow
     """
 
     specs: dict[str, records.SpecRecord]
     states: dict[str, records.StateRecord]
     unreadable: dict[str, str] = dataclasses.field(default_factory=dict)
+    foreign_keys: tuple[str, ...] = ()
 
 
 class Journal:
@@ -104,20 +108,24 @@
         specs: dict[str, records.SpecRecord] = {}
         states: dict[str, records.StateRecord] = {}
         unreadable: dict[str, str] = {}
+        foreign_keys: list[str] = []
         listing = await self._store.scan(records.JOBS_PREFIX)
         for entry in listing.entries:
-            workflow_id = records.parse_workflow_id(entry.key)
+            workflow_id = records.find_workflow_id(entry.key)
             try:
-                if workflow_id is not None:
+                if not workflow_id:
+                    foreign_keys.append(entry.key)
+                elif entry.key == records.make_state_key(workflow_id):
                     states[workflow_id] = decode(
                         entry.value, records.StateRecord
                     )
+                elif entry.key == records.make_spec_key(workflow_id):
+                    specs[workflow_id] = _decode_spec(workflow_id, entry.value)
                 else:
-                    spec = decode(entry.value, records.SpecRecord)
-                    specs[spec.workflow.workflow_id] = spec
+                    foreign_keys.append(entry.key)
             except errors.BorageshelfError as error:
                 unreadable[entry.key] = error.detail
-        return StoredWorkflows(specs, states, unreadable)
+        return StoredWorkflows(specs, states, unreadable, tuple(foreign_keys))
 
     async def commit(
         self,
@@ -257,6 +265,21 @@
     return bool(found.commit_id == head.commit_id)
 
 
+def _decode_spec(workflow_id: str, value: bytes) -> records.SpecRecord:
+    """Return the specification of a workflow.
+
+    :raises BorageshelfError: ``STORE_UNAVAILABLE`` also if it is that of
+        another workflow, or if it is none that an owner accepts
+    """
+    spec: records.SpecRecord = decode(value, records.SpecRecord)
+    problem = workflows.find_validation_error(spec.workflow)
+    if spec.workflow.workflow_id != workflow_id:
+        problem = f'specification of {spec.workflow.workflow_id[:80]}'
+    if problem:
+        raise errors.BorageshelfError(errors.STORE_UNAVAILABLE, problem)
+    return spec
+
+
 def encode(record: Any) -> bytes:
     """Return the encoded form of a record."""
     return msgspec.msgpack.encode(record)
@@ -269,9 +292,24 @@
         record, because another program wrote it
     """
     try:
-        return msgspec.msgpack.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_msgpack(value, kind)
+    except decoding.Unreadable as error:
         raise errors.BorageshelfError(
             errors.STORE_UNAVAILABLE,
             f'stored value is not a {kind.__name__}: {error}',
         ) from error
+
+
+def decode_owner(value: bytes) -> records.OwnerRecord:
+    """Return the record of an owner that others can reach.
+
+    :raises BorageshelfError: see ``decode``
+    """
+    owner: records.OwnerRecord = decode(value, records.OwnerRecord)
+    try:
+        decoding.parse_address(owner.address)
+    except decoding.Unreadable as error:
+        raise errors.BorageshelfError(
+            errors.STORE_UNAVAILABLE, str(error)
+        ) from error
+    return owner
