Look at the head before a silent owner is given up

Behind an owner that is frozen or cut off, entries looked at the head only when they gave it up after 1.5 s, so the wait for its grants began that much later than its last commit. They now look once it has been silent for 0.5 s. Without the look the new test fails by its time limit.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -42,6 +42,9 @@
 # vanish at the same moment.
 TAKEOVER_JITTER_MS: Final = 40
 PING_INTERVAL_MS: Final = 400
+# The last commit of an owner that is gone is at least as old as the first look
+# at the head, so a look does not wait until the owner is given up.
+HEAD_SILENCE_LIMIT_MS: Final = 500
 OWNER_SILENCE_LIMIT_MS: Final = 1_500
 STEP_DOWN_TRIES: Final = 8
 # An owner renews its lease every 500 ms, and a slow store takes 320 ms.
@@ -543,9 +546,10 @@
             (link.last_received_at_ms,) = pause_watch.excuse(
                 [link.last_received_at_ms]
             )
-            is_silent = (
-                now_ms - link.last_received_at_ms > OWNER_SILENCE_LIMIT_MS
-            )
+            silent_ms = now_ms - link.last_received_at_ms
+            is_silent = silent_ms > OWNER_SILENCE_LIMIT_MS
+            if silent_ms > HEAD_SILENCE_LIMIT_MS:
+                self._background.start(self._look_at_head())
             is_replaced = (
                 self._owner is not None and self._owner.epoch > link.epoch
             )
--- a/tests/test_election_cut_entry.py
+++ b/tests/test_election_cut_entry.py
@@ -9,6 +9,7 @@
 from bench import local_fleet
 from borageshelf import clock
 from borageshelf.entry.workflows import election
+from borageshelf.entry.workflows import owner_stream
 from borageshelf.entry.workflows import runtime
 from borageshelf import errors
 from borageshelf import events
@@ -241,6 +242,27 @@
     asyncio.run(check())
 
 
+def test_head_is_looked_at_before_a_silent_owner_is_given_up() -> None:
+    """Guards against lasting tasks without a run behind a frozen owner."""
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        head = await store.put(records.HEAD_KEY, b'head', 0)
+        entry = RunningEntry(0, store, 1)
+        owner = records.OwnerRecord(1, 'entry-1', 'boot', f'{HOST}:1')
+        link = owner_stream.OwnerLink(1, channel.Outbox())
+        link.last_received_at_ms = begun_at_ms = clock.read_elapsed_ms()
+        pings = asyncio.ensure_future(entry.election._ping_owner(owner, link))
+        await wait_until(lambda: entry.election._head_revision == head)
+        assert (
+            entry.election._head_seen_at_ms - begun_at_ms
+            < election.OWNER_SILENCE_LIMIT_MS - election.PING_INTERVAL_MS / 2
+        )
+        pings.cancel()
+
+    asyncio.run(check())
+
+
 def test_former_grants_end_sooner_after_a_resignation() -> None:
     """Guards against lasting tasks without a run after a planned stop."""
 
