Confirm the ownership before a workflow is denied

Cause: that a workflow does not exist was answered from the owner's memory, which tells nothing of what the next owner has accepted.

Such an answer now waits for a commit that begins after the request. If it fails or does not take effect in time, the outcome is unknown, and the entry asks the next owner.

--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -137,6 +137,12 @@
         self._reply_futures: dict[int, asyncio.Future[effects.Reply]] = {}
         self._changed = asyncio.Event()
         self._commit_pending_since_ms = 0
+        # Numbers of commits: the last one that has begun, the last one that
+        # has taken effect, and the last one that a request waits for.
+        self._commits_begun = 0
+        self._commits_confirmed = 0
+        self._confirmation_asked = 0
+        self._confirmed = asyncio.Event()
         self._ended = asyncio.Event()
         self._background = loop.TaskGroup()
         self.is_resigned = False
@@ -262,8 +268,43 @@
     ) -> messages.RequestAnswer:
         """Carry out a request and return its answer.
 
+        That a workflow does not exist is true only of the owner's memory. A
+        former owner that has not noticed its replacement knows nothing of what
+        the next one has accepted, so a commit confirms the ownership first.
+
         :param deadline_ms: elapsed time; afterwards the outcome is unknown
         """
+        answer = await self._carry_out(request, deadline_ms)
+        if (
+            answer.outcome is effects.Outcome.ABSENT
+            and not await self._confirm_ownership(deadline_ms)
+        ):
+            return messages.RequestAnswer(
+                request.number, effects.Outcome.UNKNOWN
+            )
+        return answer
+
+    async def _confirm_ownership(self, deadline_ms: int) -> bool:
+        """Wait for a commit that begins after this call.
+
+        :return: whether it took effect in time
+        """
+        number = self._commits_begun + 1
+        self._confirmation_asked = number
+        self._changed.set()
+        while self._commits_confirmed < number:
+            left_ms = deadline_ms - clock.read_elapsed_ms()
+            if left_ms <= 0 or self._ended.is_set() or self.is_resigned:
+                return False
+            self._confirmed.clear()
+            await loop.wait_for_event(
+                self._confirmed, min(left_ms, IDLE_INTERVAL_MS)
+            )
+        return True
+
+    async def _carry_out(
+        self, request: messages.Request, deadline_ms: int
+    ) -> messages.RequestAnswer:
         moment = clock.read_moment()
         number = request.number
         if self._core.is_set_aside(request):
@@ -535,7 +576,11 @@
             confirmation_due_ms = (
                 self._ownership_confirmed_at_ms + CONFIRMATION_INTERVAL_MS
             )
-            if batch.is_empty and moment.elapsed_ms < confirmation_due_ms:
+            is_confirmation_due = (
+                moment.elapsed_ms >= confirmation_due_ms
+                or self._confirmation_asked > self._commits_confirmed
+            )
+            if batch.is_empty and not is_confirmation_due:
                 continue
             if not await self._commit(batch):
                 return
@@ -549,6 +594,7 @@
     async def _commit(self, batch: owner.Batch) -> bool:
         """Commit a batch; return whether this entry is still the owner."""
         begun_at_ms = clock.read_elapsed_ms()
+        self._commits_begun += 1
         self._commit_pending_since_ms = (
             self._commit_pending_since_ms or begun_at_ms
         )
@@ -568,6 +614,8 @@
             return True
         self._commit_pending_since_ms = 0
         self._ownership_confirmed_at_ms = begun_at_ms
+        self._commits_confirmed = self._commits_begun
+        self._confirmed.set()
         self._store_answered_at_ms = clock.read_elapsed_ms()
         took_ms = clock.read_elapsed_ms() - begun_at_ms
         measurements.COMMITS.labels('done').inc()
