--- a/borageshelf/decoding.py
+++ b/borageshelf/decoding.py
@@ -25,7 +25,7 @@
 
 # An unterminated string extends to the end, so that matching takes linear
 # time.
-_STRING: Final = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*(?:"|\Z)', re.DOTALL)
+_STRING: Final = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*(?:"|\\?\Z)', re.DOTALL)
 _BRACKETS: Final = b'[]{}'
 _OTHER_BYTES: Final = bytes(set(range(256)) - set(_BRACKETS))
 _SAME_BRACKETS: Final = bytes.maketrans(b'{}', b'[]')
