Hold on to fewer heartbeats than an odd one is ahead

An odd but readable heartbeat with a sequence number up to 1,000 ahead hid the next 1,000 real ones, 18 minutes long. A delayed report is overtaken by as many as arrive in its delay of seconds, so 30 are enough. The test test_odd_heartbeat_stops_no_later_ones (900 ahead) failed before.

--- a/borageshelf/model/targets.py
+++ b/borageshelf/model/targets.py
@@ -7,7 +7,7 @@
 
 # A delayed report is overtaken by a few others. A greater difference comes
 # from a sequence number of another writer, which no later report would exceed.
-OVERTAKING_REPORTS_LIMIT: Final = 1_000
+OVERTAKING_REPORTS_LIMIT: Final = 30
 
 
 @dataclasses.dataclass(frozen=True)
