Request no longer lease from an executor that refuses inspections

A refused inspection counted as one that extends no lease, while each one requested a longer one. The first refused inspection now counts as effective, and the next ones request nothing.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -262,7 +262,9 @@
                 wait_ms = PACED_INSPECTION_WAIT_MS
             begun_at_ms = clock.read_elapsed_ms()
             extension = executor_lease.NO_EXTENSION
-            if not is_first:
+            # It is not certain that a refused inspection extends no lease, so
+            # the lease of an executor that refuses is let run out.
+            if not (is_first or self._is_refused):
                 extension = self._compute_lease_extension()
             if self._gone_cause is not None or self._unanswered_since_ms:
                 wait_ms = 0
@@ -336,11 +338,6 @@
         except task_executor.ExecutorUnavailable as error:
             is_without_effect = error.is_connection_refused
             raise
-        except task_executor.OrderRefused as error:
-            is_without_effect = (
-                error.outcome is task_executor.StartOutcome.UNHEALTHY
-            )
-            raise
         finally:
             self._lease.end_extension(extension, is_without_effect)
 
