Judge the pace of an adopted run by what its owner has seen

After a change of the owner the pace of a run was computed from its whole progress in the time since the takeover, so it seemed fast, and a slow run was stopped as stalled with all its work (found by the review).

--- a/borageshelf/decisions/stalls.py
+++ b/borageshelf/decisions/stalls.py
@@ -12,6 +12,8 @@
 # Progress is reported every 400 ms; a short run without progress in five
 # reports has stalled.
 BASE_LIMIT_MS: Final = 2_000
+# Nothing is known yet of the pace of a run that an earlier owner has started.
+ADOPTED_LIMIT_MS: Final = 8_000
 # A percent that takes so many times as long as the others is a stall.
 SLOW_PERCENT_FACTOR: Final = 4
 DOUBLINGS_LIMIT: Final = 6
@@ -21,7 +23,10 @@
 class Progress:
     """What a run has shown until its last progress.
 
-    :param worked_ms: time from its start to its last progress
+    :param worked_ms: time for which the owner has seen it work
+    :param gained_percent: progress in that time
+    :param progress_percent: all its progress; more than ``gained_percent`` if
+        an earlier owner has started it
     :param estimate_ms: estimated run time of the task
     :param keeps_work: whether the next run goes on from a checkpoint
     :param earlier_stalls: number of runs of the task that were stopped as
@@ -29,6 +34,7 @@
     """
 
     worked_ms: int
+    gained_percent: int
     progress_percent: int
     estimate_ms: int
     keeps_work: bool
@@ -41,13 +47,22 @@
     A run whose work would be lost is stopped only once it has stood still for
     as long as the lost work took: then the stop costs no more than the wait.
     """
-    duration_ms = progress.estimate_ms
-    if progress.progress_percent:
-        shown_ms = progress.worked_ms * 100 // progress.progress_percent
-        duration_ms = max(duration_ms, shown_ms)
+    percent_ms = progress.estimate_ms / 100
+    limit_ms = BASE_LIMIT_MS
+    if progress.gained_percent > 0:
+        shown_ms = progress.worked_ms / progress.gained_percent
+        percent_ms = max(percent_ms, shown_ms)
+        lost_ms = shown_ms * progress.progress_percent
+    elif progress.progress_percent:
+        limit_ms = ADOPTED_LIMIT_MS
+        lost_ms = percent_ms * progress.progress_percent
+    else:
+        lost_ms = 0.0
     doublings = min(progress.earlier_stalls, DOUBLINGS_LIMIT)
-    return max(
-        BASE_LIMIT_MS << doublings,
-        SLOW_PERCENT_FACTOR * duration_ms // 100,
-        0 if progress.keeps_work else progress.worked_ms,
+    return round(
+        max(
+            limit_ms << doublings,
+            SLOW_PERCENT_FACTOR * percent_ms,
+            0.0 if progress.keeps_work else lost_ms,
+        )
     )
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -38,6 +38,9 @@
     :ivar executor_hash: hash of the incarnation on which it was placed, or
         ``COUNTED_EXECUTOR_HASH``
     :ivar progress_at_ms: elapsed time of the last change of the progress
+    :ivar watched_since_ms: elapsed time since which this owner sees its pace
+    :ivar watched_from_percent: its progress at that time; None if its pace is
+        not known yet
     :ivar slow_since_ms: elapsed time since which the run is throttled below
         the limit of slow runs, or 0
     """
@@ -56,6 +59,8 @@
         'started_at_ms',
         'target_id',
         'task',
+        'watched_from_percent',
+        'watched_since_ms',
     )
 
     def __init__(
@@ -67,6 +72,8 @@
         self.started_at_ms = started_at_ms
         self.progress_percent = 0
         self.progress_at_ms = started_at_ms
+        self.watched_since_ms = started_at_ms
+        self.watched_from_percent: int | None = 0
         self.slow_since_ms = 0
         self.is_sent = False
         self.is_confirmed = False
@@ -396,6 +403,12 @@
         """Record the progress that a run has reported."""
         if not run.task.is_done:
             run.task.group.running_percent += percent - run.progress_percent
+        if run.watched_from_percent is None and (
+            0 < run.progress_percent != percent
+        ):
+            # Only between two changes is it known what a percent takes.
+            run.watched_since_ms = now_ms
+            run.watched_from_percent = percent
         run.progress_percent = percent
         run.progress_at_ms = now_ms
 
@@ -522,6 +535,7 @@
                 run = Run(task, stored.attempt, stored.target_id, now_ms)
                 run.is_sent = True
                 run.is_restored = True
+                run.watched_from_percent = None
                 run.is_isolated = task.crash_history.is_suspect
                 run.executor_hash = stored.executor_hash
                 self._append_run(run)
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -35,6 +35,8 @@
 COMMIT_ENTRIES_LIMIT: Final = 30
 # A target that refused a start is tried again after one report interval.
 START_REFUSAL_PAUSE_MS: Final = 400
+# The first percent that a new owner sees may have begun long before.
+MIN_GAINED_PERCENT: Final = 2
 # Reserved for the stop of a checkpointing task, which takes up to 900 ms (site
 # files).
 CHECKPOINT_STOP_MS: Final = 1_200
@@ -1305,9 +1307,15 @@
 def _find_stall_limit_ms(run: jobs.Run) -> int:
     """Return the time without progress after which a run has stalled."""
     group = run.task.group
+    gained_percent = 0
+    if run.watched_from_percent is not None:
+        gained_percent = run.progress_percent - run.watched_from_percent
+        if run.is_restored and gained_percent < MIN_GAINED_PERCENT:
+            gained_percent = 0
     return stalls.compute_stall_limit_ms(
         stalls.Progress(
-            max(run.progress_at_ms - run.started_at_ms, 0),
+            max(run.progress_at_ms - run.watched_since_ms, 0),
+            gained_percent,
             run.progress_percent,
             group.get_estimate_ms(),
             group.step.is_checkpointing,
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -86,7 +86,9 @@
 ) -> int:
     """Return the limit of a run whose estimate is one second."""
     return stalls.compute_stall_limit_ms(
-        stalls.Progress(worked_ms, percent, 1_000, keeps_work, earlier_stalls)
+        stalls.Progress(
+            worked_ms, percent, percent, 1_000, keeps_work, earlier_stalls
+        )
     )
 
 
