Count a crash of an executor once, however often it is reported

An agent reports one crash again with the announcement of the next incarnation and in each session. Tests in test_waits_of_work.py failed before: a crash that is reported twice, and the messages of the real agent.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -426,6 +426,7 @@
             runs=len(target.runs),
         )
         measurements.EXECUTORS_GONE.labels(gone.cause.value).inc()
+        is_repeated = target.gone_incarnation == gone.incarnation
         target.gone_incarnation = gone.incarnation
         gone_hash = targets.hash_incarnation(gone.incarnation)
         lost = [run for run in target.runs.values() if run.is_sent]
@@ -445,7 +446,8 @@
                 )
             ]
             crashed_at_ms = moment.elapsed_ms - gone.silent_ms
-            self._handle_crash(target, crashed, crashed_at_ms, moment)
+            if crashed or not is_repeated:
+                self._handle_crash(target, crashed, crashed_at_ms, moment)
         for run in lost:
             key = (run.task.name, run.attempt)
             is_of_incarnation = run.executor_hash == gone_hash or (
