Believe the end of an open order only from an agent in touch

A run whose order was open at a crash is dropped once the order has expired, as its agent would report a new incarnation.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -696,7 +696,10 @@
         is_attached = target.session != targets.UNATTACHED
         if is_attached and is_back:
             return
-        if not is_attached and moment.elapsed_ms < target.lost_deadline_ms:
+        # A silent agent may not have seen that the executor is back.
+        silent_ms = moment.elapsed_ms - target.contact_at_ms
+        is_in_touch = is_attached and silent_ms <= REPORT_GAP_LIMIT_MS
+        if not is_in_touch and moment.elapsed_ms < target.lost_deadline_ms:
             return
         for key, unproved in list(target.unproved_runs.items()):
             if moment.elapsed_ms >= unproved.expiry_ms:
