Pause a target that refuses starts again and again for any reason

Agents refuse starts after a second without a grant or a recent announcement. The second refusal within 10 s now pauses the target like one that is unhealthy. Besides, a pause after failures is no longer taken for one after a stall.

--- a/borageshelf/decisions/target_health.py
+++ b/borageshelf/decisions/target_health.py
@@ -38,6 +38,7 @@
     :param suspect_deadline_ms: elapsed time until which the target gets no
         work
     :param pause_ms: length of the latest pause, 0 before the first
+    :param has_refused: whether the target has refused a start
     :param is_stalled: whether runs that stood still caused the latest pause
     """
 
@@ -45,6 +46,7 @@
     suspect_deadline_ms: int = 0
     pause_ms: int = 0
     memory_deadline_ms: int = 0
+    has_refused: bool = False
     is_stalled: bool = False
 
     def is_suspect(self, now_ms: int) -> bool:
@@ -95,10 +97,29 @@
     return health if health.is_suspect(now_ms) else _pause(health, now_ms)
 
 
+def record_repeated_refusal(health: Health, now_ms: int) -> Health:
+    """Return the health after a start was refused for another reason.
+
+    The first refusal is only remembered.
+    """
+    health = _forget(health, now_ms)
+    if health.is_suspect(now_ms):
+        return health
+    if health.has_refused:
+        return _pause(health, now_ms)
+    return dataclasses.replace(
+        health,
+        has_refused=True,
+        memory_deadline_ms=_remember_until(health, now_ms),
+    )
+
+
 def record_stall(health: Health, now_ms: int) -> Health:
     """Return the health after a run that made no progress."""
-    health = dataclasses.replace(_forget(health, now_ms), is_stalled=True)
-    return health if health.is_suspect(now_ms) else _pause(health, now_ms)
+    health = _forget(health, now_ms)
+    if not health.is_suspect(now_ms):
+        health = _pause(health, now_ms)
+    return dataclasses.replace(health, is_stalled=True)
 
 
 def record_crash(health: Health, now_ms: int) -> Health:
@@ -120,7 +141,10 @@
 ) -> Health:
     pause_ms = min(max(2 * health.pause_ms, BASE_PAUSE_MS), limit_ms)
     paused = dataclasses.replace(
-        health, suspect_deadline_ms=now_ms + pause_ms, pause_ms=pause_ms
+        health,
+        suspect_deadline_ms=now_ms + pause_ms,
+        pause_ms=pause_ms,
+        is_stalled=False,
     )
     return dataclasses.replace(
         paused, memory_deadline_ms=_remember_until(paused, now_ms)
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -587,6 +587,17 @@
                 'a start was refused as unhealthy',
                 moment,
             )
+        else:
+            # Other reasons, too, may hold for every start, so that a task
+            # would go round among such targets.
+            self._change_health(
+                target,
+                target_health.record_repeated_refusal(
+                    target.health, moment.elapsed_ms
+                ),
+                'starts are refused again and again',
+                moment,
+            )
         target.refusal_deadline_ms = moment.elapsed_ms + START_REFUSAL_PAUSE_MS
         self._break_gang(run.task)
 
