Count a workflow as idle only while a step of it may run

A timed occurrence was overdue as soon as it was due, because its workflow counted as idle from the acceptance on, and spent an attempt on a paused target at once (found by the review). test_due_occurrence_does_not_begin_as_an_overdue_one failed before.

--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -107,13 +107,13 @@
         self._fleet.refresh(now_ms)
         waiting = []
         for job in active_jobs.values():
-            if job.live_runs:
-                job.idle_since_ms = now_ms
             groups = [
                 group
                 for group in job.groups
                 if group.waiting_count and job.is_ready(group, moment.wall_ms)
             ]
+            if job.live_runs or not groups:
+                job.idle_since_ms = now_ms
             for group in groups:
                 group.note_ready(now_ms)
             if groups:
