Bound the time of a pass over overdue tasks; place gangs and lasting fillers

At 460 paused targets a pass over 1,600 overdue lasting tasks took 3.6 to 6.7 s, in which agents leave the owner: each task was compared with each withheld target. A pass now places 100 tasks at most, each on the next withheld target with room, and looks for room in vain 5 times at most; a step that fitted nowhere is tried again after 1 s.

Gangs were left out, so that a workflow with one had no run for 10 s, and a lasting filler whose siblings run was never placed where it disturbs.

--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -191,6 +191,8 @@
     :ivar running_percent: sum of the progress of the runs of unfinished tasks
     :ivar misfit: the last choice of a target that found none, or None
     :ivar suspects: tasks that are suspected of crashing executors
+    :ivar overdue_misfit_deadline_ms: elapsed time from which room on withheld
+        targets is looked for again
     """
 
     __slots__ = (
@@ -199,6 +201,7 @@
         'job',
         'misfit',
         'occurrence',
+        'overdue_misfit_deadline_ms',
         'running_percent',
         'step',
         'step_number',
@@ -226,6 +229,7 @@
         self.running_percent = 0
         self.misfit: Misfit | None = None
         self.suspects: list[Task] = []
+        self.overdue_misfit_deadline_ms = 0
 
     def note_ready(self, now_ms: int) -> None:
         """Note that the tasks may start; before, they did not wait."""
--- a/borageshelf/workflows/overdue.py
+++ b/borageshelf/workflows/overdue.py
@@ -10,11 +10,13 @@
 Part of the owner's core; does no I/O.
 """
 
+import collections
 from collections import abc
-from typing import Any, Final
+from typing import Final, Protocol
 
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_placement
+from borageshelf.model import workflows
 from borageshelf.workflows import fleet
 from borageshelf.workflows import jobs
 from borageshelf.workflows import targets
@@ -27,76 +29,204 @@
 # A task is not tried again on withheld targets sooner than this.
 RETRY_INTERVAL_MS: Final = 2_000
 PASS_INTERVAL_MS: Final = 200
+# Limit the time of a pass on a large fleet.
+PLACEMENTS_LIMIT: Final = 100
+MISFITS_LIMIT: Final = 5
+# A group that fitted nowhere leaves the other groups their turn.
+MISFIT_PAUSE_MS: Final = 1_000
 # A run that has lasted for this long shows that its target is sound.
 SOUND_RUN_MS: Final = 2_000
 
-PlaceTask = abc.Callable[[jobs.Task, targets.Target, int], jobs.Run]
+# Prefix of the score of a target that is neither avoided nor in another rack.
+_PREFERRED: Final = (0.0, 0.0)
 
 
-class OverduePlacer:
-    """Finds overdue tasks, and targets for them among the withheld ones.
+class Placer(Protocol):
+    """Carries out placements."""
 
-    :param place: places a task on a target
-    :param predict_latency_share: used for fillers only
-    """
+    def add_run(
+        self, task: jobs.Task, target: targets.Target, now_ms: int
+    ) -> jobs.Run:
+        """Add the next attempt of a task to a target."""
 
-    def __init__(
-        self,
-        known_fleet: fleet.Fleet,
-        place: PlaceTask,
-        predict_latency_share: workflow_placement.LatencyPredictor,
+    def withdraw_run(
+        self, run: jobs.Run, target: targets.Target, now_ms: int
     ) -> None:
+        """Undo ``add_run``."""
+
+    def order_start(self, run: jobs.Run) -> None:
+        """Order the start of an added run."""
+
+    def predict_latency_share(
+        self,
+        step: workflows.Step,
+        target: workflow_placement.Target,
+    ) -> float:
+        """Predict the latency of a target with one more filler."""
+
+
+class _Pool:
+    """Withheld targets of one service, those that were tried least first.
+
+    :ivar paused: targets that failed, refused or stalled work
+    :ivar kept_free: targets that are held or isolated for a suspected task
+    """
+
+    def __init__(self) -> None:
+        self.paused: collections.deque[targets.Target] = collections.deque()
+        self.kept_free: collections.deque[targets.Target] = collections.deque()
+
+
+class OverduePlacer:
+    """Finds overdue tasks, and targets for them among the withheld ones."""
+
+    def __init__(self, known_fleet: fleet.Fleet, placer: Placer) -> None:
         self._fleet = known_fleet
-        self._place = place
-        self._predict_latency_share = predict_latency_share
+        self._placer = placer
         self._next_pass_ms = 0
-        # The withheld targets of each service, and how many tasks have been
-        # placed on each target, in the current pass.
-        self._withheld: dict[str, list[targets.Target]] = {}
-        self._placed_counts: dict[str, int] = {}
+        # The withheld targets of each service, and what the current pass may
+        # still do.
+        self._pools: dict[str, _Pool] = {}
+        self._placements_left = 0
+        self._misfits_left = 0
         # Runs on paused targets that have not lasted long enough yet.
         self._probes: list[tuple[jobs.Run, targets.Target]] = []
 
     def begin_pass(self, now_ms: int) -> None:
         """Begin a scheduling pass; most passes leave overdue tasks out."""
-        self._withheld = {}
-        self._placed_counts = {}
+        self._pools = {}
         if now_ms < self._next_pass_ms:
             return
         self._next_pass_ms = now_ms + PASS_INTERVAL_MS
+        self._placements_left = PLACEMENTS_LIMIT
+        self._misfits_left = MISFITS_LIMIT
         self._end_pauses(now_ms)
-        for target in self._fleet.targets.values():
-            if target.is_withheld(now_ms):
-                self._withheld.setdefault(target.service, []).append(target)
+        withheld = [
+            target
+            for target in self._fleet.targets.values()
+            if target.is_withheld(now_ms)
+        ]
+        withheld.sort(
+            key=lambda target: (
+                target.refusal_deadline_ms,
+                target.health.suspect_deadline_ms,
+            )
+        )
+        for target in withheld:
+            pool = self._pools.setdefault(target.service, _Pool())
+            if target.is_kept_free(now_ms):
+                pool.kept_free.append(target)
+            else:
+                pool.paused.append(target)
 
     def place_group(self, group: jobs.Group, now_ms: int) -> bool:
         """Place the overdue tasks of a group whose turn has come.
 
         :return: whether any was placed
         """
-        candidates = self._withheld.get(group.job.terms.service)
-        if not candidates:
+        pool = self._pools.get(group.job.terms.service)
+        if (
+            pool is None
+            or self._placements_left <= 0
+            or self._misfits_left <= 0
+            or now_ms < group.overdue_misfit_deadline_ms
+        ):
+            return False
+        overdue = _list_overdue_tasks(group, now_ms)
+        if not overdue:
             return False
-        is_any_placed = False
-        for task in _list_overdue_tasks(group, now_ms):
-            target = self._choose(task, candidates, now_ms)
+        placed = self._place(group, overdue, pool, now_ms)
+        if len(placed) < len(overdue):
+            if self._placements_left > 0:
+                self._misfits_left -= 1
+                group.overdue_misfit_deadline_ms = now_ms + MISFIT_PAUSE_MS
+            if group.step.is_gang:
+                for run, target in placed:
+                    self._placer.withdraw_run(run, target, now_ms)
+                return False
+        for run, target in placed:
+            self._placer.order_start(run)
+            self._probes.append((run, target))
+            run.task.overdue_retry_deadline_ms = now_ms + RETRY_INTERVAL_MS
+        return bool(placed)
+
+    def _place(
+        self,
+        group: jobs.Group,
+        overdue: abc.Sequence[jobs.Task],
+        pool: _Pool,
+        now_ms: int,
+    ) -> list[tuple[jobs.Run, targets.Target]]:
+        """Add runs of the overdue tasks, as far as there is room.
+
+        Tasks are spread over the targets, as it is not known which of them are
+        sound. Targets that are kept free for a suspected task come last, and
+        only lasting tasks start there: other tasks share the blame for a
+        crash, which may end their workflow.
+        """
+        queues = [pool.paused]
+        if group.step.is_gang:
+            # Its members need room together, also on targets in use.
+            index = self._fleet.get_index(group.job.terms.service)
+            usable = (
+                self._fleet.targets[target.target_id]
+                for target in index.list_targets()
+            )
+            queues.insert(0, collections.deque(usable))
+        # The rules ask for a run only where two targets have room.
+        if group.step.is_lasting and len(self._fleet.targets) > 1:
+            queues.append(pool.kept_free)
+        sibling_counts = group.count_runs_by_target()
+        placed: list[tuple[jobs.Run, targets.Target]] = []
+        for task in overdue:
+            if self._placements_left <= 0:
+                break
+            request = workflow_placement.PlacementRequest(
+                group.step, sibling_counts, task.avoided, is_overdue=True
+            )
+            target = self._choose(request, queues)
             if target is None:
                 # Tasks of a step have the same size.
                 break
-            task.overdue_retry_deadline_ms = now_ms + RETRY_INTERVAL_MS
-            self._placed_counts[target.target_id] = (
-                self._placed_counts.get(target.target_id, 0) + 1
+            self._placements_left -= 1
+            run = self._placer.add_run(task, target, now_ms)
+            sibling_counts[target.target_id] = (
+                sibling_counts.get(target.target_id, 0) + 1
             )
-            run = self._place(task, target, now_ms)
-            self._probes.append((run, target))
-            is_any_placed = True
-        return is_any_placed
+            placed.append((run, target))
+        return placed
+
+    def _choose(
+        self,
+        request: workflow_placement.PlacementRequest,
+        queues: abc.Iterable[collections.deque[targets.Target]],
+    ) -> targets.Target | None:
+        """Return the next target with room, or None.
+
+        One on which the task has failed is the last choice of its queue.
+        """
+        for queue in queues:
+            fallback = None
+            for position, target in enumerate(queue):
+                score = workflow_placement.compute_score(
+                    request, target, self._placer.predict_latency_share
+                )
+                if score is None:
+                    continue
+                if score[:2] == _PREFERRED:
+                    queue.rotate(-position - 1)
+                    return target
+                fallback = fallback or target
+            if fallback is not None:
+                return fallback
+        return None
 
     def _end_pauses(self, now_ms: int) -> None:
         """End the pauses of targets on which an overdue task goes on."""
         probes, self._probes = self._probes, []
         for run, target in probes:
-            if run.attempt not in run.task.runs:
+            is_over = run.attempt not in run.task.runs
+            if is_over or not target.health.is_suspect(now_ms):
                 continue
             if not (
                 target.is_ready
@@ -108,51 +238,13 @@
             target.health = target_health.record_lasting_run(target.health)
             self._fleet.touch(target)
 
-    def _choose(
-        self,
-        task: jobs.Task,
-        candidates: abc.Iterable[targets.Target],
-        now_ms: int,
-    ) -> targets.Target | None:
-        """Return the target that is likeliest to run a task, or None.
 
-        Tasks are spread over the targets, as it is not known which of them are
-        sound. Those kept free for a suspected task come last, and only lasting
-        tasks start there: other tasks share the blame for a crash, which may
-        end their workflow.
-        """
-        is_lasting = task.group.step.is_lasting
-        request = workflow_placement.PlacementRequest(
-            task.group.step,
-            task.group.count_runs_by_target(),
-            task.avoided,
-            is_overdue=True,
-        )
-        best: targets.Target | None = None
-        best_rank: tuple[Any, ...] = ()
-        for target in candidates:
-            score = workflow_placement.compute_score(
-                request, target, self._predict_latency_share
-            )
-            is_kept_free = target.is_held(now_ms) or target.isolated_run
-            if (
-                score is None
-                or not target.is_withheld(now_ms)
-                or (is_kept_free and not is_lasting)
-            ):
-                continue
-            rank = (
-                target.isolated_run is not None,
-                target.is_held(now_ms),
-                target.target_id in task.avoided,
-                self._placed_counts.get(target.target_id, 0),
-                target.refusal_deadline_ms,
-                target.health.suspect_deadline_ms,
-                score,
-            )
-            if best is None or rank < best_rank:
-                best, best_rank = target, rank
-        return best
+def is_overdue(task: jobs.Task, now_ms: int) -> bool:
+    """Tell whether a lasting task has waited too long for a run."""
+    return (
+        task.is_waiting
+        and now_ms - task.waiting_since_ms >= LASTING_WAIT_LIMIT_MS
+    )
 
 
 def _list_overdue_tasks(
@@ -161,7 +253,11 @@
     """Return the tasks of a ready group that withheld targets should run."""
     step = group.step
     job = group.job
-    if step.is_gang:
+    is_idle = (
+        not job.live_runs
+        and now_ms - job.idle_since_ms >= WORKFLOW_WAIT_LIMIT_MS
+    )
+    if not (step.is_lasting or is_idle):
         return ()
     waiting = [
         task
@@ -170,15 +266,15 @@
         and not task.awaits_isolation(now_ms)
         and now_ms >= task.overdue_retry_deadline_ms
     ]
-    if step.is_lasting:
-        return [
-            task
-            for task in waiting
-            if now_ms - task.waiting_since_ms >= LASTING_WAIT_LIMIT_MS
-        ]
-    if job.live_runs or now_ms - job.idle_since_ms < WORKFLOW_WAIT_LIMIT_MS:
+    if step.is_gang and len(waiting) < len(group.tasks):
         return ()
-    # A single run is enough, and it must not cost the last attempt of a task.
+    if step.is_lasting:
+        overdue = [task for task in waiting if is_overdue(task, now_ms)]
+        return waiting if step.is_gang and overdue else overdue
+    # A run on a withheld target must not cost the last attempt of a task.
     limit = job.terms.attempts_limit - 1
     spared = [task for task in waiting if task.failures < limit]
+    if step.is_gang:
+        return waiting if len(spared) == len(waiting) else ()
+    # A single run is enough.
     return sorted(spared, key=lambda task: task.failures)[:1]
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -49,9 +49,7 @@
         self._fleet = known_fleet
         self._crash_tracker = crash_tracker
         self._set_aside = set_aside
-        self._overdue_placer = overdue.OverduePlacer(
-            known_fleet, self._place_task, self._predict_latency_share
-        )
+        self._overdue_placer = overdue.OverduePlacer(known_fleet, self)
         self.filler_effects = filler_effects.FillerEffects()
         # Effects and latencies that placement uses until the next refresh.
         self._placement_effects = filler_effects.FillerEffects()
@@ -207,7 +205,8 @@
         target = self._choose_for_isolation(task, now_ms)
         if target is None:
             return False
-        run = self._place_task(task, target, now_ms)
+        run = self.add_run(task, target, now_ms)
+        self.order_start(run)
         self._crash_tracker.isolate(target, run, now_ms)
         self._fleet.reindex(target, now_ms)
         return True
@@ -302,7 +301,9 @@
                 ranked.append((rank, target))
         return ranked
 
-    def _add_run(
+    # Interface ``overdue.Placer``.
+
+    def add_run(
         self, task: jobs.Task, target: targets.Target, now_ms: int
     ) -> jobs.Run:
         """Add the next attempt of a task to a target."""
@@ -311,18 +312,28 @@
         target.add_run(run)
         if task.group.step.is_lasting:
             self._crash_tracker.watch_lasting_run(run)
+        self._fleet.reindex(target, now_ms)
         return run
 
-    def _place_task(
-        self, task: jobs.Task, target: targets.Target, now_ms: int
-    ) -> jobs.Run:
-        """Place a task that is no member of a gang on a target."""
-        run = self._add_run(task, target, now_ms)
+    def withdraw_run(
+        self, run: jobs.Run, target: targets.Target, now_ms: int
+    ) -> None:
+        """Undo ``add_run``."""
+        target.remove_run(run)
         self._fleet.reindex(target, now_ms)
-        task.group.job.effects.append(
-            effects.SendStart(target.target_id, task.name, run.attempt)
+        run.task.group.job.withdraw_run(run)
+
+    def order_start(self, run: jobs.Run) -> None:
+        """Order the start of an added run after the next commit."""
+        run.task.group.job.effects.append(
+            effects.SendStart(run.target_id, run.task.name, run.attempt)
         )
-        return run
+
+    def predict_latency_share(
+        self, step: workflows.Step, target: workflow_placement.Target
+    ) -> float:
+        """Predict the highest latency on a target with one more filler."""
+        return self._predict_latency_share(step, target)
 
     def _place_group(self, group: jobs.Group, moment: clock.Moment) -> bool:
         """Place the waiting tasks of a group; tell whether any was placed."""
@@ -334,6 +345,13 @@
             not job.live_runs
             and now_ms - job.idle_since_ms > IDLE_WORKFLOW_LIMIT_MS
         )
+        # The rules ask for a run of each lasting task.
+        is_lasting_overdue = (
+            group.step.is_filler
+            and group.step.is_lasting
+            and any(overdue.is_overdue(task, now_ms) for task in group.tasks)
+        )
+        is_overdue = is_overdue or is_lasting_overdue
         misfit = group.misfit
         if misfit is not None and not self._is_valid(
             misfit, group, is_overdue
@@ -356,7 +374,7 @@
                 sibling_counts,
                 task.avoided,
                 self._get_sibling_rack(group, sibling_counts),
-                is_overdue and not job.live_runs,
+                is_lasting_overdue or (is_overdue and not job.live_runs),
             )
             predict = (
                 self._predict_latency_share
@@ -377,22 +395,17 @@
                     request.is_overdue,
                 )
                 break
-            run = self._add_run(task, target, now_ms)
-            self._fleet.reindex(target, now_ms)
+            run = self.add_run(task, target, now_ms)
             sibling_counts[target.target_id] = (
                 sibling_counts.get(target.target_id, 0) + 1
             )
             placed.append((run, target))
         if group.step.is_gang and len(placed) < group.step.count:
             for run, target in placed:
-                target.remove_run(run)
-                self._fleet.reindex(target, now_ms)
-                job.withdraw_run(run)
+                self.withdraw_run(run, target, now_ms)
             return False
-        for run, target in placed:
-            job.effects.append(
-                effects.SendStart(target.target_id, run.task.name, run.attempt)
-            )
+        for run, _ in placed:
+            self.order_start(run)
         return bool(placed)
 
     def _is_valid(
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -130,6 +130,10 @@
         """Tell whether the target is kept free for a suspected task."""
         return now_ms < self.hold_deadline_ms
 
+    def is_kept_free(self, now_ms: int) -> bool:
+        """Tell whether the target is held or isolated for a suspect."""
+        return self.isolated_run is not None or self.is_held(now_ms)
+
     def can_accept_suspect(self, now_ms: int) -> bool:
         """Tell whether a suspected task may be placed here now."""
         return self.isolated_run is None and self.can_accept_sibling_suspect(
