Let a new agent wait for its predecessor's grant, not for the longest lease

LOST allows 7 s.

The former process requested no lease beyond its grant, which is 5.5 s at most, so the new one waits for that: 5.8 to 6.7 s (computed). The deadline is a time on the executor's clock, so an order that arrives late extends nothing either.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -57,7 +57,7 @@
 
     :param send: sends a message to the owner, if there is a stream
     :param request_session: asks the owner for a new session
-    :param lease_limit_ms: longest lease that the executor accepts
+    :param former_grant_ms: longest grant of a former process of this agent
     """
 
     def __init__(
@@ -66,7 +66,7 @@
         event_log: events.EventLog,
         send: abc.Callable[[messages.AnyMessage], None],
         request_session: abc.Callable[[], None],
-        lease_limit_ms: int,
+        former_grant_ms: int,
     ) -> None:
         self._executor = executor
         self._event_log = event_log
@@ -77,7 +77,7 @@
         self._is_ready = False
         self._grant_ms = 0
         self._grant_deadline_ms = 0
-        self._lease = executor_lease.ExecutorLease(lease_limit_ms)
+        self._lease = executor_lease.ExecutorLease(former_grant_ms)
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
--- a/borageshelf/agent/workflows/executor_lease.py
+++ b/borageshelf/agent/workflows/executor_lease.py
@@ -51,15 +51,12 @@
 class ExecutorLease:
     """Computes the extensions of a lease, and when it has certainly ended.
 
-    :param limit_ms: longest lease that the executor accepts
+    :param former_grant_ms: grant under which a former process of this agent
+        may have extended the lease just before this process started
     """
 
-    def __init__(self, limit_ms: int) -> None:
-        # A former process of this agent may have extended the lease just
-        # before this process started.
-        self._end_running_ms = clock.read_running_ms() + round(
-            limit_ms / SLOWEST_CLOCK_RATIO
-        )
+    def __init__(self, former_grant_ms: int) -> None:
+        self._end_running_ms = clock.read_running_ms() + former_grant_ms
         self._open_extensions: list[Extension] = []
         self.clock_reading: ClockReading | None = None
 
--- a/borageshelf/agent/workflows/process.py
+++ b/borageshelf/agent/workflows/process.py
@@ -17,6 +17,7 @@
 from borageshelf.ports import task_executor
 from borageshelf import settings_follower
 from borageshelf.workflows import messages
+from borageshelf.workflows import policy
 
 
 class RegistrationSite(Protocol):
@@ -68,7 +69,7 @@
             event_log,
             self._owner_link.send,
             self._owner_link.request_session,
-            settings.executor_lease_limit_ms,
+            policy.make_policy(settings).grant_ms,
         )
         self._owner_link.driver = self._driver
         self._site = make_site(
