Take a list of runs that can't be read for no answer

An executor's list with a field of another type, an unknown kind of end in an unhashable form, or very deep nesting raised ValueError, TypeError or RecursionError in the agent's session, which began anew every 0.2 s. Such an inspection counted neither as unanswered nor as refused, so the end of the lease was never judged and the owner kept the runs for as long.

All errors of decoding an answer now mean that there was none.

--- a/borageshelf/platform/executor.py
+++ b/borageshelf/platform/executor.py
@@ -17,6 +17,15 @@
 # An executor lists this many ended runs at a time, the oldest first.
 LISTED_ENDS_LIMIT: Final = 500
 
+# Errors of an answer that is not what the platform describes.
+_UNREADABLE: Final = (
+    msgspec.MsgspecError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 _END_KINDS: Final = {
     'done': task_executor.EndKind.DONE,
     'failed': task_executor.EndKind.FAILED,
@@ -153,7 +162,7 @@
                 tuple(_decode_ended_run(row) for row in inspected.ended_runs),
                 len(inspected.ended_runs) < LISTED_ENDS_LIMIT,
             )
-        except (msgspec.MsgspecError, IndexError, KeyError) as error:
+        except _UNREADABLE as error:
             raise task_executor.ExecutorUnavailable(repr(error)) from error
 
     async def pace(
@@ -206,7 +215,7 @@
     if answer.status == 409:
         try:
             refusal = msgspec.json.decode(answer.body, type=_Refusal)
-        except msgspec.MsgspecError:
+        except _UNREADABLE:
             return task_executor.StartOutcome.INVALID
         return _REFUSED_OUTCOMES.get(
             refusal.reason, task_executor.StartOutcome.INVALID
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -2,19 +2,52 @@
 
 import asyncio
 import json
+from typing import Any
 
 import pytest
 
 from borageshelf import errors
 from borageshelf.model import resources
 from borageshelf.platform import documents
+from borageshelf.platform import executor as platform_executor
 from borageshelf.platform import store as store_adapter
+from borageshelf.ports import http_client
 from borageshelf.ports import store as store_interface
+from borageshelf.ports import task_executor
 from standins import memory_store
 from standins import platform_store
 from tests import loopback
 
 
+@pytest.mark.parametrize(
+    'content',
+    [
+        '"Running":[["t","x","",0]],"EndedRuns":[]',
+        '"Running":[["t",1,"",null]],"EndedRuns":[]',
+        '"Running":[["t",1,"",1e400]],"EndedRuns":[]',
+        '"Running":[["t",1]],"EndedRuns":[]',
+        '"Running":[],"EndedRuns":[[1,"t",1,"vanished",""]]',
+        '"Running":[],"EndedRuns":[[1,"t",1,[],""]]',
+        '"Running":[],"EndedRuns":[],"Odd":' + '[' * 5_000 + ']' * 5_000,
+    ],
+)
+def test_unreadable_list_of_runs_counts_as_no_answer(
+    content: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an agent that fails instead of judging the lease."""
+
+    async def send(*arguments: Any) -> http_client.Answer:
+        return http_client.Answer(200, f'{{"ClockMs":1,{content}}}'.encode())
+
+    async def check() -> None:
+        executor = platform_executor.PlatformExecutor('127.0.0.1:1')
+        monkeypatch.setattr(executor, '_send', send)
+        with pytest.raises(task_executor.ExecutorUnavailable):
+            await executor.inspect('i-1', 1, 0, 0, 0)
+
+    loopback.run(check())
+
+
 def test_store_calls() -> None:
     """Guards against a call that the platform's store reads differently."""
 
