Go on in a new session after a failure of the agent's session

test_failed_session_takes_no_second_snapshot_under_its_token failed before (no session was requested). The model search and the tests of the driver pass (1 min 31 s).

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -189,9 +189,21 @@
         self._background.start(former_tasks.stop())
         self._session_tasks.start_with_restarts(
             lambda: self._run_session(welcome.token),
-            self._event_log.record_failure,
+            self._handle_session_failure,
         )
 
+    def _handle_session_failure(self, error: Exception) -> None:
+        """Go on in a new session, whose token voids the orders of this one."""
+        self._event_log.record_failure(error)
+        self.end_session()
+        self._background.start(self._request_session_later())
+
+    async def _request_session_later(self) -> None:
+        """Request a session after a pause, as the next one may fail too."""
+        await asyncio.sleep(loop.RESTART_DELAY_MS / 1000)
+        if not self._token:
+            self._request_session()
+
     def end_session(self) -> None:
         """End the session.
 
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -417,6 +417,29 @@
     run_scenario(scenario)
 
 
+def test_failed_session_takes_no_second_snapshot_under_its_token(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a snapshot that a start of the same session follows."""
+
+    async def fail(*arguments: Any) -> task_executor.Inspection:
+        monkeypatch.undo()
+        raise RuntimeError
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 100
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        monkeypatch.setattr(harness.executor, 'inspect', fail)
+        await harness.wait_until(lambda: harness.requested_sessions == 2)
+        await asyncio.sleep(0.4)
+        assert len(harness.list_sent(messages.Snapshot)) == 1
+        assert len(harness.executor.starts) == 1
+
+    run_scenario(scenario)
+
+
 def test_start_above_the_capacity_is_refused() -> None:
     """Guards against an overloaded executor if the owner miscounts."""
 
