Report a lasting run once after an inspection has listed it

When a new process of the agent then found that its executor had gone, the run counted as one whose order may still be open: its task waited for a grant after the agent's start if nothing listened, and for two (11.8 s, computed) if the executor was silent. The lines `workflow idle` called it a run that no target lists.

The agent now reports a lasting run once after its first listing, unless a try of its start is open.

test_lasting_run_is_reported_once_after_it_was_listed failed before.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -235,10 +235,8 @@
                 self._reported_state = state
         rows = tuple(
             _make_row(run.row, run.pace_percent)
-            for run in self._runs.values()
+            for run in self._take_reported_runs()
             if run.row is not None
-            and not run.terms.is_lasting
-            and self._is_inspection_recent()
         )
         self._send(
             messages.Report(
@@ -251,6 +249,24 @@
             )
         )
 
+    def _take_reported_runs(self) -> list[runs.AgentRun]:
+        """Return the runs whose progress the owner is to learn.
+
+        A lasting run is reported once, so that the owner knows it was listed.
+        """
+        if not self._is_inspection_recent():
+            return []
+        reported = []
+        for run in self._runs.values():
+            if not run.terms.is_lasting:
+                reported.append(run)
+            elif run.row is not None and not (
+                run.is_reported or run.open_tries
+            ):
+                run.is_reported = True
+                reported.append(run)
+        return reported
+
     def _is_inspection_recent(self) -> bool:
         """Tell whether the known progress is recent enough to be reported.
 
@@ -368,6 +384,7 @@
                 )
             run.state = runs.RunState.RUNNING
             run.row = row
+            run.is_reported = True
             run.may_have_arrived = True
             run.confirmed_at_ms = clock.read_elapsed_ms()
             self._runs[key] = run
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -29,6 +29,7 @@
     :ivar ordered_at_running_ms: when the last try was sent, on the clock
         without suspensions
     :ivar row: the run in the last inspection that listed it
+    :ivar is_reported: whether a snapshot or a report has contained it
     :ivar refusal_reason: reported to the owner if the run does not exist
     :ivar is_unhealthy: whether that report calls the executor unhealthy
     """
@@ -48,6 +49,7 @@
         self.ordered_at_running_ms = 0
         self.pace_percent = pacing.FULL_PACE_PERCENT
         self.row: task_executor.RunningTask | None = None
+        self.is_reported = False
         self.refusal_reason = 'absent'
         self.is_unhealthy = False
 
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -417,6 +417,32 @@
     run_scenario(scenario)
 
 
+def test_lasting_run_is_reported_once_after_it_was_listed() -> None:
+    """Guards against a lasting run whose end no new agent can prove."""
+
+    async def scenario(harness: DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.lost_starts = 1
+        harness.executor.applies_lost_starts = True
+        harness.start(task=f'{ID}.0.0.0', is_lasting=True)
+        harness.start(task=f'{ID}.0.0.1', is_lasting=True)
+        await harness.wait_until(lambda: len(harness.executor.running) == 2)
+        await harness.wait_until(
+            lambda: all(run.row for run in harness.driver._runs.values())
+        )
+        for _ in range(3):
+            harness.driver.send_report()
+        rows = [
+            row.task
+            for report in harness.list_sent(messages.Report)
+            for row in report.rows
+        ]
+        # An open try of the other one may reach the next incarnation.
+        assert rows == [f'{ID}.0.0.1']
+
+    run_scenario(scenario)
+
+
 def test_failed_session_takes_no_second_snapshot_under_its_token(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
