--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -52,10 +52,9 @@
 # the fleet is unknown.
 FLEET_DISCOVERY_MS: Final = 2_000
 
-# Grants after which the run of a late start does not exist any more. A start
-# arrives within one of them. An incarnation that may be back has begun its
-# clock anew, so the run has a whole lease there; one that was seen may also
-# have extended it.
+# Grants after which the run of a late start counts as ended. An incarnation
+# that may be back has begun its clock anew, so the run has a whole lease
+# there; one that was seen gets one more grant for a start that is very late.
 LATE_START_GRANTS: Final = {
     messages.GoneCause.NOTHING_LISTENS: 1,
     messages.GoneCause.LEFT: 1,
@@ -482,17 +481,15 @@
         """Keep a run until a snapshot shows it, or its start has expired.
 
         The wait counts from the start, so repeated reports don't prolong it.
-        If nothing listens, the incarnations that were seen before have gone.
+        Nothing shortens it once the executor was back under its id, as a start
+        may be late by more than a grant.
         """
-        former = target.unproved_runs.get(key)
-        if former is not None:
-            ordered_by_ms = min(ordered_by_ms, former.ordered_by_ms)
+        former = target.unproved_runs.get(
+            key, targets.UnprovedRun(ordered_by_ms, 0)
+        )
+        ordered_by_ms = min(ordered_by_ms, former.ordered_by_ms)
         expiry_ms = ordered_by_ms + LATE_START_GRANTS[cause] * self._grant_ms
-        if (
-            former is not None
-            and cause is not messages.GoneCause.NOTHING_LISTENS
-        ):
-            expiry_ms = max(expiry_ms, former.expiry_ms)
+        expiry_ms = max(expiry_ms, former.expiry_ms)
         target.unproved_runs[key] = targets.UnprovedRun(
             ordered_by_ms, expiry_ms
         )
