--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -88,8 +88,9 @@
         self._inspected_incarnation = ''
         self._lost_runs: tuple[tuple[str, int], ...] = ()
         self._unproved_runs: tuple[tuple[str, int], ...] = ()
-        # When the last of their starts was sent.
+        # Earlier processes of this agent sent their orders before.
         self._begun_at_running_ms = clock.read_running_ms()
+        # When the last start of an unproved run was sent.
         self._unproved_order_at_running_ms = self._begun_at_running_ms
         self._departed_incarnation = ''
         self._inspection_begun_at_ms = 0
