--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -57,7 +57,7 @@
 
     :param send: sends a message to the owner, if there is a stream
     :param request_session: asks the owner for a new session
-    :param lease_limit_ms: longest lease that the executor accepts
+    :param former_grant_ms: longest grant of a former process of this agent
     """
 
     def __init__(
@@ -66,7 +66,7 @@
         event_log: events.EventLog,
         send: abc.Callable[[messages.AnyMessage], None],
         request_session: abc.Callable[[], None],
-        lease_limit_ms: int,
+        former_grant_ms: int,
     ) -> None:
         self._executor = executor
         self._event_log = event_log
@@ -77,7 +77,7 @@
         self._is_ready = False
         self._grant_ms = 0
         self._grant_deadline_ms = 0
-        self._lease = executor_lease.ExecutorLease(lease_limit_ms)
+        self._lease = executor_lease.ExecutorLease(former_grant_ms)
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
@@ -88,8 +88,9 @@
         self._inspected_incarnation = ''
         self._lost_runs: tuple[tuple[str, int], ...] = ()
         self._unproved_runs: tuple[tuple[str, int], ...] = ()
-        # When the last of their starts was sent.
+        # Earlier processes of this agent sent their orders before.
         self._begun_at_running_ms = clock.read_running_ms()
+        # When the last start of an unproved run was sent.
         self._unproved_order_at_running_ms = self._begun_at_running_ms
         self._departed_incarnation = ''
         self._inspection_begun_at_ms = 0
@@ -189,9 +190,21 @@
         self._background.start(former_tasks.stop())
         self._session_tasks.start_with_restarts(
             lambda: self._run_session(welcome.token),
-            self._event_log.record_failure,
+            self._handle_session_failure,
         )
 
+    def _handle_session_failure(self, error: Exception) -> None:
+        """Go on in a new session, whose token voids the orders of this one."""
+        self._event_log.record_failure(error)
+        self.end_session()
+        self._background.start(self._request_session_later())
+
+    async def _request_session_later(self) -> None:
+        """Request a session after a pause, as the next one may fail too."""
+        await asyncio.sleep(loop.RESTART_DELAY_MS / 1000)
+        if not self._token:
+            self._request_session()
+
     def end_session(self) -> None:
         """End the session.
 
@@ -223,10 +236,8 @@
                 self._reported_state = state
         rows = tuple(
             _make_row(run.row, run.pace_percent)
-            for run in self._runs.values()
+            for run in self._take_reported_runs()
             if run.row is not None
-            and not run.terms.is_lasting
-            and self._is_inspection_recent()
         )
         self._send(
             messages.Report(
@@ -239,6 +250,24 @@
             )
         )
 
+    def _take_reported_runs(self) -> list[runs.AgentRun]:
+        """Return the runs whose progress the owner is to learn.
+
+        A lasting run is reported once, so that the owner knows it was listed.
+        """
+        if not self._is_inspection_recent():
+            return []
+        reported = []
+        for run in self._runs.values():
+            if not run.terms.is_lasting:
+                reported.append(run)
+            elif run.row is not None and not (
+                run.is_reported or run.open_tries
+            ):
+                run.is_reported = True
+                reported.append(run)
+        return reported
+
     def _is_inspection_recent(self) -> bool:
         """Tell whether the known progress is recent enough to be reported.
 
@@ -353,6 +382,7 @@
                 )
             run.state = runs.RunState.RUNNING
             run.row = row
+            run.is_reported = True
             run.may_have_arrived = True
             run.confirmed_at_ms = clock.read_elapsed_ms()
             self._runs[key] = run
