Count an unanswered commit before an odd head as lost ownership

Seen: a commit whose answer was lost raised STORE_UNAVAILABLE, which means that nothing was written, if another writer had replaced the head before it was read. The owner then refused a workflow that was stored.

Cause: the error of decoding the head was taken for one of the commit.

Change: a head that is not readable is not that of this commit, so the ownership has ended and the outcome is unknown.

--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -249,7 +249,11 @@
 def _has_commit_id(
     entry: store_interface.Entry, head: records.HeadRecord
 ) -> bool:
-    found = decode(entry.value, records.HeadRecord)
+    try:
+        found = decode(entry.value, records.HeadRecord)
+    except errors.BorageshelfError:
+        # A head of another writer fences this owner like that of a successor.
+        return False
     return bool(found.commit_id == head.commit_id)
 
 
--- a/tests/test_workflow_journal.py
+++ b/tests/test_workflow_journal.py
@@ -160,3 +160,25 @@
         await writer.commit([('a', b'2')], [])
 
     run_with_timeout(check())
+
+
+def test_unanswered_commit_before_an_odd_head_is_not_refused() -> None:
+    """Guards against "not written" for a commit that may have been written.
+
+    Another writer has replaced the head before it could be read.
+    """
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        writer = await make_journal(store)
+        store.set_faults(faults.FaultPlan(lost_answers=1))
+        commit = asyncio.ensure_future(writer.commit([('a', b'1')], []))
+        while await read(store, 'a') is None:
+            await asyncio.sleep(0)
+        head = await store.get(records.HEAD_KEY)
+        assert head is not None
+        await store.put(records.HEAD_KEY, b'odd', head.revision)
+        with pytest.raises(journal.OwnershipLost):
+            await commit
+
+    run_with_timeout(check())
