Replace an odd head of the store

Seen: after another writer had replaced borageshelf/head by a value that is no head, the owner lost its ownership at its next commit, and every entry's takeover failed for good because it read its epoch from the head.

Change: an entry that knows the former owner takes over with an epoch 1,000 above that owner's, which no owner in between can have used. Its commit still depends on the revision of the head, so one entry succeeds. An entry that knows no former owner still waits: with a guessed epoch executors would refuse its orders as outdated.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -48,6 +48,8 @@
 STORE_SILENCE_LIMIT_MS: Final = 1_200
 # A search for the owner asks up to all entries.
 SEARCH_INTERVAL_MS: Final = 500
+# More takeovers than can happen between two readings of the owner's key.
+UNSEEN_TAKEOVERS_LIMIT: Final = 1_000
 # Agents and entries connect to a new owner within a second.
 HAND_OVER_CHECK_INTERVAL_MS: Final = 1_500
 
@@ -623,7 +625,7 @@
         head = records.HeadRecord()
         head_revision = store_interface.MUST_NOT_EXIST
         if entry is not None:
-            head = journal.decode(entry.value, records.HeadRecord)
+            head = self._decode_head(entry)
             head_revision = entry.revision
         lease = await self._store.grant_lease(runtime.LEASE_TTL_MS)
         own_record = records.OwnerRecord(
@@ -664,6 +666,33 @@
                 continue
             return owner_runtime
 
+    def _decode_head(self, entry: store_interface.Entry) -> records.HeadRecord:
+        """Return the stored head, or a substitute for one that is unreadable.
+
+        An epoch that no former owner can have used keeps their orders fenced.
+
+        :raises BorageshelfError: ``STORE_UNAVAILABLE`` if the head is not
+            readable and no former owner is known
+        """
+        try:
+            head: records.HeadRecord = journal.decode(
+                entry.value, records.HeadRecord
+            )
+            return head
+        except errors.BorageshelfError as error:
+            former = self._owner
+            if former is None:
+                raise
+            self._event_log.record_state(
+                'head not readable', detail=error.detail, epoch=former.epoch
+            )
+            return records.HeadRecord(
+                former.epoch + UNSEEN_TAKEOVERS_LIMIT,
+                former.entry_id,
+                former.boot_id,
+                former.address,
+            )
+
     def _record_store_error(self, error: errors.BorageshelfError) -> None:
         measurements.STORE_FAILURES.labels(error.code.name).inc()
         self._event_log.record_detail(
--- a/tests/test_odd_owner_records.py
+++ b/tests/test_odd_owner_records.py
@@ -282,3 +282,44 @@
         server.close()
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize('odd', ODD_RECORDS[:8])
+def test_odd_head_costs_the_owner_its_epoch_only(odd: bytes) -> None:
+    """Guards against an owner that no entry can follow."""
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        entry = make_election(store)
+        entry.start()
+        await wait_for_ownership(store, entry)
+        first = entry.local_owner
+        assert first is not None
+        await write_odd(store, records.HEAD_KEY, odd)
+
+        async def is_replaced() -> bool:
+            return entry.local_owner not in (None, first)
+
+        await wait_until(is_replaced)
+        second = entry.local_owner
+        assert second is not None
+        # Higher than that of any owner that this entry may have missed.
+        assert second.epoch > first.epoch + 1
+        await entry.stop()
+
+    asyncio.run(check())
+
+
+def test_odd_head_without_a_known_owner_is_not_replaced() -> None:
+    """Guards against an owner whose orders executors refuse as outdated."""
+
+    async def check() -> None:
+        store = memory_store.MemoryStore()
+        await write_odd(store, records.HEAD_KEY, b'odd')
+        entry = make_election(store)
+        entry.start()
+        await asyncio.sleep(0.5)
+        assert entry.local_owner is None
+        await entry.stop()
+
+    asyncio.run(check())
