Check that a member is the one of its key, and restore an odd own key

Seen: a member's value under another key was listed beside the sound member of that id. An entry whose own key another writer had overwritten did not write it again, so that the others lost it until its next change.

Cause: the id in the value was not compared with the key; an own key was restored only after its removal.

Change: both.

--- a/borageshelf/entry/membership.py
+++ b/borageshelf/entry/membership.py
@@ -230,12 +230,13 @@
 
     def _apply(self, entry: store_interface.Entry) -> None:
         entry_id = entry.key.removeprefix(KEY_PREFIX)
+        member = None if entry.deleted else _decode(entry)
         if entry_id == self._own.entry_id:
-            if entry.deleted:
+            if member is None:
+                # Written again, also in place of an odd value.
                 self._published = None
                 self._own_changed.set()
             return
-        member = None if entry.deleted else _decode(entry)
         if member is None:
             self._members.pop(entry_id, None)
         else:
@@ -249,4 +250,6 @@
         decoding.parse_address(member.address)
     except decoding.Unreadable:
         return None
+    if entry.key != KEY_PREFIX + member.entry_id:
+        return None
     return member
