Refuse odd numbers in headers and log lines instead of failing

Seen: the header Call-Timeout-Ms with a superscript two or 5,000 digits was answered with an internal error, and "borageshelf explain" ended at a log line of another program whose time is 1e999 or that is nested deeply.

Cause: int() on text that isdigit() had accepted, and json.loads.

Change: both use the parsers that have limits.

--- a/borageshelf/commands/explain.py
+++ b/borageshelf/commands/explain.py
@@ -5,7 +5,6 @@
 """
 
 from collections import abc
-import json
 import sys
 from typing import Any, Final
 
@@ -13,6 +12,7 @@
 
 from borageshelf.commands import base
 from borageshelf.commands import statuses
+from borageshelf import decoding
 
 GAP_THRESHOLD_MS: Final = 1_000
 # Fields of every log line. The others hold the values behind a decision.
@@ -33,13 +33,15 @@
         if wanted_id not in line or start < 0:
             continue
         try:
-            document = json.loads(line[start:])
-        except ValueError:
+            document = decoding.decode_json(
+                line[start:].encode(errors='replace'), dict[str, Any]
+            )
+        except decoding.Unreadable:
             continue
-        if not isinstance(document, dict) or 'event' not in document:
+        at_ms = document.get('at_ms', 0)
+        if 'event' not in document or not isinstance(at_ms, int):
             continue
         process = str(document.get('process', ''))
-        at_ms = int(document.get('at_ms', 0))
         # A clock that is set back must not reorder the lines of a process.
         at_ms = max(at_ms, latest_ms.get(process, 0))
         latest_ms[process] = at_ms
--- a/borageshelf/entry/callers.py
+++ b/borageshelf/entry/callers.py
@@ -25,8 +25,11 @@
 from borageshelf.entry import jobs
 from borageshelf import errors
 from borageshelf.model import objects
+from borageshelf import settings
 
 MAX_WAIT_MS: Final = 60_000
+# int() raises an error for texts of thousands of digits.
+TIMEOUT_DIGITS_LIMIT: Final = 18
 JOB_POLL_INTERVAL_MS: Final = 200
 IDLE_TIMEOUT_S: Final = 120
 
@@ -207,7 +210,7 @@
     ) -> None:
         """Answer when the job has ended or the wait has timed out."""
         text = request.args.get(b'timeout_ms', [b'30000'])[0]
-        if not text.isdigit():
+        if not text.isdigit() or len(text) > TIMEOUT_DIGITS_LIMIT:
             raise errors.BorageshelfError(errors.BAD_REQUEST, 'timeout_ms')
         limit_ms = min(int(text), MAX_WAIT_MS)
         deadline_ms = clock.read_wall_clock_ms() + limit_ms
@@ -310,11 +313,12 @@
     text = _read_header(request, name)
     if not text:
         return default
-    if not text.isdigit() or int(text) > limit:
+    try:
+        return settings.parse_integer(0, limit)(text)
+    except ValueError as error:
         raise errors.BorageshelfError(
             errors.BAD_REQUEST, f'{name} must be an integer from 0 to {limit}'
-        )
-    return int(text)
+        ) from error
 
 
 def _write_job(request: server.Request, job: documents.JobAnswer) -> None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -3,6 +3,7 @@
 import json
 
 from borageshelf.commands import explain
+from tests import odd_values
 
 ID = '0123456789abcdef'
 
@@ -38,3 +39,17 @@
     text = list(explain.format_history(history))
     assert any('ms without a line' in line for line in text)
     assert 'workflow=0123456789abcdef' in text[0]
+
+
+def test_odd_lines_are_left_out() -> None:
+    """Guards against a line of another program that ends the command."""
+    odd = [
+        f'{ID} {{"event":"x","at_ms":{number}}}'
+        for number in (*odd_values.HUGE_NUMBERS, '1.5', '"x"', 'null', '[]')
+    ]
+    nested = odd_values.nest_lists(100_000).decode()
+    odd += [f'{ID} {{"event":{nested}}}', f'{ID} {{"event":"\udcff"}}']
+    valid = make_line('entry e', 1_000, 'workflow taken', workflow=ID)
+    history = explain.find_history([*odd, valid], ID)
+    assert 'workflow taken' in [line['event'] for line in history]
+    assert len(list(explain.format_history(history))) >= 1
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -15,6 +15,7 @@
 
 from borageshelf.configuration import contents
 from borageshelf import decoding
+from borageshelf.entry import callers
 from borageshelf.entry import membership
 from borageshelf.entry import peers
 from borageshelf import errors
@@ -452,3 +453,19 @@
     spec = '[' * 5_000 + '\\"' + '{' * 5_000
     body = encode_json({**msgspec.json.decode(WORKFLOW), 'Spec': spec})
     assert documents.decode_workflow('b' * 16, body).spec == spec
+
+
+@pytest.mark.parametrize(
+    'text', ['-1', '1.5', '\u00b2', '9' * 5_000, 'x', str(10**30), '601']
+)
+def test_odd_number_in_a_header_is_refused(text: str) -> None:
+    """Guards against a header that is answered with an internal error."""
+
+    class Request:
+        def getHeader(self, name: str) -> str:  # noqa: N802
+            return text
+
+    request: Any = Request()
+    with pytest.raises(errors.BorageshelfError) as caught:
+        callers._read_integer(request, 'call-timeout-ms', 1, 600)
+    assert caught.value.code is errors.BAD_REQUEST
