Write odd entries in the soak

From seed 1,000,000 on a plan has up to four faults that write odd entries: a configuration for a while, a record of the owner, keys beside it and beside the workflows, heartbeats to all agents.

The kind "head" is left out: a head that is not readable while no entry knows a former owner is not repaired.

--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -17,6 +17,8 @@
 FIRST_SEED_WITH_DEADLY_TASKS: Final = 5_000
 DEADLY_COUNT_RANGE: Final = (0, 2)
 SHRINK_COUNT_RANGE: Final = (0, 2)
+FIRST_SEED_WITH_ODD_ENTRIES: Final = 1_000_000
+ODD_ENTRY_COUNT_RANGE: Final = (0, 4)
 
 # Kinds of faults by the component that they affect.
 ENTRY_KINDS: Final = ('kill', 'term', 'pause', 'hup', 'clock')
@@ -46,6 +48,7 @@
     'leave',
 )
 SHRINK_KINDS: Final = ('shrink-to-half', 'shrink-to-nothing')
+ODD_ENTRY_KINDS: Final = ('configuration', 'owner', 'keys', 'heartbeats')
 GROUP_KINDS: Final = ('kill-entries', 'kill-agents', 'kill-all')
 
 
@@ -54,7 +57,7 @@
     """One fault.
 
     :param subject: ``entry``, ``agent``, ``link``, ``store``, ``executor``,
-        ``configuration`` or ``group``
+        ``configuration``, ``group`` or ``odd-entry``
     :param index: number of the affected component, modulo their count
     """
 
@@ -168,6 +171,10 @@
             _draw_shrink(rng) for _ in range(rng.randint(*SHRINK_COUNT_RANGE))
         ]
         faults.sort(key=lambda fault: fault.at_ms)
+    if seed >= FIRST_SEED_WITH_ODD_ENTRIES:
+        count = rng.randint(*ODD_ENTRY_COUNT_RANGE)
+        faults += [_draw_odd_entry(rng) for _ in range(count)]
+        faults.sort(key=lambda fault: fault.at_ms)
     submissions.sort(key=lambda item: item.at_ms)
     return Plan(
         seed,
@@ -202,6 +209,17 @@
     )
 
 
+def _draw_odd_entry(rng: random.Random) -> Fault:
+    """Return a fault that writes odd entries."""
+    return Fault(
+        rng.randint(FIRST_FAULT_AT_MS, LOAD_DURATION_MS),
+        rng.choice((300, 1_500, 3_000)),
+        'odd-entry',
+        rng.choice(ODD_ENTRY_KINDS),
+        rng.randrange(100),
+    )
+
+
 def _make_some_deadly(
     rng: random.Random, submissions: list[Submission]
 ) -> list[Submission]:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -28,6 +28,7 @@
 from tests import loopback
 from tests import platform_support
 from tests.soak import checks
+from tests.soak import odd_entries
 from tests.soak import plans
 from tests.soak import proxies
 
@@ -313,6 +314,8 @@
         for _ in range(1 + fault.index % 3):
             await run.publish_configuration()
             await asyncio.sleep(0.15)
+    elif fault.subject == 'odd-entry':
+        await inject_odd_entry(run, fault, duration_s)
     else:
         nodes = {
             'kill-entries': run.entries,
@@ -327,6 +330,24 @@
         )
 
 
+async def inject_odd_entry(
+    run: SoakRun, fault: plans.Fault, duration_s: float
+) -> None:
+    """Write odd entries as another writer does."""
+    rng = random.Random(fault.index)
+    if fault.kind == 'configuration':
+        await odd_entries.write_configuration(run.store, rng, duration_s)
+    elif fault.kind == 'owner':
+        odd_entries.write_owner(run.store, rng)
+    elif fault.kind == 'keys':
+        odd_entries.write_keys(run.store, rng)
+    else:
+        for agent in run.agents:
+            await odd_entries.send_heartbeats(
+                run.http, agent.node.settings['registration_address'], rng
+            )
+
+
 async def inject_process_fault(
     run: SoakRun, node: Node, kind: str, duration_s: float
 ) -> None:
