Refuse messages with an odd epoch

Seen: an owner steps down for any higher epoch in a message of another entry; an entry that had read an absurd one from a record passed it on.

Change: epochs in messages have the limit of those in records.

Result: the 3 cases of the test failed before.

--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -14,6 +14,7 @@
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
 from borageshelf.workflows import effects
+from borageshelf.workflows import records
 
 
 class GoneCause(enum.Enum):
@@ -187,7 +188,7 @@
     :param grant_ms: duration of a grant from the time of its report
     """
 
-    epoch: int
+    epoch: records.Epoch
     token: int
     grant_ms: int
     entries: tuple[EntryAddress, ...]
@@ -275,7 +276,7 @@
     entry_id: str
     boot_id: str
     address: str
-    known_epoch: int
+    known_epoch: records.Epoch
     processor_millicores: int = 0
 
 
@@ -285,7 +286,7 @@
     :param entries: the entries that are connected to it
     """
 
-    epoch: int
+    epoch: records.Epoch
     entries: tuple[EntryAddress, ...] = ()
 
 
@@ -301,7 +302,7 @@
 
     entry_id: str
     boot_id: str
-    epoch: int
+    epoch: records.Epoch
     address: str
     entries: tuple[EntryAddress, ...] = ()
     owner_id: str = ''
@@ -366,7 +367,7 @@
 class StepDown(Message, frozen=True, array_like=True, tag=True):
     """Tells a former owner that another entry has become the owner."""
 
-    epoch: int
+    epoch: records.Epoch
     owner_id: str = ''
     owner_boot_id: str = ''
     address: str = ''
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -469,3 +469,12 @@
     with pytest.raises(errors.BorageshelfError) as caught:
         callers._read_integer(request, 'call-timeout-ms', 1, 600)
     assert caught.value.code is errors.BAD_REQUEST
+
+
+@pytest.mark.parametrize('epoch', [-1, 2**60, 2**63])
+def test_message_with_an_odd_epoch_is_refused(epoch: int) -> None:
+    """Guards against an owner that steps down for an absurd epoch."""
+    codec = channel.Codec()
+    batch = [messages.StepDown(epoch, 'other', 'boot', '127.0.0.1:1')]
+    with pytest.raises(channel.CONNECTION_ERRORS):
+        codec.decode(codec.encode(batch, list), list)
