--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -15,6 +15,7 @@
 
 from borageshelf.configuration import contents
 from borageshelf import decoding
+from borageshelf.entry import callers
 from borageshelf.entry import membership
 from borageshelf.entry import peers
 from borageshelf import errors
@@ -452,3 +453,28 @@
     spec = '[' * 5_000 + '\\"' + '{' * 5_000
     body = encode_json({**msgspec.json.decode(WORKFLOW), 'Spec': spec})
     assert documents.decode_workflow('b' * 16, body).spec == spec
+
+
+@pytest.mark.parametrize(
+    'text', ['-1', '1.5', '\u00b2', '9' * 5_000, 'x', str(10**30), '601']
+)
+def test_odd_number_in_a_header_is_refused(text: str) -> None:
+    """Guards against a header that is answered with an internal error."""
+
+    class Request:
+        def getHeader(self, name: str) -> str:  # noqa: N802
+            return text
+
+    request: Any = Request()
+    with pytest.raises(errors.BorageshelfError) as caught:
+        callers._read_integer(request, 'call-timeout-ms', 1, 600)
+    assert caught.value.code is errors.BAD_REQUEST
+
+
+@pytest.mark.parametrize('epoch', [-1, 2**60, 2**63])
+def test_message_with_an_odd_epoch_is_refused(epoch: int) -> None:
+    """Guards against an owner that steps down for an absurd epoch."""
+    codec = channel.Codec()
+    batch = [messages.StepDown(epoch, 'other', 'boot', '127.0.0.1:1')]
+    with pytest.raises(channel.CONNECTION_ERRORS):
+        codec.decode(codec.encode(batch, list), list)
