--- /dev/null
+++ b/tests/lasting/agents.py
@@ -0,0 +1,386 @@
+"""Agents of the histories: what the owner learns of the executors, and when.
+
+An agent follows ``agent.workflows.driver``, reduced to the messages that it
+sends to the owner's core.
+"""
+
+import dataclasses
+import random
+from typing import Final
+
+from borageshelf.agent.workflows import driver
+from borageshelf.agent.workflows import owner_link
+from borageshelf import clock
+from borageshelf.model import workflows
+from borageshelf.workflows import messages
+from borageshelf.workflows import owner
+from borageshelf.workflows import policy
+from tests.lasting import executors
+
+ORDER_DELAY_MS: Final = 100
+GRANT_MS: Final = policy.GRANT_LIMIT_MS
+LEASE_MS: Final = int(GRANT_MS * driver.LEASE_TO_GRANT_RATIO)
+# A heartbeat announces a new incarnation.
+ANNOUNCEMENT_LIMIT_MS: Final = 1_100
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """An order to start a run, on its way to the agent."""
+
+    due_ms: int
+    key: executors.RunKey
+    step: workflows.Step
+
+
+@dataclasses.dataclass
+class AgentRun:
+    """A run as the agent knows it.
+
+    :ivar may_have_arrived: whether the executor may know its start
+    :ivar is_listed: whether the executor has listed it since
+    """
+
+    may_have_arrived: bool = True
+    is_listed: bool = False
+
+
+class Agent:
+    """The agent beside an executor.
+
+    :ivar session: number of its session; 0 for none
+    :ivar is_cut_off: whether it reaches no owner
+    :ivar attach_due_ms: when it opens the next session; None if it does not
+    :ivar gone_due_ms: when it learns that its executor has gone
+    :ivar announcement_due_ms: when it learns of the next incarnation
+    """
+
+    def __init__(self, executor: executors.Executor, seed: int) -> None:
+        self.executor = executor
+        self._rng = random.Random(f'{seed}/{executor.target_id}')
+        self._phase_ms = self._rng.randrange(0, 1_000, executors.TICK_MS)
+        self.session = 0
+        self.is_ready = False
+        self.is_cut_off = False
+        self.heard_at_ms = 0
+        self.attach_due_ms: int | None = 0
+        self.gone_due_ms: int | None = None
+        self.announcement_due_ms: int | None = None
+        self._snapshot_due_ms: int | None = None
+        self._incarnation = executor.incarnation
+        self._inspected_incarnation = ''
+        self._gone_cause: messages.GoneCause | None = None
+        self._gone_since_ms = 0
+        self._lost_runs: tuple[executors.RunKey, ...] = ()
+        self._unproved_runs: tuple[executors.RunKey, ...] = ()
+        self._runs: dict[executors.RunKey, AgentRun] = {}
+        self._seen_number = 0
+        self._reported_state: messages.TargetState | None = None
+        self.orders: list[Order] = []
+        self.stops: list[executors.RunKey] = []
+        self._unanswered: list[Order] = []
+
+    # Disturbances.
+
+    def end_session(self) -> None:
+        """Drop the session and all orders that belong to it."""
+        self.session = 0
+        self.is_ready = False
+        self._snapshot_due_ms = None
+        self.orders.clear()
+        self.stops.clear()
+        self._unanswered.clear()
+
+    def cut_off(self) -> None:
+        """Lose the link to the owner."""
+        self.is_cut_off = True
+        self.attach_due_ms = None
+        self.end_session()
+
+    def reconnect(self, now_ms: int) -> None:
+        """Get the link to the owner back."""
+        self.is_cut_off = False
+        self.find_owner(now_ms, now_ms + 600)
+
+    def find_owner(self, from_ms: int, to_ms: int) -> None:
+        """Open a session within a time, once there is a link."""
+        self.end_session()
+        if not self.is_cut_off:
+            self.attach_due_ms = self._rng.randrange(
+                from_ms, to_ms + 1, executors.TICK_MS
+            )
+
+    def start_again(self) -> None:
+        """Lose all that the process knew, as its VM starts again."""
+        self.end_session()
+        self._incarnation = self._inspected_incarnation = ''
+        self._gone_cause = None
+        self._lost_runs = self._unproved_runs = ()
+        self._runs.clear()
+        self.gone_due_ms = None
+
+    def note_restart(self, now_ms: int) -> None:
+        """Let a heartbeat of a new incarnation follow."""
+        self.announcement_due_ms = now_ms + self._rng.randrange(
+            executors.TICK_MS, ANNOUNCEMENT_LIMIT_MS, executors.TICK_MS
+        )
+
+    # Time.
+
+    def advance(self, core: owner.Owner | None, moment: clock.Moment) -> None:
+        """Carry out orders and report what has changed."""
+        executor = self.executor
+        if executor.is_lost:
+            return
+        now_ms = moment.elapsed_ms
+        self._observe_executor(core, moment)
+        if core is None or self.is_cut_off:
+            return
+        if not self.session:
+            is_due = (
+                self.attach_due_ms is not None and now_ms >= self.attach_due_ms
+            )
+            if is_due and self._incarnation:
+                self._attach(core, moment)
+            return
+        target = core.targets[executor.target_id]
+        if not self.is_ready:
+            self._try_snapshot(core, moment)
+        else:
+            self._carry_out_orders(core, moment)
+            self._report_ends(core, moment)
+        if not self.session:
+            return
+        if (now_ms + self._phase_ms) % owner_link.REPORT_INTERVAL_MS == 0:
+            self._report(core, moment)
+        self.heard_at_ms = now_ms
+        assert target.session == self.session
+
+    def _observe_executor(
+        self, core: owner.Owner | None, moment: clock.Moment
+    ) -> None:
+        now_ms = moment.elapsed_ms
+        executor = self.executor
+        if self.gone_due_ms is not None and now_ms >= self.gone_due_ms:
+            self.gone_due_ms = None
+            if not executor.is_up and self._gone_cause is None:
+                cause = messages.GoneCause.NOTHING_LISTENS
+                self._note_gone(cause, core, moment)
+        lease_end_ms = executor.lease_deadline_ms + driver.LEASE_END_MARGIN_MS
+        if (
+            executor.mute_count
+            and self._gone_cause is None
+            and self._inspected_incarnation
+            and now_ms > lease_end_ms
+        ):
+            self._note_gone(messages.GoneCause.LEASE_ENDED, core, moment)
+        if (
+            self.announcement_due_ms is not None
+            and now_ms >= self.announcement_due_ms
+            and executor.is_up
+        ):
+            self.announcement_due_ms = None
+            if self._incarnation and self._incarnation != executor.incarnation:
+                cause = messages.GoneCause.REPLACED
+                self._note_gone(cause, core, moment)
+            self._incarnation = executor.incarnation
+            self._renew_session(now_ms)
+        elif (
+            self._gone_cause is not None
+            and executor.answers
+            and self._incarnation == executor.incarnation
+        ):
+            self._gone_cause = None
+            self._renew_session(now_ms)
+
+    def _renew_session(self, now_ms: int) -> None:
+        had_session = self.session
+        self.end_session()
+        if had_session:
+            self.attach_due_ms = now_ms
+
+    def _note_gone(
+        self,
+        cause: messages.GoneCause,
+        core: owner.Owner | None,
+        moment: clock.Moment,
+    ) -> None:
+        is_back = cause in owner.BACK_CAUSES
+        self._gone_cause = None if is_back else cause
+        self._gone_since_ms = moment.elapsed_ms
+        if self._incarnation == self._inspected_incarnation:
+            self._lost_runs += tuple(
+                key for key, run in self._runs.items() if run.may_have_arrived
+            )
+            self._unproved_runs += tuple(
+                key
+                for key, run in self._runs.items()
+                if run.may_have_arrived and not run.is_listed
+            )
+        self._runs.clear()
+        self._seen_number = 0
+        if self.session and core is not None:
+            self._send_gone(cause, core, moment)
+
+    def _send_gone(
+        self,
+        cause: messages.GoneCause,
+        core: owner.Owner,
+        moment: clock.Moment,
+    ) -> None:
+        reached = None
+        if self._incarnation == self._inspected_incarnation:
+            reached = self._lost_runs
+        core.handle_executor_gone(
+            core.targets[self.executor.target_id],
+            messages.ExecutorGone(
+                0,
+                self._incarnation,
+                cause,
+                reached,
+                moment.elapsed_ms - self._gone_since_ms,
+                self._unproved_runs if reached is not None else (),
+            ),
+            moment,
+        )
+
+    # Sessions.
+
+    def _attach(self, core: owner.Owner, moment: clock.Moment) -> None:
+        self.attach_due_ms = None
+        self.session = self._rng.randrange(1, 1 << 40)
+        hello = messages.AgentHello(
+            self.executor.target_id, 'boot', 'tajo-norte', self._incarnation
+        )
+        core.attach(hello, self.session, moment)
+        self.heard_at_ms = moment.elapsed_ms
+        self._snapshot_due_ms = moment.elapsed_ms + self._rng.randrange(
+            executors.TICK_MS, 400, executors.TICK_MS
+        )
+        if self._gone_cause is not None:
+            # The report to the former owner may not have been committed.
+            self._send_gone(self._gone_cause, core, moment)
+
+    def _try_snapshot(self, core: owner.Owner, moment: clock.Moment) -> None:
+        executor = self.executor
+        assert self._snapshot_due_ms is not None
+        if moment.elapsed_ms < self._snapshot_due_ms or not executor.answers:
+            return
+        if self._incarnation != executor.incarnation:
+            return
+        self._inspected_incarnation = self._incarnation
+        self._lost_runs = self._unproved_runs = ()
+        self._runs = {key: AgentRun(is_listed=True) for key in executor.runs}
+        self._seen_number = max(executor.ended, default=0)
+        self.is_ready = True
+        self._reported_state = executor.make_state()
+        core.apply_snapshot(
+            core.targets[executor.target_id],
+            messages.Snapshot(
+                0,
+                self._reported_state,
+                self._make_rows(has_lasting=True),
+                tuple(executor.ended.values()),
+            ),
+            moment,
+        )
+        self._report(core, moment)
+
+    # Orders.
+
+    def _carry_out_orders(
+        self, core: owner.Owner, moment: clock.Moment
+    ) -> None:
+        executor = self.executor
+        if executor.answers:
+            for key in self.stops:
+                executor.stop(key)
+            self.stops.clear()
+            for order in self._unanswered:
+                # Stopped before it is refused, as it may have arrived.
+                self._refuse(order.key, 'not answered', True, core, moment)
+            self._unanswered.clear()
+        for order in list(self.orders):
+            if moment.elapsed_ms < order.due_ms:
+                continue
+            self.orders.remove(order)
+            reason = self._find_refusal_reason(order)
+            if reason:
+                is_unhealthy = reason == 'unhealthy'
+                self._refuse(order.key, reason, is_unhealthy, core, moment)
+            elif not executor.is_up:
+                self._runs[order.key] = AgentRun(may_have_arrived=False)
+            elif executor.mute_count:
+                self._runs[order.key] = AgentRun()
+                self._unanswered.append(order)
+            else:
+                self._runs[order.key] = AgentRun()
+                executor.start(order.key, order.step)
+
+    def _find_refusal_reason(self, order: Order) -> str:
+        executor = self.executor
+        if self._gone_cause is not None:
+            return 'no executor'
+        if executor.is_draining:
+            return 'draining'
+        if not executor.has_room(order.step):
+            return 'no room'
+        if executor.answers and executor.refusing:
+            return 'unhealthy' if executor.refusing[-1] else 'no room'
+        return ''
+
+    def _refuse(
+        self,
+        key: executors.RunKey,
+        reason: str,
+        is_unhealthy: bool,
+        core: owner.Owner,
+        moment: clock.Moment,
+    ) -> None:
+        self._runs.pop(key, None)
+        core.handle_start_refusal(
+            core.targets[self.executor.target_id],
+            messages.StartRefused(0, *key, reason, is_unhealthy),
+            moment,
+        )
+
+    # Reports.
+
+    def _report_ends(self, core: owner.Owner, moment: clock.Moment) -> None:
+        executor = self.executor
+        if not executor.answers or self._incarnation != executor.incarnation:
+            return
+        ends = [
+            end
+            for number, end in executor.ended.items()
+            if number > self._seen_number
+        ]
+        if ends or (moment.elapsed_ms + self._phase_ms) % 1_000 == 0:
+            for key, run in self._runs.items():
+                run.is_listed = run.is_listed or key in executor.runs
+        for end in ends:
+            self._seen_number = end.number
+            self._runs.pop((end.task, end.attempt), None)
+            core.handle_run_end(core.targets[executor.target_id], end, moment)
+
+    def _report(self, core: owner.Owner, moment: clock.Moment) -> None:
+        executor = self.executor
+        target = core.targets[executor.target_id]
+        if self.is_ready:
+            state = executor.make_state()
+            if state != self._reported_state and executor.answers:
+                self._reported_state = state
+                core.update_target_state(target, state, moment)
+            if executor.answers:
+                rows = self._make_rows(has_lasting=False)
+                core.update_progress(target, rows, moment)
+        core.extend_grant(target, moment)
+        if self.is_ready and executor.answers:
+            executor.lease_deadline_ms = moment.elapsed_ms + LEASE_MS
+
+    def _make_rows(self, has_lasting: bool) -> tuple[messages.Row, ...]:
+        return tuple(
+            messages.Row(task, attempt, '', run.progress_percent)
+            for (task, attempt), run in self.executor.runs.items()
+            if has_lasting or not run.step.is_lasting
+        )
--- /dev/null
+++ b/tests/lasting/disruptions.py
@@ -0,0 +1,266 @@
+"""Disruptions of the histories, each with a begin and an end."""
+
+import dataclasses
+import enum
+import functools
+from typing import Final
+
+from borageshelf.model import resources
+from tests.lasting import world as lasting_world
+
+# An agent that is still there sees at once that nothing listens.
+GONE_DELAY_MS: Final = 200
+LATE_GONE_DELAY_MS: Final = 1_500
+
+
+class Knowledge(enum.Enum):
+    """How the owner learns of a crash."""
+
+    AT_ONCE = 'at once'
+    LATE = 'late'
+    RESTART = 'when it is back'
+    SNAPSHOT = 'by a snapshot only'
+
+
+@dataclasses.dataclass(frozen=True)
+class Disruption:
+    """Base class; ends at once if the two times are the same."""
+
+    begin_ms: int
+    end_ms: int
+    target_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Failing(Disruption):
+    """Executors that fail a share of their starts, at an age."""
+
+    share: float = 1.0
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusing(Disruption):
+    """Executors that refuse all starts."""
+
+    is_unhealthy: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Mute(Disruption):
+    """Executors that answer nothing and go on with their work."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Stalled(Disruption):
+    """Executors whose tasks make no progress."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Crashed(Disruption):
+    """Executors that crash, and are back at the end."""
+
+    knowledge: Knowledge = Knowledge.AT_ONCE
+
+
+@dataclasses.dataclass(frozen=True)
+class CutOff(Disruption):
+    """Agents that reach no owner, while their executors go on.
+
+    :param is_reborn: whether the executor restarts meanwhile
+    """
+
+    is_reborn: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost(Disruption):
+    """VMs that are lost for good."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Draining(Disruption):
+    """Executors that announce that they will leave.
+
+    :param leaves: whether they do so at the end
+    """
+
+    leaves: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Shrunk(Disruption):
+    """Executors with less capacity."""
+
+    remaining_share: float = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerChanged(Disruption):
+    """No owner until the end, when the next one takes over.
+
+    :param slowest_ms: time within which the agents find the next owner
+    """
+
+    slowest_ms: int = 1_500
+
+
+@functools.singledispatch
+def begin(disruption: Disruption, world: lasting_world.World) -> None:
+    """Begin a disruption."""
+    raise TypeError(type(disruption).__name__)
+
+
+@functools.singledispatch
+def end(disruption: Disruption, world: lasting_world.World) -> None:
+    """End a disruption."""
+    raise TypeError(type(disruption).__name__)
+
+
+@begin.register
+def _(disruption: Failing, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        executor = world.executors[target_id]
+        executor.failing.append((disruption.share, disruption.age_ms))
+
+
+@end.register
+def _(disruption: Failing, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        executor = world.executors[target_id]
+        executor.failing.remove((disruption.share, disruption.age_ms))
+
+
+@begin.register
+def _(disruption: Refusing, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].refusing.append(disruption.is_unhealthy)
+
+
+@end.register
+def _(disruption: Refusing, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].refusing.remove(disruption.is_unhealthy)
+
+
+@begin.register
+def _(disruption: Mute, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].mute_count += 1
+
+
+@end.register
+def _(disruption: Mute, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].mute_count -= 1
+
+
+@begin.register
+def _(disruption: Stalled, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].stall_count += 1
+
+
+@end.register
+def _(disruption: Stalled, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].stall_count -= 1
+
+
+@begin.register
+def _(disruption: Crashed, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].crash()
+        agent = world.get_agent(target_id)
+        if disruption.knowledge is Knowledge.AT_ONCE:
+            agent.gone_due_ms = world.now_ms + GONE_DELAY_MS
+        elif disruption.knowledge is Knowledge.LATE:
+            agent.gone_due_ms = world.now_ms + LATE_GONE_DELAY_MS
+        elif disruption.knowledge is Knowledge.SNAPSHOT:
+            agent.cut_off()
+            agent.start_again()
+
+
+@end.register
+def _(disruption: Crashed, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        _restart(world, target_id)
+        if disruption.knowledge is Knowledge.SNAPSHOT:
+            world.get_agent(target_id).reconnect(world.now_ms)
+
+
+def _restart(world: lasting_world.World, target_id: str) -> None:
+    executor = world.executors[target_id]
+    executor.restart()
+    if executor.is_up:
+        world.get_agent(target_id).note_restart(world.now_ms)
+
+
+@begin.register
+def _(disruption: CutOff, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.get_agent(target_id).cut_off()
+
+
+@end.register
+def _(disruption: CutOff, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        if disruption.is_reborn:
+            world.executors[target_id].crash()
+            _restart(world, target_id)
+        world.get_agent(target_id).reconnect(world.now_ms)
+
+
+@begin.register
+def _(disruption: Lost, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].lose()
+        world.get_agent(target_id).cut_off()
+
+
+@end.register
+def _(disruption: Lost, world: lasting_world.World) -> None:
+    pass
+
+
+@begin.register
+def _(disruption: Draining, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].drain_count += 1
+
+
+@end.register
+def _(disruption: Draining, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        if disruption.leaves:
+            world.executors[target_id].lose()
+            world.get_agent(target_id).cut_off()
+        world.executors[target_id].drain_count -= 1
+
+
+@begin.register
+def _(disruption: Shrunk, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        executor = world.executors[target_id]
+        full = executor.full_capacity
+        executor.capacity = resources.Resources(
+            round(full.processor_millicores * disruption.remaining_share),
+            round(full.memory_mb * disruption.remaining_share),
+        )
+
+
+@end.register
+def _(disruption: Shrunk, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        executor = world.executors[target_id]
+        executor.capacity = executor.full_capacity
+
+
+@begin.register
+def _(disruption: OwnerChanged, world: lasting_world.World) -> None:
+    world.remove_owner()
+
+
+@end.register
+def _(disruption: OwnerChanged, world: lasting_world.World) -> None:
+    world.add_owner(disruption.slowest_ms)
--- /dev/null
+++ b/tests/lasting/executors.py
@@ -0,0 +1,217 @@
+"""Executors of the histories, as their own lists show them."""
+
+from collections import abc
+import dataclasses
+import random
+from typing import Final
+
+from borageshelf.model import resources
+from borageshelf.model import workflows
+from borageshelf.ports import task_executor
+from borageshelf.workflows import messages
+
+RunKey = tuple[str, int]
+TICK_MS: Final = 100
+SERVICE: Final = 'pigment'
+LEAVES_IN_MS: Final = 5_000
+# Share of the runs of lasting tasks that fail by themselves, and the time
+# within which they do.
+LASTING_ERROR_SHARE: Final = 0.03
+LASTING_ERROR_AGE_MS: Final = 20_000
+# Share of the runs of all other tasks that fail.
+SHORT_ERROR_SHARE: Final = 0.05
+
+
+@dataclasses.dataclass
+class Run:
+    """A run on an executor.
+
+    :ivar left_ms: time until it ends by itself; None if it does not
+    """
+
+    step: workflows.Step
+    duration_ms: int
+    left_ms: int | None
+    end_kind: task_executor.EndKind
+
+    @property
+    def progress_percent(self) -> int:
+        """Share of its work that is done."""
+        if self.step.is_lasting or self.left_ms is None:
+            return 0
+        return 100 - 100 * self.left_ms // max(self.duration_ms, 1)
+
+
+class Executor:
+    """An executor on a VM.
+
+    :ivar runs: what it runs, by task and attempt
+    :ivar ended: ends that have not been acknowledged, by number
+    :ivar failing: share of the starts that fail and the age at which they do,
+        for each open disruption
+    :ivar refusing: whether it calls itself unhealthy as it refuses starts, for
+        each open disruption
+    :ivar mute_count: number of disruptions that keep it from answering
+    :ivar stall_count: number of disruptions that keep tasks from progress
+    :ivar drain_count: number of open drains
+    :ivar down_count: number of crashes after which it is not back yet
+    """
+
+    def __init__(
+        self,
+        target_id: str,
+        capacity: resources.Resources,
+        labels: tuple[str, ...],
+        seed: int,
+    ) -> None:
+        self.target_id = target_id
+        self.full_capacity = capacity
+        self.capacity = capacity
+        self.labels = labels
+        self._seed = seed
+        self.start_count = 1
+        self.runs: dict[RunKey, Run] = {}
+        self.ended: dict[int, messages.Ended] = {}
+        self.next_number = 1
+        self.lease_deadline_ms = 0
+        self.failing: list[tuple[float, int]] = []
+        self.refusing: list[bool] = []
+        self.mute_count = 0
+        self.stall_count = 0
+        self.drain_count = 0
+        self.down_count = 0
+        self.is_lost = False
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of this start of the executor."""
+        return f'{self.target_id}/{self.start_count}'
+
+    @property
+    def is_up(self) -> bool:
+        """Whether its process runs."""
+        return not (self.down_count or self.is_lost)
+
+    @property
+    def answers(self) -> bool:
+        """Whether it answers its agent."""
+        return self.is_up and not self.mute_count
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether it will leave."""
+        return self.drain_count > 0
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether it carries out all orders as it should."""
+        return self.answers and not (
+            self.failing or self.refusing or self.stall_count
+        )
+
+    def make_state(self) -> messages.TargetState:
+        """Return what it announces."""
+        return messages.TargetState(
+            self.incarnation,
+            SERVICE,
+            self.capacity,
+            self.labels,
+            self.is_draining,
+            LEAVES_IN_MS,
+        )
+
+    def has_room(self, step: workflows.Step) -> bool:
+        """Tell whether one more task of a step fits beside its runs."""
+        reserved = step.reserved
+        for run in self.runs.values():
+            reserved = reserved.plus(run.step.reserved)
+        return reserved.fits_in(self.capacity)
+
+    def would_take(self, step: workflows.Step, step_name: str) -> bool:
+        """Tell whether it would run one more task of a step well."""
+        if not self.is_sound or self.is_draining:
+            return False
+        if step.label and step.label not in self.labels:
+            return False
+        siblings = sum(task.startswith(step_name) for task, _ in self.runs)
+        if step.spread_limit and siblings >= step.spread_limit:
+            return False
+        return self.has_room(step)
+
+    def start(self, key: RunKey, step: workflows.Step) -> None:
+        """Start a run."""
+        # Independent of all else, so that a history stays the same if parts
+        # that do not matter are left out.
+        rng = random.Random(f'{self._seed}/{key}')
+        duration_ms = step.estimate_ms
+        left_ms: int | None = duration_ms
+        end_kind = task_executor.EndKind.DONE
+        if step.is_lasting:
+            left_ms = None
+            if rng.random() < LASTING_ERROR_SHARE:
+                end_kind = task_executor.EndKind.FAILED
+                left_ms = rng.randrange(0, LASTING_ERROR_AGE_MS, TICK_MS)
+        elif rng.random() < SHORT_ERROR_SHARE:
+            end_kind = task_executor.EndKind.FAILED
+            left_ms = rng.randrange(0, duration_ms, TICK_MS)
+        for share, age_ms in self.failing:
+            if rng.random() < share:
+                end_kind = task_executor.EndKind.FAILED
+                left_ms = age_ms
+        self.runs[key] = Run(step, duration_ms, left_ms, end_kind)
+
+    def stop(self, key: RunKey) -> None:
+        """Stop a run if it exists."""
+        self._end(key, task_executor.EndKind.STOPPED)
+
+    def advance(self, now_ms: int) -> None:
+        """Let time pass for all runs."""
+        if not self.is_up:
+            return
+        for key, run in list(self.runs.items()):
+            if run.left_ms is None:
+                continue
+            if self.stall_count and not run.step.is_lasting:
+                continue
+            if run.left_ms <= 0:
+                self._end(key, run.end_kind)
+            else:
+                run.left_ms -= TICK_MS
+        if now_ms >= self.lease_deadline_ms:
+            for key in list(self.runs):
+                self._end(key, task_executor.EndKind.LEASE_EXPIRED)
+
+    def fail_runs(self, keys: abc.Iterable[RunKey]) -> None:
+        """End some runs as failed."""
+        for key in keys:
+            self._end(key, task_executor.EndKind.FAILED)
+
+    def crash(self) -> None:
+        """End the process with all that it knows."""
+        self.down_count += 1
+        self._clear()
+
+    def restart(self) -> None:
+        """Undo a crash; the process is back once all are undone."""
+        self.down_count -= 1
+        self._clear()
+        if not self.down_count:
+            self.start_count += 1
+
+    def lose(self) -> None:
+        """Lose the VM for good."""
+        self.is_lost = True
+        self._clear()
+
+    def _clear(self) -> None:
+        self.runs.clear()
+        self.ended.clear()
+        self.next_number = 1
+
+    def _end(self, key: RunKey, kind: task_executor.EndKind) -> None:
+        if self.runs.pop(key, None) is None:
+            return
+        task, attempt = key
+        end = messages.Ended(self.next_number, task, attempt, kind, '')
+        self.ended[end.number] = end
+        self.next_number += 1
--- /dev/null
+++ b/tests/lasting/world.py
@@ -0,0 +1,197 @@
+"""The real core of an owner among executors and agents, in virtual time."""
+
+from typing import Final
+
+from borageshelf.entry.workflows import runtime
+from borageshelf.model import resources
+from borageshelf.model import workflows
+from borageshelf.workflows import effects
+from borageshelf.workflows import journal
+from borageshelf.workflows import owner
+from tests.lasting import agents
+from tests.lasting import executors
+from tests.lasting import monitor as lasting_monitor
+from tests import workflow_support as support
+
+# As ``runtime.OwnerRuntime`` computes them.
+GRANT_MS: Final = agents.GRANT_MS + runtime.GRANT_CLOCK_MARGIN_MS
+FORMER_GRANTS_MS: Final = runtime.CONFIRMATION_MAX_AGE_MS + GRANT_MS
+
+
+class Cluster(support.Cluster):
+    """An owner's core and its store; effects go to the agents."""
+
+    def __init__(self, now_ms: int = 100_000) -> None:
+        self.agents: dict[str, agents.Agent] = {}
+        super().__init__(now_ms=now_ms)
+
+    def _make_core(self, epoch: int) -> owner.Owner:
+        return owner.Owner(
+            epoch,
+            GRANT_MS,
+            support.RETENTION_MS,
+            self.now_ms,
+            self.now_ms + FORMER_GRANTS_MS,
+            journal.encode,
+            lambda event, **fields: self.log_lines.append((event, fields)),
+        )
+
+    def apply_effects(self, due_effects: list[effects.Effect]) -> None:
+        """Pass effects on to the agents that have a session."""
+        for effect in due_effects:
+            if isinstance(effect, effects.Reply):
+                for token in effect.tokens:
+                    self.replies[token] = effect
+                continue
+            agent = self.agents[effect.target_id]
+            target = self.core.targets[effect.target_id]
+            is_attached = bool(agent.session) and (
+                target.session == agent.session
+            )
+            if isinstance(effect, effects.SendStart):
+                self._order_start(agent, effect, is_attached)
+            elif isinstance(effect, effects.SendStop):
+                if is_attached:
+                    agent.stops.append((effect.task, effect.attempt))
+            else:
+                acknowledged = self.core.mark_end_committed(effect) or 0
+                if is_attached:
+                    ended = agent.executor.ended
+                    for number in [n for n in ended if n <= acknowledged]:
+                        del ended[number]
+
+    def _order_start(
+        self,
+        agent: agents.Agent,
+        effect: effects.SendStart,
+        is_attached: bool,
+    ) -> None:
+        target = self.core.targets[effect.target_id]
+        key = (effect.task, effect.attempt)
+        run = target.runs.get(key)
+        if run is None:
+            return
+        if not target.is_ready or run.is_stopping:
+            self.core.handle_unsent_start(effect)
+            return
+        run.is_sent = True
+        run.started_at_ms = run.progress_at_ms = self.now_ms
+        run.task.group.job.is_started = True
+        self.sent_starts.append((effect.target_id, *key))
+        if is_attached:
+            # Otherwise it is lost on a broken stream.
+            due_ms = self.now_ms + agents.ORDER_DELAY_MS
+            step = run.task.group.step
+            agent.orders.append(agents.Order(due_ms, key, step))
+
+
+class World:
+    """Executors, their agents, an owner and the monitor.
+
+    :ivar has_owner: whether there is an owner now
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._seed = seed
+        self.cluster = Cluster()
+        self.monitor = lasting_monitor.Monitor()
+        self.executors: dict[str, executors.Executor] = {}
+        self.has_owner = True
+        self.clock_begin_ms = self.cluster.now_ms
+        self._submitted: dict[int, workflows.Workflow] = {}
+        self._unsent: list[workflows.Workflow] = []
+        self._cancelled_ids: set[str] = set()
+        self._uncancelled_ids: list[str] = []
+
+    @property
+    def now_ms(self) -> int:
+        """Elapsed time."""
+        return self.cluster.now_ms
+
+    def add_executor(
+        self,
+        target_id: str,
+        millicores: int = 8_000,
+        labels: tuple[str, ...] = ('a', 'r1'),
+    ) -> executors.Executor:
+        """Add an executor with its agent."""
+        capacity = resources.Resources(millicores, 4 * millicores)
+        executor = executors.Executor(target_id, capacity, labels, self._seed)
+        self.executors[target_id] = executor
+        self.cluster.agents[target_id] = agents.Agent(executor, self._seed)
+        return executor
+
+    def get_agent(self, target_id: str) -> agents.Agent:
+        """Return the agent of a target."""
+        return self.cluster.agents[target_id]
+
+    def submit(self, workflow: workflows.Workflow) -> None:
+        """Hand in a workflow, again until there is an owner."""
+        self._unsent.append(workflow)
+
+    def cancel(self, workflow_id: str) -> None:
+        """Cancel a workflow, again until there is an owner."""
+        self._cancelled_ids.add(workflow_id)
+        self._uncancelled_ids.append(workflow_id)
+        self.monitor.note_cancelled(workflow_id)
+
+    def remove_owner(self) -> None:
+        """End the owner; agents notice at once."""
+        self.has_owner = False
+        for agent in self.cluster.agents.values():
+            agent.end_session()
+            agent.attach_due_ms = None
+
+    def add_owner(self, slowest_ms: int = 1_500) -> None:
+        """Let a new owner take over; agents find it within a time."""
+        self.cluster.take_over()
+        self.has_owner = True
+        for agent in self.cluster.agents.values():
+            agent.find_owner(self.now_ms + 200, self.now_ms + slowest_ms)
+
+    def tick(self) -> list[lasting_monitor.Violation]:
+        """Let a tick pass; return new violations."""
+        cluster = self.cluster
+        cluster.now_ms += executors.TICK_MS
+        if self.has_owner:
+            self._send_requests()
+            self._close_silent_sessions()
+            cluster.run_until_idle()
+        for executor in self.executors.values():
+            executor.advance(cluster.now_ms)
+        core = cluster.core if self.has_owner else None
+        for agent in cluster.agents.values():
+            agent.advance(core, cluster.moment)
+        if self.has_owner:
+            cluster.apply_effects(cluster.core.take_immediate_effects())
+            cluster.run_until_idle()
+            self._read_replies()
+        return self.monitor.check(self.executors.values(), cluster.now_ms)
+
+    def _send_requests(self) -> None:
+        for workflow in self._unsent:
+            token = len(self._submitted) + 1
+            self._submitted[token] = workflow
+            self.cluster.submit(workflow, token=token)
+        self._unsent.clear()
+        for workflow_id in self._uncancelled_ids:
+            self.cluster.cancel(workflow_id, token=0)
+        self._uncancelled_ids.clear()
+
+    def _read_replies(self) -> None:
+        for token, reply in self.cluster.replies.items():
+            workflow = self._submitted.get(token)
+            if workflow is None or reply.outcome is not (
+                effects.Outcome.ACCEPTED
+            ):
+                continue
+            if workflow.workflow_id not in self._cancelled_ids:
+                self.monitor.note_accepted(workflow, self.now_ms)
+        self.cluster.replies.clear()
+
+    def _close_silent_sessions(self) -> None:
+        limit_ms = self.now_ms - runtime.AGENT_SILENCE_LIMIT_MS
+        for target in self.cluster.core.targets.values():
+            agent = self.cluster.agents[target.target_id]
+            if target.session and agent.heard_at_ms < limit_ms:
+                self.cluster.core.detach(target.target_id, target.session)
