--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -3,16 +3,17 @@
 Rule LOST of the users' platform; ``tests.lasting.monitor`` states it.
 """
 
-from borageshelf.model import resources
-from borageshelf.model import workflows
 import pytest
 
+from borageshelf.model import resources
+from borageshelf.model import workflows
 from tests.lasting import disruptions
 from tests.lasting import histories
 from tests import workflow_support as support
 
 LABELS = ('a', 'r1')
 SHORT_RUN_MS = 800
+DOWN_MS = 600
 
 
 def make_targets(count: int) -> tuple[histories.Target, ...]:
@@ -38,21 +39,39 @@
 
 
 def submit_short(
-    end_ms: int, interval_ms: int = 500
+    end_ms: int,
+    interval_ms: int = 500,
+    count: int = 1,
+    run_ms: int = SHORT_RUN_MS,
 ) -> tuple[histories.Submission, ...]:
     """Return submissions of short tasks, one after the other."""
     step = support.make_step(
-        demand=resources.Resources(500, 500), estimate_ms=SHORT_RUN_MS
+        count, demand=resources.Resources(500, 500), estimate_ms=run_ms
     )
     return tuple(
         histories.Submission(
             at_ms,
-            workflows.Workflow(f'{0x1000 + at_ms:016x}', 'spec', (step,)),
+            workflows.Workflow(f'{0x100000 + at_ms:016x}', 'spec', (step,)),
         )
         for at_ms in range(0, end_ms, interval_ms)
     )
 
 
+def make_waves(
+    target_count: int,
+    wave_count: int,
+    period_ms: int,
+    knowledge: disruptions.Knowledge,
+) -> tuple[disruptions.Crashed, ...]:
+    """Return crashes of all executors at once, one after the other."""
+    return tuple(
+        disruptions.Crashed(
+            at_ms, at_ms + DOWN_MS, list_ids(target_count), knowledge
+        )
+        for at_ms in range(3_000, 3_000 + wave_count * period_ms, period_ms)
+    )
+
+
 def check(
     targets: tuple[histories.Target, ...],
     submissions: tuple[histories.Submission, ...],
@@ -77,21 +96,32 @@
     expect_no_finding(histories.make_plan(seed))
 
 
-def test_targets_that_failed_all_work_are_used_once_they_are_sound() -> None:
+# A pause that doubles is longest for these ends of the disruption.
+@pytest.mark.parametrize('end_ms', [13_000, 14_000, 24_000, 25_000])
+def test_targets_that_failed_all_work_get_tasks_once_they_are_sound(
+    end_ms: int,
+) -> None:
     check(
         make_targets(3),
-        (submit_lasting(), *submit_short(40_000)),
-        disruptions.Failing(3_000, 23_000, list_ids(3)),
+        (
+            *(
+                submit_lasting(at_ms=at_ms, number=0x10 + at_ms)
+                for at_ms in range(0, end_ms, 1_000)
+            ),
+            *submit_short(end_ms + 20_000, 300),
+        ),
+        disruptions.Failing(3_000, end_ms, list_ids(3)),
     )
 
 
-def test_targets_that_refused_all_starts_are_used_once_they_are_sound() -> (
-    None
-):
+@pytest.mark.parametrize('end_ms', [13_000, 14_000, 23_000, 24_000])
+def test_targets_that_refused_all_starts_get_tasks_once_they_are_sound(
+    end_ms: int,
+) -> None:
     check(
         make_targets(3),
-        (submit_lasting(), submit_lasting(at_ms=5_000, number=2)),
-        disruptions.Refusing(3_000, 23_000, list_ids(3)),
+        (submit_lasting(at_ms=4_000),),
+        disruptions.Refusing(3_000, end_ms, list_ids(3)),
     )
 
 
@@ -100,39 +130,81 @@
     knowledge: disruptions.Knowledge,
 ) -> None:
     check(
-        make_targets(3),
+        make_targets(2),
         (submit_lasting(at_ms=2_000),),
-        *(
-            disruptions.Crashed(at_ms, at_ms + 600, list_ids(3), knowledge)
-            for at_ms in range(3_000, 9_000, 1_300)
+        *make_waves(2, 5, 1_900, knowledge),
+    )
+
+
+@pytest.mark.parametrize('run_ms', [1_000, 2_500, 5_000])
+@pytest.mark.parametrize(('wave_count', 'period_ms'), [(3, 2_600), (5, 1_300)])
+def test_suspected_short_tasks_keep_lasting_ones_from_no_targets_for_long(
+    wave_count: int, period_ms: int, run_ms: int
+) -> None:
+    check(
+        make_targets(3),
+        (
+            submit_lasting(6, spread_limit=4),
+            *submit_short(3_000 + wave_count * period_ms, 400, 2, run_ms),
         ),
+        *make_waves(3, wave_count, period_ms, disruptions.Knowledge.SNAPSHOT),
+    )
+
+
+@pytest.mark.parametrize('age_ms', [0, 200, 300, 400, 1_200])
+@pytest.mark.parametrize('up_ms', [300, 1_000])
+def test_young_run_of_a_vm_that_came_back_and_was_lost_is_replaced(
+    up_ms: int, age_ms: int
+) -> None:
+    crash_ms = 3_000 + age_ms
+    lost_ms = crash_ms + 1_000 + up_ms
+    check(
+        make_targets(3),
+        (submit_lasting(6, at_ms=3_000, spread_limit=4),),
+        disruptions.Crashed(crash_ms, crash_ms + 1_000, ('vm-0',)),
+        disruptions.Lost(lost_ms, lost_ms, ('vm-0',)),
     )
 
 
+# The owner is replaced at once, or after its lease has expired.
 @pytest.mark.parametrize('gap_ms', [100, 2_500])
-def test_run_of_a_vm_that_was_lost_before_changes_of_owner_is_replaced(
-    gap_ms: int,
+@pytest.mark.parametrize('delay_ms', [0, 500, 1_000, 2_000, 4_000, 5_500])
+def test_run_of_a_lost_vm_is_replaced_by_the_next_owner(
+    delay_ms: int, gap_ms: int
 ) -> None:
+    begin_ms = 3_000 + delay_ms
     check(
         make_targets(4),
-        (submit_lasting(8, spread_limit=2),),
+        (submit_lasting(8, at_ms=1_500, spread_limit=4),),
+        disruptions.Lost(3_000, 3_000, ('vm-0',)),
+        disruptions.OwnerChanged(begin_ms, begin_ms + gap_ms, ()),
+    )
+
+
+@pytest.mark.parametrize('period_ms', [2_000, 4_000])
+def test_run_of_a_lost_vm_is_replaced_after_several_changes_of_owner(
+    period_ms: int,
+) -> None:
+    check(
+        make_targets(4),
+        (submit_lasting(8, at_ms=1_500, spread_limit=4),),
         disruptions.Lost(3_000, 3_000, ('vm-0',)),
         *(
-            disruptions.OwnerChanged(at_ms, at_ms + gap_ms, ())
-            for at_ms in (3_000, 7_000, 11_000)
+            disruptions.OwnerChanged(at_ms, at_ms + 100, ())
+            for at_ms in range(3_000, 3_000 + 3 * period_ms, period_ms)
         ),
     )
 
 
-@pytest.mark.parametrize('age_ms', range(0, 1_200, 200))
-def test_young_run_of_a_vm_that_came_back_and_was_lost_is_replaced(
-    age_ms: int,
+@pytest.mark.parametrize('is_reborn', [False, True])
+@pytest.mark.parametrize('delay_ms', range(0, 6_000, 1_000))
+def test_run_of_an_agent_that_was_cut_off_is_replaced_by_the_next_owner(
+    delay_ms: int, is_reborn: bool
 ) -> None:
-    at_ms = 3_000 + age_ms
+    begin_ms = 3_000 + delay_ms
     check(
-        make_targets(3),
-        (submit_lasting(6, at_ms=3_000, spread_limit=2),),
-        disruptions.Crashed(at_ms, at_ms + 1_000, ('vm-0',)),
-        disruptions.Crashed(at_ms + 2_000, at_ms + 2_500, ('vm-0',)),
-        disruptions.Lost(at_ms + 3_200, at_ms + 3_200, ('vm-0',)),
+        make_targets(4),
+        (submit_lasting(8, at_ms=1_500, spread_limit=4),),
+        disruptions.CutOff(3_000, begin_ms + 100, ('vm-0',), is_reborn),
+        disruptions.OwnerChanged(begin_ms, begin_ms + 100, ()),
     )
