--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -82,7 +82,12 @@
     :ivar number: index among all tasks of the workflow
     :ivar index: index among the tasks of the group
     :ivar avoided: targets on which the task failed
-    :ivar not_before_ms: elapsed time before which it is not started
+    :ivar stalls: number of its runs that were stopped as stalled
+    :ivar waiting_since_ms: elapsed time at which its last run may have ended;
+        before its first run, that of the acceptance, of the takeover, or at
+        which its step became ready
+    :ivar overdue_retry_deadline_ms: elapsed time from which withheld targets
+        are tried again
     :ivar crash_history: crashes of executors under the task
     :ivar isolation_wait_deadline_ms: elapsed time from which a suspect is
         started beside other work if no target could be isolated for it
@@ -99,9 +104,11 @@
         'is_done',
         'isolation_wait_deadline_ms',
         'name',
-        'not_before_ms',
         'number',
+        'overdue_retry_deadline_ms',
         'runs',
+        'stalls',
+        'waiting_since_ms',
     )
 
     def __init__(self, group: 'Group', number: int, index: int) -> None:
@@ -117,7 +124,9 @@
         self.checkpoint = ''
         self.runs: dict[int, Run] = {}
         self.is_done = False
-        self.not_before_ms = 0
+        self.waiting_since_ms = group.job.accepted_at_ms
+        self.overdue_retry_deadline_ms = 0
+        self.stalls = 0
         self.avoided: tuple[str, ...] = ()
         self.crash_history = crash_blame.NO_CRASHES
         self.isolation_wait_deadline_ms = 0
@@ -170,6 +179,7 @@
 class Group:
     """The tasks of one step in one occurrence of the workflow.
 
+    :ivar was_ready: whether its tasks' turn has been noticed
     :ivar waiting_count: number of tasks that need a run
     :ivar running_percent: sum of the progress of the runs of unfinished tasks
     :ivar misfit: the last choice of a target that found none, or None
@@ -188,6 +198,7 @@
         'suspects',
         'tasks',
         'waiting_count',
+        'was_ready',
     )
 
     def __init__(
@@ -203,11 +214,20 @@
         ]
         self.done_count = 0
         self.is_complete = False
+        self.was_ready = False
         self.waiting_count = len(self.tasks)
         self.running_percent = 0
         self.misfit: Misfit | None = None
         self.suspects: list[Task] = []
 
+    def note_ready(self, now_ms: int) -> None:
+        """Note that the tasks may start; before, they did not wait."""
+        if not self.was_ready:
+            self.was_ready = True
+            for task in self.tasks:
+                if not task.attempts:
+                    task.waiting_since_ms = now_ms
+
     def count_runs_by_target(self) -> dict[str, int]:
         """Return the number of the group's runs on each target."""
         counts: dict[str, int] = {}
@@ -355,11 +375,17 @@
         task.runs[run.attempt] = run
         self._live_runs += 1
 
-    def remove_run(self, run: Run) -> None:
-        """Remove a run that has ended."""
+    def remove_run(self, run: Run, ended_at_ms: int | None = None) -> None:
+        """Remove a run.
+
+        :param ended_at_ms: elapsed time at which it may have ended; None if it
+            never began, so that its task goes on to wait
+        """
         task = run.task
         if task.runs.pop(run.attempt, None) is None:
             return
+        if ended_at_ms is not None:
+            task.waiting_since_ms = ended_at_ms
         self._live_runs -= 1
         if not task.is_done:
             task.group.running_percent -= run.progress_percent
@@ -474,6 +500,7 @@
             task.attempts = record.attempts
             task.failures = record.failures
             task.checkpoint = record.checkpoint
+            task.waiting_since_ms = now_ms
             if record.crashes is not None:
                 task.set_crash_history(
                     crash_blame.History(
@@ -486,7 +513,9 @@
                 task.isolation_wait_deadline_ms = (
                     now_ms
                     + crash_blame.compute_isolation_wait_ms(
-                        task.crash_history, task.group.step.is_lasting
+                        task.crash_history,
+                        task.group.step.is_lasting,
+                        is_restored=True,
                     )
                 )
             for stored in record.runs:
