--- a/tests/lasting/agents.py
+++ b/tests/lasting/agents.py
@@ -76,6 +76,7 @@
         self.is_ready = False
         self.cut_count = 0
         self.former_deadline_ms = 0
+        self._is_granted = True
         self.heard_at_ms = 0
         self.attach_due_ms: int | None = 0
         self.gone_due_ms: int | None = None
@@ -142,8 +143,17 @@
 
     # Time.
 
-    def advance(self, core: owner.Owner | None, moment: clock.Moment) -> None:
-        """Carry out orders and report what has changed."""
+    def advance(
+        self,
+        core: owner.Owner | None,
+        is_granted: bool,
+        moment: clock.Moment,
+    ) -> None:
+        """Carry out orders and report what has changed.
+
+        :param is_granted: whether the owner extends grants
+        """
+        self._is_granted = is_granted
         executor = self.executor
         if executor.is_lost:
             return
@@ -401,8 +411,9 @@
             if executor.answers:
                 rows = self._make_rows(has_lasting=False)
                 core.update_progress(target, rows, moment)
-        core.extend_grant(target, moment)
-        if self.is_ready:
+        if self._is_granted:
+            core.extend_grant(target, moment)
+        if self._is_granted and self.is_ready:
             self._extend_lease(moment.elapsed_ms)
 
     def _extend_lease(self, now_ms: int) -> None:
--- a/tests/lasting/disruptions.py
+++ b/tests/lasting/disruptions.py
@@ -115,6 +115,11 @@
     held_ids: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreDown(Disruption):
+    """A store that refuses all commits."""
+
+
 @functools.singledispatch
 def begin(disruption: Disruption, world: lasting_world.World) -> None:
     """Begin a disruption."""
@@ -287,3 +292,13 @@
 @end.register
 def _(disruption: OwnerChanged, world: lasting_world.World) -> None:
     world.add_owner(disruption.slowest_ms)
+
+
+@begin.register
+def _(disruption: StoreDown, world: lasting_world.World) -> None:
+    world.cluster.store_down_count += 1
+
+
+@end.register
+def _(disruption: StoreDown, world: lasting_world.World) -> None:
+    world.cluster.store_down_count -= 1
--- a/tests/lasting/explain.py
+++ b/tests/lasting/explain.py
@@ -1,11 +1,15 @@
 """Says why the owner has not placed a task on a target, from its books."""
 
+from typing import Final
+
 from borageshelf import clock
 from borageshelf.decisions import workflow_placement
 from borageshelf.workflows import idle
 from borageshelf.workflows import jobs
 from borageshelf.workflows import owner
 
+JUST_ORDERED_MS: Final = 300
+
 
 def explain_task(core: owner.Owner, name: str, moment: clock.Moment) -> str:
     """Say why a task waits, wherever it might be placed."""
@@ -34,11 +38,14 @@
     target = core.targets[run.target_id]
     key = (run.task.name, run.attempt)
     unproved_ms = target.unproved_runs.get(key)
+    ordered_ms = now_ms - run.started_at_ms
     cause = 'kept until its grant has ended'
     left_ms = target.lost_deadline_ms - now_ms
     if unproved_ms is not None:
         cause = 'unproved'
         left_ms = unproved_ms - now_ms
+    elif target.is_ready and ordered_ms < JUST_ORDERED_MS:
+        cause = f'ordered just now, {ordered_ms} ms ago'
     elif target.is_ready:
         cause = 'in the books only'
     return (
--- a/tests/lasting/histories.py
+++ b/tests/lasting/histories.py
@@ -407,6 +407,36 @@
         target_id = self._take_alive()
         self._disruptions.append(disruptions.Lost(at_ms, at_ms, (target_id,)))
 
+    def draw_lost_near_owner_change(self, begin_ms: int, end_ms: int) -> None:
+        """Lose a VM shortly before the owner changes."""
+        rng = self._rng
+        if len(self._alive) > 3:
+            at_ms = max(end_ms - rng.randrange(0, 7_000, TICK_MS), begin_ms)
+            target_id = self._take_alive()
+            self._disruptions.append(
+                disruptions.Lost(at_ms, at_ms, (target_id,))
+            )
+            self.draw_owner_changes(at_ms, end_ms + TICK_MS)
+
+    def draw_back_and_lost(self, begin_ms: int, end_ms: int) -> None:
+        """Lose a VM shortly after its executor was back from a crash."""
+        rng = self._rng
+        if len(self._alive) > 3:
+            at_ms = rng.randrange(begin_ms, end_ms, TICK_MS)
+            down_ms = rng.choice([600, 1_500, 3_000])
+            lost_ms = at_ms + down_ms + rng.randrange(0, 2_000, TICK_MS)
+            ids = (self._take_alive(),)
+            knowledge = rng.choice(list(disruptions.Knowledge))
+            self._disruptions += [
+                disruptions.Crashed(at_ms, at_ms + down_ms, ids, knowledge),
+                disruptions.Lost(lost_ms, lost_ms, ids),
+            ]
+
+    def draw_store_down(self, begin_ms: int, end_ms: int) -> None:
+        """Let the store refuse all commits."""
+        first_ms, last_ms = self._draw_span(begin_ms, end_ms)
+        self._disruptions.append(disruptions.StoreDown(first_ms, last_ms, ()))
+
     def draw_draining(self, begin_ms: int, end_ms: int) -> None:
         """Let an executor drain."""
         leaves = self._rng.random() < 0.5 and len(self._alive) > 3
@@ -468,6 +498,9 @@
     Planner.draw_flapping,
     Planner.draw_cut,
     Planner.draw_lost,
+    Planner.draw_lost_near_owner_change,
+    Planner.draw_back_and_lost,
+    Planner.draw_store_down,
     Planner.draw_draining,
     Planner.draw_shrunk,
     Planner.draw_owner_changes,
--- a/tests/lasting/search.py
+++ b/tests/lasting/search.py
@@ -60,17 +60,20 @@
     )
     options = parser.parse_args()
     kinds: collections.Counter[str] = collections.Counter()
+    seeds: dict[str, list[int]] = {}
     for seed in range(options.first, options.first + options.seeds):
         plan = histories.make_plan(seed)
         for finding in histories.play(plan):
             kinds[finding.kind] += 1
+            if seed not in seeds.setdefault(finding.kind, []):
+                seeds[finding.kind].append(seed)
             if options.shrink and kinds[finding.kind] == 1:
                 _print_smallest(plan, finding.kind)
             else:
                 print(*finding.describe(plan), sep='\n', flush=True)
     print(f'{options.seeds} seeds, {kinds.total()} violations')
     for kind, count in kinds.most_common():
-        print(f'{count:6} {kind}')
+        print(f'{count:6} {kind}; seeds {seeds[kind]}')
     return 1 if kinds else 0
 
 
--- a/tests/lasting/world.py
+++ b/tests/lasting/world.py
@@ -21,9 +21,15 @@
 
 
 class Cluster(support.Cluster):
-    """An owner's core and its store; effects go to the agents."""
+    """An owner's core and its store; effects go to the agents.
+
+    :ivar store_down_count: number of disruptions that let all commits fail
+    :ivar committed_at_ms: when the store last answered
+    """
 
     def __init__(self, now_ms: int = 100_000) -> None:
+        self.store_down_count = 0
+        self.committed_at_ms = now_ms
         self.agents: dict[str, agents.Agent] = {}
         super().__init__(now_ms=now_ms)
 
@@ -38,6 +44,24 @@
             lambda event, **fields: self.log_lines.append((event, fields)),
         )
 
+    @property
+    def is_granting(self) -> bool:
+        """Whether the owner knows that it still is the owner."""
+        age_ms = self.now_ms - self.committed_at_ms
+        return age_ms < runtime.CONFIRMATION_MAX_AGE_MS
+
+    def run_until_idle(self) -> None:
+        """Schedule and commit until there are no changes left."""
+        if not self.store_down_count:
+            self.committed_at_ms = self.now_ms
+            super().run_until_idle()
+            return
+        self.core.advance(self.moment)
+        self.core.schedule(self.moment)
+        self.apply_effects(self.core.take_immediate_effects())
+        self.core.handle_failed_commit(self.core.take_batch(), 1)
+        self.apply_effects(self.core.take_immediate_effects())
+
     def apply_effects(self, due_effects: list[effects.Effect]) -> None:
         """Pass effects on to the agents that have a session."""
         for effect in due_effects:
@@ -175,7 +199,7 @@
             executor.advance(cluster.now_ms)
         core = cluster.core if self.has_owner else None
         for agent in cluster.agents.values():
-            agent.advance(core, cluster.moment)
+            agent.advance(core, cluster.is_granting, cluster.moment)
         if self.has_owner:
             cluster.apply_effects(cluster.core.take_immediate_effects())
             cluster.run_until_idle()
@@ -183,11 +207,15 @@
         return self.monitor.check(self.executors.values(), cluster.now_ms)
 
     def _send_requests(self) -> None:
-        for workflow in self._unsent:
+        unsent, self._unsent = self._unsent, []
+        for workflow in unsent:
+            if workflow.workflow_id in self._cancelled_ids:
+                continue
             token = len(self._submitted) + 1
             self._submitted[token] = workflow
             self.cluster.submit(workflow, token=token)
-        self._unsent.clear()
+        if self.cluster.store_down_count:
+            return
         for workflow_id in self._uncancelled_ids:
             self.cluster.cancel(workflow_id, token=0)
         self._uncancelled_ids.clear()
@@ -195,9 +223,13 @@
     def _read_replies(self) -> None:
         for token, reply in self.cluster.replies.items():
             workflow = self._submitted.get(token)
-            if workflow is None or reply.outcome is not (
-                effects.Outcome.ACCEPTED
-            ):
+            if workflow is None:
+                continue
+            is_lasting = any(step.is_lasting for step in workflow.steps)
+            if reply.outcome is effects.Outcome.REFUSED and is_lasting:
+                # The store was down; its caller tries again.
+                self._unsent.append(workflow)
+            if reply.outcome is not effects.Outcome.ACCEPTED:
                 continue
             if workflow.workflow_id not in self._cancelled_ids:
                 self.monitor.note_accepted(workflow, self.now_ms)
