--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -3,12 +3,16 @@
 Rule LOST of the users' platform; ``tests.lasting.monitor`` states it.
 """
 
+import types
+
 import pytest
 
 from borageshelf.model import resources
 from borageshelf.model import workflows
+from borageshelf.workflows import owner
 from tests.lasting import disruptions
 from tests.lasting import histories
+from tests.lasting import world
 from tests import workflow_support as support
 
 LABELS = ('a', 'r1')
@@ -208,3 +212,59 @@
         disruptions.CutOff(3_000, begin_ms + 100, ('vm-0',), is_reborn),
         disruptions.OwnerChanged(begin_ms, begin_ms + 100, ()),
     )
+
+
+HELD_BY_FORMER_OWNER = histories.Plan(
+    0,
+    make_targets(4),
+    (submit_lasting(8, at_ms=1_500, spread_limit=4),),
+    (
+        disruptions.OwnerChanged(3_000, 3_100, (), held_ids=('vm-0',)),
+        disruptions.CutOff(3_100, 14_000, ('vm-0',)),
+    ),
+    20_000,
+)
+# A start that is unanswered as its executor restarts; the link breaks after
+# the report of it and before the next snapshot.
+LATE_ON_NEXT_INCARNATION = histories.Plan(
+    0,
+    make_targets(2),
+    (submit_lasting(4, at_ms=2_500, spread_limit=4),),
+    (
+        disruptions.Late(2_000, 12_000, ('vm-0',), 4_000),
+        disruptions.Crashed(3_000, 3_200, ('vm-0',)),
+        disruptions.CutOff(4_100, 16_000, ('vm-0',)),
+    ),
+    20_000,
+)
+
+
+@pytest.mark.parametrize(
+    'plan', [HELD_BY_FORMER_OWNER, LATE_ON_NEXT_INCARNATION]
+)
+def test_waits_for_proofs_keep_tasks_from_running_twice(
+    plan: histories.Plan,
+) -> None:
+    assert not [
+        finding
+        for finding in histories.play(plan)
+        if finding.violation.is_twice
+    ]
+
+
+@pytest.mark.parametrize(
+    ('plan', 'module', 'name'),
+    [
+        (HELD_BY_FORMER_OWNER, world, 'FORMER_GRANTS_MS'),
+        (LATE_ON_NEXT_INCARNATION, owner, 'LATE_ORDER_GRANTS'),
+    ],
+)
+def test_histories_show_that_each_wait_for_a_proof_is_needed(
+    plan: histories.Plan,
+    module: types.ModuleType,
+    name: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a monitor that finds no task that runs twice."""
+    monkeypatch.setattr(module, name, 0)
+    assert any(finding.violation.is_twice for finding in histories.play(plan))
