--- a/tests/lasting/disruptions.py
+++ b/tests/lasting/disruptions.py
@@ -5,6 +5,7 @@
 import functools
 from typing import Final
 
+from borageshelf.agent.workflows import owner_link
 from borageshelf.model import resources
 from tests.lasting import world as lasting_world
 
@@ -115,6 +116,22 @@
     held_ids: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class OwnerPaused(Disruption):
+    """An owner whose process stands still, and that stays the owner."""
+
+    @property
+    def is_noticed(self) -> bool:
+        """Whether agents give up their sessions meanwhile."""
+        duration_ms = self.end_ms - self.begin_ms
+        return duration_ms >= owner_link.OWNER_SILENCE_LIMIT_MS
+
+
+@dataclasses.dataclass(frozen=True)
+class AgentRestarted(Disruption):
+    """Agents whose process ends and is back at the end, knowing nothing."""
+
+
 @dataclasses.dataclass(frozen=True)
 class StoreDown(Disruption):
     """A store that refuses all commits."""
@@ -302,3 +319,30 @@
 @end.register
 def _(disruption: StoreDown, world: lasting_world.World) -> None:
     world.cluster.store_down_count -= 1
+
+
+@begin.register
+def _(disruption: OwnerPaused, world: lasting_world.World) -> None:
+    world.pause_owner(disruption.is_noticed)
+
+
+@end.register
+def _(disruption: OwnerPaused, world: lasting_world.World) -> None:
+    world.resume_owner(disruption.is_noticed)
+
+
+@begin.register
+def _(disruption: AgentRestarted, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        agent = world.get_agent(target_id)
+        agent.cut_off()
+        agent.start_again()
+
+
+@end.register
+def _(disruption: AgentRestarted, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        agent = world.get_agent(target_id)
+        agent.reconnect(world.now_ms)
+        if world.executors[target_id].is_up:
+            agent.note_restart(world.now_ms)
--- a/tests/lasting/histories.py
+++ b/tests/lasting/histories.py
@@ -469,12 +469,7 @@
         at_ms = rng.randrange(begin_ms, end_ms, TICK_MS)
         for _ in range(rng.choice([1, 1, 2, 4])):
             gap_ms = rng.choice([100, 100, 2_000, 3_000])
-            if at_ms + gap_ms > end_ms or any(
-                isinstance(other, disruptions.OwnerChanged)
-                and other.begin_ms <= at_ms + gap_ms
-                and at_ms <= other.end_ms
-                for other in self._disruptions
-            ):
+            if not self._has_owner(at_ms, at_ms + gap_ms, end_ms):
                 return
             self._disruptions.append(
                 disruptions.OwnerChanged(
@@ -487,6 +482,33 @@
             )
             at_ms += gap_ms + rng.choice([400, 1_500, 4_000])
 
+    def draw_owner_pauses(self, begin_ms: int, end_ms: int) -> None:
+        """Let the owner's process stand still."""
+        rng = self._rng
+        at_ms = rng.randrange(begin_ms, end_ms, TICK_MS)
+        for _ in range(rng.choice([1, 2, 4])):
+            gap_ms = rng.choice([400, 1_200, 2_500])
+            if not self._has_owner(at_ms, at_ms + gap_ms, end_ms):
+                return
+            self._disruptions.append(
+                disruptions.OwnerPaused(at_ms, at_ms + gap_ms, ())
+            )
+            at_ms += gap_ms + rng.choice([200, 1_500, 4_000])
+
+    def _has_owner(self, from_ms: int, to_ms: int, end_ms: int) -> bool:
+        """Tell whether an owner that may be disturbed works all the time."""
+        kinds = (disruptions.OwnerChanged, disruptions.OwnerPaused)
+        return to_ms <= end_ms and not any(
+            isinstance(other, kinds)
+            and other.begin_ms <= to_ms
+            and from_ms <= other.end_ms
+            for other in self._disruptions
+        )
+
+    def draw_agent_restarts(self, begin_ms: int, end_ms: int) -> None:
+        """Let agents start again."""
+        self._draw_simple(disruptions.AgentRestarted, begin_ms, end_ms)
+
 
 KINDS: Final = (
     Planner.draw_failing,
@@ -504,6 +526,8 @@
     Planner.draw_draining,
     Planner.draw_shrunk,
     Planner.draw_owner_changes,
+    Planner.draw_owner_pauses,
+    Planner.draw_agent_restarts,
 )
 
 
--- a/tests/lasting/world.py
+++ b/tests/lasting/world.py
@@ -187,6 +187,26 @@
         for agent in self.cluster.agents.values():
             agent.find_owner(self.now_ms + 200, self.now_ms + slowest_ms)
 
+    def pause_owner(self, is_noticed: bool) -> None:
+        """Pause the owner's process.
+
+        :param is_noticed: whether it takes so long that agents notice
+        """
+        self.has_owner = False
+        if is_noticed:
+            for agent in self.cluster.agents.values():
+                agent.end_session()
+                agent.attach_due_ms = None
+
+    def resume_owner(self, is_noticed: bool) -> None:
+        """Let the owner's process go on; agents open new sessions."""
+        self.has_owner = True
+        for agent in self.cluster.agents.values():
+            if is_noticed:
+                agent.find_owner(self.now_ms, self.now_ms + 600)
+            else:
+                agent.heard_at_ms = self.now_ms
+
     def tick(self) -> list[lasting_monitor.Violation]:
         """Let a tick pass; return new violations."""
         cluster = self.cluster
