--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -11,6 +11,7 @@
 import dataclasses
 from typing import Final
 
+from borageshelf.agent.workflows import executor_lease
 from borageshelf.agent.workflows import pacer
 from borageshelf.agent.workflows import runs
 from borageshelf import clock
@@ -42,11 +43,6 @@
 ACKNOWLEDGEMENT_WAIT_MS: Final = 150
 START_TRIES: Final = 4
 GRANT_WAIT_LIMIT_MS: Final = 1_000
-# The executor's clock may be 2% slow, so leases are shorter than the grant.
-LEASE_TO_GRANT_RATIO: Final = 0.975
-# A shorter lease would expire before its task has started.
-MIN_LEASE_MS: Final = 300
-LEASE_END_MARGIN_MS: Final = 300
 # Answers after which this try of a start has certainly done nothing.
 _REFUSALS: Final = (
     task_executor.StartOutcome.NO_ROOM,
@@ -56,17 +52,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class _ClockReading:
-    """A reading of the executor's clock.
-
-    :param elapsed_ms: the agent's clock when the answer arrived
-    """
-
-    executor_ms: int
-    elapsed_ms: int
-
-
 class ExecutorDriver:
     """Starts, stops and inspects runs on the executor beside the agent.
 
@@ -92,10 +77,7 @@
         self._is_ready = False
         self._grant_ms = 0
         self._grant_deadline_ms = 0
-        # A former process of this agent may have extended the lease just
-        # before this process started.
-        self._lease_end_ms = clock.read_elapsed_ms() + lease_limit_ms
-        self._clock_reading: _ClockReading | None = None
+        self._lease = executor_lease.ExecutorLease(lease_limit_ms)
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
@@ -106,6 +88,9 @@
         self._inspected_incarnation = ''
         self._lost_runs: tuple[tuple[str, int], ...] = ()
         self._unproved_runs: tuple[tuple[str, int], ...] = ()
+        # When the last of their starts was sent.
+        self._begun_at_running_ms = clock.read_running_ms()
+        self._unproved_order_at_running_ms = self._begun_at_running_ms
         self._departed_incarnation = ''
         self._inspection_begun_at_ms = 0
         self._is_snapshot_complete = True
@@ -116,6 +101,8 @@
         self._inspected_at_ms = 0
         # How the executor went, as long as it is gone.
         self._gone_cause: messages.GoneCause | None = None
+        # Whether the last inspection was answered with a refusal.
+        self._is_refused = False
         self._pacer = pacer.FillerPacer(
             executor, event_log, lambda: self._runs.values()
         )
@@ -151,7 +138,10 @@
                 incarnation=announcement.incarnation,
                 former=former.incarnation if former else '',
             )
-            self._report_executor_gone(former, messages.GoneCause.REPLACED)
+            cause = messages.GoneCause.REPLACED
+            if former and former.instance_id == announcement.instance_id:
+                cause = messages.GoneCause.RESTARTED
+            self._report_executor_gone(former, cause)
             self._renew_session()
         elif announcement.is_draining and not former.is_draining:
             self._event_log.record_state(
@@ -262,16 +252,18 @@
         """Report a snapshot of the executor, then the changes on it."""
         if self._gone_cause is not None and self.announcement is not None:
             # The report to the former owner may not have been committed.
-            self._send_executor_gone(self.announcement, self._gone_cause)
+            self._send_executor_gone(
+                self.announcement.incarnation, self._gone_cause
+            )
         is_first = True
         while self._token == token:
             wait_ms = 0 if is_first else INSPECTION_WAIT_MS
             if wait_ms and self._pacer.is_needed:
                 wait_ms = PACED_INSPECTION_WAIT_MS
             begun_at_ms = clock.read_elapsed_ms()
-            lease_deadline_ms = (
-                0 if is_first else self._calculate_lease_deadline_ms()
-            )
+            extension = executor_lease.NO_EXTENSION
+            if not is_first:
+                extension = self._compute_lease_extension()
             if self._gone_cause is not None or self._unanswered_since_ms:
                 wait_ms = 0
             acknowledged_end_number = 0
@@ -281,16 +273,12 @@
                 acknowledged_end_number = self._acknowledged_end_number
                 self._record_acknowledgement()
             try:
-                inspection = await self._executor.inspect(
-                    self._get_instance_id(),
-                    token,
-                    acknowledged_end_number,
-                    lease_deadline_ms,
-                    wait_ms,
+                inspection = await self._inspect(
+                    token, acknowledged_end_number, extension, wait_ms
                 )
             except task_executor.ExecutorUnavailable as error:
                 self._note_silence(begun_at_ms, wait_ms)
-                await self._handle_unanswered_inspection(error)
+                await self._handle_unanswered_inspection(error, begun_at_ms)
                 continue
             except task_executor.OrderRefused as error:
                 if await self._handle_refused_inspection(error):
@@ -298,8 +286,9 @@
                 continue
             if self._token != token:
                 return
+            self._is_refused = False
             self._inspected_at_ms = clock.read_elapsed_ms()
-            self._record_executor_clock(inspection.clock_ms)
+            self._lease.record_clock(inspection.clock_ms)
             self._unanswered_since_ms = 0
             if not self._check_incarnation(inspection):
                 return
@@ -326,6 +315,35 @@
                     self._ends_acknowledged, ACKNOWLEDGEMENT_WAIT_MS
                 )
 
+    async def _inspect(
+        self,
+        token: int,
+        acknowledged_end_number: int,
+        extension: executor_lease.Extension,
+        wait_ms: int,
+    ) -> task_executor.Inspection:
+        """Inspect the executor, and note whether this extends the lease."""
+        is_without_effect = False
+        self._lease.begin_extension(extension)
+        try:
+            return await self._executor.inspect(
+                self._get_instance_id(),
+                token,
+                acknowledged_end_number,
+                extension.lease_deadline_ms,
+                wait_ms,
+            )
+        except task_executor.ExecutorUnavailable as error:
+            is_without_effect = error.is_connection_refused
+            raise
+        except task_executor.OrderRefused as error:
+            is_without_effect = (
+                error.outcome is task_executor.StartOutcome.UNHEALTHY
+            )
+            raise
+        finally:
+            self._lease.end_extension(extension, is_without_effect)
+
     def _report_snapshot(self, inspection: task_executor.Inspection) -> None:
         former_runs = self._runs
         self._runs = {}
@@ -523,10 +541,10 @@
         for try_index in range(START_TRIES):
             if run.state is runs.RunState.STOPPING:
                 return
-            lease_deadline_ms = await self._wait_for_grant()
+            extension = await self._wait_for_grant()
             if self._token != token or run.key not in self._runs:
                 return
-            if not lease_deadline_ms:
+            if not extension.lease_deadline_ms:
                 run.refusal_reason = 'no grant'
                 break
             if self.announcement is None or self.announcement.is_draining:
@@ -540,18 +558,19 @@
                 break
             had_arrived, run.may_have_arrived = run.may_have_arrived, True
             run.open_tries += 1
+            run.ordered_at_running_ms = clock.read_running_ms()
             self._record_order('start sent', run, token, try_index + 1)
             try:
-                outcome = await self._executor.start(
-                    self._get_instance_id(),
+                outcome = await self._send_start(
                     task_executor.StartOrder(
                         order.terms.task,
                         order.terms.attempt,
                         spec,
                         token,
-                        lease_deadline_ms,
+                        extension.lease_deadline_ms,
                         order.checkpoint,
                     ),
+                    extension,
                 )
             except task_executor.ExecutorUnavailable as error:
                 measurements.EXECUTOR_FAILURES.inc()
@@ -578,7 +597,7 @@
                 outcome=outcome.value,
             )
             if outcome is task_executor.StartOutcome.TOO_LATE:
-                self._clock_reading = None
+                self._lease.forget_clock()
                 run.refusal_reason = outcome.value
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
@@ -595,12 +614,39 @@
                 # paced at once.
                 await self._pace_fillers()
             return
+        if run.state is runs.RunState.STARTING and not run.may_have_arrived:
+            del self._runs[run.key]
+            is_silent = bool(self._unanswered_since_ms)
+            self._refuse(
+                run.terms, run.refusal_reason, run.is_unhealthy or is_silent
+            )
+            return
         # The start may still be carried out, so the run is stopped before
         # it is refused.
         if run.state is runs.RunState.STARTING:
             run.state = runs.RunState.STOPPING
             await self._stop(run, token)
 
+    async def _send_start(
+        self,
+        order: task_executor.StartOrder,
+        extension: executor_lease.Extension,
+    ) -> task_executor.StartOutcome:
+        """Send a start, and note whether it extends the lease."""
+        is_without_effect = False
+        self._lease.begin_extension(extension)
+        try:
+            outcome = await self._executor.start(
+                self._get_instance_id(), order
+            )
+            is_without_effect = outcome is task_executor.StartOutcome.UNHEALTHY
+            return outcome
+        except task_executor.ExecutorUnavailable as error:
+            is_without_effect = error.is_connection_refused
+            raise
+        finally:
+            self._lease.end_extension(extension, is_without_effect)
+
     def _apply_start_outcome(
         self,
         run: runs.AgentRun,
@@ -630,19 +676,19 @@
             outcome is task_executor.StartOutcome.UNHEALTHY,
         )
 
-    async def _wait_for_grant(self) -> int:
-        """Return the lease deadline to request; 0 if nothing may start.
+    async def _wait_for_grant(self) -> executor_lease.Extension:
+        """Return the lease to request; ``NO_EXTENSION`` if none may start.
 
         A start needs a grant of the owner and a recent announcement of the
         executor. After a pause of this process, both may be outdated.
         """
         deadline_ms = clock.read_elapsed_ms() + GRANT_WAIT_LIMIT_MS
         while True:
-            lease_deadline_ms = self._calculate_lease_deadline_ms()
-            if lease_deadline_ms and self._is_announcement_recent():
-                return lease_deadline_ms
+            extension = self._compute_lease_extension()
+            if extension.lease_deadline_ms and self._is_announcement_recent():
+                return extension
             if clock.read_elapsed_ms() >= deadline_ms:
-                return 0
+                return executor_lease.NO_EXTENSION
             await asyncio.sleep(0.02)
 
     def _is_announcement_recent(self) -> bool:
@@ -651,7 +697,7 @@
         The age is counted on the executor's clock, because an announcement
         may have waited in a socket while this process was paused.
         """
-        announcement, reading = self.announcement, self._clock_reading
+        announcement, reading = self.announcement, self._lease.clock_reading
         if announcement is None or reading is None:
             return False
         if not announcement.clock_ms:
@@ -783,7 +829,7 @@
         self._silent_since_ms = now_ms if is_broken else begun_at_ms
 
     async def _handle_unanswered_inspection(
-        self, error: task_executor.ExecutorUnavailable
+        self, error: task_executor.ExecutorUnavailable, begun_at_ms: int
     ) -> None:
         """Handle an inspection that was not answered.
 
@@ -791,6 +837,7 @@
         once its lease has expired.
         """
         measurements.EXECUTOR_FAILURES.inc()
+        self._is_refused = False
         now_ms = clock.read_elapsed_ms()
         if not self._unanswered_since_ms:
             self._unanswered_since_ms = now_ms
@@ -799,12 +846,16 @@
             cause = None
             if error.is_connection_refused:
                 cause = messages.GoneCause.NOTHING_LISTENS
-            elif now_ms > self._lease_end_ms + LEASE_END_MARGIN_MS:
+            elif self._lease.has_ended():
                 cause = messages.GoneCause.LEASE_ENDED
             if cause and self._departed_incarnation == self.incarnation:
                 cause = messages.GoneCause.LEFT
             if cause:
-                self._report_executor_gone(self.announcement, cause)
+                self._report_executor_gone(
+                    self.announcement,
+                    cause,
+                    begun_at_ms if error.is_connection_refused else 0,
+                )
         pause_ms = (
             GONE_RETRY_PAUSE_MS
             if self._gone_cause is not None
@@ -815,7 +866,10 @@
     async def _handle_refused_inspection(
         self, error: task_executor.OrderRefused
     ) -> bool:
-        """Handle a refused inspection; return whether the session ended."""
+        """Handle a refused inspection; return whether the session ended.
+
+        A refused inspection extends no lease, so the runs end with the lease.
+        """
         self._event_log.record_state(
             'inspection refused', reason=error.outcome.value
         )
@@ -827,6 +881,12 @@
             self._report_executor_gone(
                 self.announcement, messages.GoneCause.REPLACED
             )
+            return False
+        self._is_refused = True
+        if self._gone_cause is None and self._lease.has_ended():
+            self._report_executor_gone(
+                self.announcement, messages.GoneCause.LEASE_ENDED
+            )
         return False
 
     def _check_incarnation(self, inspection: task_executor.Inspection) -> bool:
@@ -855,8 +915,14 @@
         self,
         announcement: targets.Announcement | None,
         cause: messages.GoneCause,
+        refused_at_ms: int = 0,
     ) -> None:
-        """Forget all runs and report that nothing runs on the executor."""
+        """Forget all runs and report that nothing runs on the executor.
+
+        :param refused_at_ms: begin of the inspection that found nothing
+            listening, so that each incarnation that answered before it has
+            gone; 0 if none did
+        """
         if announcement is None:
             return
         is_back = cause in (
@@ -868,25 +934,42 @@
             self._lost_runs += tuple(
                 run.key for run in self._runs.values() if run.may_have_arrived
             )
-            # An order names the executor's id, which another one refuses.
-            if self._get_instance_id() == announcement.instance_id:
-                self._unproved_runs += tuple(
-                    run.key
-                    for run in self._runs.values()
-                    if run.may_start_later(self._inspection_begun_at_ms)
-                )
+            proved_at_ms = max(self._inspection_begun_at_ms, refused_at_ms)
+            for run in self._runs.values():
+                if run.may_start_later(proved_at_ms):
+                    self._unproved_runs += (run.key,)
+                    self._unproved_order_at_running_ms = max(
+                        self._unproved_order_at_running_ms,
+                        run.ordered_at_running_ms,
+                    )
+        if cause is messages.GoneCause.REPLACED:
+            self._prove_ends_of_unproved_runs(announcement)
         self._runs.clear()
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
-        self._clock_reading = None
+        self._lease.forget_clock()
         if self._token:
-            self._send_executor_gone(announcement, cause)
+            self._send_executor_gone(announcement.incarnation, cause)
+
+    def _prove_ends_of_unproved_runs(
+        self, announcement: targets.Announcement
+    ) -> None:
+        """Count all orders as void, because another executor id answers.
+
+        An order names the executor's id, which another one refuses.
+        """
+        has_unproved_runs = bool(self._unproved_runs)
+        self._unproved_runs = ()
+        is_older = self._inspected_incarnation != announcement.incarnation
+        if has_unproved_runs and is_older and self._token:
+            self._send_executor_gone(
+                self._inspected_incarnation, messages.GoneCause.REPLACED
+            )
 
     def _send_executor_gone(
-        self, announcement: targets.Announcement, cause: messages.GoneCause
+        self, incarnation: str, cause: messages.GoneCause
     ) -> None:
-        incarnation = announcement.incarnation
         reached = None
         if incarnation == self._inspected_incarnation:
             reached = self._lost_runs
@@ -898,6 +981,9 @@
             unproved=len(self._unproved_runs),
         )
         silent_ms = clock.read_elapsed_ms() - self._silent_since_ms
+        ordered_at_running_ms = self._begun_at_running_ms
+        if reached is not None:
+            ordered_at_running_ms = self._unproved_order_at_running_ms
         self._send(
             messages.ExecutorGone(
                 self._token,
@@ -906,32 +992,18 @@
                 reached,
                 silent_ms,
                 self._unproved_runs if reached is not None else (),
+                self._is_refused and cause is messages.GoneCause.LEASE_ENDED,
+                clock.read_running_ms() - ordered_at_running_ms,
             )
         )
 
     # Leases.
 
-    def _record_executor_clock(self, executor_ms: int) -> None:
-        self._clock_reading = _ClockReading(
-            executor_ms, clock.read_elapsed_ms()
-        )
-
-    def _calculate_lease_deadline_ms(self) -> int:
-        """Return the lease deadline on the executor's clock; 0 for none.
-
-        The executor read its clock before its answer arrived, and the ratio
-        covers a slow clock, so the lease ends before the grant does. The end
-        of the grant is recorded as the latest end of the lease.
-        """
-        reading = self._clock_reading
-        now_ms = clock.read_elapsed_ms()
-        if reading is None or self._unanswered_since_ms:
-            return 0
-        if self._grant_deadline_ms - now_ms < MIN_LEASE_MS:
-            return 0
-        left_ms = self._grant_deadline_ms - reading.elapsed_ms
-        self._lease_end_ms = max(self._lease_end_ms, self._grant_deadline_ms)
-        return reading.executor_ms + int(left_ms * LEASE_TO_GRANT_RATIO)
+    def _compute_lease_extension(self) -> executor_lease.Extension:
+        """Return how far an order may extend the lease now."""
+        if self._unanswered_since_ms:
+            return executor_lease.NO_EXTENSION
+        return self._lease.compute_extension(self._grant_deadline_ms)
 
     # Helpers.
 
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -26,6 +26,8 @@
     :ivar may_have_arrived: whether the executor may have received its start
     :ivar open_tries: number of tries of its start without an answer, each of
         which may still be carried out
+    :ivar ordered_at_running_ms: when the last try was sent, on the clock
+        without suspensions
     :ivar row: the run in the last inspection that listed it
     :ivar refusal_reason: reported to the owner if the run does not exist
     :ivar is_unhealthy: whether that report calls the executor unhealthy
@@ -43,6 +45,7 @@
         self.confirmed_at_ms = 0
         self.may_have_arrived = False
         self.open_tries = 0
+        self.ordered_at_running_ms = 0
         self.pace_percent = pacing.FULL_PACE_PERCENT
         self.row: task_executor.RunningTask | None = None
         self.refusal_reason = 'absent'
@@ -53,19 +56,18 @@
         """Task and attempt, which identify the run."""
         return self.terms.task, self.terms.attempt
 
-    def may_start_later(self, inspection_begun_at_ms: int) -> bool:
-        """Tell whether the next incarnation of the executor may start it.
+    def may_start_later(self, proved_at_ms: int) -> bool:
+        """Tell whether the next incarnation of the executor may have it.
 
-        An answer counts for the present incarnation only if that one has
-        answered an inspection since, because an executor may restart under
-        its id between two orders.
+        An answer proves the end of the run only together with a later proof,
+        because an executor may restart under its id between two orders.
 
-        :param inspection_begun_at_ms: when the last inspection began that the
-            present incarnation has answered
+        :param proved_at_ms: begin of the last inspection that the present
+            incarnation has answered, or that found nothing listening
         """
         if self.open_tries:
             return True
-        is_on_this_incarnation = self.row is not None or (
-            0 < self.confirmed_at_ms <= inspection_begun_at_ms
+        has_ended = self.row is not None or (
+            0 < self.confirmed_at_ms <= proved_at_ms
         )
-        return self.may_have_arrived and not is_on_this_incarnation
+        return self.may_have_arrived and not has_ended
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -107,6 +107,10 @@
         self.is_stopping = False
         self._owner: records.OwnerRecord | None = None
         self._owner_revision = 0
+        # Revision of the head, and the elapsed time at which it was first
+        # seen. As long as it stays, no commit of an owner has taken effect.
+        self._head_revision = 0
+        self._head_seen_at_ms = 0
         self._key_absent_since_ms = 0
         self._has_read_key = False
         self._peers: dict[str, _Peer] = {}
@@ -296,7 +300,7 @@
                 if revision < 0:
                     listing = await self._store.scan(records.OWNER_KEY)
                     revision = listing.revision
-                    self._apply_owner_key(next(iter(listing.entries), None))
+                    self._apply_owner_key(_find_owner_entry(listing.entries))
                 deadline_ms = clock.read_wall_clock_ms() + WATCH_TIMEOUT_MS
                 answer = await self._store.watch(
                     records.OWNER_KEY, revision, deadline_ms
@@ -311,23 +315,26 @@
                 revision = -1
                 continue
             revision = max(revision, answer.revision)
-            for entry in answer.entries:
-                self._apply_owner_key(entry)
+            changed = _find_owner_entry(answer.entries)
+            if changed is not None:
+                self._apply_owner_key(changed)
 
     def _apply_owner_key(self, entry: store_interface.Entry | None) -> None:
         self._has_read_key = True
-        if entry is None or entry.deleted:
+        self._owner_revision = 0
+        owner: records.OwnerRecord | None = None
+        if entry is not None and not entry.deleted:
+            self._owner_revision = entry.revision
+            owner = self._decode_owner(entry)
+        if owner is None:
+            # A record of another writer is replaced like an absent one. No
+            # lease removes it.
             if not self._key_absent_since_ms:
                 self._key_absent_since_ms = clock.read_elapsed_ms()
-            self._owner_revision = 0
             if self.local_owner is not None:
                 self.local_owner.restore_owner_key()
         else:
-            owner = _decode_owner(entry)
-            if owner is None:
-                return
             self._key_absent_since_ms = 0
-            self._owner_revision = entry.revision
             if self._owner is None or owner.epoch > self._owner.epoch:
                 self._event_log.record_state(
                     'owner known', owner=owner.entry_id, epoch=owner.epoch
@@ -337,6 +344,36 @@
             self._step_down_if_newer(owner.epoch)
         self.owner_changed.set()
 
+    def _decode_owner(
+        self, entry: store_interface.Entry
+    ) -> records.OwnerRecord | None:
+        try:
+            return journal.decode_owner(entry.value)
+        except errors.BorageshelfError as error:
+            self._event_log.record_state(
+                'owner not readable',
+                revision=entry.revision,
+                detail=error.detail,
+            )
+            return None
+
+    # The head.
+
+    def _note_head(self, revision: int) -> None:
+        """Note since when the head has a revision."""
+        if revision != self._head_revision:
+            self._head_revision = revision
+            self._head_seen_at_ms = clock.read_elapsed_ms()
+
+    async def _look_at_head(self) -> None:
+        """Note the revision of the head, when the owner may have gone."""
+        try:
+            entry = await self._store.get(records.HEAD_KEY)
+        except errors.BorageshelfError:
+            return
+        if entry is not None:
+            self._note_head(entry.revision)
+
     # Following and taking over.
 
     async def _follow_or_take_over(self) -> None:
@@ -424,6 +461,7 @@
             finally:
                 is_owner_cut = link.is_owner_cut
                 ping_task.cancel()
+                self._background.start(self._look_at_head())
                 if self.owner_link is link:
                     self.owner_link = None
                     self._event_log.record_state(
@@ -460,6 +498,7 @@
             self._apply_configuration(message.document)
         elif isinstance(message, messages.Answer):
             self._largest_millicores = message.largest_millicores
+            self._note_head(message.head_revision)
             if message.store_silent_ms > STORE_SILENCE_LIMIT_MS:
                 self._background.start(
                     self._close_if_owner_is_cut(link, message.head_revision)
@@ -609,6 +648,8 @@
         if entry is not None:
             head = journal.decode(entry.value, records.HeadRecord)
             head_revision = entry.revision
+        self._note_head(head_revision)
+        head_seen_at_ms = self._head_seen_at_ms
         lease = await self._store.grant_lease(runtime.LEASE_TTL_MS)
         own_record = records.OwnerRecord(
             head.epoch + 1,
@@ -638,6 +679,14 @@
             self._event_log,
             self.list_entries,
             confirmed_at_ms,
+            head_seen_at_ms,
+            head.is_resigned,
+        )
+        self._event_log.record_detail(
+            'former grants',
+            epoch=own_record.epoch,
+            left_ms=owner_runtime.former_grants_deadline_ms
+            - clock.read_elapsed_ms(),
         )
         while True:
             try:
@@ -695,13 +744,10 @@
 )
 
 
-def _decode_owner(
-    entry: store_interface.Entry,
-) -> records.OwnerRecord | None:
-    try:
-        owner: records.OwnerRecord = journal.decode(
-            entry.value, records.OwnerRecord
-        )
-    except errors.BorageshelfError:
-        return None
-    return owner
+def _find_owner_entry(
+    entries: abc.Iterable[store_interface.Entry],
+) -> store_interface.Entry | None:
+    """Return the owner's key among the keys that begin like it."""
+    return next(
+        (entry for entry in entries if entry.key == records.OWNER_KEY), None
+    )
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -86,6 +86,11 @@
     :param list_entries: returns the addresses of this entry and its peers
     :param confirmed_at_ms: elapsed time at which the acquisition of the
         ownership was sent to the store; its answer may have come later
+    :param head_seen_at_ms: elapsed time at which the head was already as the
+        acquisition found it, so that the former owner has not confirmed its
+        ownership later; None if that is not known
+    :param is_former_resigned: whether the former owner has resigned with the
+        last change of the head, after which it extended no grant
     """
 
     def __init__(
@@ -97,6 +102,8 @@
         event_log: events.EventLog,
         list_entries: abc.Callable[[], tuple[messages.EntryAddress, ...]],
         confirmed_at_ms: int,
+        head_seen_at_ms: int | None = None,
+        is_former_resigned: bool = False,
     ) -> None:
         self._store = store
         self._journal = owner_journal
@@ -108,8 +115,10 @@
         self._store_answered_at_ms = clock.read_elapsed_ms()
         # The former owner may extend grants until its last confirmation is
         # too old, and the last grants remain valid for their full duration.
-        former_grants_ms = (
-            CONFIRMATION_MAX_AGE_MS
+        now_ms = clock.read_elapsed_ms()
+        self.former_grants_deadline_ms = (
+            (now_ms if head_seen_at_ms is None else head_seen_at_ms)
+            + (0 if is_former_resigned else CONFIRMATION_MAX_AGE_MS)
             + owner_policy.grant_ms
             + GRANT_CLOCK_MARGIN_MS
         )
@@ -117,8 +126,8 @@
             owner_journal.epoch,
             owner_policy.grant_ms + GRANT_CLOCK_MARGIN_MS,
             owner_policy.retention_ms,
-            clock.read_elapsed_ms(),
-            clock.read_elapsed_ms() + former_grants_ms,
+            now_ms,
+            self.former_grants_deadline_ms,
             journal.encode,
             event_log.record,
         )
@@ -159,6 +168,12 @@
         """
         loaded = await self._journal.load()
         moment = clock.read_moment()
+        if loaded.foreign_keys:
+            self._event_log.record_state(
+                'foreign keys ignored',
+                count=len(loaded.foreign_keys),
+                first=loaded.foreign_keys[0],
+            )
         for key, detail in loaded.unreadable.items():
             self._core.set_aside(records.find_workflow_id(key), detail)
         for workflow_id, state in loaded.states.items():
@@ -499,9 +514,8 @@
         self._changed.set()
 
     def _is_ownership_confirmed(self, now_ms: int) -> bool:
-        return (
-            now_ms - self._ownership_confirmed_at_ms < CONFIRMATION_MAX_AGE_MS
-        )
+        age_ms = now_ms - self._ownership_confirmed_at_ms
+        return age_ms < CONFIRMATION_MAX_AGE_MS and not self.is_resigned
 
     def _is_store_slow(self, now_ms: int) -> bool:
         since_ms = self._commit_pending_since_ms
@@ -689,7 +703,7 @@
         """Remove the owner's key, so that another entry can take over."""
         try:
             async with asyncio.timeout(STORE_RESPONSE_LIMIT_MS / 1000):
-                await self._journal.commit((), (records.OWNER_KEY,))
+                await self._journal.resign()
         except (errors.BorageshelfError, TimeoutError) as error:
             # The key disappears when its lease expires.
             self._event_log.record_state(
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -7,10 +7,11 @@
 """
 
 import enum
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
+from borageshelf.model import numbers
 from borageshelf.model import workflows
 
 PREFIX: Final = 'borageshelf/'
@@ -19,6 +20,9 @@
 JOBS_PREFIX: Final = PREFIX + 'job/'
 _SPEC_SUFFIX: Final = '/spec'
 _STATE_SUFFIX: Final = '/state'
+# Fencing tokens are a million times larger and must stay exact numbers.
+EPOCH_LIMIT: Final = 1_000_000_000
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=EPOCH_LIMIT)]
 
 
 class Phase(enum.IntEnum):
@@ -40,11 +44,11 @@
 
     queue: str
     service: str
-    priority: int
-    attempts_limit: int
-    slack_factor: float
-    latency_target_ms: int
-    accepted_at_ms: int
+    priority: numbers.Number
+    attempts_limit: numbers.Number
+    slack_factor: numbers.Amount
+    latency_target_ms: numbers.Number
+    accepted_at_ms: numbers.WholeNumber
     is_prompt: bool = True
 
 
@@ -62,17 +66,17 @@
         was placed; 0 if the end of that one has been counted as a crash
     """
 
-    attempt: int
+    attempt: numbers.WholeNumber
     target_id: str
-    executor_hash: int = 0
+    executor_hash: numbers.WholeNumber = 0
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
     """Crashes of executors under a task; see ``crash_blame.History``."""
 
-    crashes: int = 0
-    quick_crashes: int = 0
-    evidence: float = 0.0
+    crashes: numbers.WholeNumber = 0
+    quick_crashes: numbers.WholeNumber = 0
+    evidence: numbers.Amount = 0.0
     is_suspect: bool = False
 
 
@@ -85,10 +89,10 @@
     :param crashes: crashes of executors under the task; None for none
     """
 
-    number: int
+    number: numbers.WholeNumber
     is_done: bool = False
-    attempts: int = 0
-    failures: int = 0
+    attempts: numbers.WholeNumber = 0
+    failures: numbers.WholeNumber = 0
     checkpoint: str = ''
     runs: tuple[RunRecord, ...] = ()
     crashes: CrashRecord | None = None
@@ -102,7 +106,7 @@
     """
 
     phase: Phase = Phase.ACTIVE
-    ended_at_ms: int = 0
+    ended_at_ms: numbers.WholeNumber = 0
     cause: str = ''
     tasks: tuple[TaskRecord, ...] = ()
 
@@ -113,19 +117,22 @@
     :param epoch: number of the owner, incremented by each takeover
     :param commit_id: identifies the last commit, which tells whether an
         unanswered commit took effect
+    :param is_resigned: whether the owner has resigned with this commit; it has
+        extended no grant after it was sent
     """
 
-    epoch: int = 0
+    epoch: Epoch = 0
     entry_id: str = ''
     boot_id: str = ''
     address: str = ''
     commit_id: str = ''
+    is_resigned: bool = False
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
     """Value of the owner key, which is bound to the lease of a live owner."""
 
-    epoch: int
+    epoch: Epoch
     entry_id: str
     boot_id: str
     address: str
@@ -142,7 +149,10 @@
 
 
 def find_workflow_id(key: str) -> str:
-    """Return the workflow id in a key below the prefix of workflows."""
+    """Return the workflow id in a key below the prefix of workflows.
+
+    It is '' in the key of another writer that names none.
+    """
     return key[len(JOBS_PREFIX) :].partition('/')[0]
 
 
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -1,8 +1,10 @@
 """A report that an executor has gone ends the runs of that one only."""
 
+import asyncio
 import dataclasses
 from typing import Any
 
+from borageshelf import clock
 from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
 from tests import test_proofs_of_ends as proofs
@@ -148,6 +150,40 @@
     driver_tests.run_scenario(scenario)
 
 
+def test_answered_start_needs_no_inspection_if_nothing_listens_later() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.inspection_s = 0.2
+        await asyncio.sleep(0.02)
+        executor.lost_inspections = 1
+        harness.start()
+        await harness.wait_until(lambda: executor.lost_inspections == 0)
+        executor.is_down = True
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.NOTHING_LISTENS
+        assert gone.reached == (KEY,)
+        assert gone.unproved == ()
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_start_answered_during_a_refused_inspection_is_unproved() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.inspection_s = 0.2
+        await asyncio.sleep(0.02)
+        harness.start()
+        await harness.wait_until(lambda: len(executor.starts) == 1)
+        executor.is_down = True
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.NOTHING_LISTENS
+        assert gone.unproved == (KEY,)
+
+    driver_tests.run_scenario(scenario)
+
+
 class RefusingExecutor(driver_tests.FakeExecutor):
     """An executor that refuses each inspection."""
 
@@ -171,6 +207,176 @@
     driver_tests.run_scenario(scenario)
 
 
+def test_refused_inspections_that_extend_no_lease_keep_no_run() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        harness.driver.handle_announcement(driver_tests.ANNOUNCEMENT)
+        harness.driver.begin_session(
+            messages.Welcome(1, driver_tests.TOKEN, 1_500, ())
+        )
+        await harness.wait_for(messages.Snapshot)
+        harness.extend_grant()
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        harness.driver._executor = RefusingExecutor()
+
+        async def extend_grants() -> None:
+            while True:
+                await asyncio.sleep(0.1)
+                harness.extend_grant()
+
+        extending = asyncio.create_task(extend_grants())
+        gone = await harness.wait_for(messages.ExecutorGone)
+        extending.cancel()
+        assert gone.cause is messages.GoneCause.LEASE_ENDED
+        assert gone.reached == (KEY,)
+        assert gone.is_answering
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_executor_that_refuses_its_inspections_has_not_crashed() -> None:
+    cluster = support.Cluster()
+    for number in range(2):
+        cluster.add_target(f'vm-{number}')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (start,) = cluster.sent_starts
+    proofs.send_gone(
+        cluster,
+        cluster.targets[start[0]],
+        messages.GoneCause.LEASE_ENDED,
+        reached=(KEY,),
+        is_answering=True,
+    )
+    assert count_crashes(cluster) == 0
+    assert [start[2] for start in cluster.sent_starts] == [1, 2]
+
+
+class ReplacedExecutor(driver_tests.FakeExecutor):
+    """An executor at whose address another id answers."""
+
+    async def inspect(
+        self, *arguments: Any, **fields: Any
+    ) -> task_executor.Inspection:
+        """Refuse."""
+        raise task_executor.OrderRefused(
+            task_executor.StartOutcome.OTHER_INSTANCE
+        )
+
+
+async def crash_with_an_open_order(
+    harness: driver_tests.DriverHarness,
+) -> None:
+    """Crash an executor while the answer to a start is missing."""
+    await harness.begin_session()
+    harness.executor.lost_starts = 100
+    harness.start()
+    await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+    harness.executor.is_down = True
+    gone = await harness.wait_for(messages.ExecutorGone)
+    assert gone.unproved == (KEY,)
+
+
+def test_report_says_how_old_the_open_orders_are() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await crash_with_an_open_order(harness)
+        await asyncio.sleep(0.3)
+        harness.driver.begin_session(
+            messages.Welcome(2, driver_tests.TOKEN + 1, 5_000, ())
+        )
+        second = await harness.wait_for(messages.ExecutorGone, 2)
+        first = harness.list_sent(messages.ExecutorGone)[0]
+        assert first.order_age_ms < 300 <= second.order_age_ms
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_new_agent_knows_that_earlier_orders_are_older_than_itself() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        begun_at_ms = clock.read_running_ms()
+        await asyncio.sleep(0.2)
+        harness.executor.is_down = True
+        harness.driver.handle_announcement(driver_tests.ANNOUNCEMENT)
+        harness.driver.begin_session(
+            messages.Welcome(1, driver_tests.TOKEN, 5_000, ())
+        )
+        gone = await harness.wait_for(messages.ExecutorGone)
+        age_ms = clock.read_running_ms() - begun_at_ms
+        assert gone.reached is None
+        assert 200 <= gone.order_age_ms <= age_ms + 100
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_open_order_is_void_once_another_executor_id_answers() -> None:
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await crash_with_an_open_order(harness)
+        harness.driver._executor = ReplacedExecutor()
+        gone = await harness.wait_for(messages.ExecutorGone, 2)
+        assert gone.cause is messages.GoneCause.REPLACED
+        assert (gone.reached, gone.unproved) == ((KEY,), ())
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_open_order_is_void_once_another_executor_id_announces_itself() -> (
+    None
+):
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await crash_with_an_open_order(harness)
+        # It restarts under its id first and is not inspected.
+        for instance_id, born_at_ms in (('i-1', 2), ('i-2', 3)):
+            harness.driver.handle_announcement(
+                dataclasses.replace(
+                    driver_tests.ANNOUNCEMENT,
+                    instance_id=instance_id,
+                    born_at_ms=born_at_ms,
+                )
+            )
+            harness.driver.begin_session(
+                messages.Welcome(1, driver_tests.TOKEN, 5_000, ())
+            )
+        reports = [
+            (gone.incarnation, gone.cause, gone.reached, gone.unproved)
+            for gone in harness.list_sent(messages.ExecutorGone)[1:]
+        ]
+        assert reports == [
+            ('i-1/1', messages.GoneCause.RESTARTED, (KEY,), (KEY,)),
+            ('i-1/1', messages.GoneCause.REPLACED, (KEY,), ()),
+            ('i-1/2', messages.GoneCause.REPLACED, None, ()),
+        ]
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_kept_run_is_started_again_once_another_executor_id_answers() -> None:
+    cluster, fake = proofs.make_unproved_cluster(
+        messages.GoneCause.NOTHING_LISTENS
+    )
+    fake.running.clear()
+    proofs.send_gone(
+        cluster, fake, messages.GoneCause.REPLACED, reached=(KEY,)
+    )
+    assert [start[2] for start in cluster.sent_starts] == [1, 2]
+    assert count_crashes(cluster) == 1
+
+
+def test_new_agent_proves_the_end_of_an_order_to_a_replaced_executor() -> None:
+    cluster = support.Cluster()
+    for number in range(2):
+        cluster.add_target(f'vm-{number}')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (start,) = cluster.sent_starts
+    proofs.send_gone(
+        cluster,
+        cluster.targets[start[0]],
+        messages.GoneCause.REPLACED,
+        reached=None,
+    )
+    assert [start[2] for start in cluster.sent_starts] == [1, 2]
+
+
 def test_later_report_of_another_incarnation_keeps_a_newer_run() -> None:
     cluster = support.Cluster()
     for number in range(2):
