--- a/tests/lasting/planner.py
+++ b/tests/lasting/planner.py
@@ -53,7 +53,7 @@
 
     def _draw_targets(self) -> None:
         rng = self._rng
-        count = rng.choice([3, 4, 6, 9, 12])
+        count = rng.choice([3, 3, 4, 4, 6, 6, 9, 9, 12, 12, 24])
         for number in range(count):
             labels: tuple[str, ...] = ('a', f'r{number % 3}')
             if number < max(3, count // 4):
@@ -82,25 +82,32 @@
     def _draw_lasting(self, end_ms: int) -> None:
         rng = self._rng
         millicores = sum(target.millicores for target in self._targets)
-        left_millicores = rng.uniform(0.1, 0.6) * millicores
+        left_millicores = rng.uniform(0.1, 0.9) * millicores
         while left_millicores > 0:
-            count = rng.choice([1, 1, 2, 3, 6, 10, 14])
-            size_millicores = rng.choice([250, 500, 1_000, 2_000])
-            step = support.make_step(
-                count,
-                demand=resources.Resources(size_millicores, size_millicores),
-                is_lasting=True,
-                label=RARE_LABEL if rng.random() < 0.2 else '',
-                spread_limit=rng.choice([0, 0, 1, 2, 4]),
-                latency_target_ms=rng.choice([0, 0, 50]),
-                image=rng.choice(['m1', 'm2']),
-            )
+            steps = [self._draw_lasting_step()]
+            if rng.random() < 0.25:
+                steps.append(self._draw_lasting_step())
             cancel_ms = None
             if rng.random() < 0.2:
                 cancel_ms = rng.randrange(WARM_UP_MS, end_ms, TICK_MS)
             at_ms = rng.choice([0, rng.randrange(0, end_ms, TICK_MS)])
-            self._add_workflow(at_ms, cancel_ms, step)
-            left_millicores -= count * size_millicores
+            self._add_workflow(at_ms, cancel_ms, *steps)
+            left_millicores -= sum(
+                step.count * step.demand.processor_millicores for step in steps
+            )
+
+    def _draw_lasting_step(self) -> workflows.Step:
+        rng = self._rng
+        size_millicores = rng.choice([250, 500, 1_000, 2_000])
+        return support.make_step(
+            rng.choice([1, 1, 2, 3, 6, 10, 14]),
+            demand=resources.Resources(size_millicores, size_millicores),
+            is_lasting=True,
+            label=RARE_LABEL if rng.random() < 0.2 else '',
+            spread_limit=rng.choice([0, 0, 1, 2, 4]),
+            latency_target_ms=rng.choice([0, 0, 50]),
+            image=rng.choice(['m1', 'm2']),
+        )
 
     def _draw_short(self, end_ms: int) -> None:
         rng = self._rng
