--- a/tests/lasting/agents.py
+++ b/tests/lasting/agents.py
@@ -28,8 +28,6 @@
 )
 # A heartbeat announces a new incarnation.
 ANNOUNCEMENT_LIMIT_MS: Final = 1_100
-
-
 # After some tries without an answer, a start is stopped.
 TRIES_MS: Final = 2_000
 # Tries that meet refused connections follow each other quickly.
@@ -70,6 +68,7 @@
         which it keeps its session
     :ivar attach_due_ms: when it opens the next session; None if it does not
     :ivar gone_due_ms: when it learns that its executor has gone
+    :ivar crashed_at_ms: when its executor went
     :ivar announcement_due_ms: when it learns of the next incarnation
     """
 
@@ -91,6 +90,7 @@
         self.heard_at_ms = 0
         self.attach_due_ms: int | None = 0
         self.gone_due_ms: int | None = None
+        self.crashed_at_ms = 0
         self.announcement_due_ms: int | None = None
         self._snapshot_due_ms: int | None = None
         self._incarnation = executor.incarnation
@@ -257,6 +257,8 @@
         is_back = cause in BACK_CAUSES
         self._gone_cause = None if is_back else cause
         self._gone_since_ms = moment.elapsed_ms
+        if cause is not messages.GoneCause.LEASE_ENDED:
+            self._gone_since_ms = self.crashed_at_ms
         if self._incarnation == self._inspected_incarnation:
             self._note_lost_runs(cause)
         if cause is messages.GoneCause.REPLACED and self._unproved_runs:
--- a/tests/lasting/disruptions.py
+++ b/tests/lasting/disruptions.py
@@ -225,6 +225,7 @@
     for target_id in disruption.target_ids:
         world.executors[target_id].crash()
         agent = world.get_agent(target_id)
+        agent.crashed_at_ms = world.now_ms
         if disruption.knowledge is Knowledge.AT_ONCE:
             agent.gone_due_ms = world.now_ms + GONE_DELAY_MS
         elif disruption.knowledge is Knowledge.LATE:
@@ -264,6 +265,7 @@
     for target_id in disruption.target_ids:
         if disruption.is_reborn:
             world.executors[target_id].crash()
+            world.get_agent(target_id).crashed_at_ms = world.now_ms
             _restart(world, target_id)
         world.get_agent(target_id).reconnect(world.now_ms)
 
--- a/tests/lasting/planner.py
+++ b/tests/lasting/planner.py
@@ -15,7 +15,7 @@
 # All waits of the owner's own that follow a disruption show in this time.
 CALM_MS: Final = 19_000
 # The key of an owner that has not resigned is there for about this long.
-LEASE_MS: Final = 1_500
+OWNER_KEY_MS: Final = 1_500
 RARE_LABEL: Final = 'gpu'
 TICK_MS: Final = executors.TICK_MS
 
@@ -328,7 +328,7 @@
                     (),
                     rng.choice([600, 1_500, 3_000]),
                     self._draw_ids() if rng.random() < 0.3 else (),
-                    is_resigned=gap_ms < LEASE_MS,
+                    is_resigned=gap_ms < OWNER_KEY_MS,
                     head_seen_ms=rng.choice([100, 800]),
                 )
             )
