--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -98,12 +98,12 @@
 def check(
     targets: tuple[plans.Target, ...],
     submissions: tuple[plans.Submission, ...],
-    *found: disruptions.Disruption,
+    *planned: disruptions.Disruption,
 ) -> None:
     """Play a history and a calm time after it, and expect no violation."""
-    last_ms = max(disruption.end_ms for disruption in found)
+    last_ms = max(disruption.end_ms for disruption in planned)
     plan = plans.Plan(
-        0, targets, submissions, found, last_ms + planner.CALM_MS
+        0, targets, submissions, planned, last_ms + planner.CALM_MS
     )
     expect_no_finding(plan)
 
@@ -148,7 +148,9 @@
     )
 
 
-@pytest.mark.parametrize('knowledge', list(disruptions.Knowledge))
+@pytest.mark.parametrize(
+    'knowledge', disruptions.Knowledge, ids=lambda knowledge: knowledge.name
+)
 def test_task_is_not_given_up_for_executors_that_crash_by_themselves(
     knowledge: disruptions.Knowledge,
 ) -> None:
@@ -192,7 +194,7 @@
 @pytest.mark.parametrize(
     'change',
     [RESIGNED, KILLED, CUT_OFF],
-    ids=['resigned', 'killed', 'cut off'],
+    ids=['resigned', 'killed', 'cut-off'],
 )
 @pytest.mark.parametrize('delay_ms', [0, 500, 1_000, 2_000, 4_000, 5_500])
 def test_run_of_a_lost_vm_is_replaced_by_the_next_owner(
@@ -264,7 +266,9 @@
 
 
 @pytest.mark.parametrize(
-    'plan', [HELD_BY_FORMER_OWNER, LATE_ON_NEXT_INCARNATION]
+    'plan',
+    [HELD_BY_FORMER_OWNER, LATE_ON_NEXT_INCARNATION],
+    ids=['held-by-former-owner', 'late-on-next-incarnation'],
 )
 def test_waits_for_proofs_keep_tasks_from_running_twice(
     plan: plans.Plan,
@@ -287,6 +291,7 @@
             collections.Counter(),
         ),
     ],
+    ids=['former-grants', 'late-start-grants'],
 )
 def test_histories_show_that_each_wait_for_a_proof_is_needed(
     plan: plans.Plan,
