--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -14,7 +14,9 @@
 from borageshelf.model import workflows
 from borageshelf.workflows import owner
 from tests.lasting import disruptions
+from tests.lasting import executors
 from tests.lasting import histories
+from tests.lasting import monitor
 from tests.lasting import planner
 from tests.lasting import plans
 from tests.lasting import world
@@ -303,3 +305,31 @@
     """Guards against a monitor that finds no task that runs twice."""
     monkeypatch.setattr(module, name, value)
     assert any(finding.violation.is_twice for finding in histories.play(plan))
+
+
+@pytest.mark.parametrize(
+    ('executor_count', 'disruption_end_ms', 'expected_at_ms'),
+    [(2, None, [9_100]), (2, 5_000, [12_100]), (1, None, [])],
+    ids=['calm', 'disruption', 'room-on-one-executor'],
+)
+def test_monitor_reports_an_absence_once_the_rule_counts_it(
+    executor_count: int,
+    disruption_end_ms: int | None,
+    expected_at_ms: list[int],
+) -> None:
+    """Guards against a monitor that finds no task without a run."""
+    watch = monitor.Monitor()
+    watch.note_accepted(submit_lasting().workflow, 0)
+    fakes = [
+        executors.Executor(
+            target_id, resources.Resources(8_000, 8_000), LABELS, 0
+        )
+        for target_id in list_ids(executor_count)
+    ]
+    if disruption_end_ms is not None:
+        watch.begin_disruption()
+    for now_ms in range(0, 20_000, executors.TICK_MS):
+        if now_ms == disruption_end_ms:
+            watch.end_disruption(now_ms)
+        watch.check(fakes, now_ms)
+    assert [found.at_ms for found in watch.violations] == expected_at_ms
