Show an answered start that nothing dates after an unseen restart

The answer to a start carries the executor's clock, which begins anew with each incarnation; it could prove which one has the run.

--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -193,6 +193,27 @@
     )
 
 
+@pytest.mark.parametrize('age_ms', [200, 300, 400])
+def test_answered_run_of_a_vm_lost_after_an_unseen_restart_is_replaced(
+    age_ms: int,
+) -> None:
+    """Guards against a start that its answer does not date.
+
+    The agent finds the executor under its id again, and not that it was gone.
+    """
+    crash_ms = 3_000 + age_ms
+    back_ms = crash_ms + 300
+    lost_ms = back_ms + 1_000
+    check(
+        make_targets(3),
+        (submit_lasting(6, at_ms=3_000, spread_limit=4),),
+        disruptions.Crashed(
+            crash_ms, back_ms, ('vm-0',), disruptions.Knowledge.RESTART
+        ),
+        disruptions.Lost(lost_ms, lost_ms, ('vm-0',)),
+    )
+
+
 @pytest.mark.parametrize(
     'change',
     [RESIGNED, KILLED, CUT_OFF],
