--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from borageshelf.agent.workflows import executor_lease
+from borageshelf.agent.workflows import grant_watch
 from borageshelf.agent.workflows import pacer
 from borageshelf.agent.workflows import runs
 from borageshelf import clock
@@ -76,8 +77,16 @@
         self._token = 0
         self._is_ready = False
         self._grant_ms = 0
-        self._grant_deadline_ms = 0
         self._lease = executor_lease.ExecutorLease(former_grant_ms)
+        self._grant_watch = grant_watch.GrantWatch(
+            executor,
+            event_log,
+            self._lease,
+            former_grant_ms,
+            lambda: self._runs.values(),
+            self._get_instance_id,
+        )
+        self._is_watching_grant = False
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
@@ -124,6 +133,7 @@
         """
         await self._session_tasks.stop()
         await self._background.stop()
+        await self._grant_watch.stop()
 
     # Announcements of the executor.
 
@@ -180,7 +190,7 @@
 
     def begin_session(self, welcome: messages.Welcome) -> None:
         """Begin a session under a new token."""
-        self._token = welcome.token
+        self._token = self._grant_watch.token = welcome.token
         self._grant_ms = welcome.grant_ms
         self._is_ready = False
         self._reported_state = None
@@ -192,6 +202,11 @@
             lambda: self._run_session(welcome.token),
             self._handle_session_failure,
         )
+        if not self._is_watching_grant:
+            self._is_watching_grant = True
+            self._background.start_with_restarts(
+                self._grant_watch.run, self._event_log.record_failure
+            )
 
     def _handle_session_failure(self, error: Exception) -> None:
         """Go on in a new session, whose token voids the orders of this one."""
@@ -220,8 +235,9 @@
     def extend_grant(self, answer: messages.Answer) -> None:
         """Extend the grant, counted from the time of the report."""
         if answer.is_granted:
-            deadline_ms = answer.sent_at_elapsed_ms + self._grant_ms
-            self._grant_deadline_ms = max(self._grant_deadline_ms, deadline_ms)
+            self._grant_watch.extend(
+                answer.sent_at_elapsed_ms + self._grant_ms
+            )
 
     def send_report(self) -> None:
         """Report the runs to the owner and request a longer grant."""
@@ -319,10 +335,10 @@
                 return
             self._is_refused = False
             self._inspected_at_ms = clock.read_elapsed_ms()
-            self._lease.record_clock(inspection.clock_ms)
             self._unanswered_since_ms = 0
             if not self._check_incarnation(inspection):
                 return
+            self._lease.record_clock(inspection.clock_ms)
             self._inspection_begun_at_ms = begun_at_ms
             self._silent_since_ms = self._inspected_at_ms
             if self._gone_cause is not None:
@@ -566,7 +582,7 @@
         """
         token = order.token
         for try_index in range(START_TRIES):
-            if run.state is runs.RunState.STOPPING:
+            if run.is_being_stopped():
                 return
             extension = await self._wait_for_grant()
             if self._token != token or run.key not in self._runs:
@@ -778,7 +794,7 @@
                 attempt=run.terms.attempt,
                 tries=tries,
             )
-            run.confirmed_at_ms = clock.read_elapsed_ms()
+            run.note_accepted_stop()
             return
 
     def _record_order(
@@ -975,7 +991,7 @@
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
-        self._lease.forget_clock()
+        self._lease.forget_incarnation()
         if self._token:
             self._send_executor_gone(announcement.incarnation, cause)
 
@@ -1006,6 +1022,10 @@
             cause=cause.value,
             reached=None if reached is None else len(reached),
             unproved=len(self._unproved_runs),
+            elapsed_ms=clock.read_elapsed_ms(),
+            running_ms=clock.read_running_ms(),
+            attended_ms=self._lease.read_attended_ms(),
+            lease_end_attended_ms=self._lease.end_attended_ms,
         )
         silent_ms = clock.read_elapsed_ms() - self._silent_since_ms
         ordered_at_running_ms = self._begun_at_running_ms
@@ -1030,7 +1050,7 @@
         """Return how far an order may extend the lease now."""
         if self._unanswered_since_ms:
             return executor_lease.NO_EXTENSION
-        return self._lease.compute_extension(self._grant_deadline_ms)
+        return self._lease.compute_extension(self._grant_watch.deadline_ms)
 
     # Helpers.
 
--- a/borageshelf/agent/workflows/executor_lease.py
+++ b/borageshelf/agent/workflows/executor_lease.py
@@ -1,13 +1,15 @@
 """The lease of the runs on an executor, as its agent knows it.
 
 The executor counts the lease on its steady clock, which may be slow and
-stands still while the VM is suspended. The agent shares the VM, so its own
-clock without suspensions is never behind the executor's.
+stands still while the VM is suspended. The agent shares the VM, so the
+executor's clock has gone on at least while the agent was running. Each answer
+of the executor shows its clock and corrects what the agent has concluded.
 """
 
 import dataclasses
 from typing import Final
 
+from borageshelf.agent.workflows import attended_clock
 from borageshelf import clock
 
 # The executor's clock may be 2% slow.
@@ -24,12 +26,12 @@
     """A reading of the executor's clock.
 
     :param elapsed_ms: the agent's clock when the answer arrived
-    :param running_ms: its clock without suspensions at that time
+    :param attended_ms: the agent's attended clock at that time
     """
 
     executor_ms: int
     elapsed_ms: int
-    running_ms: int
+    attended_ms: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,12 +39,12 @@
     """An extension of the lease that an order requests.
 
     :param lease_deadline_ms: deadline on the executor's clock; 0 for none
-    :param end_running_ms: time at which the executor's clock has certainly
-        reached the deadline, on the agent's clock without suspensions
+    :param end_attended_ms: time at which the executor's clock has certainly
+        reached the deadline, on the agent's attended clock
     """
 
     lease_deadline_ms: int
-    end_running_ms: int
+    end_attended_ms: int
 
 
 NO_EXTENSION: Final = Extension(0, 0)
@@ -56,20 +58,41 @@
     """
 
     def __init__(self, former_grant_ms: int) -> None:
-        self._end_running_ms = clock.read_running_ms() + former_grant_ms
+        self._clock = attended_clock.AttendedClock()
+        self._end_attended_ms = self._clock.read_ms() + former_grant_ms
+        # Latest deadline that the present incarnation may have accepted.
+        self._latest_deadline_ms = 0
         self._open_extensions: list[Extension] = []
         self.clock_reading: ClockReading | None = None
 
+    def read_attended_ms(self) -> int:
+        """Return the agent's attended clock, which must be read often."""
+        return self._clock.read_ms()
+
     def record_clock(self, executor_ms: int) -> None:
         """Record the executor's clock in an answer that has just arrived."""
+        attended_ms = self._clock.read_ms()
         self.clock_reading = ClockReading(
-            executor_ms, clock.read_elapsed_ms(), clock.read_running_ms()
+            executor_ms, clock.read_elapsed_ms(), attended_ms
+        )
+        left_ms = max(self._latest_deadline_ms - executor_ms, 0)
+        self._end_attended_ms = max(
+            self._end_attended_ms,
+            attended_ms + round(left_ms / SLOWEST_CLOCK_RATIO),
         )
 
     def forget_clock(self) -> None:
         """Forget the executor's clock until its next answer."""
         self.clock_reading = None
 
+    def forget_incarnation(self) -> None:
+        """Forget the clock and the deadlines of an incarnation that is gone.
+
+        The next one begins with another clock, and without a lease.
+        """
+        self.forget_clock()
+        self._latest_deadline_ms = 0
+
     def compute_extension(self, grant_deadline_ms: int) -> Extension:
         """Return the longest extension that ends before a grant does.
 
@@ -82,16 +105,19 @@
         left_ms = grant_deadline_ms - clock.read_elapsed_ms()
         if reading is None or left_ms < MIN_LEASE_MS:
             return NO_EXTENSION
-        left_ms += clock.read_running_ms() - reading.running_ms
+        left_ms += self._clock.read_ms() - reading.attended_ms
         lease_ms = int(left_ms * LEASE_TO_GRANT_RATIO)
         return Extension(
             reading.executor_ms + lease_ms,
-            reading.running_ms + round(lease_ms / SLOWEST_CLOCK_RATIO),
+            reading.attended_ms + round(lease_ms / SLOWEST_CLOCK_RATIO),
         )
 
     def begin_extension(self, extension: Extension) -> None:
         """Note that an order with an extension is about to be sent."""
         self._open_extensions.append(extension)
+        self._latest_deadline_ms = max(
+            self._latest_deadline_ms, extension.lease_deadline_ms
+        )
 
     def end_extension(
         self, extension: Extension, is_without_effect: bool
@@ -103,15 +129,21 @@
         """
         self._open_extensions.remove(extension)
         if not is_without_effect:
-            self._end_running_ms = max(
-                self._end_running_ms, extension.end_running_ms
+            self._end_attended_ms = max(
+                self._end_attended_ms, extension.end_attended_ms
             )
 
     def has_ended(self) -> bool:
         """Tell whether the lease has certainly ended, and all runs with it."""
-        end_running_ms = max(
-            self._end_running_ms,
-            *(extension.end_running_ms for extension in self._open_extensions),
+        return (
+            self._clock.read_ms() > self.end_attended_ms + LEASE_END_MARGIN_MS
+        )
+
+    @property
+    def end_attended_ms(self) -> int:
+        """Latest possible end of the lease, on the agent's attended clock."""
+        return max(
+            self._end_attended_ms,
+            *(item.end_attended_ms for item in self._open_extensions),
             0,
         )
-        return clock.read_running_ms() > end_running_ms + LEASE_END_MARGIN_MS
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from borageshelf import clock
 from borageshelf.decisions import pacing
 from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
@@ -29,6 +30,7 @@
     :ivar ordered_at_running_ms: when the last try was sent, on the clock
         without suspensions
     :ivar row: the run in the last inspection that listed it
+    :ivar is_stop_accepted: whether the executor has accepted a stop of it
     :ivar is_reported: whether a snapshot or a report has contained it
     :ivar refusal_reason: reported to the owner if the run does not exist
     :ivar is_unhealthy: whether that report calls the executor unhealthy
@@ -49,6 +51,7 @@
         self.ordered_at_running_ms = 0
         self.pace_percent = pacing.FULL_PACE_PERCENT
         self.row: task_executor.RunningTask | None = None
+        self.is_stop_accepted = False
         self.is_reported = False
         self.refusal_reason = 'absent'
         self.is_unhealthy = False
@@ -58,6 +61,25 @@
         """Task and attempt, which identify the run."""
         return self.terms.task, self.terms.attempt
 
+    @property
+    def may_exist(self) -> bool:
+        """Whether the executor may have it, now or once a late start arrives.
+
+        Others order the starts of unknown runs.
+        """
+        return (
+            self.may_have_arrived or self.row is not None or not self.is_known
+        )
+
+    def is_being_stopped(self) -> bool:
+        """Tell whether a stop was ordered, so that no start may follow."""
+        return self.state is RunState.STOPPING
+
+    def note_accepted_stop(self) -> None:
+        """Note that the executor has just accepted a stop of the run."""
+        self.is_stop_accepted = True
+        self.confirmed_at_ms = clock.read_elapsed_ms()
+
     def may_start_later(self, proved_at_ms: int) -> bool:
         """Tell whether the next incarnation of the executor may have it.
 
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -113,18 +113,14 @@
         self._list_entries = list_entries
         self._ownership_confirmed_at_ms = confirmed_at_ms
         self._store_answered_at_ms = clock.read_elapsed_ms()
-        # The former owner may extend grants until its last confirmation is
-        # too old, and the last grants remain valid for their full duration.
         now_ms = clock.read_elapsed_ms()
         self.former_grants_deadline_ms = (
-            (now_ms if head_seen_at_ms is None else head_seen_at_ms)
-            + (0 if is_former_resigned else CONFIRMATION_MAX_AGE_MS)
-            + owner_policy.grant_ms
-            + GRANT_CLOCK_MARGIN_MS
-        )
+            now_ms if head_seen_at_ms is None else head_seen_at_ms
+        ) + compute_former_grants_ms(owner_policy, is_former_resigned)
         self._core = owner.Owner(
             owner_journal.epoch,
             owner_policy.grant_ms + GRANT_CLOCK_MARGIN_MS,
+            owner_policy.silence_limit_ms,
             owner_policy.retention_ms,
             now_ms,
             self.former_grants_deadline_ms,
@@ -787,3 +783,23 @@
         step.image,
         step.demand.processor_millicores,
     )
+
+
+def compute_former_grants_ms(
+    owner_policy: policy.OwnerPolicy, is_former_resigned: bool
+) -> int:
+    """Return how long runs may go on after the former owner's last commit.
+
+    One that is cut off from the store extends grants until its confirmation
+    is too old. One that has ended did so before its next confirmation.
+    """
+    if is_former_resigned:
+        return owner_policy.silence_limit_ms
+    return max(
+        CONFIRMATION_MAX_AGE_MS
+        + owner_policy.grant_ms
+        + GRANT_CLOCK_MARGIN_MS,
+        CONFIRMATION_INTERVAL_MS
+        + STORE_RESPONSE_LIMIT_MS
+        + owner_policy.silence_limit_ms,
+    )
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -103,6 +103,8 @@
 
     :param grant_ms: how long a target may keep its runs after the last
         report that was answered
+    :param silence_limit_ms: time after the last report by which all runs of
+        a silent target have ended, also if its VM was suspended meanwhile
     :param retention_ms: how long the state of an ended workflow can be read
     :param now_ms: elapsed time of the takeover
     :param old_grants_deadline_ms: elapsed time at which all grants of earlier
@@ -115,6 +117,7 @@
         self,
         epoch: int,
         grant_ms: int,
+        silence_limit_ms: int,
         retention_ms: int,
         now_ms: int,
         old_grants_deadline_ms: int,
@@ -128,6 +131,7 @@
         self.archive: dict[str, ArchivedWorkflow] = {}
         self.set_aside_ids: set[str] = set()
         self._grant_ms = grant_ms
+        self._silence_limit_ms = silence_limit_ms
         self._retention_ms = retention_ms
         self._discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
         self._encode = encode
@@ -369,7 +373,12 @@
             ]
             self._handle_crash(target, crashed, None, moment)
         for run in missing:
-            self._drop_lost_run(run, 'not listed in the snapshot', moment)
+            self._drop_lost_run(
+                run,
+                'not listed in the snapshot',
+                f'snapshot of {snapshot.state.incarnation}',
+                moment,
+            )
         if snapshot.has_all_ends:
             target.unproved_runs.clear()
         target.unexpected_runs = {
@@ -473,7 +482,12 @@
                     run.executor_hash = jobs.COUNTED_EXECUTOR_HASH
                 self._mark_dirty(run.task.group.job)
             else:
-                self._drop_lost_run(run, 'the executor has gone', moment)
+                self._drop_lost_run(
+                    run,
+                    'the executor has gone',
+                    f'{gone.cause.value}: {gone.incarnation}',
+                    moment,
+                )
 
     def _keep_unproved_run(
         self,
@@ -687,7 +701,12 @@
             if granted:
                 self._record('target lost', target=target.target_id)
             for run in granted:
-                self._drop_lost_run(run, 'the grant has ended', moment)
+                self._drop_lost_run(
+                    run,
+                    'the grant has ended',
+                    f'no report until {target.lost_deadline_ms}',
+                    moment,
+                )
         if now_ms >= self._next_expiry_ms:
             self._next_expiry_ms = now_ms + 1_000
             for workflow_id, archived in list(self.archive.items()):
@@ -712,7 +731,10 @@
         for key, unproved in list(target.unproved_runs.items()):
             if moment.elapsed_ms >= unproved.expiry_ms:
                 self._drop_lost_run(
-                    target.runs[key], 'its order has expired', moment
+                    target.runs[key],
+                    'its order has expired',
+                    f'ordered by {unproved.ordered_by_ms}',
+                    moment,
                 )
 
     def schedule(self, moment: clock.Moment) -> None:
@@ -929,7 +951,7 @@
     def _extend_lost_deadline(
         self, target: targets.Target, now_ms: int
     ) -> None:
-        deadline_ms = now_ms + self._grant_ms
+        deadline_ms = now_ms + self._silence_limit_ms
         target.lost_deadline_ms = max(target.lost_deadline_ms, deadline_ms)
 
     def _apply_state(
@@ -1220,10 +1242,14 @@
         run.task.group.job.remove_run(run, ended_at_ms)
 
     def _drop_lost_run(
-        self, run: jobs.Run, cause: str, moment: clock.Moment
+        self, run: jobs.Run, cause: str, proof: str, moment: clock.Moment
     ) -> None:
-        """Drop a run that has certainly ended without a reported end."""
+        """Drop a run that has certainly ended without a reported end.
+
+        :param proof: what has shown it, for the log
+        """
         job = run.task.group.job
+        target = self.targets[run.target_id]
         self._record(
             'run lost',
             workflow=job.workflow_id,
@@ -1231,27 +1257,22 @@
             attempt=run.attempt,
             target=run.target_id,
             cause=cause,
-            proof=self._describe_proof(run),
+            proof=proof,
+            incarnation=target.incarnation,
+            is_same_incarnation=(
+                run.executor_hash == target.compute_executor_hash()
+            ),
+            silent_ms=moment.elapsed_ms - target.contact_at_ms,
+            elapsed_ms=moment.elapsed_ms,
             ran_ms=moment.elapsed_ms - run.started_at_ms,
             is_confirmed=run.is_confirmed,
             is_restored=run.is_restored,
         )
         measurements.RUNS_LOST.labels(cause).inc()
-        target = self.targets[run.target_id]
         self._drop_run(run, _find_earliest_end_ms(target, run))
         self._mark_dirty(job)
         self._break_gang(run.task)
 
-    def _describe_proof(self, run: jobs.Run) -> str:
-        """Say what is known of the executor on which a lost run was."""
-        target = self.targets[run.target_id]
-        executor_hash = target.compute_executor_hash()
-        if run.executor_hash == jobs.COUNTED_EXECUTOR_HASH:
-            return f'crashed, now {target.incarnation}'
-        if run.executor_hash == executor_hash:
-            return f'same incarnation {target.incarnation}'
-        return f'replaced by {target.incarnation}'
-
     def _break_gang(self, task: jobs.Task) -> None:
         """Stop the other members of a gang after the end of one of them."""
         group = task.group
--- a/standins/platform_executor.py
+++ b/standins/platform_executor.py
@@ -133,6 +133,11 @@
         self.acknowledged: list[tuple[str, int]] = []
         self.is_down = False
         self.life = 0
+        # Set unless its VM is suspended; its clock stands still meanwhile.
+        self._awake = asyncio.Event()
+        self._awake.set()
+        self._suspended_at_ns = 0
+        self._stood_still_ns = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._reset_state()
 
@@ -181,6 +186,21 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._agent_client.close()
 
+    @property
+    def is_suspended(self) -> bool:
+        """Whether its VM is suspended."""
+        return not self._awake.is_set()
+
+    def suspend(self) -> None:
+        """Stand still with the VM, and with the clock, until ``resume``."""
+        self._suspended_at_ns = time.monotonic_ns()
+        self._awake.clear()
+
+    def resume(self) -> None:
+        """Go on; the clock goes on where it stood."""
+        self._stood_still_ns += time.monotonic_ns() - self._suspended_at_ns
+        self._awake.set()
+
     def crash(self) -> None:
         """Lose all state and answer nothing until ``restart``."""
         self.is_down = True
@@ -242,6 +262,7 @@
         """Return a handler that gives no answer while the executor is down."""
 
         async def handle(request: http.Request) -> object:
+            await self._awake.wait()
             if self.is_down:
                 raise http_server.AnswerLost
             return await handler(request)
@@ -249,11 +270,16 @@
         return handle
 
     def _read_clock_ms(self) -> int:
-        return round(time.monotonic_ns() * self._clock_rate) // 1_000_000
+        now_ns = time.monotonic_ns()
+        if self.is_suspended:
+            now_ns = self._suspended_at_ns
+        steady_ns = now_ns - self._stood_still_ns
+        return round(steady_ns * self._clock_rate) // 1_000_000
 
     async def _run_tasks(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
+            await self._awake.wait()
             now_ms = self._read_clock_ms()
             if now_ms > self._lease_deadline_ms:
                 self._lapsed_end_number = self._last_end_number
@@ -275,6 +301,7 @@
     async def _send_heartbeats(self) -> None:
         for _ in itertools.count():
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await self._awake.wait()
             if self.is_down:
                 continue
             self._heartbeat_number += 1
@@ -385,6 +412,7 @@
 
         async def wait_and_apply() -> None:
             await asyncio.sleep(self._random.uniform(*LATE_DELAY_RANGE_S))
+            await self._awake.wait()
             if self.life == life and not self.is_down:
                 apply(document, True)
 
@@ -474,6 +502,7 @@
             if self.is_down or self.life != life:
                 # A crash breaks the connection.
                 break
+        await self._awake.wait()
         if self.is_down or self.life != life:
             raise http_server.AnswerLost
         return {
--- a/tests/lasting/agents.py
+++ b/tests/lasting/agents.py
@@ -87,6 +87,7 @@
         self.cut_count = 0
         self.former_deadline_ms = 0
         self._is_granted = True
+        self._grant_deadline_ms = 0
         self.heard_at_ms = 0
         self.attach_due_ms: int | None = 0
         self.gone_due_ms: int | None = None
@@ -172,9 +173,10 @@
         """
         self._is_granted = is_granted
         executor = self.executor
-        if executor.is_lost:
+        if executor.is_lost or executor.is_suspended:
             return
         now_ms = moment.elapsed_ms
+        self._stop_without_grant(now_ms)
         self._observe_executor(core, moment)
         if now_ms < self.former_deadline_ms and self._is_report_due(now_ms):
             self._extend_lease(now_ms)
@@ -200,6 +202,12 @@
         self.heard_at_ms = now_ms
         assert target.session == self.session
 
+    def _stop_without_grant(self, now_ms: int) -> None:
+        """Stop all runs once the grant has ended, as ``GrantWatch`` does."""
+        if self.executor.answers and now_ms >= self._grant_deadline_ms:
+            for key in self._runs:
+                self.executor.order_stop(key, now_ms)
+
     def _observe_executor(
         self, core: owner.Owner | None, moment: clock.Moment
     ) -> None:
@@ -471,6 +479,7 @@
             self._extend_lease(moment.elapsed_ms)
 
     def _extend_lease(self, now_ms: int) -> None:
+        self._grant_deadline_ms = now_ms + GRANT_MS
         executor = self.executor
         if executor.answers and self._incarnation == executor.incarnation:
             executor.lease_deadline_ms = now_ms + LEASE_MS
--- a/tests/lasting/disruptions.py
+++ b/tests/lasting/disruptions.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from borageshelf.agent.workflows import owner_link
+from borageshelf.entry.workflows import runtime
 from borageshelf.model import resources
 from tests.lasting import world as lasting_world
 
@@ -85,6 +86,17 @@
     is_reborn: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Suspended(Disruption):
+    """VMs that stand still with the clocks of their executors."""
+
+    @property
+    def is_noticed(self) -> bool:
+        """Whether the owner closes the sessions of their agents."""
+        duration_ms = self.end_ms - self.begin_ms
+        return duration_ms >= runtime.AGENT_SILENCE_LIMIT_MS
+
+
 @dataclasses.dataclass(frozen=True)
 class Lost(Disruption):
     """VMs that are lost for good."""
@@ -270,6 +282,21 @@
         world.get_agent(target_id).reconnect(world.now_ms)
 
 
+@begin.register
+def _(disruption: Suspended, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].suspend(world.now_ms)
+
+
+@end.register
+def _(disruption: Suspended, world: lasting_world.World) -> None:
+    for target_id in disruption.target_ids:
+        world.executors[target_id].resume(world.now_ms)
+        if disruption.is_noticed:
+            agent = world.get_agent(target_id)
+            agent.find_owner(world.now_ms, world.now_ms + 600)
+
+
 @begin.register
 def _(disruption: Lost, world: lasting_world.World) -> None:
     for target_id in disruption.target_ids:
--- a/tests/lasting/executors.py
+++ b/tests/lasting/executors.py
@@ -107,6 +107,7 @@
         self.drain_count = 0
         self.down_count = 0
         self.is_lost = False
+        self.suspended_at_ms: int | None = None
 
     @property
     def executor_id(self) -> str:
@@ -123,10 +124,25 @@
         """Whether its process runs."""
         return not (self.down_count or self.is_lost)
 
+    @property
+    def is_suspended(self) -> bool:
+        """Whether its VM is suspended."""
+        return self.suspended_at_ms is not None
+
+    def suspend(self, now_ms: int) -> None:
+        """Stand still, and with it the clock of the lease."""
+        self.suspended_at_ms = now_ms
+
+    def resume(self, now_ms: int) -> None:
+        """Go on; the lease has as much left as before."""
+        assert self.suspended_at_ms is not None
+        self.lease_deadline_ms += now_ms - self.suspended_at_ms
+        self.suspended_at_ms = None
+
     @property
     def answers(self) -> bool:
         """Whether it answers its agent."""
-        return self.is_up and not self.mute_count
+        return self.is_up and not (self.mute_count or self.is_suspended)
 
     @property
     def is_draining(self) -> bool:
@@ -235,7 +251,7 @@
 
     def advance(self, now_ms: int) -> None:
         """Let time pass for all runs."""
-        if not self.is_up:
+        if not self.is_up or self.is_suspended:
             return
         self._carry_out_late_orders(now_ms)
         for key, run in list(self.runs.items()):
--- a/tests/lasting/planner.py
+++ b/tests/lasting/planner.py
@@ -6,6 +6,7 @@
 
 from borageshelf.model import resources
 from borageshelf.model import workflows
+from borageshelf.workflows import policy
 from tests.lasting import disruptions
 from tests.lasting import executors
 from tests.lasting import plans
@@ -18,6 +19,17 @@
 OWNER_KEY_MS: Final = 1_500
 RARE_LABEL: Final = 'gpu'
 TICK_MS: Final = executors.TICK_MS
+# Histories of earlier seeds stay as they were.
+FIRST_SEED_WITH_SUSPENSIONS: Final = 1_000_000
+SUSPENSION_DURATIONS_MS: Final = (
+    1_000,
+    3_000,
+    4_000,
+    policy.SUSPENSION_LIMIT_MS,
+)
+# Until an executor's lease has certainly ended, only its agent can stop the
+# runs of a VM that was suspended.
+UNDISTURBED_MS: Final = 7_000
 
 
 class Planner:
@@ -40,6 +52,8 @@
         for _ in range(rng.randint(1, 3)):
             chaos_ms = rng.choice([2_000, 6_000, 12_000, 25_000])
             self._draw_chaos(now_ms, now_ms + chaos_ms)
+            if self._seed >= FIRST_SEED_WITH_SUSPENSIONS:
+                self._draw_suspensions(now_ms, now_ms + chaos_ms)
             now_ms += chaos_ms + CALM_MS
         self._draw_lasting(now_ms)
         self._draw_short(now_ms)
@@ -299,6 +313,21 @@
             disruptions.Draining(first_ms, last_ms, ids, leaves=True)
         )
 
+    def _draw_suspensions(self, begin_ms: int, end_ms: int) -> None:
+        """Suspend VMs at once, each of them at most once in a while."""
+        rng = self._rng
+        duration_ms = rng.choice(SUSPENSION_DURATIONS_MS)
+        first_ms = rng.randrange(begin_ms, end_ms, TICK_MS)
+        suspended = disruptions.Suspended(
+            first_ms, first_ms + duration_ms, self._draw_ids()
+        )
+        self._disruptions = [
+            each
+            for each in self._disruptions
+            if not _disturbs_agents(each, suspended)
+        ]
+        self._disruptions.append(suspended)
+
     def _take_alive(self) -> str:
         target_id = self._rng.choice(self._alive)
         self._alive.remove(target_id)
@@ -362,6 +391,22 @@
         self._draw_simple(disruptions.AgentRestarted, begin_ms, end_ms)
 
 
+def _disturbs_agents(
+    other: disruptions.Disruption, suspended: disruptions.Suspended
+) -> bool:
+    """Tell whether an agent could not stop the runs of its suspended VM."""
+    is_agent_new = isinstance(other, disruptions.AgentRestarted) or (
+        isinstance(other, disruptions.Crashed)
+        and other.knowledge is disruptions.Knowledge.SNAPSHOT
+    )
+    return (
+        is_agent_new
+        and bool({*other.target_ids} & {*suspended.target_ids})
+        and other.begin_ms < suspended.end_ms + UNDISTURBED_MS
+        and suspended.begin_ms < other.end_ms
+    )
+
+
 KINDS: Final = (
     Planner.draw_failing,
     Planner.draw_refusing,
--- a/tests/lasting/world.py
+++ b/tests/lasting/world.py
@@ -10,6 +10,7 @@
 from borageshelf.workflows import effects
 from borageshelf.workflows import journal
 from borageshelf.workflows import owner
+from borageshelf.workflows import policy
 from tests.lasting import agents
 from tests.lasting import executors
 from tests.lasting import monitor as lasting_monitor
@@ -17,7 +18,8 @@
 
 # As ``runtime.OwnerRuntime`` computes them.
 GRANT_MS: Final = agents.GRANT_MS + runtime.GRANT_CLOCK_MARGIN_MS
-FORMER_GRANTS_MS: Final = runtime.CONFIRMATION_MAX_AGE_MS + GRANT_MS
+POLICY: Final = policy.OwnerPolicy(agents.GRANT_MS, support.RETENTION_MS)
+SILENCE_LIMIT_MS: Final = POLICY.silence_limit_ms
 
 
 class Cluster(support.Cluster):
@@ -40,6 +42,7 @@
         return owner.Owner(
             epoch,
             GRANT_MS,
+            SILENCE_LIMIT_MS,
             support.RETENTION_MS,
             self.now_ms,
             self.former_grants_deadline_ms,
@@ -191,8 +194,10 @@
         :param head_seen_at_ms: when it had seen the last commit of the former
             owner
         """
-        grants_ms = GRANT_MS if is_former_resigned else FORMER_GRANTS_MS
-        self.cluster.former_grants_deadline_ms = head_seen_at_ms + grants_ms
+        self.cluster.former_grants_deadline_ms = (
+            head_seen_at_ms
+            + runtime.compute_former_grants_ms(POLICY, is_former_resigned)
+        )
         self.cluster.take_over()
         self.has_owner = True
         for agent in self.cluster.agents.values():
--- a/tests/model/choices.py
+++ b/tests/model/choices.py
@@ -10,6 +10,7 @@
 
 from borageshelf import errors
 from borageshelf.ports import task_executor
+from borageshelf.workflows import policy
 from tests.model import executors
 from tests.model import items
 from tests.model import processes
@@ -22,6 +23,11 @@
 # Past the end of a grant and of its lease.
 LONG_PAUSE_MS: Final = 6_500
 STORE_OUTAGE_MS: Final = 3_000
+# Stops take no time here, so that a longer suspension than on a real VM must
+# be survived.
+SUSPENSION_MS: Final = policy.SUSPENSION_LIMIT_MS + 1_000
+# As long as the users' platform cuts VMs off.
+AGENT_CUT_MS: Final = 5_500
 DOWN_MS: Final = 600
 ANNOUNCEMENT_DELAY_MS: Final = 200
 
@@ -219,6 +225,37 @@
     process.resumes_at_ms = world.clock.now_ms + LONG_PAUSE_MS
 
 
+def _suspend(world: model_world.World, subject: str) -> None:
+    """Suspend a VM: its agent, its executor and the executor's clock.
+
+    The clocks of the agent go on, as for a process that was stopped.
+    """
+    executor = world.executors[subject]
+    executor.suspend(SUSPENSION_MS)
+    agent = world.agents[subject]
+    agent.resumes_at_ms = world.clock.now_ms + SUSPENSION_MS
+    waiting = [
+        item
+        for item in (*world.parked, *world.in_transit)
+        if isinstance(item, items.OrderItem) and item.executor is executor
+    ]
+
+    def resume() -> None:
+        # The agent's requests have timed out; the executor handles them.
+        world.parked = [
+            item for item in world.parked if item.executor is not executor
+        ]
+        for item in waiting:
+            world.fail_order(item)
+
+    world.schedule(SUSPENSION_MS, resume)
+
+
+def _cut_agent(world: model_world.World, subject: str) -> None:
+    world.agent_cut_until_ms[subject] = world.clock.now_ms + AGENT_CUT_MS
+    world.schedule(AGENT_CUT_MS, lambda: None)
+
+
 def _cut_off(world: model_world.World, subject: str) -> None:
     world.cut_off_until_ms[subject] = world.clock.now_ms + STORE_OUTAGE_MS
 
@@ -256,6 +293,8 @@
     'break stream unnoticed by the owner': _stall_stream,
     'kill the agent of': _kill_agent,
     'pause': _pause,
+    'suspend': _suspend,
+    'cut off from the owners': _cut_agent,
     'cut off from the store': _cut_off,
     'hand over to': _take_over,
 }
@@ -318,7 +357,14 @@
         found += [
             Choice('kill the agent of', executor.name),
             Choice('pause', executor.name),
+            Choice('cut off from the owners', executor.name),
         ]
+    is_first = not executor.suspended_until_ms
+    if agent.is_running and (
+        world.scenario.has_long_silences
+        or (is_first and not world.is_agent_cut_off(agent))
+    ):
+        found.append(Choice('suspend', executor.name))
     return found
 
 
--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -98,6 +98,7 @@
         self._ends_limit = ends_limit
         self.incarnation = 0
         self.is_up = False
+        self.suspended_until_ms = 0
         self.start()
 
     def start(self) -> None:
@@ -105,6 +106,8 @@
         self.incarnation += 1
         self.is_up = True
         self.born_ms = self._clock.now_ms
+        # Moved on by suspensions, which the clock does not count.
+        self.clock_zero_ms = self.born_ms
         self.heartbeats = 0
         self.token = 0
         self.lease_deadline_ms = 0
@@ -119,6 +122,16 @@
         self.running = {}
         self._promise.note_crash(self.full_name)
 
+    @property
+    def is_suspended(self) -> bool:
+        """Whether its VM is suspended."""
+        return self._clock.now_ms < self.suspended_until_ms
+
+    def suspend(self, duration_ms: int) -> None:
+        """Stand still for a while, and with it the clock."""
+        self.suspended_until_ms = self._clock.now_ms + duration_ms
+        self.clock_zero_ms += duration_ms
+
     @property
     def full_name(self) -> str:
         """Name with the incarnation, for the history."""
@@ -126,11 +139,15 @@
 
     def read_clock_ms(self) -> int:
         """Return the executor's own clock."""
-        return (self._clock.now_ms - self.born_ms) * CLOCK_PERCENT // 100 + 1
+        now_ms = self._clock.now_ms
+        if self.is_suspended:
+            # ``clock_zero_ms`` already counts the whole suspension.
+            now_ms = self.suspended_until_ms
+        return (now_ms - self.clock_zero_ms) * CLOCK_PERCENT // 100 + 1
 
     def find_lapse_ms(self) -> int | None:
         """Return the model's time at which the lease expires."""
-        if not (self.is_up and self.lease_deadline_ms):
+        if not (self.is_up and self.lease_deadline_ms) or self.is_suspended:
             return None
         remaining_ms = self.lease_deadline_ms - self.read_clock_ms()
         return self._clock.now_ms + max(
@@ -139,7 +156,7 @@
 
     def expire_lease(self) -> bool:
         """End all runs if the lease has expired; tell whether it has."""
-        if not (self.is_up and self.lease_deadline_ms):
+        if not (self.is_up and self.lease_deadline_ms) or self.is_suspended:
             return False
         if self.read_clock_ms() < self.lease_deadline_ms:
             return False
--- a/tests/model/fingerprints.py
+++ b/tests/model/fingerprints.py
@@ -46,7 +46,7 @@
 )
 # Times on an executor's clock, whose offset the executor's start defines.
 _EXECUTOR_TIMES: Final = frozenset(
-    {'clock_ms', 'executor_ms', 'lease_deadline_ms'}
+    {'_latest_deadline_ms', 'clock_ms', 'executor_ms', 'lease_deadline_ms'}
 )
 _OPAQUE: Final = (
     abc.Coroutine,
--- a/tests/model/safeguards.py
+++ b/tests/model/safeguards.py
@@ -10,7 +10,9 @@
 from typing import Any, Final
 from unittest import mock
 
+from borageshelf.agent.workflows import attended_clock
 from borageshelf.agent.workflows import driver
+from borageshelf.agent.workflows import grant_watch
 from borageshelf.agent.workflows import runs
 from borageshelf import clock
 from borageshelf.entry.workflows import runtime
@@ -156,7 +158,7 @@
 
     def initialise(self: owner.Owner, *arguments: Any) -> None:
         values = list(arguments)
-        values[4] = values[3]
+        values[5] = values[4]
         original(self, *values)
 
     with mock.patch.object(owner.Owner, '__init__', initialise):
@@ -224,6 +226,26 @@
         yield
 
 
+@contextlib.contextmanager
+def _count_time_while_stopped() -> abc.Iterator[None]:
+    """Count the time in which the agent was stopped against a lease."""
+
+    def read_ms(self: attended_clock.AttendedClock) -> int:
+        return clock.read_running_ms()
+
+    with mock.patch.object(attended_clock.AttendedClock, 'read_ms', read_ms):
+        yield
+
+
+@contextlib.contextmanager
+def _keep_runs_without_grant() -> abc.Iterator[None]:
+    """Let the executor's lease alone end runs whose grant has ended."""
+    with mock.patch.object(
+        grant_watch.GrantWatch, '_stop_runs', lambda self: None
+    ):
+        yield
+
+
 LATE_ORDERS: Final = ('keep for later', 'carry out the late order')
 SAFEGUARDS: Final = (
     Safeguard(
@@ -283,6 +305,20 @@
         search.Bounds(10, 2, 1),
         ('hand over to', 'end done', 'pause'),
     ),
+    Safeguard(
+        'a lease has ended only if its clock has gone on',
+        _count_time_while_stopped,
+        search.Bounds(4, 1, 0),
+        ('suspend',),
+        duration_ms=9_000,
+    ),
+    Safeguard(
+        'runs are stopped at the end of their grant',
+        _keep_runs_without_grant,
+        search.Bounds(8, 2, 0),
+        ('suspend', 'cut off from the owners'),
+        duration_ms=12_000,
+    ),
     Safeguard(
         'messages of a replaced session are ignored',
         _receive_from_former_streams,
--- a/tests/model/transit.py
+++ b/tests/model/transit.py
@@ -34,6 +34,10 @@
         self._events: list[tuple[int, int, abc.Callable[[], None]]] = []
         self._event_numbers = itertools.count()
 
+    def is_agent_cut_off(self, agent: processes.Process) -> bool:
+        """Tell whether an agent reaches no owner."""
+        raise NotImplementedError
+
     def call_store(
         self, process: processes.Process, call: store.Call
     ) -> asyncio.Future[Any]:
@@ -67,7 +71,7 @@
         owner = next(item for item in self.owners if item.name == address)
         if not owner.is_alive or owner.runtime is None:
             raise ConnectionRefusedError(address)
-        if not owner.is_running:
+        if not owner.is_running or self.is_agent_cut_off(agent):
             await asyncio.sleep(CONNECT_TIMEOUT_MS / 1000)
             raise TimeoutError(address)
         stream = items.Stream(self, len(self.streams) + 1, agent, owner)
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -37,6 +37,8 @@
     :param duration_ms: end of a history, from the start of the processes
     :param is_placed_later: whether the workflows are accepted before there
         are any targets
+    :param has_long_silences: whether a VM may be suspended again, or while
+        its agent is cut off, so that its owner can't wait for it
     """
 
     tasks: int = 1
@@ -44,6 +46,7 @@
     excluded: frozenset[str] = frozenset()
     duration_ms: int = 9_000
     is_placed_later: bool = False
+    has_long_silences: bool = False
 
 
 class World(transit.Network):
@@ -66,6 +69,7 @@
         self.unhealthy_until_ms: dict[str, int] = {}
         self.refusing_until_ms: dict[str, int] = {}
         self.cut_off_until_ms: dict[str, int] = {}
+        self.agent_cut_until_ms: dict[str, int] = {}
         self.owner_lease_deadline_ms = self.clock.now_ms
         self.owner_name = ''
         self.deadline_ms = self.clock.now_ms + scenario.duration_ms
@@ -224,7 +228,8 @@
     def announce(self, name: str) -> None:
         """Announce an executor to its agent."""
         agent, executor = self.agents[name], self.executors[name]
-        if executor.is_up and agent.is_alive:
+        is_awake = executor.is_up and not executor.is_suspended
+        if is_awake and agent.is_alive:
             agent.loop.call_soon(
                 agent.driver.handle_announcement, executor.announce()
             )
@@ -257,15 +262,25 @@
                 self._answer_parked_inspection(item)
 
     def _answer_parked_inspection(self, item: items.OrderItem) -> None:
-        if item in self.parked:
+        if item in self.parked and not item.executor.is_suspended:
             self.parked.remove(item)
             self.answer_order(item, item.executor.list_runs())
 
     # Items in transit.
 
+    def is_agent_cut_off(self, agent: processes.Process) -> bool:
+        """Tell whether an agent reaches no owner."""
+        return self.clock.now_ms < self.agent_cut_until_ms.get(agent.name, 0)
+
     def find_next_item(self) -> items.Item | None:
         """Return the oldest item that can be handled now."""
         for item in self.in_transit:
+            if isinstance(item, items.OrderItem):
+                if item.executor.is_suspended:
+                    continue
+            elif isinstance(item, items.MessageItem):
+                if self.is_agent_cut_off(item.stream.agent):
+                    continue
             if (
                 isinstance(item, items.CloseItem)
                 and not item.stream.owner.is_running
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,7 +14,7 @@
 from tests.soak import plans
 from tests.soak import runner
 
-SEED_LIMIT: Final = 2_000_000
+SEED_LIMIT: Final = 3_000_000
 
 
 def main() -> int:
@@ -28,7 +28,7 @@
     options = parser.parse_args()
     first = options.first
     if first is None:
-        first = random.randrange(plans.FIRST_SEED_WITH_ODD_ENTRIES, SEED_LIMIT)
+        first = random.randrange(plans.FIRST_SEED_WITH_SUSPENSIONS, SEED_LIMIT)
     loop = http_server.install_reactor()
     return loop.run_until_complete(
         run_seeds(
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -4,6 +4,8 @@
 import random
 from typing import Any, Final
 
+from borageshelf.workflows import policy
+
 # Submissions and faults start within this time; then all workflows must end.
 LOAD_DURATION_MS: Final = 10_000
 FIRST_FAULT_AT_MS: Final = 500
@@ -19,6 +21,14 @@
 SHRINK_COUNT_RANGE: Final = (0, 2)
 FIRST_SEED_WITH_ODD_ENTRIES: Final = 1_000_000
 ODD_ENTRY_COUNT_RANGE: Final = (0, 4)
+FIRST_SEED_WITH_SUSPENSIONS: Final = 2_000_000
+SUSPENSION_COUNT_RANGE: Final = (1, 3)
+SUSPENSION_DURATIONS_MS: Final = (2_000, 4_000, policy.SUSPENSION_LIMIT_MS)
+# A process may get the processor of a busy VM so much later than another one.
+LATE_AGENT_MS: Final = 700
+# Until an executor's lease has certainly ended, only its agent can stop the
+# runs of a VM that was suspended.
+UNDISTURBED_MS: Final = 7_000
 
 # Kinds of faults by the component that they affect.
 ENTRY_KINDS: Final = ('kill', 'term', 'pause', 'hup', 'clock')
@@ -49,6 +59,7 @@
 )
 SHRINK_KINDS: Final = ('shrink-to-half', 'shrink-to-nothing')
 ODD_ENTRY_KINDS: Final = ('configuration', 'owner', 'keys', 'heartbeats')
+VM_KINDS: Final = ('suspend', 'suspend-agent-longer')
 GROUP_KINDS: Final = ('kill-entries', 'kill-agents', 'kill-all')
 
 
@@ -57,7 +68,7 @@
     """One fault.
 
     :param subject: ``entry``, ``agent``, ``link``, ``store``, ``executor``,
-        ``configuration``, ``group`` or ``odd-entry``
+        ``configuration``, ``group``, ``odd-entry`` or ``vm``
     :param index: number of the affected component, modulo their count
     """
 
@@ -176,10 +187,15 @@
         faults += [_draw_odd_entry(rng) for _ in range(count)]
         faults.sort(key=lambda fault: fault.at_ms)
     submissions.sort(key=lambda item: item.at_ms)
+    entries = rng.choice((2, 3))
+    targets = rng.choice((2, 3))
+    if seed >= FIRST_SEED_WITH_SUSPENSIONS:
+        faults += _draw_suspensions(rng, faults, targets)
+        faults.sort(key=lambda fault: fault.at_ms)
     return Plan(
         seed,
-        rng.choice((2, 3)),
-        rng.choice((2, 3)),
+        entries,
+        targets,
         tuple(faults),
         tuple(submissions),
     )
@@ -220,6 +236,46 @@
     )
 
 
+def _draw_suspensions(
+    rng: random.Random, others: list[Fault], targets: int
+) -> list[Fault]:
+    """Return suspensions of VMs, each of them at most once.
+
+    A VM whose agent is disturbed before it could stop the runs is left out:
+    its runs may go on for as long as the lease on its slow clock.
+    """
+    found = []
+    count = rng.randint(*SUSPENSION_COUNT_RANGE)
+    for index in rng.sample(range(targets), min(count, targets)):
+        suspension = Fault(
+            rng.randint(FIRST_FAULT_AT_MS, LOAD_DURATION_MS),
+            rng.choice(SUSPENSION_DURATIONS_MS),
+            'vm',
+            rng.choice(VM_KINDS),
+            index,
+        )
+        if not any(
+            _is_same_agent(other, index, targets)
+            and other.at_ms < suspension.end_ms + UNDISTURBED_MS
+            and suspension.at_ms < other.end_ms
+            for other in others
+        ):
+            found.append(suspension)
+    return found
+
+
+def _is_same_agent(fault: Fault, index: int, targets: int) -> bool:
+    """Tell whether a fault stops or ends the agent of a VM."""
+    if fault.subject == 'group':
+        return fault.kind != 'kill-entries'
+    is_process_stopped = fault.kind in ('kill', 'term', 'pause')
+    return (
+        fault.subject == 'agent'
+        and is_process_stopped
+        and fault.index % targets == index
+    )
+
+
 def _make_some_deadly(
     rng: random.Random, submissions: list[Submission]
 ) -> list[Submission]:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -316,6 +316,14 @@
             await asyncio.sleep(0.15)
     elif fault.subject == 'odd-entry':
         await inject_odd_entry(run, fault, duration_s)
+    elif fault.subject == 'vm':
+        index = fault.index % len(run.agents)
+        late_ms = 0
+        if fault.kind == 'suspend-agent-longer':
+            late_ms = plans.LATE_AGENT_MS
+        await suspend_vm(
+            run.agents[index], run.executors[index], duration_s, late_ms
+        )
     else:
         nodes = {
             'kill-entries': run.entries,
@@ -348,6 +356,24 @@
             )
 
 
+async def suspend_vm(
+    agent: Node,
+    executor: platform_executor.PlatformExecutor,
+    duration_s: float,
+    late_ms: int,
+) -> None:
+    """Suspend a VM: its agent and its executor, whose clock stands still.
+
+    :param late_ms: time by which the agent goes on later
+    """
+    agent.send_signal(signal.SIGSTOP)
+    executor.suspend()
+    await asyncio.sleep(duration_s)
+    executor.resume()
+    await asyncio.sleep(late_ms / 1000)
+    agent.send_signal(signal.SIGCONT)
+
+
 async def inject_process_fault(
     run: SoakRun, node: Node, kind: str, duration_s: float
 ) -> None:
@@ -437,7 +463,7 @@
     duration_s: float,
 ) -> None:
     """Crash or drain an executor, or inject a fault into it."""
-    if executor.is_down:
+    if executor.is_down or executor.is_suspended:
         return
     if kind == 'late-orders':
         executor.faults.late_share = 0.4
--- a/tests/test_election_cut_entry.py
+++ b/tests/test_election_cut_entry.py
@@ -19,7 +19,7 @@
 from standins import memory_store
 
 HOST = '127.0.0.1'
-POLICY = policy.OwnerPolicy(5_000, 60_000)
+POLICY = policy.OwnerPolicy(policy.GRANT_LIMIT_MS, 60_000)
 # Entries learn of a commit with the answer to their next ping.
 PING_MS = election.PING_INTERVAL_MS + 100
 
@@ -277,7 +277,7 @@
             assert successor is not None
             assert (
                 successor.former_grants_deadline_ms - resigned_at_ms
-                <= POLICY.grant_ms + runtime.GRANT_CLOCK_MARGIN_MS + PING_MS
+                <= POLICY.silence_limit_ms + PING_MS
             )
 
     asyncio.run(check())
--- a/tests/test_executor_lease.py
+++ b/tests/test_executor_lease.py
@@ -1,11 +1,14 @@
 """The agent takes no lease for ended that the executor may still hold."""
 
 import asyncio
+from collections import abc
 from unittest import mock
 
 import pytest
 
+from borageshelf.agent.workflows import attended_clock
 from borageshelf.agent.workflows import executor_lease
+from borageshelf.agent.workflows import grant_watch
 from borageshelf.agent.workflows import process
 from borageshelf import clock
 from borageshelf import events
@@ -23,24 +26,35 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.elapsed_ms = 200_000
         self.running_ms = 100_000
+        self.read_attended_ms: abc.Callable[[], int] = lambda: 0
         monkeypatch.setattr(clock, 'read_elapsed_ms', lambda: self.elapsed_ms)
         monkeypatch.setattr(clock, 'read_running_ms', lambda: self.running_ms)
 
     def run(self, duration_ms: int) -> None:
-        """Let the VM run."""
-        self.elapsed_ms += duration_ms
-        self.running_ms += duration_ms
+        """Let the VM and the process run."""
+        while duration_ms > 0:
+            step_ms = min(duration_ms, grant_watch.CHECK_INTERVAL_MS)
+            self.elapsed_ms += step_ms
+            self.running_ms += step_ms
+            self.read_attended_ms()
+            duration_ms -= step_ms
 
     def suspend(self, duration_ms: int) -> None:
         """Suspend the VM."""
         self.elapsed_ms += duration_ms
 
+    def stop(self, duration_ms: int) -> None:
+        """Stop the process; whether its VM runs is not known."""
+        self.elapsed_ms += duration_ms
+        self.running_ms += duration_ms
+
 
 def make_extended_lease(
     clocks: FakeClocks, grant_ms: int
 ) -> executor_lease.ExecutorLease:
     """Return a lease that one accepted order has extended."""
     lease = executor_lease.ExecutorLease(FORMER_GRANT_MS)
+    clocks.read_attended_ms = lease.read_attended_ms
     clocks.run(FORMER_GRANT_MS + 1_000)
     lease.record_clock(1_000)
     extension = lease.compute_extension(clocks.elapsed_ms + grant_ms)
@@ -61,6 +75,65 @@
     assert lease.has_ended()
 
 
+def test_time_in_which_the_agent_was_stopped_ends_no_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a second run beside a VM that stood still (TWICE).
+
+    The agent's clocks go on while it is stopped, as they do for a process
+    that is suspended by a signal; the executor's clock stands still.
+    """
+    clocks = FakeClocks(monkeypatch)
+    lease = make_extended_lease(clocks, 5_000)
+    clocks.stop(8_000)
+    assert not lease.has_ended()
+    clocks.run(4_500)
+    assert not lease.has_ended()
+    clocks.run(1_000)
+    assert lease.has_ended()
+
+
+def test_answer_shows_that_the_executor_has_stood_still(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a lease that is taken for ended on the agent's clock."""
+    clocks = FakeClocks(monkeypatch)
+    lease = make_extended_lease(clocks, 5_000)
+    clocks.run(4_000)
+    # Only 500 of the 4,000 ms have passed on the executor's clock.
+    lease.record_clock(1_500)
+    clocks.run(4_000)
+    assert not lease.has_ended()
+    clocks.run(1_000)
+    assert lease.has_ended()
+
+
+def test_order_after_a_stop_of_the_agent_requests_no_lease_beyond_the_grant(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a lease that is longer by the time of a suspension."""
+    clocks = FakeClocks(monkeypatch)
+    lease = executor_lease.ExecutorLease(FORMER_GRANT_MS)
+    lease.record_clock(1_000)
+    grant_deadline_ms = clocks.elapsed_ms + 5_000
+    clocks.stop(4_000)
+    extension = lease.compute_extension(grant_deadline_ms)
+    left_ms = 1_000 + attended_clock.GAP_LIMIT_MS
+    assert 1_000 < extension.lease_deadline_ms <= 1_000 + left_ms
+
+
+def test_lease_of_a_former_incarnation_is_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a lease that never ends, as clocks begin anew."""
+    clocks = FakeClocks(monkeypatch)
+    lease = make_extended_lease(clocks, 5_000)
+    lease.forget_incarnation()
+    lease.record_clock(1)
+    clocks.run(5_500)
+    assert lease.has_ended()
+
+
 def test_order_after_a_suspension_requests_no_lease_beyond_the_grant(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -106,6 +179,7 @@
         lambda: settings,
         events.EventLog('agent', 'test', descriptor=1),
     )
+    clocks.read_attended_ms = agent._driver._lease.read_attended_ms
     clocks.run(policy.GRANT_LIMIT_MS)
     assert not agent._driver._lease.has_ended()
     clocks.run(executor_lease.LEASE_END_MARGIN_MS + 1)
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -10,16 +10,17 @@
 
 import pytest
 
+from borageshelf.entry.workflows import runtime
 from borageshelf.model import resources
 from borageshelf.model import workflows
 from borageshelf.workflows import owner
+from tests.lasting import agents
 from tests.lasting import disruptions
 from tests.lasting import executors
 from tests.lasting import histories
 from tests.lasting import monitor
 from tests.lasting import planner
 from tests.lasting import plans
-from tests.lasting import world
 from tests import workflow_support as support
 
 LABELS = ('a', 'r1')
@@ -116,7 +117,16 @@
     assert not findings, '\n'.join(findings[0].describe(plan))
 
 
-@pytest.mark.parametrize('seed', range(1, 41))
+@pytest.mark.parametrize(
+    'seed',
+    [
+        *range(1, 41),
+        *range(
+            planner.FIRST_SEED_WITH_SUSPENSIONS,
+            planner.FIRST_SEED_WITH_SUSPENSIONS + 10,
+        ),
+    ],
+)
 def test_lasting_tasks_run_in_random_histories(seed: int) -> None:
     expect_no_finding(planner.make_plan(seed))
 
@@ -288,10 +298,44 @@
 )
 
 
+# The agent is cut off as its VM goes on.
+SUSPENDED_BEFORE_CUT = plans.Plan(
+    0,
+    make_targets(4),
+    (submit_lasting(8, at_ms=1_500, spread_limit=4),),
+    (
+        disruptions.Suspended(3_000, 7_000, ('vm-0',)),
+        disruptions.CutOff(6_500, 12_000, ('vm-0',)),
+    ),
+    20_000,
+)
+# The owner is killed as two of three VMs go on.
+SUSPENDED_BESIDE_KILLED_OWNER = plans.Plan(
+    0,
+    make_targets(3),
+    (submit_lasting(6, at_ms=1_500, spread_limit=6),),
+    (
+        disruptions.Suspended(3_000, 8_000, ('vm-0', 'vm-1')),
+        disruptions.OwnerChanged(8_000, 9_600, (), head_seen_ms=100),
+    ),
+    20_000,
+)
+
+
 @pytest.mark.parametrize(
     'plan',
-    [HELD_BY_FORMER_OWNER, LATE_ON_NEXT_INCARNATION],
-    ids=['held-by-former-owner', 'late-on-next-incarnation'],
+    [
+        HELD_BY_FORMER_OWNER,
+        LATE_ON_NEXT_INCARNATION,
+        SUSPENDED_BEFORE_CUT,
+        SUSPENDED_BESIDE_KILLED_OWNER,
+    ],
+    ids=[
+        'held-by-former-owner',
+        'late-on-next-incarnation',
+        'suspended-before-cut',
+        'suspended-beside-killed-owner',
+    ],
 )
 def test_waits_for_proofs_keep_tasks_from_running_twice(
     plan: plans.Plan,
@@ -306,19 +350,30 @@
 @pytest.mark.parametrize(
     ('plan', 'module', 'name', 'value'),
     [
-        (HELD_BY_FORMER_OWNER, world, 'FORMER_GRANTS_MS', 0),
+        (
+            HELD_BY_FORMER_OWNER,
+            runtime,
+            'compute_former_grants_ms',
+            lambda *_: 0,
+        ),
         (
             LATE_ON_NEXT_INCARNATION,
             owner,
             'LATE_START_GRANTS',
             collections.Counter(),
         ),
+        (
+            SUSPENDED_BEFORE_CUT,
+            agents.Agent,
+            '_stop_without_grant',
+            lambda *_: None,
+        ),
     ],
-    ids=['former-grants', 'late-start-grants'],
+    ids=['former-grants', 'late-start-grants', 'stops-without-grant'],
 )
 def test_histories_show_that_each_wait_for_a_proof_is_needed(
     plan: plans.Plan,
-    module: types.ModuleType,
+    module: types.ModuleType | type[agents.Agent],
     name: str,
     value: Any,
     monkeypatch: pytest.MonkeyPatch,
--- a/tests/test_model_search.py
+++ b/tests/test_model_search.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.model import choices
 from tests.model import safeguards
 from tests.model import search
 from tests.model import world
@@ -35,6 +36,19 @@
     assert not result.violation, '\n'.join(result.lines)
 
 
+def test_silence_longer_than_a_suspension_starts_nothing_twice() -> None:
+    """Guards against a second run after a cut and a suspension in a row."""
+    kinds = {'suspend', 'cut off from the owners'}
+    scenario = world.Scenario(
+        excluded=frozenset({*choices.FAULTS, *choices.EVENTS} - kinds),
+        duration_ms=12_000,
+        has_long_silences=True,
+    )
+    result = search.Search(scenario, search.Bounds(8, 2, 0)).run()
+    assert not result.failures
+    assert not result.violation, '\n'.join(result.lines)
+
+
 @pytest.mark.parametrize(
     'safeguard', safeguards.SAFEGUARDS, ids=lambda safeguard: safeguard.name
 )
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -92,6 +92,7 @@
         return owner.Owner(
             epoch,
             GRANT_MS,
+            GRANT_MS,
             RETENTION_MS,
             self.now_ms,
             self.now_ms + GRANT_MS,
