Take over beside a head or an owner's record that nobody acquired

What callers saw: no owner, so nothing was accepted or started (LOST), after another writer had left an odd head while no entry knew a former owner, or a well-formed owner's record with an epoch later than the head's.

Cause: without a known owner there was no epoch to begin with, so nobody took over. With the odd record every entry went on to follow its epoch, also after one had acquired the ownership with a lower one.

Change: without a known owner the next epoch is the number of seconds since 2020, which exceeds the number of all takeovers before; an acquisition takes an epoch above both the head and the known record; a record with a later epoch than the head is given up at once, because an acquisition writes both.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -53,6 +53,8 @@
 SEARCH_INTERVAL_MS: Final = 500
 # More takeovers than can happen between two readings of the owner's key.
 UNSEEN_TAKEOVERS_LIMIT: Final = 1_000
+# 2020-01-01. The seconds since then exceed the number of takeovers.
+EPOCH_ESTIMATE_START_MS: Final = 1_577_836_800_000
 # Agents and entries connect to a new owner within a second.
 HAND_OVER_CHECK_INTERVAL_MS: Final = 1_500
 
@@ -482,8 +484,23 @@
             self._event_log.record_detail(
                 'owner not reached', owner=owner.entry_id, error=repr(error)
             )
+            is_owner_dead = await self._is_unacquired(owner)
         return is_owner_dead or is_owner_cut
 
+    async def _is_unacquired(self, owner: records.OwnerRecord) -> bool:
+        """Tell whether another writer has written an owner's record.
+
+        An acquisition replaces the record and the head together.
+        """
+        try:
+            entry = await self._store.get(records.HEAD_KEY)
+            if entry is None:
+                return True
+            head = journal.decode(entry.value, records.HeadRecord)
+        except errors.BorageshelfError:
+            return False
+        return bool(head.epoch < owner.epoch)
+
     def _handle_owner_message(
         self, link: owner_stream.OwnerLink, message: messages.AnyMessage
     ) -> None:
@@ -657,8 +674,10 @@
         self._note_head(head_revision)
         head_seen_at_ms = self._head_seen_at_ms
         lease = await self._store.grant_lease(runtime.LEASE_TTL_MS)
+        # A record of another writer may have a later epoch than the head.
+        known_epoch = self._owner.epoch if self._owner is not None else 0
         own_record = records.OwnerRecord(
-            head.epoch + 1,
+            max(head.epoch, known_epoch) + 1,
             self._identity.entry_id,
             self._identity.boot_id,
             self._identity.address,
@@ -707,9 +726,6 @@
         """Return the stored head, or a substitute for one that is unreadable.
 
         An epoch that no former owner can have used keeps their orders fenced.
-
-        :raises BorageshelfError: ``STORE_UNAVAILABLE`` if the head is not
-            readable and no former owner is known
         """
         try:
             head: records.HeadRecord = journal.decode(
@@ -719,7 +735,7 @@
         except errors.BorageshelfError as error:
             former = self._owner
             if former is None:
-                raise
+                former = records.OwnerRecord(_estimate_epoch(), '', '', '')
             self._event_log.record_state(
                 'head not readable', detail=error.detail, epoch=former.epoch
             )
@@ -777,6 +793,12 @@
 )
 
 
+def _estimate_epoch() -> int:
+    """Return an epoch above those of all owners, none of which is known."""
+    now_ms = clock.read_wall_clock_ms()
+    return (now_ms - EPOCH_ESTIMATE_START_MS) // 1_000
+
+
 def _find_owner_entry(
     entries: abc.Iterable[store_interface.Entry],
 ) -> store_interface.Entry | None:
