Prove an answered start by the executor's clock in the answer

Cause: an answer to a start did not tell which incarnation had given it, so the run might be on the next one and was kept for three grants.

Change: the answer carries the executor's clock. The next incarnation's clock begins anew, so an answer whose clock goes on where the last inspection showed it came from the inspected incarnation, and the run ended with it.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -605,8 +605,9 @@
             run.open_tries += 1
             run.ordered_at_running_ms = clock.read_running_ms()
             self._record_order('start sent', run, token, try_index + 1)
+            sent_at_attended_ms = self._lease.read_attended_ms()
             try:
-                outcome = await self._send_start(
+                answer = await self._send_start(
                     task_executor.StartOrder(
                         order.terms.task,
                         order.terms.attempt,
@@ -634,6 +635,7 @@
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
                 continue
             run.open_tries -= 1
+            outcome = answer.outcome
             self._event_log.record(
                 'start answered',
                 task=order.terms.task,
@@ -641,6 +643,13 @@
                 tries=try_index + 1,
                 outcome=outcome.value,
             )
+            run.is_dated = (
+                outcome is task_executor.StartOutcome.STARTED
+                and not try_index
+                and self._lease.is_same_clock(
+                    answer.clock_ms, sent_at_attended_ms
+                )
+            )
             if outcome is task_executor.StartOutcome.TOO_LATE:
                 self._lease.forget_clock()
                 run.refusal_reason = outcome.value
@@ -676,16 +685,16 @@
         self,
         order: task_executor.StartOrder,
         extension: executor_lease.Extension,
-    ) -> task_executor.StartOutcome:
+    ) -> task_executor.StartAnswer:
         """Send a start, and note whether it extends the lease."""
         is_without_effect = False
         self._lease.begin_extension(extension)
         try:
-            outcome = await self._executor.start(
-                self._get_instance_id(), order
+            answer = await self._executor.start(self._get_instance_id(), order)
+            is_without_effect = (
+                answer.outcome is task_executor.StartOutcome.UNHEALTHY
             )
-            is_without_effect = outcome is task_executor.StartOutcome.UNHEALTHY
-            return outcome
+            return answer
         except task_executor.ExecutorUnavailable as error:
             is_without_effect = error.is_connection_refused
             raise
--- a/borageshelf/agent/workflows/executor_lease.py
+++ b/borageshelf/agent/workflows/executor_lease.py
@@ -19,6 +19,8 @@
 # A shorter lease would expire before its task has started.
 MIN_LEASE_MS: Final = 300
 LEASE_END_MARGIN_MS: Final = 300
+# The clock of another incarnation differs at least by its start.
+CLOCK_TOLERANCE_MS: Final = 100
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,6 +83,29 @@
             attended_ms + round(left_ms / SLOWEST_CLOCK_RATIO),
         )
 
+    def is_same_clock(
+        self, executor_ms: int, sent_at_attended_ms: int
+    ) -> bool:
+        """Tell whether an answer that has just arrived shows the same clock.
+
+        The clock of the next incarnation begins anew, so such an answer came
+        from the incarnation whose clock was recorded last.
+
+        :param executor_ms: the clock in the answer
+        :param sent_at_attended_ms: attended time of the request
+        """
+        reading = self.clock_reading
+        if reading is None:
+            return False
+        passed_ms = executor_ms - reading.executor_ms
+        sent_after_ms = sent_at_attended_ms - reading.attended_ms
+        elapsed_ms = clock.read_elapsed_ms() - reading.elapsed_ms
+        return (
+            sent_after_ms * SLOWEST_CLOCK_RATIO - CLOCK_TOLERANCE_MS
+            <= passed_ms
+            <= elapsed_ms + CLOCK_TOLERANCE_MS
+        )
+
     def forget_clock(self) -> None:
         """Forget the executor's clock until its next answer."""
         self.clock_reading = None
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -29,6 +29,8 @@
         which may still be carried out
     :ivar ordered_at_running_ms: when the last try was sent, on the clock
         without suspensions
+    :ivar is_dated: whether its only start was answered by the incarnation that
+        the agent has inspected
     :ivar row: the run in the last inspection that listed it
     :ivar is_stop_accepted: whether the executor has accepted a stop of it
     :ivar is_reported: whether a snapshot or a report has contained it
@@ -51,6 +53,7 @@
         self.ordered_at_running_ms = 0
         self.pace_percent = pacing.FULL_PACE_PERCENT
         self.row: task_executor.RunningTask | None = None
+        self.is_dated = False
         self.is_stop_accepted = False
         self.is_reported = False
         self.refusal_reason = 'absent'
@@ -83,15 +86,18 @@
     def may_start_later(self, proved_at_ms: int) -> bool:
         """Tell whether the next incarnation of the executor may have it.
 
-        An answer proves the end of the run only together with a later proof,
-        because an executor may restart under its id between two orders.
+        An answer without a date proves the end of the run only together with
+        a later proof, because an executor may restart under its id between
+        two orders.
 
         :param proved_at_ms: begin of the last inspection that the present
             incarnation has answered, or that found nothing listening
         """
         if self.open_tries:
             return True
-        has_ended = self.row is not None or (
-            0 < self.confirmed_at_ms <= proved_at_ms
+        has_ended = (
+            self.row is not None
+            or self.is_dated
+            or 0 < self.confirmed_at_ms <= proved_at_ms
         )
         return self.may_have_arrived and not has_ended
--- a/borageshelf/platform/executor.py
+++ b/borageshelf/platform/executor.py
@@ -105,6 +105,10 @@
     born: numbers.WholeNumber = msgspec.field(name='born', default=0)
 
 
+class _Clock(msgspec.Struct, rename='pascal'):
+    clock_ms: numbers.WholeNumber = 0
+
+
 class _Refusal(msgspec.Struct, rename='pascal'):
     reason: str = ''
 
@@ -117,7 +121,7 @@
 
     async def start(
         self, instance_id: str, order: task_executor.StartOrder
-    ) -> task_executor.StartOutcome:
+    ) -> task_executor.StartAnswer:
         """Start an attempt; see the interface."""
         answer = await self._send(
             '/-/run-start',
@@ -131,7 +135,9 @@
                 order.checkpoint,
             ),
         )
-        return _decode_outcome(answer)
+        return task_executor.StartAnswer(
+            _decode_outcome(answer), _decode_clock_ms(answer)
+        )
 
     async def stop(
         self, instance_id: str, task: str, attempt: int, token: int
@@ -236,6 +242,14 @@
     raise task_executor.ExecutorUnavailable(f'status {answer.status}')
 
 
+def _decode_clock_ms(answer: http_client.Answer) -> int:
+    """Return the executor's clock in an answer, 0 if it shows none."""
+    try:
+        return decoding.decode_json(answer.body, _Clock).clock_ms
+    except decoding.Unreadable:
+        return 0
+
+
 def _raise_refusal(answer: http_client.Answer) -> None:
     """Raise ``OrderRefused`` for an answer that reports a refusal."""
     outcome = _decode_outcome(answer)
--- a/borageshelf/ports/task_executor.py
+++ b/borageshelf/ports/task_executor.py
@@ -101,6 +101,17 @@
     has_all_ends: bool = True
 
 
+@dataclasses.dataclass(frozen=True)
+class StartAnswer:
+    """The answer to a start.
+
+    :param clock_ms: time of the executor's clock, 0 if it is not reported
+    """
+
+    outcome: StartOutcome
+    clock_ms: int = 0
+
+
 class ExecutorUnavailable(Exception):
     """The executor did not answer; an order may have been carried out.
 
@@ -126,7 +137,7 @@
 class TaskExecutor(Protocol):
     """The executor of one VM; each call may raise ``ExecutorUnavailable``."""
 
-    async def start(self, instance_id: str, order: StartOrder) -> StartOutcome:
+    async def start(self, instance_id: str, order: StartOrder) -> StartAnswer:
         """Start an attempt; a repeated start has no effect."""
 
     async def stop(
--- a/tests/model/transit.py
+++ b/tests/model/transit.py
@@ -56,6 +56,10 @@
         )
         return future
 
+    def read_executor_clock_ms(self, name: str) -> int:
+        """Return the clock that an executor shows in its answers."""
+        return self.executors[name].read_clock_ms()
+
     def note_event(self, process: processes.Process, text: str) -> None:
         """Add a line of a process's log to the history."""
         self.note(f'    {process.name}: {text}')
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -174,6 +174,8 @@
         executor = harness.executor
         executor.inspection_s = 0.2
         await asyncio.sleep(0.02)
+        # The answer may come from the next incarnation.
+        executor.restart()
         harness.start()
         await harness.wait_until(lambda: len(executor.starts) == 1)
         executor.is_down = True
