Count a workflow as pending until a run of it was seen

Cause: a workflow counted as started as soon as a start was sent.

A new owner still takes a workflow with a former attempt for started.

Evidence: test_workflow_whose_starts_are_refused_is_still_pending failed before and passes now.

--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -665,8 +665,8 @@
         run.is_sent = True
         run.started_at_ms = clock.read_elapsed_ms()
         run.progress_at_ms = run.started_at_ms
-        if not job.is_started:
-            job.is_started = True
+        if not job.is_ordered:
+            job.is_ordered = True
             waited_ms = run.started_at_ms - job.accepted_at_ms
             measurements.FIRST_START_SECONDS.observe(waited_ms / 1000)
         measurements.RUNS_STARTED.inc()
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -82,6 +82,11 @@
         self.is_isolated = False
         self.executor_hash = COUNTED_EXECUTOR_HASH
 
+    def note_confirmed(self) -> None:
+        """Note that the agent has reported the run."""
+        self.is_confirmed = True
+        self.task.group.job.is_started = True
+
 
 class Task:
     """One task of a workflow.
@@ -276,6 +281,8 @@
         self.visible_phase = records.Phase.ACTIVE
         self.is_committed = False
         self.has_spec_key = False
+        # Whether a start was sent, and whether a run was seen on a target.
+        self.is_ordered = False
         self.is_started = False
         self.ended_at_ms = 0
         self.cause = ''
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -358,7 +358,8 @@
         missing = []
         for key, run in list(target.runs.items()):
             if key in listed:
-                run.is_confirmed = run.is_sent = True
+                run.is_sent = True
+                run.note_confirmed()
                 if run.executor_hash != executor_hash:
                     run.executor_hash = executor_hash
                     self._mark_dirty(run.task.group.job)
@@ -547,6 +548,7 @@
                     self._use_success_of_dropped_run(known, end, moment)
             return
         job = run.task.group.job
+        job.is_started = True
         job.effects.append(acknowledge)
         self._mark_dirty(job)
         self._drop_run(run, _find_earliest_end_ms(target, run))
@@ -649,7 +651,7 @@
             run = target.runs.get((row.task, row.attempt))
             if run is None:
                 continue
-            run.is_confirmed = True
+            run.note_confirmed()
             is_paced = row.pace_percent < FULL_PACE_PERCENT
             if row.progress_percent != run.progress_percent or is_paced:
                 run.task.group.job.record_progress(
--- a/tests/lasting/world.py
+++ b/tests/lasting/world.py
@@ -108,7 +108,7 @@
             return
         run.is_sent = True
         run.started_at_ms = run.progress_at_ms = self.now_ms
-        run.task.group.job.is_started = True
+        run.task.group.job.is_ordered = True
         self.sent_starts.append((effect.target_id, *key))
         if is_attached:
             # Otherwise it is lost on a broken stream.
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -707,3 +707,25 @@
         )
         cluster.core.apply_latency_samples(target, report)
     assert target.baseline_latency_shares['monitor'] < 1.0
+
+
+def test_workflow_whose_starts_are_refused_is_still_pending() -> None:
+    """Guards against a count of waiting workflows that is too low (MIXED)."""
+    cluster = make_cluster(1)
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    assert cluster.core.count_pending() == {'short': 1}
+    target = cluster.core.targets['vm-0']
+    task = f'{ID}.0.0.0'
+    cluster.core.handle_start_refusal(
+        target,
+        messages.StartRefused(0, task, 1, 'unhealthy', True),
+        cluster.moment,
+    )
+    assert cluster.core.count_pending() == {'short': 1}
+    cluster.now_ms += 5_000
+    cluster.run_until_idle()
+    cluster.core.update_progress(
+        target, [messages.Row(task, 2, '', 10)], cluster.moment
+    )
+    assert cluster.core.count_pending() == {}
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -289,6 +289,6 @@
             self.core.handle_unsent_start(effect)
             return
         run.is_sent = True
-        run.task.group.job.is_started = True
+        run.task.group.job.is_ordered = True
         fake.running[effect.task] = effect.attempt
         self.sent_starts.append((fake.target_id, effect.task, effect.attempt))
