Remove the states of expired workflows again after a failed commit

Change: a batch names the expired workflows, and a failed one returns them.

Evidence: test_expired_state_is_removed_though_the_first_try_failed failed before and passes now.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -75,6 +75,7 @@
     :param phases: phase of each workflow as written
     :param writes: keys and their new values
     :param removed: keys to remove
+    :param expired_ids: ended workflows whose states are removed
     :param effects: effects of each workflow that the commit releases
     """
 
@@ -82,6 +83,7 @@
     phases: tuple[records.Phase, ...]
     writes: tuple[tuple[str, bytes], ...]
     removed: tuple[str, ...]
+    expired_ids: tuple[str, ...]
     effects: tuple[tuple[effects.Effect, ...], ...]
 
     @property
@@ -772,18 +774,19 @@
                 removed.append(records.make_spec_key(job.workflow_id))
             released.append(tuple(job.effects))
             job.effects = []
+        expired_ids: list[str] = []
         while (
             self._expired_workflow_ids
             and len(writes) + len(removed) < COMMIT_ENTRIES_LIMIT
         ):
-            removed.append(
-                records.make_state_key(self._expired_workflow_ids.pop())
-            )
+            expired_ids.append(self._expired_workflow_ids.pop())
+            removed.append(records.make_state_key(expired_ids[-1]))
         return Batch(
             tuple(chosen),
             tuple(job.phase for job in chosen),
             tuple(writes),
             tuple(removed),
+            tuple(expired_ids),
             tuple(released),
         )
 
@@ -839,6 +842,7 @@
         Workflows that are not stored yet are refused. All other changes go
         into the next batch.
         """
+        self._expired_workflow_ids += batch.expired_ids
         for job, released in zip(batch.jobs, batch.effects, strict=True):
             if job.is_committed:
                 job.effects = [*released, *job.effects]
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -729,3 +729,18 @@
         target, [messages.Row(task, 2, '', 10)], cluster.moment
     )
     assert cluster.core.count_pending() == {}
+
+
+def test_expired_state_is_removed_though_the_first_try_failed() -> None:
+    """Guards against states that stay in the store for ever."""
+    cluster = make_cluster(1)
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    cluster.end_run(f'{ID}.0.0.0', task_executor.EndKind.DONE)
+    cluster.run_until_idle()
+    assert records.make_state_key(ID) in cluster.stored
+    cluster.now_ms += support.RETENTION_MS + 2_000
+    cluster.core.advance(cluster.moment)
+    cluster.core.handle_failed_commit(cluster.core.take_batch(), 1)
+    cluster.run_until_idle()
+    assert records.make_state_key(ID) not in cluster.stored
