Set the pace of a filler again if the last order was not answered

Cause: the executor may take the order of a pace without an answer.

Change: after an order without an answer the pace is unknown and is set again.

Evidence: test_pace_that_was_taken_without_an_answer_is_set_again failed before and passes now.

--- a/borageshelf/agent/workflows/pacer.py
+++ b/borageshelf/agent/workflows/pacer.py
@@ -159,7 +159,8 @@
         calls = [
             self._set_pace(run, paces[run.key], instance_id, token)
             for run in fillers
-            if _is_pace_change_due(run.pace_percent, paces[run.key])
+            if not run.is_pace_known
+            or _is_pace_change_due(run.pace_percent, paces[run.key])
         ]
         if calls:
             self._event_log.record(
@@ -197,8 +198,12 @@
                 attempt=run.terms.attempt,
                 detail=str(error),
             )
+            if isinstance(error, task_executor.ExecutorUnavailable):
+                # The executor may have taken the order without an answer.
+                run.is_pace_known = False
             return
         run.pace_percent = percent
+        run.is_pace_known = True
 
 
 def _is_pace_change_due(current_percent: int, wanted_percent: int) -> bool:
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -31,6 +31,7 @@
         without suspensions
     :ivar is_dated: whether its only start was answered by the incarnation that
         the agent has inspected
+    :ivar is_pace_known: whether the last order of a pace was answered
     :ivar row: the run in the last inspection that listed it
     :ivar is_stop_accepted: whether the executor has accepted a stop of it
     :ivar is_reported: whether a snapshot or a report has contained it
@@ -52,6 +53,7 @@
         self.open_tries = 0
         self.ordered_at_running_ms = 0
         self.pace_percent = pacing.FULL_PACE_PERCENT
+        self.is_pace_known = True
         self.row: task_executor.RunningTask | None = None
         self.is_dated = False
         self.is_stop_accepted = False
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -1166,3 +1166,39 @@
         assert gain_after_starts > 0.5 > filler_pacer._pace_gain
 
     asyncio.run(check())
+
+
+def test_pace_that_was_taken_without_an_answer_is_set_again() -> None:
+    """Guards against a filler that stays slow though nothing disturbs it."""
+
+    class MuteExecutor(FakeExecutor):
+        is_mute = True
+
+        async def pace(self, *arguments: Any, **fields: Any) -> None:
+            await super().pace(*arguments, **fields)
+            if self.is_mute:
+                raise task_executor.ExecutorUnavailable('no answer')
+
+    async def check() -> None:
+        executor = MuteExecutor()
+        filler = runs.AgentRun(
+            messages.RunTerms(
+                TASK, 1, SMALL, is_filler=True, size_millicores=1_000
+            ),
+            runs.RunState.RUNNING,
+        )
+        filler_pacer = pacer.FillerPacer(
+            executor,
+            events.EventLog('agent', 'test', descriptor=1),
+            lambda: [filler],
+        )
+        await filler_pacer._set_pace(filler, 40, 'i-1', TOKEN)
+        assert executor.paces == {TASK: 40}
+        executor.is_mute = False
+        # Nothing disturbs any more, so that it may run at full pace.
+        await filler_pacer.pace(
+            resources.Resources(8_000, 8_000), 'i-1', TOKEN
+        )
+        assert executor.paces == {TASK: 100}
+
+    asyncio.run(check())
