Let the fake targets report the runs that they have started

Cause: since a workflow counts as started once a run was reported, and the fake targets of these tests reported no lasting run, which real agents do once (`_take_reported_runs`). The fakes now report each start; the test of `Pending` leaves that out, because its starts are refused. No product code is changed.

--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -712,6 +712,7 @@
 def test_workflow_whose_starts_are_refused_is_still_pending() -> None:
     """Guards against a count of waiting workflows that is too low (MIXED)."""
     cluster = make_cluster(1)
+    cluster.are_starts_reported = False
     cluster.submit(support.make_workflow())
     cluster.run_until_idle()
     assert cluster.core.count_pending() == {'short': 1}
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -86,6 +86,7 @@
         self.stored: dict[str, bytes] = {}
         self.sent_starts: list[tuple[str, str, int]] = []
         self.sessions = 0
+        self.are_starts_reported = True
         self.core = self._make_core(epoch)
 
     def _make_core(self, epoch: int) -> owner.Owner:
@@ -289,6 +290,8 @@
             self.core.handle_unsent_start(effect)
             return
         run.is_sent = True
-        run.task.group.job.is_ordered = True
+        # The agent's next report lists the run.
+        if self.are_starts_reported:
+            run.task.group.job.is_started = True
         fake.running[effect.task] = effect.attempt
         self.sent_starts.append((fake.target_id, effect.task, effect.attempt))
