--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -263,6 +263,7 @@
                 state,
                 self._pacer.make_latency_samples(),
                 self._pacer.compute_peak_filler_shares(),
+                requests_grant=not self._unanswered_since_ms,
             )
         )
 
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -707,11 +707,12 @@
             head_seen_at_ms,
             head.is_resigned,
         )
+        now_ms = clock.read_elapsed_ms()
         self._event_log.record_detail(
             'former grants',
             epoch=own_record.epoch,
-            left_ms=owner_runtime.former_grants_deadline_ms
-            - clock.read_elapsed_ms(),
+            lasting_left_ms=owner_runtime.former_deadlines.lasting_ms - now_ms,
+            other_left_ms=owner_runtime.former_deadlines.other_ms - now_ms,
         )
         while True:
             try:
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -25,6 +25,7 @@
 from borageshelf.workflows import owner
 from borageshelf.workflows import policy
 from borageshelf.workflows import records
+from borageshelf.workflows import silence
 from borageshelf.workflows import targets
 
 # Changes that arrive within this time share a commit. 20 ms would be a third
@@ -39,6 +40,8 @@
 CONFIRMATION_MAX_AGE_MS: Final = 2_500
 # Covers an executor clock that is 2% slow over a grant of a few seconds.
 GRANT_CLOCK_MARGIN_MS: Final = 400
+# Rule LOST allows tasks that last 7 s from a planned stop to the next run.
+RESIGNED_LASTING_LIMIT_MS: Final = 6_700
 LEASE_TTL_MS: Final = 2_000
 LEASE_RENEWAL_INTERVAL_MS: Final = 500
 # Agents report every 400 ms.
@@ -114,16 +117,15 @@
         self._ownership_confirmed_at_ms = confirmed_at_ms
         self._store_answered_at_ms = clock.read_elapsed_ms()
         now_ms = clock.read_elapsed_ms()
-        self.former_grants_deadline_ms = (
-            now_ms if head_seen_at_ms is None else head_seen_at_ms
-        ) + compute_former_grants_ms(owner_policy, is_former_resigned)
+        self.former_deadlines = compute_former_limits(
+            owner_policy, is_former_resigned
+        ).count_from(now_ms if head_seen_at_ms is None else head_seen_at_ms)
         self._core = owner.Owner(
             owner_journal.epoch,
-            owner_policy.grant_ms + GRANT_CLOCK_MARGIN_MS,
-            owner_policy.silence_limit_ms,
+            owner_policy.silence_limits,
             owner_policy.retention_ms,
             now_ms,
-            self.former_grants_deadline_ms,
+            self.former_deadlines,
             journal.encode,
             event_log.record,
         )
@@ -445,9 +447,12 @@
                 self._core.update_target_state(target, message.state, moment)
             self._core.update_progress(target, message.rows, moment)
             self._core.apply_latency_samples(target, message)
-        is_granted = self._is_ownership_confirmed(moment.elapsed_ms)
+        is_confirmed = self._is_ownership_confirmed(moment.elapsed_ms)
+        is_granted = is_confirmed and message.requests_grant
         if is_granted:
             self._core.extend_grant(target, moment)
+        elif is_confirmed:
+            self._core.note_contact(target, moment)
         session.outbox.send(
             messages.Answer(message.sent_at_elapsed_ms, is_granted)
         )
@@ -785,21 +790,22 @@
     )
 
 
-def compute_former_grants_ms(
+def compute_former_limits(
     owner_policy: policy.OwnerPolicy, is_former_resigned: bool
-) -> int:
+) -> silence.Limits:
     """Return how long runs may go on after the former owner's last commit.
 
-    One that is cut off from the store extends grants until its confirmation
-    is too old. One that has ended did so before its next confirmation.
+    A former owner that is cut off from the store extends grants until its
+    confirmation is too old. Tasks that last can't wait for that and for a
+    suspension as well, because the VM may be lost.
     """
+    limits = owner_policy.silence_limits
     if is_former_resigned:
-        return owner_policy.silence_limit_ms
-    return max(
-        CONFIRMATION_MAX_AGE_MS
-        + owner_policy.grant_ms
-        + GRANT_CLOCK_MARGIN_MS,
-        CONFIRMATION_INTERVAL_MS
-        + STORE_RESPONSE_LIMIT_MS
-        + owner_policy.silence_limit_ms,
+        return silence.Limits(
+            min(limits.lasting_ms, RESIGNED_LASTING_LIMIT_MS), limits.other_ms
+        )
+    granted_ms = CONFIRMATION_MAX_AGE_MS + GRANT_CLOCK_MARGIN_MS
+    return silence.Limits(
+        max(granted_ms + owner_policy.grant_ms, limits.lasting_ms),
+        granted_ms + limits.other_ms,
     )
--- a/borageshelf/workflows/fleet.py
+++ b/borageshelf/workflows/fleet.py
@@ -3,6 +3,7 @@
 import heapq
 
 from borageshelf.decisions import target_index
+from borageshelf.workflows import silence
 from borageshelf.workflows import targets
 
 
@@ -13,12 +14,12 @@
     or at once with ``reindex``. So the cost of a scheduling pass depends on
     the number of targets that have changed and not on the size of the fleet.
 
-    :param old_grants_deadline_ms: elapsed time at which all grants of earlier
-        owners have ended
+    :param former_deadlines: when the runs under grants of former owners have
+        ended
     """
 
-    def __init__(self, old_grants_deadline_ms: int) -> None:
-        self._old_grants_deadline_ms = old_grants_deadline_ms
+    def __init__(self, former_deadlines: silence.Deadlines) -> None:
+        self._former_deadlines = former_deadlines
         self.targets: dict[str, targets.Target] = {}
         self._changed: dict[str, targets.Target] = {}
         self._indexes: dict[str, target_index.TargetIndex] = {}
@@ -30,7 +31,7 @@
         """Return a target; one that is new may still have old grants."""
         target = self.targets.get(target_id)
         if target is None:
-            target = targets.Target(target_id, self._old_grants_deadline_ms)
+            target = targets.Target(target_id, self._former_deadlines)
             self.targets[target_id] = target
         return target
 
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -137,6 +137,8 @@
     :param state: set only when it has changed
     :param filler_shares: processors in use by each filler image, as a share
         of the VM, in the period that the samples cover
+    :param requests_grant: whether the grant is to be extended; false while the
+        executor does not answer, as its lease can't be extended either
     """
 
     token: int
@@ -145,6 +147,7 @@
     state: TargetState | None = None
     samples: tuple[LatencySample, ...] = ()
     filler_shares: dict[str, float] = {}
+    requests_grant: bool = True
 
 
 class Ends(Message, frozen=True, array_like=True, tag=True):
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -26,8 +26,10 @@
 from borageshelf.workflows import idle
 from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
+from borageshelf.workflows import policy
 from borageshelf.workflows import records
 from borageshelf.workflows import scheduler
+from borageshelf.workflows import silence
 from borageshelf.workflows import targets
 
 # The platform's protocol allows 32 entries in one commit; the expected
@@ -52,10 +54,11 @@
 # the fleet is unknown.
 FLEET_DISCOVERY_MS: Final = 2_000
 
-# Grants after which the run of a late start counts as ended. An incarnation
-# that may be back has begun its clock anew, so the run has a whole lease
-# there; one that was seen gets one more grant for a start that is very late.
-LATE_START_GRANTS: Final = {
+# Multiples of ``policy.ORDER_LIMIT_MS`` after which the run of a late start
+# counts as ended. An incarnation that may be back has begun its clock anew, so
+# the run has a whole lease there; one that was seen gets one more for a start
+# that is very late.
+LATE_START_LIMITS: Final = {
     messages.GoneCause.NOTHING_LISTENS: 1,
     messages.GoneCause.LEFT: 1,
     messages.GoneCause.LEASE_ENDED: 2,
@@ -103,14 +106,12 @@
 class Owner:
     """State of all workflows and targets, and the decisions on them.
 
-    :param grant_ms: how long a target may keep its runs after the last
-        report that was answered
-    :param silence_limit_ms: time after the last report by which all runs of
-        a silent target have ended, also if its VM was suspended meanwhile
+    :param silence_limits: times after the last report by which the runs of a
+        silent target have ended, also if its VM was suspended meanwhile
     :param retention_ms: how long the state of an ended workflow can be read
     :param now_ms: elapsed time of the takeover
-    :param old_grants_deadline_ms: elapsed time at which all grants of earlier
-        owners have ended
+    :param former_deadlines: when the runs under grants of former owners have
+        ended
     :param encode: encodes a record for the store
     :param record: writes the log line of a decision
     """
@@ -118,22 +119,20 @@
     def __init__(
         self,
         epoch: int,
-        grant_ms: int,
-        silence_limit_ms: int,
+        silence_limits: silence.Limits,
         retention_ms: int,
         now_ms: int,
-        old_grants_deadline_ms: int,
+        former_deadlines: silence.Deadlines,
         encode: abc.Callable[[Any], bytes],
         record: RecordEvent,
     ) -> None:
         self.epoch = epoch
         self.jobs: dict[str, jobs.Job] = {}
-        self._fleet = fleet.Fleet(old_grants_deadline_ms)
+        self._fleet = fleet.Fleet(former_deadlines)
         self.targets = self._fleet.targets
         self.archive: dict[str, ArchivedWorkflow] = {}
         self.set_aside_ids: set[str] = set()
-        self._grant_ms = grant_ms
-        self._silence_limit_ms = silence_limit_ms
+        self._silence_limits = silence_limits
         self._retention_ms = retention_ms
         self._discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
         self._encode = encode
@@ -317,7 +316,6 @@
         target.sent_spec_ids.clear()
         target.clear_uncommitted_ends()
         self._fleet.touch(target)
-        self._extend_lost_deadline(target, moment.elapsed_ms)
         return target
 
     def detach(self, target_id: str, session: int) -> None:
@@ -332,8 +330,14 @@
         self, target: targets.Target, moment: clock.Moment
     ) -> None:
         """Extend the grant of a target whose report is answered with one."""
+        self.note_contact(target, moment)
+        self._extend_lost_deadlines(target, moment.elapsed_ms)
+
+    def note_contact(
+        self, target: targets.Target, moment: clock.Moment
+    ) -> None:
+        """Note a report, also one that requests no grant."""
         target.contact_at_ms = moment.elapsed_ms
-        self._extend_lost_deadline(target, moment.elapsed_ms)
 
     def apply_snapshot(
         self,
@@ -503,13 +507,14 @@
 
         The wait counts from the start, so repeated reports don't prolong it.
         Nothing shortens it once the executor was back under its id, as a start
-        may be late by more than a grant.
+        may be very late.
         """
         former = target.unproved_runs.get(
             key, targets.UnprovedRun(ordered_by_ms, 0)
         )
         ordered_by_ms = min(ordered_by_ms, former.ordered_by_ms)
-        expiry_ms = ordered_by_ms + LATE_START_GRANTS[cause] * self._grant_ms
+        limit_ms = LATE_START_LIMITS[cause] * policy.ORDER_LIMIT_MS
+        expiry_ms = ordered_by_ms + limit_ms
         expiry_ms = max(expiry_ms, former.expiry_ms)
         target.unproved_runs[key] = targets.UnprovedRun(
             ordered_by_ms, expiry_ms
@@ -695,12 +700,14 @@
         for target in self.targets.values():
             self._crash_tracker.end_expired_isolation(target, now_ms)
             self._drop_expired_runs(target, moment)
-            if target.is_ready or now_ms < target.lost_deadline_ms:
+            if target.is_ready or now_ms < target.lost_deadlines.first_ms:
                 continue
             granted = [
                 run
                 for key, run in target.runs.items()
-                if run.is_sent and key not in target.unproved_runs
+                if run.is_sent
+                and key not in target.unproved_runs
+                and now_ms >= target.find_lost_deadline_ms(run)
             ]
             if granted:
                 self._record('target lost', target=target.target_id)
@@ -708,7 +715,7 @@
                 self._drop_lost_run(
                     run,
                     'the grant has ended',
-                    f'no report until {target.lost_deadline_ms}',
+                    f'no report until {target.find_lost_deadline_ms(run)}',
                     moment,
                 )
         if now_ms >= self._next_expiry_ms:
@@ -730,12 +737,14 @@
         # A silent agent may not have seen that the executor is back.
         silent_ms = moment.elapsed_ms - target.contact_at_ms
         is_in_touch = is_attached and silent_ms <= REPORT_GAP_LIMIT_MS
-        if not is_in_touch and moment.elapsed_ms < target.lost_deadline_ms:
-            return
         for key, unproved in list(target.unproved_runs.items()):
-            if moment.elapsed_ms >= unproved.expiry_ms:
+            run = target.runs[key]
+            expiry_ms = unproved.expiry_ms
+            if not is_in_touch:
+                expiry_ms = max(expiry_ms, target.find_lost_deadline_ms(run))
+            if moment.elapsed_ms >= expiry_ms:
                 self._drop_lost_run(
-                    target.runs[key],
+                    run,
                     'its order has expired',
                     f'ordered by {unproved.ordered_by_ms}',
                     moment,
@@ -954,11 +963,12 @@
 
     # Helpers.
 
-    def _extend_lost_deadline(
+    def _extend_lost_deadlines(
         self, target: targets.Target, now_ms: int
     ) -> None:
-        deadline_ms = now_ms + self._silence_limit_ms
-        target.lost_deadline_ms = max(target.lost_deadline_ms, deadline_ms)
+        target.lost_deadlines = target.lost_deadlines.extend(
+            self._silence_limits.count_from(now_ms)
+        )
 
     def _apply_state(
         self,
--- a/borageshelf/workflows/policy.py
+++ b/borageshelf/workflows/policy.py
@@ -4,19 +4,19 @@
 from typing import Final
 
 from borageshelf import node_settings
+from borageshelf.workflows import silence
 
 # Must outlast a takeover, which takes the 2 s of the owner's lease and the
-# time to read the workflows. The tasks of a lost VM wait this long before
-# they are started elsewhere.
-GRANT_LIMIT_MS: Final = 5_500
-# A VM may stand still for this long without a second run of its tasks: the
-# longest suspension that the users' pages name.
+# time to read the workflows.
+GRANT_LIMIT_MS: Final = 4_400
+# A silent VM may stand still for this long, at any time, without a second run
+# of its tasks: the longest suspension that the users' pages name.
 SUSPENSION_LIMIT_MS: Final = 5_000
-# The last report of an agent came up to one interval before a suspension.
-REPORT_AGE_LIMIT_MS: Final = 500
-# An agent notices the end of its grant within 0.1 s, and stops take up to
-# 0.9 s. The rest is for a busy VM.
-STOP_ALLOWANCE_MS: Final = 1_400
+# The longest suspension of the users' sites. Tasks that last can't wait for a
+# longer one: rule LOST allows them 9 s from the loss of a VM to the next run.
+LASTING_SUSPENSION_LIMIT_MS: Final = 4_000
+# A start is void once the lease that it requests has ended.
+ORDER_LIMIT_MS: Final = 5_900
 # The executor's clock may run 2% slow, and it accepts no lease above its
 # limit.
 LEASE_LIMIT_SHARE: Final = 0.92
@@ -28,8 +28,8 @@
 class OwnerPolicy:
     """Durations that every owner of a deployment uses.
 
-    :param grant_ms: how long a target may keep its runs without an answer
-        from the owner
+    :param grant_ms: how long the runs of a target may go on, by the clock of
+        its executor, without an answer from the owner
     :param retention_ms: how long the state of an ended workflow can be read
     """
 
@@ -37,14 +37,12 @@
     retention_ms: int
 
     @property
-    def silence_limit_ms(self) -> int:
-        """Time after which a silent target has ended its runs.
-
-        Its agent stops them at the end of the grant, or as soon as a longer
-        suspension ends.
-        """
-        suspended_ms = REPORT_AGE_LIMIT_MS + SUSPENSION_LIMIT_MS
-        return max(self.grant_ms, suspended_ms) + STOP_ALLOWANCE_MS
+    def silence_limits(self) -> silence.Limits:
+        """Times after the last report by which a silent target has no run."""
+        return silence.Limits(
+            self.grant_ms + LASTING_SUSPENSION_LIMIT_MS,
+            self.grant_ms + SUSPENSION_LIMIT_MS,
+        )
 
 
 def make_policy(settings: node_settings.NodeSettings) -> OwnerPolicy:
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -11,6 +11,7 @@
 from borageshelf.decisions import workflow_placement
 from borageshelf.model import resources
 from borageshelf.workflows import jobs
+from borageshelf.workflows import silence
 
 # Session number of a target that no agent is attached to.
 UNATTACHED: Final = 0
@@ -34,8 +35,8 @@
 
     :ivar session: number of the agent's session; ``UNATTACHED`` for none
     :ivar is_ready: whether the session has delivered a snapshot of the runs
-    :ivar lost_deadline_ms: elapsed time at which all granted runs have
-        certainly ended, unless the agent reports again
+    :ivar lost_deadlines: when all granted runs have certainly ended, unless
+        the agent reports again
     :ivar sent_spec_ids: ids of the workflows whose specification has been
         sent in this session
     :ivar baseline_latency_shares: estimated latency of each serving image
@@ -72,7 +73,9 @@
         to have caused
     """
 
-    def __init__(self, target_id: str, lost_deadline_ms: int) -> None:
+    def __init__(
+        self, target_id: str, lost_deadlines: silence.Deadlines
+    ) -> None:
         self.target_id = target_id
         self.service = ''
         self.data_centre = ''
@@ -92,7 +95,7 @@
         self.incarnation = ''
         self.announced_incarnation = ''
         self.gone_incarnation = ''
-        self.lost_deadline_ms = lost_deadline_ms
+        self.lost_deadlines = lost_deadlines
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.unexpected_runs: set[tuple[str, int]] = set()
         self.unproved_runs: dict[tuple[str, int], UnprovedRun] = {}
@@ -173,6 +176,12 @@
         )
         return deadline_ms if deadline_ms > now_ms else 0
 
+    def find_lost_deadline_ms(self, run: jobs.Run) -> int:
+        """Return when a granted run has certainly ended."""
+        if run.task.group.step.is_lasting:
+            return self.lost_deadlines.lasting_ms
+        return self.lost_deadlines.other_ms
+
     def refresh_placement_latencies(self) -> None:
         """Let placement use the latest estimates of the baselines."""
         self.placement_latency_shares = dict(self.baseline_latency_shares)
--- a/tests/lasting/agents.py
+++ b/tests/lasting/agents.py
@@ -482,10 +482,16 @@
             if executor.answers:
                 rows = self._make_rows(has_lasting=False)
                 core.update_progress(target, rows, moment)
-        if self._is_granted:
+        # The first answer of another incarnation ends the session.
+        is_answered = executor.answers and (
+            self._incarnation == executor.incarnation
+        )
+        if self._is_granted and is_answered:
             core.extend_grant(target, moment)
-        if self._is_granted and self.is_ready:
-            self._extend_lease(moment.elapsed_ms)
+            if self.is_ready:
+                self._extend_lease(moment.elapsed_ms)
+        elif self._is_granted:
+            core.note_contact(target, moment)
 
     def _extend_lease(self, now_ms: int) -> None:
         self._grant_deadline_ms = now_ms + GRANT_MS
--- a/tests/lasting/explain.py
+++ b/tests/lasting/explain.py
@@ -40,7 +40,7 @@
     unproved = target.unproved_runs.get(key)
     ordered_ms = now_ms - run.started_at_ms
     cause = 'kept until its grant has ended'
-    left_ms = target.lost_deadline_ms - now_ms
+    left_ms = target.find_lost_deadline_ms(run) - now_ms
     if unproved is not None:
         cause = 'unproved'
         left_ms = unproved.expiry_ms - now_ms
--- a/tests/lasting/planner.py
+++ b/tests/lasting/planner.py
@@ -30,6 +30,10 @@
 # Until an executor's lease has certainly ended, only its agent can stop the
 # runs of a VM that was suspended.
 UNDISTURBED_MS: Final = 7_000
+FIRST_SEED_WITH_SUSPENSIONS_BESIDE_CUTS: Final = 2_000_000
+# As the sites of the users' platform have them.
+SITE_CUT_MS: Final = 5_500
+SITE_SUSPENSION_MS: Final = 4_000
 
 
 class Planner:
@@ -54,6 +58,8 @@
             self._draw_chaos(now_ms, now_ms + chaos_ms)
             if self._seed >= FIRST_SEED_WITH_SUSPENSIONS:
                 self._draw_suspensions(now_ms, now_ms + chaos_ms)
+            if self._seed >= FIRST_SEED_WITH_SUSPENSIONS_BESIDE_CUTS:
+                self._draw_suspension_beside_cut(now_ms, now_ms + chaos_ms)
             now_ms += chaos_ms + CALM_MS
         self._draw_lasting(now_ms)
         self._draw_short(now_ms)
@@ -328,6 +334,32 @@
         ]
         self._disruptions.append(suspended)
 
+    def _draw_suspension_beside_cut(self, begin_ms: int, end_ms: int) -> None:
+        """Cut a VM off and suspend it, either one first.
+
+        Its agent may be started again at any time.
+        """
+        cut_ms = self._rng.randrange(begin_ms, end_ms, TICK_MS)
+        suspended_ms = cut_ms + self._rng.randrange(
+            -SITE_SUSPENSION_MS, SITE_CUT_MS, TICK_MS
+        )
+        suspended_ids = {
+            target_id
+            for each in self._disruptions
+            if isinstance(each, disruptions.Suspended)
+            for target_id in each.target_ids
+        }
+        free = [each for each in self._alive if each not in suspended_ids]
+        if not free:
+            return
+        ids = (self._rng.choice(free),)
+        self._disruptions += [
+            disruptions.CutOff(cut_ms, cut_ms + SITE_CUT_MS, ids),
+            disruptions.Suspended(
+                suspended_ms, suspended_ms + SITE_SUSPENSION_MS, ids
+            ),
+        ]
+
     def _take_alive(self) -> str:
         target_id = self._rng.choice(self._alive)
         self._alive.remove(target_id)
--- a/tests/lasting/world.py
+++ b/tests/lasting/world.py
@@ -11,28 +11,26 @@
 from borageshelf.workflows import journal
 from borageshelf.workflows import owner
 from borageshelf.workflows import policy
+from borageshelf.workflows import silence
 from tests.lasting import agents
 from tests.lasting import executors
 from tests.lasting import monitor as lasting_monitor
 from tests import workflow_support as support
 
-# As ``runtime.OwnerRuntime`` computes them.
-GRANT_MS: Final = agents.GRANT_MS + runtime.GRANT_CLOCK_MARGIN_MS
 POLICY: Final = policy.OwnerPolicy(agents.GRANT_MS, support.RETENTION_MS)
-SILENCE_LIMIT_MS: Final = POLICY.silence_limit_ms
 
 
 class Cluster(support.Cluster):
     """An owner's core and its store; effects go to the agents.
 
-    :ivar former_grants_deadline_ms: when all grants of former owners have
+    :ivar former_deadlines: when the runs under grants of former owners have
         ended, as the next owner knows
     :ivar store_down_count: number of disruptions that let all commits fail
     :ivar committed_at_ms: when the store last answered
     """
 
     def __init__(self, now_ms: int = 100_000) -> None:
-        self.former_grants_deadline_ms = now_ms
+        self.former_deadlines = silence.Deadlines(now_ms, now_ms)
         self.store_down_count = 0
         self.committed_at_ms = now_ms
         self.agents: dict[str, agents.Agent] = {}
@@ -41,11 +39,10 @@
     def _make_core(self, epoch: int) -> owner.Owner:
         return owner.Owner(
             epoch,
-            GRANT_MS,
-            SILENCE_LIMIT_MS,
+            POLICY.silence_limits,
             support.RETENTION_MS,
             self.now_ms,
-            self.former_grants_deadline_ms,
+            self.former_deadlines,
             journal.encode,
             lambda event, **fields: self.log_lines.append((event, fields)),
         )
@@ -194,10 +191,9 @@
         :param head_seen_at_ms: when it had seen the last commit of the former
             owner
         """
-        self.cluster.former_grants_deadline_ms = (
-            head_seen_at_ms
-            + runtime.compute_former_grants_ms(POLICY, is_former_resigned)
-        )
+        self.cluster.former_deadlines = runtime.compute_former_limits(
+            POLICY, is_former_resigned
+        ).count_from(head_seen_at_ms)
         self.cluster.take_over()
         self.has_owner = True
         for agent in self.cluster.agents.values():
--- a/tests/model/choices.py
+++ b/tests/model/choices.py
@@ -10,7 +10,6 @@
 
 from borageshelf import errors
 from borageshelf.ports import task_executor
-from borageshelf.workflows import policy
 from tests.model import executors
 from tests.model import items
 from tests.model import processes
@@ -23,9 +22,6 @@
 # Past the end of a grant and of its lease.
 LONG_PAUSE_MS: Final = 6_500
 STORE_OUTAGE_MS: Final = 3_000
-# Stops take no time here, so that a longer suspension than on a real VM must
-# be survived.
-SUSPENSION_MS: Final = policy.SUSPENSION_LIMIT_MS + 1_000
 # As long as the users' platform cuts VMs off.
 AGENT_CUT_MS: Final = 5_500
 DOWN_MS: Final = 600
@@ -231,9 +227,10 @@
     The clocks of the agent go on, as for a process that was stopped.
     """
     executor = world.executors[subject]
-    executor.suspend(SUSPENSION_MS)
+    suspension_ms = world.scenario.suspension_ms
+    executor.suspend(suspension_ms)
     agent = world.agents[subject]
-    agent.resumes_at_ms = world.clock.now_ms + SUSPENSION_MS
+    agent.resumes_at_ms = world.clock.now_ms + suspension_ms
     waiting = [
         item
         for item in (*world.parked, *world.in_transit)
@@ -248,7 +245,7 @@
         for item in waiting:
             world.fail_order(item)
 
-    world.schedule(SUSPENSION_MS, resume)
+    world.schedule(suspension_ms, resume)
 
 
 def _cut_agent(world: model_world.World, subject: str) -> None:
@@ -362,6 +359,7 @@
     is_first = not executor.suspended_until_ms
     if agent.is_running and (
         world.scenario.has_long_silences
+        or (is_first and world.scenario.has_suspensions_beside_cuts)
         or (is_first and not world.is_agent_cut_off(agent))
     ):
         found.append(Choice('suspend', executor.name))
--- a/tests/model/safeguards.py
+++ b/tests/model/safeguards.py
@@ -20,6 +20,8 @@
 from borageshelf.ports import task_executor
 from borageshelf.workflows import journal
 from borageshelf.workflows import owner
+from borageshelf.workflows import policy
+from borageshelf.workflows import silence
 from borageshelf.workflows import targets
 from tests.model import choices
 from tests.model import executors
@@ -36,6 +38,9 @@
 
     :param remove: takes the rule out of the program
     :param kinds: kinds of choices that the search uses
+    :param suspension_ms: how long a VM is suspended
+    :param has_suspensions_beside_cuts: whether it may be suspended while its
+        agent is cut off
     """
 
     name: str
@@ -44,6 +49,8 @@
     kinds: tuple[str, ...]
     is_placed_later: bool = False
     duration_ms: int = 5_000
+    suspension_ms: int = world.SUSPENSION_MS
+    has_suspensions_beside_cuts: bool = False
 
     def make_search(self) -> search.Search:
         """Return the search for a counterexample."""
@@ -52,6 +59,8 @@
             excluded=frozenset(everything - set(self.kinds)),
             duration_ms=self.duration_ms,
             is_placed_later=self.is_placed_later,
+            suspension_ms=self.suspension_ms,
+            has_suspensions_beside_cuts=self.has_suspensions_beside_cuts,
         )
         return search.Search(scenario, self.bounds)
 
@@ -145,9 +154,20 @@
     """Drop the runs of a silent target before its grant has ended."""
 
     def extend(self: owner.Owner, target: targets.Target, now_ms: int) -> None:
-        target.lost_deadline_ms = now_ms + 2_000
+        deadline_ms = now_ms + 2_000
+        target.lost_deadlines = silence.Deadlines(deadline_ms, deadline_ms)
 
-    with mock.patch.object(owner.Owner, '_extend_lost_deadline', extend):
+    with mock.patch.object(owner.Owner, '_extend_lost_deadlines', extend):
+        yield
+
+
+@contextlib.contextmanager
+def _count_no_suspensions() -> abc.Iterator[None]:
+    """Take the runs of a silent target for ended with their grant."""
+    limits = silence.Limits(
+        processes.POLICY.grant_ms, processes.POLICY.grant_ms
+    )
+    with mock.patch.object(policy.OwnerPolicy, 'silence_limits', limits):
         yield
 
 
@@ -158,7 +178,8 @@
 
     def initialise(self: owner.Owner, *arguments: Any) -> None:
         values = list(arguments)
-        values[5] = values[4]
+        now_ms = values[3]
+        values[4] = silence.Deadlines(now_ms, now_ms)
         original(self, *values)
 
     with mock.patch.object(owner.Owner, '__init__', initialise):
@@ -317,7 +338,17 @@
         _keep_runs_without_grant,
         search.Bounds(8, 2, 0),
         ('suspend', 'cut off from the owners'),
-        duration_ms=12_000,
+        duration_ms=14_000,
+        has_suspensions_beside_cuts=True,
+    ),
+    Safeguard(
+        'the wait for a silent target counts a suspension beside a cut',
+        _count_no_suspensions,
+        search.Bounds(8, 2, 0),
+        ('suspend', 'cut off from the owners'),
+        duration_ms=14_000,
+        suspension_ms=policy.SUSPENSION_LIMIT_MS,
+        has_suspensions_beside_cuts=True,
     ),
     Safeguard(
         'messages of a replaced session are ignored',
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -11,6 +11,7 @@
 
 from borageshelf import errors
 from borageshelf.ports import task_executor
+from borageshelf.workflows import policy
 from tests.model import executors
 from tests.model import items
 from tests.model import monitor
@@ -24,6 +25,9 @@
 # Enough for the first sessions and grants, and for a commit.
 ATTACH_MS: Final = 700
 COMMIT_MS: Final = 100
+# Stops take no time here, so that a longer suspension than on a real VM must
+# be survived.
+SUSPENSION_MS: Final = policy.SUSPENSION_LIMIT_MS + 1_000
 HEARTBEAT_MS: Final = executors.HEARTBEAT_INTERVAL_MS
 
 
@@ -37,8 +41,11 @@
     :param duration_ms: end of a history, from the start of the processes
     :param is_placed_later: whether the workflows are accepted before there
         are any targets
-    :param has_long_silences: whether a VM may be suspended again, or while
-        its agent is cut off, so that its owner can't wait for it
+    :param suspension_ms: how long a VM is suspended
+    :param has_suspensions_beside_cuts: whether a VM may be suspended while its
+        agent is cut off
+    :param has_long_silences: whether it may also be suspended again, so that
+        its owner can't wait for it
     """
 
     tasks: int = 1
@@ -46,6 +53,8 @@
     excluded: frozenset[str] = frozenset()
     duration_ms: int = 9_000
     is_placed_later: bool = False
+    suspension_ms: int = SUSPENSION_MS
+    has_suspensions_beside_cuts: bool = False
     has_long_silences: bool = False
 
 
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import json
 import os
 import pathlib
 import sys
@@ -19,7 +20,10 @@
 from borageshelf.entry.workflows import configuration
 from borageshelf.entry.workflows import runtime
 from borageshelf import main
+from borageshelf.workflows import channel
 from borageshelf.workflows import owner
+from borageshelf.workflows import policy
+from borageshelf.workflows import silence
 
 
 def shift_clock(path: pathlib.Path) -> None:
@@ -41,6 +45,19 @@
     setattr(clock, 'read_wall_clock_ms', read_shifted_clock_ms)
 
 
+def route_connections(path: pathlib.Path) -> None:
+    """Connect to entries through the proxies that a file names, if any."""
+    if not path.exists():
+        return
+    routes = json.loads(path.read_text())
+
+    async def connect(address: str, *rest: Any) -> None:
+        await original(routes.get(address, address), *rest)
+
+    original = channel.connect
+    setattr(channel, 'connect', connect)
+
+
 def use_constant_token() -> None:
     """Give all sessions of the agents the same fencing token.
 
@@ -68,10 +85,16 @@
 def expire_leases_at_once() -> None:
     """Treat the runs of a silent target as lost before its lease expires."""
 
-    def extend_lost_deadline(self: Any, target: Any, now_ms: int) -> None:
-        target.lost_deadline_ms = now_ms
+    def extend_lost_deadlines(self: Any, target: Any, now_ms: int) -> None:
+        target.lost_deadlines = silence.Deadlines(now_ms, now_ms)
+
+    setattr(owner.Owner, '_extend_lost_deadlines', extend_lost_deadlines)
+
 
-    setattr(owner.Owner, '_extend_lost_deadline', extend_lost_deadline)
+def count_no_suspensions() -> None:
+    """Take the runs of a silent target for ended with their grant."""
+    limits = silence.Limits(policy.GRANT_LIMIT_MS, policy.GRANT_LIMIT_MS)
+    setattr(policy.OwnerPolicy, 'silence_limits', limits)
 
 
 def forget_runs_of_lost_streams() -> None:
@@ -133,10 +156,13 @@
     'configuration': accept_any_configuration_version,
     'blame': blame_no_task_for_crashes,
     'capacity': ignore_changed_capacities,
+    'suspension': count_no_suspensions,
 }
 
 if __name__ == '__main__':
-    shift_clock(pathlib.Path(sys.argv[1]))
+    shift_file = pathlib.Path(sys.argv[1])
+    shift_clock(shift_file)
+    route_connections(shift_file.with_suffix('.routes'))
     SAFEGUARDS[sys.argv[2]]()
     sys.argv = ['borageshelf', *sys.argv[3:]]
     sys.exit(main.main())
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -60,6 +60,10 @@
 SHRINK_KINDS: Final = ('shrink-to-half', 'shrink-to-nothing')
 ODD_ENTRY_KINDS: Final = ('configuration', 'owner', 'keys', 'heartbeats')
 VM_KINDS: Final = ('suspend', 'suspend-agent-longer')
+FIRST_SEED_WITH_CUTS: Final = 3_000_000
+# As the sites of the users' platform have them.
+CUT_MS: Final = 5_500
+SUSPENSION_BESIDE_CUT_MS: Final = 4_000
 GROUP_KINDS: Final = ('kill-entries', 'kill-agents', 'kill-all')
 
 
@@ -191,7 +195,9 @@
     targets = rng.choice((2, 3))
     if seed >= FIRST_SEED_WITH_SUSPENSIONS:
         faults += _draw_suspensions(rng, faults, targets)
-        faults.sort(key=lambda fault: fault.at_ms)
+    if seed >= FIRST_SEED_WITH_CUTS:
+        faults += _draw_suspension_beside_cut(rng, faults, targets)
+    faults.sort(key=lambda fault: fault.at_ms)
     return Plan(
         seed,
         entries,
@@ -264,6 +270,32 @@
     return found
 
 
+def _draw_suspension_beside_cut(
+    rng: random.Random, others: list[Fault], targets: int
+) -> list[Fault]:
+    """Return a cut and a suspension of a VM, in any order.
+
+    Whatever happens to its agent, the lease ends its runs in time.
+    """
+    suspended = {other.index for other in others if other.subject == 'vm'}
+    free = [index for index in range(targets) if index not in suspended]
+    if not free:
+        return []
+    index = rng.choice(free)
+    cut_ms = rng.randint(FIRST_FAULT_AT_MS, LOAD_DURATION_MS)
+    suspended_ms = cut_ms + rng.randrange(-SUSPENSION_BESIDE_CUT_MS, CUT_MS)
+    return [
+        Fault(cut_ms, CUT_MS, 'vm', 'cut', index),
+        Fault(
+            max(suspended_ms, 0),
+            SUSPENSION_BESIDE_CUT_MS,
+            'vm',
+            'suspend',
+            index,
+        ),
+    ]
+
+
 def _is_same_agent(fault: Fault, index: int, targets: int) -> bool:
     """Tell whether a fault stops or ends the agent of a VM."""
     if fault.subject == 'group':
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -113,6 +113,8 @@
 class SoakRun:
     """The processes, stand-ins and records of one run.
 
+    :ivar vm_proxies: for each agent, those of its own connections to the store
+        and to the entries
     :ivar version: newest version of the configuration
     :ivar published_versions: versions that were published during the run
     :ivar instance_numbers: numbers of the instance ids of new executors
@@ -124,6 +126,7 @@
     entries: list[Node]
     agents: list[Node]
     executors: list[platform_executor.PlatformExecutor]
+    vm_proxies: list[list[proxies.Proxy]]
     proxies: list[proxies.Proxy]
     history: checks.History
     version: int = 3
@@ -319,6 +322,9 @@
     elif fault.subject == 'vm':
         index = fault.index % len(run.agents)
         late_ms = 0
+        if fault.kind == 'cut':
+            await cut_vm(run.vm_proxies[index], duration_s)
+            return
         if fault.kind == 'suspend-agent-longer':
             late_ms = plans.LATE_AGENT_MS
         await suspend_vm(
@@ -356,6 +362,15 @@
             )
 
 
+async def cut_vm(vm_proxies: list[proxies.Proxy], duration_s: float) -> None:
+    """Cut the agent of a VM off from the store and all entries."""
+    for proxy in vm_proxies:
+        proxy.mode = proxies.Mode.SILENT
+    await asyncio.sleep(duration_s)
+    for proxy in vm_proxies:
+        proxy.mode = proxies.Mode.OPEN
+
+
 async def suspend_vm(
     agent: Node,
     executor: platform_executor.PlatformExecutor,
@@ -643,11 +658,13 @@
             connector=aiohttp.TCPConnector(limit=0),
         )
     )
-    run = SoakRun(plan, store, http, [], [], [], [], checks.History())
+    run = SoakRun(plan, store, http, [], [], [], [], [], checks.History())
 
-    async def make_proxy(address: str) -> str:
+    async def make_proxy(
+        address: str, made: list[proxies.Proxy] = run.proxies
+    ) -> str:
         proxy = proxies.Proxy(address)
-        run.proxies.append(proxy)
+        made.append(proxy)
         proxied_address = await proxy.start()
         stack.push_async_callback(proxy.stop)
         return proxied_address
@@ -682,6 +699,19 @@
             entry.settings['inner_advertised_address']
             for entry in deployment.entries
         ]
+        if plan.seed >= plans.FIRST_SEED_WITH_CUTS:
+            made: list[proxies.Proxy] = []
+            run.vm_proxies.append(made)
+            settings['store_address'] = await make_proxy(
+                settings['store_address'], made
+            )
+            routes = {
+                address: await make_proxy(address, made)
+                for address in settings['seeds']
+            }
+            deployment.agents[number].file.with_suffix('.routes').write_text(
+                json.dumps(routes)
+            )
         run.executors.append(executor)
         executor.start()
         stack.push_async_callback(executor.stop)
--- a/tests/test_agent_sessions.py
+++ b/tests/test_agent_sessions.py
@@ -189,3 +189,28 @@
         await asyncio.gather(serving, return_exceptions=True)
 
     asyncio.run(check())
+
+
+def test_report_that_requests_no_grant_does_not_prolong_the_wait() -> None:
+    """Guards against a wait for leases that nobody has extended (LOST)."""
+
+    async def check() -> None:
+        owner_runtime = await make_runtime()
+        stream = Stream()
+        serving = asyncio.ensure_future(
+            owner_runtime.serve_agent(HELLO, stream.receive(), stream.outbox)
+        )
+        await let_tasks_run()
+        (welcome,) = stream.list_received(messages.Welcome)
+        (target,) = owner_runtime._core.targets.values()
+        deadlines = target.lost_deadlines
+        stream.send(messages.Report(welcome.token, 1, requests_grant=False))
+        await let_tasks_run()
+        (answer,) = stream.list_received(messages.Answer)
+        assert not answer.is_granted
+        assert target.lost_deadlines == deadlines
+        assert target.contact_at_ms > 0
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    asyncio.run(check())
--- a/tests/test_election_cut_entry.py
+++ b/tests/test_election_cut_entry.py
@@ -20,6 +20,10 @@
 
 HOST = '127.0.0.1'
 POLICY = policy.OwnerPolicy(policy.GRANT_LIMIT_MS, 60_000)
+# Rule LOST allows tasks that last 9 s from the loss of a VM to the next run,
+# and 7 s from a planned stop; 0.2 s go by until it is placed.
+LASTING_LIMIT_MS = 8_400
+RESIGNED_LASTING_LIMIT_MS = 6_900
 # Entries learn of a commit with the answer to their next ping.
 PING_MS = election.PING_INTERVAL_MS + 100
 
@@ -231,13 +235,12 @@
                 for entry in entries
                 if entry is not owner and entry.election.local_owner
             )
-            grants_ms = (
-                runtime.CONFIRMATION_MAX_AGE_MS
-                + POLICY.grant_ms
-                + runtime.GRANT_CLOCK_MARGIN_MS
+            limits = runtime.compute_former_limits(POLICY, False)
+            deadlines = successor.former_deadlines
+            assert (
+                deadlines.lasting_ms - cut_at_ms <= LASTING_LIMIT_MS + PING_MS
             )
-            left_ms = successor.former_grants_deadline_ms - cut_at_ms
-            assert left_ms <= grants_ms + PING_MS
+            assert deadlines.other_ms - cut_at_ms <= limits.other_ms + PING_MS
 
     asyncio.run(check())
 
@@ -276,8 +279,8 @@
             successor = other.election.local_owner
             assert successor is not None
             assert (
-                successor.former_grants_deadline_ms - resigned_at_ms
-                <= POLICY.silence_limit_ms + PING_MS
+                successor.former_deadlines.lasting_ms - resigned_at_ms
+                <= RESIGNED_LASTING_LIMIT_MS + PING_MS
             )
 
     asyncio.run(check())
--- a/tests/test_grant_watch.py
+++ b/tests/test_grant_watch.py
@@ -136,6 +136,28 @@
     driver_tests.run_scenario(scenario)
 
 
+def test_report_requests_no_grant_while_the_executor_is_silent() -> None:
+    """Guards against lasting tasks without a run on a lost VM (LOST).
+
+    The owner would count the wait from a time at which no lease was extended.
+    """
+
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await run_task(harness)
+        harness.driver.send_report()
+        harness.executor.lost_inspections = 2
+        await harness.wait_until(lambda: harness.executor.lost_inspections < 2)
+        await asyncio.sleep(0)
+        harness.driver.send_report()
+        await harness.wait_until(lambda: not harness.executor.lost_inspections)
+        await asyncio.sleep(NOTICE_LIMIT_S)
+        harness.driver.send_report()
+        reports = harness.list_sent(messages.Report)[-3:]
+        assert [each.requests_grant for each in reports] == [True, False, True]
+
+    driver_tests.run_scenario(scenario)
+
+
 def test_start_is_not_sent_after_its_stop() -> None:
     """Guards against a start of a cancelled task (UNASKED).
 
@@ -161,20 +183,24 @@
     driver_tests.run_scenario(scenario)
 
 
-def test_owner_waits_for_the_longest_suspension_and_a_stop() -> None:
-    """Guards against a second start before a suspended VM goes on (TWICE)."""
-    owner_policy = policy.OwnerPolicy(policy.GRANT_LIMIT_MS, 60_000)
+def test_owner_waits_for_a_grant_and_the_longest_suspension() -> None:
+    """Guards against a second start before a lease has ended (TWICE).
+
+    A VM may be suspended at any time before its grant has ended.
+    """
+    limits = policy.OwnerPolicy(policy.GRANT_LIMIT_MS, 60_000).silence_limits
+    # ``kinds`` of the users' platform, and their sites.
+    longest_suspension_ms, site_suspension_ms = 5_000, 4_000
     longest_stop_ms = 900
+    assert limits.other_ms >= policy.GRANT_LIMIT_MS + longest_suspension_ms
+    assert limits.lasting_ms >= policy.GRANT_LIMIT_MS + site_suspension_ms
     # Rule LOST of the users' platform: 9 s after its last run a lasting task
     # has another one, which takes half a second to place and start.
+    assert limits.lasting_ms <= 8_500
+    assert longest_suspension_ms + longest_stop_ms < limits.lasting_ms
     assert (
-        policy.SUSPENSION_LIMIT_MS + longest_stop_ms
-        < owner_policy.silence_limit_ms
-        <= 8_500
-    )
-    assert (
-        owner_policy.grant_ms + grant_watch.CHECK_INTERVAL_MS + longest_stop_ms
-        < owner_policy.silence_limit_ms
+        policy.GRANT_LIMIT_MS + grant_watch.CHECK_INTERVAL_MS + longest_stop_ms
+        < limits.lasting_ms
     )
 
 
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -14,6 +14,8 @@
 from borageshelf.model import resources
 from borageshelf.model import workflows
 from borageshelf.workflows import owner
+from borageshelf.workflows import policy
+from borageshelf.workflows import silence
 from tests.lasting import agents
 from tests.lasting import disruptions
 from tests.lasting import executors
@@ -125,6 +127,10 @@
             planner.FIRST_SEED_WITH_SUSPENSIONS,
             planner.FIRST_SEED_WITH_SUSPENSIONS + 10,
         ),
+        *range(
+            planner.FIRST_SEED_WITH_SUSPENSIONS_BESIDE_CUTS,
+            planner.FIRST_SEED_WITH_SUSPENSIONS_BESIDE_CUTS + 10,
+        ),
     ],
 )
 def test_lasting_tasks_run_in_random_histories(seed: int) -> None:
@@ -203,6 +209,21 @@
     )
 
 
+@pytest.mark.parametrize('up_ms', [100, 300, 1_000])
+def test_run_of_an_executor_whose_vm_is_lost_as_it_is_back_is_replaced(
+    up_ms: int,
+) -> None:
+    """Guards against a wait that begins anew without a lease (LOST)."""
+    check(
+        make_targets(3),
+        (submit_lasting(6, at_ms=1_500, spread_limit=4),),
+        disruptions.Crashed(
+            5_000, 6_500, ('vm-0',), disruptions.Knowledge.RESTART
+        ),
+        disruptions.Lost(6_500 + up_ms, 6_500 + up_ms, ('vm-0',)),
+    )
+
+
 @pytest.mark.parametrize('age_ms', [200, 300, 400])
 def test_answered_run_of_a_vm_lost_after_an_unseen_restart_is_replaced(
     age_ms: int,
@@ -259,6 +280,27 @@
     )
 
 
+@pytest.mark.parametrize('is_agent_killed', [False, True])
+@pytest.mark.parametrize('delay_ms', range(-4_000, 6_000, 500))
+def test_task_of_a_vm_suspended_beside_a_cut_runs_once_and_in_time(
+    delay_ms: int, is_agent_killed: bool
+) -> None:
+    """Guards against a second run after a cut and a suspension (TWICE)."""
+    cut_ms = 10_000
+    suspended_ms = cut_ms + delay_ms
+    resumed_ms = suspended_ms + planner.SITE_SUSPENSION_MS
+    killed = disruptions.AgentRestarted(
+        resumed_ms, resumed_ms + 1_000, ('vm-0',)
+    )
+    check(
+        make_targets(4),
+        (submit_lasting(8, at_ms=1_500, spread_limit=4),),
+        disruptions.CutOff(cut_ms, cut_ms + planner.SITE_CUT_MS, ('vm-0',)),
+        disruptions.Suspended(suspended_ms, resumed_ms, ('vm-0',)),
+        *((killed,) if is_agent_killed else ()),
+    )
+
+
 @pytest.mark.parametrize('is_reborn', [False, True])
 @pytest.mark.parametrize('delay_ms', range(0, 6_000, 1_000))
 def test_run_of_an_agent_that_was_cut_off_is_replaced_by_the_next_owner(
@@ -309,6 +351,28 @@
     ),
     20_000,
 )
+# The VM goes on without a grant, which only its agent knows.
+SUSPENDED_FOR_LONG = plans.Plan(
+    0,
+    make_targets(4),
+    (submit_lasting(8, at_ms=1_500, spread_limit=4),),
+    (
+        disruptions.Suspended(3_000, 10_000, ('vm-0',)),
+        disruptions.CutOff(9_500, 15_000, ('vm-0',)),
+    ),
+    20_000,
+)
+# The VM is suspended shortly before its grant would end.
+SUSPENDED_WITHIN_CUT = plans.Plan(
+    0,
+    make_targets(4),
+    (submit_lasting(8, at_ms=1_500, spread_limit=4),),
+    (
+        disruptions.CutOff(3_000, 8_500, ('vm-0',)),
+        disruptions.Suspended(6_000, 10_000, ('vm-0',)),
+    ),
+    20_000,
+)
 # The owner is killed as two of three VMs go on.
 SUSPENDED_BESIDE_KILLED_OWNER = plans.Plan(
     0,
@@ -328,12 +392,16 @@
         HELD_BY_FORMER_OWNER,
         LATE_ON_NEXT_INCARNATION,
         SUSPENDED_BEFORE_CUT,
+        SUSPENDED_FOR_LONG,
+        SUSPENDED_WITHIN_CUT,
         SUSPENDED_BESIDE_KILLED_OWNER,
     ],
     ids=[
         'held-by-former-owner',
         'late-on-next-incarnation',
         'suspended-before-cut',
+        'suspended-for-long',
+        'suspended-within-cut',
         'suspended-beside-killed-owner',
     ],
 )
@@ -353,23 +421,34 @@
         (
             HELD_BY_FORMER_OWNER,
             runtime,
-            'compute_former_grants_ms',
-            lambda *_: 0,
+            'compute_former_limits',
+            lambda *_: silence.Limits(0, 0),
         ),
         (
             LATE_ON_NEXT_INCARNATION,
             owner,
-            'LATE_START_GRANTS',
+            'LATE_START_LIMITS',
             collections.Counter(),
         ),
         (
-            SUSPENDED_BEFORE_CUT,
+            SUSPENDED_FOR_LONG,
             agents.Agent,
             '_stop_without_grant',
             lambda *_: None,
         ),
+        (
+            SUSPENDED_WITHIN_CUT,
+            policy,
+            'LASTING_SUSPENSION_LIMIT_MS',
+            1_400,
+        ),
+    ],
+    ids=[
+        'former-grants',
+        'late-start-grants',
+        'stops-without-grant',
+        'suspensions-beside-cuts',
     ],
-    ids=['former-grants', 'late-start-grants', 'stops-without-grant'],
 )
 def test_histories_show_that_each_wait_for_a_proof_is_needed(
     plan: plans.Plan,
--- a/tests/test_model_search.py
+++ b/tests/test_model_search.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from borageshelf.workflows import policy
 from tests.model import choices
 from tests.model import safeguards
 from tests.model import search
@@ -36,6 +37,34 @@
     assert not result.violation, '\n'.join(result.lines)
 
 
+@pytest.mark.parametrize(
+    ('kinds', 'bounds'),
+    [
+        ({'kill the agent of'}, search.Bounds(8, 2, 0)),
+        ({'end done'}, search.Bounds(8, 2, 1)),
+        ({'kill the agent of'}, search.Bounds(4, 3, 0)),
+    ],
+    ids=['agent killed', 'ends done', 'three faults'],
+)
+def test_suspension_beside_a_cut_starts_nothing_twice(
+    kinds: set[str], bounds: search.Bounds
+) -> None:
+    """Guards against a second run after a cut and a suspension, in any order.
+
+    The lease alone bounds the run, whatever becomes of the agent.
+    """
+    kinds = {'suspend', 'cut off from the owners', *kinds}
+    scenario = world.Scenario(
+        excluded=frozenset({*choices.FAULTS, *choices.EVENTS} - kinds),
+        duration_ms=14_000,
+        suspension_ms=policy.SUSPENSION_LIMIT_MS,
+        has_suspensions_beside_cuts=True,
+    )
+    result = search.Search(scenario, bounds).run()
+    assert not result.failures
+    assert not result.violation, '\n'.join(result.lines)
+
+
 def test_silence_longer_than_a_suspension_starts_nothing_twice() -> None:
     """Guards against a second run after a cut and a suspension in a row."""
     kinds = {'suspend', 'cut off from the owners'}
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -7,6 +7,7 @@
 from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
 from borageshelf.workflows import owner
+from borageshelf.workflows import policy
 from tests import workflow_support as support
 
 TASK = '0123456789abcdef.0.0.0'
@@ -68,7 +69,7 @@
 def test_run_of_an_executor_that_stays_away_is_started_again() -> None:
     cluster, fake = make_unproved_cluster(messages.GoneCause.NOTHING_LISTENS)
     fake.running.clear()
-    cluster.now_ms += support.GRANT_MS
+    cluster.now_ms += policy.ORDER_LIMIT_MS
     cluster.run_until_idle()
     assert [start[2] for start in cluster.sent_starts] == [1, 2]
 
@@ -76,10 +77,10 @@
 def test_late_run_is_not_started_elsewhere_while_its_agent_is_paused() -> None:
     cluster, fake = make_unproved_cluster()
     cluster.core.detach(fake.target_id, fake.session)
-    cluster.now_ms += support.GRANT_MS
+    cluster.now_ms += policy.ORDER_LIMIT_MS
     cluster.run_until_idle()
     assert len(cluster.sent_starts) == 1
-    cluster.now_ms += 2 * support.GRANT_MS
+    cluster.now_ms += 2 * policy.ORDER_LIMIT_MS
     cluster.run_until_idle()
     assert len(cluster.sent_starts) == 2
 
--- a/tests/test_target_index.py
+++ b/tests/test_target_index.py
@@ -13,6 +13,7 @@
 from borageshelf.model import workflows
 from borageshelf.workflows import jobs
 from borageshelf.workflows import records
+from borageshelf.workflows import silence
 from borageshelf.workflows import targets
 
 IMAGES: Final = ('monitor-1', 'monitor-2', 'monitor-3')
@@ -50,7 +51,9 @@
     """Return targets of different sizes without runs."""
     fleet = []
     for number in range(count):
-        target = targets.Target(f'vm-{rng.randrange(10**6)}-{number}', 0)
+        target = targets.Target(
+            f'vm-{rng.randrange(10**6)}-{number}', silence.Deadlines(0, 0)
+        )
         target.capacity = resources.Resources(
             rng.choice((32_000, 64_000, 96_000)), 256_000
         )
--- a/tests/test_unproved_waits.py
+++ b/tests/test_unproved_waits.py
@@ -5,6 +5,7 @@
 """
 
 from borageshelf.workflows import messages
+from borageshelf.workflows import policy
 from tests import test_proofs_of_ends as proofs
 from tests import workflow_support as support
 
@@ -102,24 +103,31 @@
             self.report_gone(Cause.NOTHING_LISTENS, is_known)
 
 
-def test_task_of_an_executor_that_stays_away_waits_for_one_grant() -> None:
+def round_up(duration_ms: int) -> int:
+    """Return the time of the first report at or after a duration."""
+    return -(-duration_ms // REPORT_INTERVAL_MS) * REPORT_INTERVAL_MS
+
+
+def test_task_of_an_executor_that_stays_away_waits_for_one_order_limit() -> (
+    None
+):
     fleet = Fleet()
     fleet.report_gone(Cause.NOTHING_LISTENS, is_known=True)
     fleet.pass_time(30_000)
     assert fleet.is_restarted
-    assert fleet.waited_ms == support.GRANT_MS
+    assert fleet.waited_ms == round_up(policy.ORDER_LIMIT_MS)
 
 
 def test_start_at_a_silent_executor_expires_after_a_whole_lease() -> None:
     """Guards against the end of a run that a silent restart has started."""
     fleet = Fleet()
-    fleet.pass_time(support.GRANT_MS)
+    fleet.pass_time(policy.ORDER_LIMIT_MS)
     fleet.report_gone(Cause.LEASE_ENDED, is_known=True)
     fleet.pass_time(2_000)
     fleet.report_gone(Cause.LEASE_ENDED, is_known=True)
     fleet.pass_time(30_000)
     assert fleet.is_restarted
-    assert fleet.waited_ms == 2 * support.GRANT_MS
+    assert fleet.waited_ms == round_up(2 * policy.ORDER_LIMIT_MS)
 
 
 def test_next_owner_waits_for_an_open_order_no_longer_than_the_first() -> None:
@@ -144,7 +152,7 @@
     fleet.report_gone(Cause.NOTHING_LISTENS, is_known=True)
     fleet.pass_time(30_000)
     assert fleet.is_restarted
-    assert fleet.waited_ms <= support.GRANT_MS + REPORT_INTERVAL_MS
+    assert fleet.waited_ms <= policy.ORDER_LIMIT_MS + REPORT_INTERVAL_MS
 
 
 def test_flapping_before_the_executor_goes_adds_nothing_to_the_wait() -> None:
@@ -153,7 +161,7 @@
     fleet.flap()
     fleet.pass_time(30_000)
     assert fleet.is_restarted
-    assert fleet.waited_ms == 3 * support.GRANT_MS
+    assert fleet.waited_ms == round_up(3 * policy.ORDER_LIMIT_MS)
 
 
 def test_flapping_before_the_agent_is_lost_adds_nothing_to_the_wait() -> None:
@@ -169,4 +177,4 @@
     fleet.cluster.core.detach(fleet.fake.target_id, fleet.fake.session)
     fleet.pass_time(30_000)
     assert fleet.is_restarted
-    assert fleet.waited_ms == 3 * support.GRANT_MS
+    assert fleet.waited_ms == round_up(3 * policy.ORDER_LIMIT_MS)
--- a/tests/test_workflow_properties.py
+++ b/tests/test_workflow_properties.py
@@ -135,7 +135,7 @@
             target = self.cluster.core.targets.get(fake.target_id)
             if target is None or target.is_ready:
                 continue
-            if self.cluster.now_ms >= target.lost_deadline_ms:
+            if self.cluster.now_ms >= target.lost_deadlines.first_ms:
                 for task in list(fake.running):
                     del fake.running[task]
 
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -16,8 +16,10 @@
 from borageshelf.workflows import messages
 from borageshelf.workflows import owner
 from borageshelf.workflows import records
+from borageshelf.workflows import silence
 
 GRANT_MS = 5_000
+SILENCE_LIMITS = silence.Limits(GRANT_MS, GRANT_MS)
 RETENTION_MS = 150_000
 WALL_MS = 1_700_000_000_000
 SMALL = resources.Resources(1_000, 1_000)
@@ -92,11 +94,10 @@
     def _make_core(self, epoch: int) -> owner.Owner:
         return owner.Owner(
             epoch,
-            GRANT_MS,
-            GRANT_MS,
+            SILENCE_LIMITS,
             RETENTION_MS,
             self.now_ms,
-            self.now_ms + GRANT_MS,
+            SILENCE_LIMITS.count_from(self.now_ms),
             journal.encode,
             lambda event, **fields: self.log_lines.append((event, fields)),
         )
