Count an entry that does not answer in time as not ready, in the tests

Cause: the test support handles a broken connection while it waits for the entries, and not a request that takes more than 6 s. The wait for readiness has a limit of its own, which is unchanged.

--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -177,7 +177,7 @@
         try:
             async with self.http.get(url) as answer:
                 return answer.status == 200
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, TimeoutError):
             return False
 
     async def submit(self, workflow_id: str, document: Any) -> None:
