Count a workflow whose run only a former owner placed as pending

Change: Pending counts what has no run that was seen: listed, ended, or known from the record (done, failed, a checkpoint). The state that callers read is unchanged; it does not go back from running to queued.

Evidence: test_workflow_whose_run_only_a_former_owner_placed_is_still_pending failed before and passes now.

--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -85,7 +85,7 @@
     def note_confirmed(self) -> None:
         """Note that the agent has reported the run."""
         self.is_confirmed = True
-        self.task.group.job.is_started = True
+        self.task.group.job.note_run_seen()
 
 
 class Task:
@@ -281,9 +281,13 @@
         self.visible_phase = records.Phase.ACTIVE
         self.is_committed = False
         self.has_spec_key = False
-        # Whether a start was sent, and whether a run was seen on a target.
+        # Whether a start was sent.
         self.is_ordered = False
+        # Whether callers are told that it runs: a run was seen, or a former
+        # owner has placed one.
         self.is_started = False
+        # Whether a run was seen. The run of a former owner may not have begun.
+        self.has_begun = False
         self.ended_at_ms = 0
         self.cause = ''
         self.waiters: list[int] = []
@@ -319,6 +323,11 @@
         """Elapsed time by which the caller expects the workflow to be done."""
         return self.accepted_at_ms + self.objective_ms
 
+    def note_run_seen(self) -> None:
+        """Note that a target has reported a run or its end."""
+        self.is_started = True
+        self.has_begun = True
+
     def describe_state(self) -> str:
         """Return the committed state as callers see it."""
         name = STATE_NAMES.get(self.visible_phase)
@@ -551,6 +560,8 @@
                 run.executor_hash = stored.executor_hash
                 self._append_run(run)
             self.is_started = self.is_started or record.attempts > 0
+            if record.is_done or record.failures or record.checkpoint:
+                self.note_run_seen()
         for record in state.tasks:
             if record.is_done:
                 self.finish_task(self.tasks[record.number])
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -291,10 +291,10 @@
         return job.describe_state()
 
     def count_pending(self) -> dict[str, int]:
-        """Return the number of workflows without any start, by queue."""
+        """Return the number of workflows that have not begun, by queue."""
         counts: dict[str, int] = {}
         for job in self._active_jobs.values():
-            if job.is_committed and not job.is_started:
+            if job.is_committed and not job.has_begun:
                 queue = job.terms.queue
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
@@ -555,7 +555,7 @@
                     self._use_success_of_dropped_run(known, end, moment)
             return
         job = run.task.group.job
-        job.is_started = True
+        job.note_run_seen()
         job.effects.append(acknowledge)
         self._mark_dirty(job)
         self._drop_run(run, _find_earliest_end_ms(target, run))
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -732,6 +732,30 @@
     assert cluster.core.count_pending() == {}
 
 
+def test_workflow_whose_run_only_a_former_owner_placed_is_still_pending() -> (
+    None
+):
+    """Guards against a count of waiting workflows that is too low (MIXED).
+
+    The run was ordered on a VM that is lost.
+    """
+    cluster = make_cluster(2)
+    cluster.are_starts_reported = False
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    target_id = cluster.find_target_id(f'{ID}.0.0.0')
+    assert target_id is not None
+    other = next(name for name in cluster.targets if name != target_id)
+    cluster.take_over()
+    cluster.attach(cluster.targets[other])
+    cluster.run_until_idle()
+    assert cluster.core.count_pending() == {'short': 1}
+    assert cluster.core.find_state(ID) == 'running'
+    cluster.attach(cluster.targets[target_id])
+    cluster.run_until_idle()
+    assert cluster.core.count_pending() == {}
+
+
 def test_expired_state_is_removed_though_the_first_try_failed() -> None:
     """Guards against states that stay in the store for ever."""
     cluster = make_cluster(1)
