--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -11,6 +11,7 @@
 import dataclasses
 from typing import Final
 
+from borageshelf.agent.workflows import executor_ends
 from borageshelf.agent.workflows import executor_lease
 from borageshelf.agent.workflows import grant_watch
 from borageshelf.agent.workflows import lease_lapse
@@ -24,6 +25,7 @@
 from borageshelf.model import resources
 from borageshelf.model import targets
 from borageshelf.ports import task_executor
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import messages
 
 # Each inspection waits up to this long for the end of a run, and extends the
@@ -88,7 +90,7 @@
             event_log,
             self._lease,
             former_grant_ms,
-            lambda: self._runs.values(),
+            lambda: (*self._runs.values(), *self._ends.runs),
             self._get_instance_id,
             self._lapse,
         )
@@ -100,15 +102,7 @@
         self._forgotten_end_number = 0
         self._ends_acknowledged = asyncio.Event()
         self._runs: dict[tuple[str, int], runs.AgentRun] = {}
-        # Incarnation that this process has inspected, and the runs that were
-        # lost with it. Each owner that asks about it has to learn of them.
-        self._inspected_incarnation = ''
-        self._lost_runs: tuple[tuple[str, int], ...] = ()
-        self._unproved_runs: tuple[tuple[str, int], ...] = ()
-        # Earlier processes of this agent sent their orders before.
-        self._begun_at_running_ms = clock.read_running_ms()
-        # When the last start of an unproved run was sent.
-        self._unproved_order_at_running_ms = self._begun_at_running_ms
+        self._ends = executor_ends.ExecutorEnds()
         self._departed_incarnation = ''
         self._inspection_begun_at_ms = 0
         self._is_snapshot_complete = True
@@ -117,7 +111,8 @@
         self._specs: dict[str, str] = {}
         self._unanswered_since_ms = 0
         self._inspected_at_ms = 0
-        # How the executor went, as long as it is gone.
+        # What has shown that the executor has gone or may have, until it
+        # answers again.
         self._gone_cause: messages.GoneCause | None = None
         # Whether the last inspection was answered with a refusal.
         self._is_refused = False
@@ -157,10 +152,11 @@
                 incarnation=announcement.incarnation,
                 former=former.incarnation if former else '',
             )
-            cause = messages.GoneCause.REPLACED
-            if former and former.instance_id == announcement.instance_id:
-                cause = messages.GoneCause.RESTARTED
-            self._report_executor_gone(former, cause)
+            if former is not None:
+                self._report_executor_gone(
+                    former, messages.GoneCause.OTHER_ANNOUNCED
+                )
+            self._gone_cause = None
             self._renew_session()
         elif announcement.is_draining and not former.is_draining:
             self._event_log.record_state(
@@ -309,11 +305,7 @@
 
     async def _run_session(self, token: int) -> None:
         """Report a snapshot of the executor, then the changes on it."""
-        if self._gone_cause is not None and self.announcement is not None:
-            # The report to the former owner may not have been committed.
-            self._send_executor_gone(
-                self.announcement.incarnation, self._gone_cause
-            )
+        self._repeat_report_of_gone_executor()
         is_first = True
         while self._token == token:
             wait_ms = 0 if is_first else INSPECTION_WAIT_MS
@@ -323,7 +315,7 @@
             extension = executor_lease.NO_EXTENSION
             # It is not certain that a refused inspection extends no lease, so
             # the lease of an executor that refuses is let run out.
-            if not (is_first or self._is_refused):
+            if not (is_first or self._is_refused or self._gone_cause):
                 extension = self._compute_lease_extension()
             if (
                 self._gone_cause is not None
@@ -353,6 +345,7 @@
             self._is_refused = False
             self._inspected_at_ms = clock.read_elapsed_ms()
             self._unanswered_since_ms = 0
+            self._conclude_from_answer(inspection)
             if not self._check_incarnation(inspection):
                 return
             self._forgotten_end_number = max(
@@ -441,10 +434,8 @@
             - len(former_runs.keys() & self._runs.keys()),
             last_end=self._seen_end_number,
         )
-        self._inspected_incarnation = self.incarnation
+        self._ends.note_snapshot(self.incarnation)
         self._is_snapshot_complete = inspection.has_all_ends
-        self._lost_runs = ()
-        self._unproved_runs = ()
         state = self._make_state()
         self._reported_state = state
         self._is_ready = True
@@ -724,6 +715,8 @@
                 # paced at once.
                 await self._pace_fillers()
             return
+        if self._runs.get(run.key) is not run:
+            return
         if run.state is runs.RunState.STARTING and not run.may_have_arrived:
             del self._runs[run.key]
             is_silent = bool(self._unanswered_since_ms)
@@ -950,8 +943,8 @@
     ) -> None:
         """Handle an inspection that was not answered.
 
-        All runs have ended if nothing listens at the executor's address, or
-        once its lease has expired.
+        All runs have ended once the lease has expired. That nothing listens at
+        the executor's address may also be a fault of the path to it.
         """
         measurements.EXECUTOR_FAILURES.inc()
         self._is_refused = False
@@ -959,25 +952,16 @@
         if not self._unanswered_since_ms:
             self._unanswered_since_ms = now_ms
             self._event_log.record_state('executor lost', detail=str(error))
-        if self._gone_cause is None:
-            cause = None
-            if error.is_connection_refused:
-                cause = messages.GoneCause.NOTHING_LISTENS
-            elif self._lease.has_ended():
-                cause = messages.GoneCause.LEASE_ENDED
-            if cause and self._departed_incarnation == self.incarnation:
+        if self._lease.has_ended():
+            self._report_end_of_lease()
+        elif self._gone_cause is None and error.is_connection_refused:
+            cause = messages.GoneCause.NOTHING_LISTENS
+            if self._departed_incarnation == self.incarnation:
                 cause = messages.GoneCause.LEFT
-            if cause:
-                self._report_executor_gone(
-                    self.announcement,
-                    cause,
-                    begun_at_ms if error.is_connection_refused else 0,
-                )
-        pause_ms = (
-            GONE_RETRY_PAUSE_MS
-            if self._gone_cause is not None
-            else RETRY_PAUSE_MS
-        )
+            self._report_executor_gone(self.announcement, cause, begun_at_ms)
+        pause_ms = RETRY_PAUSE_MS
+        if self._gone_cause is messages.GoneCause.LEASE_ENDED:
+            pause_ms = GONE_RETRY_PAUSE_MS
         await asyncio.sleep(pause_ms / 1000)
 
     async def _handle_refused_inspection(
@@ -994,17 +978,33 @@
         if error.outcome is task_executor.StartOutcome.FENCED:
             self._renew_session()
             return True
-        if error.outcome is task_executor.StartOutcome.OTHER_INSTANCE:
+        is_other = error.outcome is task_executor.StartOutcome.OTHER_INSTANCE
+        self._is_refused = not is_other
+        if self._lease.has_ended():
+            self._report_end_of_lease()
+        elif is_other and self._gone_cause is None:
             self._report_executor_gone(
-                self.announcement, messages.GoneCause.REPLACED
+                self.announcement, messages.GoneCause.OTHER_ANSWERS
             )
-            return False
-        self._is_refused = True
-        if self._gone_cause is None and self._lease.has_ended():
+        return False
+
+    def _report_end_of_lease(self) -> None:
+        """Report once that the runs under the lease have ended."""
+        cause = messages.GoneCause.LEASE_ENDED
+        if self._gone_cause is not cause:
             self._report_executor_gone(
-                self.announcement, messages.GoneCause.LEASE_ENDED
+                self._ends.suspect or self.announcement, cause
             )
-        return False
+
+    def _conclude_from_answer(
+        self, inspection: task_executor.Inspection
+    ) -> None:
+        """Report that a suspected incarnation has gone if another answers."""
+        cause = self._ends.find_proof(self.announcement, inspection.born_at_ms)
+        if cause is not None:
+            gone_cause = self._gone_cause
+            self._report_executor_gone(self._ends.suspect, cause)
+            self._gone_cause = gone_cause
 
     def _check_incarnation(self, inspection: task_executor.Inspection) -> bool:
         """Return whether the executor is the incarnation that was announced.
@@ -1017,6 +1017,7 @@
         if inspection.born_at_ms == announcement.born_at_ms:
             return True
         self._report_executor_gone(announcement, messages.GoneCause.RESTARTED)
+        self._gone_cause = None
         # The new incarnation may have another capacity and other labels, so
         # nothing fits before its first announcement.
         self.announcement = dataclasses.replace(
@@ -1034,91 +1035,73 @@
         cause: messages.GoneCause,
         refused_at_ms: int = 0,
     ) -> None:
-        """Forget all runs and report that nothing runs on the executor.
+        """Report that an executor has gone or may have, and order nothing.
 
         :param refused_at_ms: begin of the inspection that found nothing
-            listening, so that each incarnation that answered before it has
-            gone; 0 if none did
+            listening; 0 if none did
         """
         if announcement is None:
             return
-        is_back = cause in (
-            messages.GoneCause.REPLACED,
-            messages.GoneCause.RESTARTED,
+        self._gone_cause = cause
+        is_proved = self._ends.add(
+            announcement,
+            cause,
+            self._runs.values(),
+            executor_ends.Evidence(
+                self._inspection_begun_at_ms, refused_at_ms
+            ),
         )
-        self._gone_cause = None if is_back else cause
-        if announcement.incarnation == self._inspected_incarnation:
-            self._lost_runs += tuple(
-                run.key for run in self._runs.values() if run.may_have_arrived
-            )
-            proved_at_ms = max(self._inspection_begun_at_ms, refused_at_ms)
-            for run in self._runs.values():
-                if run.may_start_later(proved_at_ms):
-                    self._unproved_runs += (run.key,)
-                    self._unproved_order_at_running_ms = max(
-                        self._unproved_order_at_running_ms,
-                        run.ordered_at_running_ms,
-                    )
-        if cause is messages.GoneCause.REPLACED:
-            self._prove_ends_of_unproved_runs(announcement)
         self._runs.clear()
+        if self._token:
+            self._send_executor_gone(announcement.incarnation, cause)
+        if is_proved:
+            self._forget_executor()
+
+    def _forget_executor(self) -> None:
+        """Forget an incarnation that has gone, but for a repeated report."""
         self._seen_end_number = 0
         self._acknowledged_end_number = 0
         self._recorded_end_number = 0
         self._forgotten_end_number = 0
         self._lease.forget_incarnation()
         self._lapse.end()
-        if self._token:
-            self._send_executor_gone(announcement.incarnation, cause)
 
-    def _prove_ends_of_unproved_runs(
-        self, announcement: targets.Announcement
-    ) -> None:
-        """Count all orders as void, because another executor id answers.
-
-        An order names the executor's id, which another one refuses.
-        """
-        has_unproved_runs = bool(self._unproved_runs)
-        self._unproved_runs = ()
-        is_older = self._inspected_incarnation != announcement.incarnation
-        if has_unproved_runs and is_older and self._token:
-            self._send_executor_gone(
-                self._inspected_incarnation, messages.GoneCause.REPLACED
-            )
+    def _repeat_report_of_gone_executor(self) -> None:
+        """Report it to this owner; the former one may have committed none."""
+        inspected = self._ends.incarnation
+        if self._ends.cause is not None:
+            self._send_executor_gone(inspected, self._ends.cause)
+            if inspected == self.incarnation:
+                return
+        if self._gone_cause is not None:
+            self._send_executor_gone(self.incarnation, self._gone_cause)
 
     def _send_executor_gone(
         self, incarnation: str, cause: messages.GoneCause
     ) -> None:
-        reached = None
-        if incarnation == self._inspected_incarnation:
-            reached = self._lost_runs
+        is_answering = (
+            self._is_refused and cause is messages.GoneCause.LEASE_ENDED
+        )
+        gone = self._ends.make_report(
+            self._token,
+            incarnation,
+            cause,
+            clock.read_elapsed_ms() - self._silent_since_ms,
+            is_answering or incarnation == self._departed_incarnation,
+        )
         self._event_log.record_state(
             'executor gone',
             incarnation=incarnation,
             cause=cause.value,
-            reached=None if reached is None else len(reached),
-            unproved=len(self._unproved_runs),
+            is_proof=end_proofs.is_proof(cause),
+            reached=None if gone.reached is None else len(gone.reached),
+            unproved=len(gone.unproved),
             elapsed_ms=clock.read_elapsed_ms(),
             running_ms=clock.read_running_ms(),
             attended_ms=self._lease.read_attended_ms(),
             lease_end_attended_ms=self._lease.end_attended_ms,
         )
-        silent_ms = clock.read_elapsed_ms() - self._silent_since_ms
-        ordered_at_running_ms = self._begun_at_running_ms
-        if reached is not None:
-            ordered_at_running_ms = self._unproved_order_at_running_ms
-        self._send(
-            messages.ExecutorGone(
-                self._token,
-                incarnation,
-                cause,
-                reached,
-                silent_ms,
-                self._unproved_runs if reached is not None else (),
-                self._is_refused and cause is messages.GoneCause.LEASE_ENDED,
-                clock.read_running_ms() - ordered_at_running_ms,
-            )
-        )
+        self._send(gone)
 
     # Leases.
 
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -93,7 +93,8 @@
         two orders.
 
         :param proved_at_ms: begin of the last inspection that the present
-            incarnation has answered, or that found nothing listening
+            incarnation has answered, or of one that was refused and after
+            which no incarnation was listed as up
         """
         if self.open_tries:
             return True
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -153,7 +153,7 @@
             handed_over,
         )
         self._presence_watch = presence.PresenceWatch(
-            self._core, listing, event_log
+            self._core, listing, event_log, self._process_change
         )
         self._session_numbers = itertools.count(1)
         self._sessions: dict[str, AgentSession] = {}
@@ -551,6 +551,8 @@
         moment: clock.Moment,
     ) -> None:
         self._core.handle_executor_gone(session.target, message, moment)
+        if self._core.has_suspicion:
+            self._presence_watch.request_reading()
 
     async def _close_silent_sessions(self) -> None:
         pause_watch = loop.PauseWatch(IDLE_INTERVAL_MS)
--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -76,7 +76,9 @@
     'executor_failures', 'Calls to the executor without an answer.'
 )
 EXECUTORS_GONE = _counter(
-    'executors_gone', 'Executors that an agent reported as gone.', ('cause',)
+    'executors_gone',
+    'Reports of agents that an executor has gone or may have.',
+    ('cause',),
 )
 RUNS_LOST = _counter(
     'runs_lost', 'Runs that ended without a reported end.', ('cause',)
--- a/borageshelf/platform/inventory.py
+++ b/borageshelf/platform/inventory.py
@@ -34,33 +34,36 @@
     def __init__(self, address: str) -> None:
         self._client = http_client.HttpClient(f'http://{address}', CONNECTIONS)
 
-    async def list_up_executors(self) -> frozenset[str]:
-        """Return the ids of all executors that are up; see the interface."""
+    async def list_up_executors(self) -> inventory.UpExecutors:
+        """Return all executors that are up; see the interface."""
         try:
             async with asyncio.timeout(TIMEOUT_MS / 1000):
-                machines = await self._read_machines()
+                pages = await self._read_pages()
         except TimeoutError as error:
             raise inventory.InventoryUnavailable(
                 f'not read in {TIMEOUT_MS} ms'
             ) from error
+        machines = [machine for page in pages for machine in page.machines]
         if not machines:
             # A platform that has just started may know none yet.
             raise inventory.InventoryUnavailable('the list is empty')
-        return frozenset(
-            machine.id
-            for machine in machines
-            if machine.state == UP and machine.id
+        return inventory.UpExecutors(
+            frozenset(
+                machine.id
+                for machine in machines
+                if machine.state == UP and machine.id
+            ),
+            len(pages) == 1,
         )
 
-    async def _read_machines(self) -> list[_Machine]:
-        machines: list[_Machine] = []
+    async def _read_pages(self) -> list[_Page]:
+        pages: list[_Page] = []
         token: str | None = None
         for _ in range(PAGES_LIMIT):
-            page = await self._read_page(token)
-            machines += page.machines
-            token = page.next_token
+            pages.append(await self._read_page(token))
+            token = pages[-1].next_token
             if not token:
-                return machines
+                return pages
         raise inventory.InventoryUnavailable(f'more than {PAGES_LIMIT} pages')
 
     async def _read_page(self, token: str | None) -> _Page:
--- /dev/null
+++ b/borageshelf/workflows/end_proofs.py
@@ -0,0 +1,189 @@
+"""Which signs prove that a run has ended; pure decisions.
+
+A sign that can be seen while the run goes on proves nothing: it only makes the
+owner place nothing on the target and ask the platform's list of VMs. A run is
+dropped on a proof alone. ``docs/platform.md`` has the same table.
+"""
+
+import dataclasses
+import enum
+from typing import Final
+
+from borageshelf.workflows import messages
+from borageshelf.workflows import policy
+
+# The list of VMs is read from this long before runs of a silent target would
+# be given up.
+LISTING_LEAD_MS: Final = 1_500
+# The pages of a list are read one by one and may change meanwhile, so one
+# reading of several pages may miss an executor.
+MISSED_READINGS_LIMIT: Final = 2
+FAILED_READINGS_LIMIT: Final = 3
+# Bounds the wait for an agent that never comes back on a VM that is up.
+LISTED_EXTENSION_MS: Final = 20_000
+
+
+class Sign(enum.Enum):
+    """What suggests or proves that a run has ended, or never began."""
+
+    # Of an incarnation of the executor; the values are those of ``GoneCause``.
+    NOTHING_LISTENS = 'nothing listens'
+    LEFT = 'left'
+    OTHER_ANSWERS = 'other executor answers'
+    OTHER_ANNOUNCED = 'other incarnation announced'
+    REPLACED = 'replaced'
+    RESTARTED = 'started again'
+    LEASE_ENDED = 'lease ended'
+    NOT_LISTED_AS_UP = 'not listed as up'
+    # Of one run.
+    NOT_IN_SNAPSHOT = 'not in the snapshot'
+    SILENCE = 'silence'
+    ORDER_EXPIRED = 'order expired'
+
+
+@dataclasses.dataclass(frozen=True)
+class Worth:
+    """What a sign is worth.
+
+    :param is_proof: whether no run goes on when it is seen
+    :param order_limits: for a run whose start may reach the next incarnation:
+        the multiple of ``policy.ORDER_LIMIT_MS`` after which it has ended. An
+        incarnation that may be back has begun its clock anew, so the run has a
+        whole lease there; one that was seen gets one more for a start that is
+        very late.
+    """
+
+    is_proof: bool
+    order_limits: int = 1
+
+
+WORTH: Final = {
+    Sign.NOTHING_LISTENS: Worth(False),
+    Sign.LEFT: Worth(False),
+    Sign.OTHER_ANSWERS: Worth(False, 3),
+    Sign.OTHER_ANNOUNCED: Worth(False, 3),
+    Sign.REPLACED: Worth(True, 3),
+    Sign.RESTARTED: Worth(True, 3),
+    Sign.LEASE_ENDED: Worth(True, 2),
+    Sign.NOT_LISTED_AS_UP: Worth(True),
+    Sign.NOT_IN_SNAPSHOT: Worth(True),
+    Sign.SILENCE: Worth(True),
+    Sign.ORDER_EXPIRED: Worth(True),
+}
+
+
+def is_proof(cause: messages.GoneCause) -> bool:
+    """Tell whether a report that an executor has gone proves it."""
+    return WORTH[Sign(cause.value)].is_proof
+
+
+def compute_order_limit_ms(cause: messages.GoneCause) -> int:
+    """Return how long a start may be on its way to the next incarnation."""
+    return WORTH[Sign(cause.value)].order_limits * policy.ORDER_LIMIT_MS
+
+
+@dataclasses.dataclass(frozen=True)
+class Reading:
+    """A reading of the platform's list of VMs.
+
+    :param executor_ids: those of all executors that are up
+    :param requested_at_ms: elapsed time at which it was requested
+    :param is_one_page: whether the list was read at once
+    """
+
+    executor_ids: frozenset[str]
+    requested_at_ms: int
+    is_one_page: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspicion:
+    """A report that an executor may have gone, which is no proof by itself.
+
+    :param received_at_ms: elapsed time
+    :param missed_readings: number of the last readings that did not list the
+        executor as up
+    """
+
+    gone: messages.ExecutorGone
+    received_at_ms: int
+    missed_readings: int = 0
+
+    @property
+    def executor_id(self) -> str:
+        """Id of the suspected executor."""
+        return find_executor_id(self.gone.incarnation)
+
+
+def find_executor_id(incarnation: str) -> str:
+    """Return the executor id of an incarnation."""
+    return incarnation.partition('/')[0]
+
+
+def weigh_reading(suspicion: Suspicion, reading: Reading) -> Suspicion:
+    """Return a suspicion after a reading of the list.
+
+    A reading that was requested before the report may be older than the end.
+    """
+    if reading.requested_at_ms < suspicion.received_at_ms:
+        return suspicion
+    missed_readings = 0
+    if suspicion.executor_id not in reading.executor_ids:
+        missed_readings = suspicion.missed_readings + 1
+    return dataclasses.replace(suspicion, missed_readings=missed_readings)
+
+
+def is_confirmed(
+    suspicion: Suspicion, reading: Reading, was_listed: bool
+) -> bool:
+    """Tell whether the list proves a suspicion.
+
+    :param was_listed: whether an earlier reading listed the executor as up;
+        otherwise the list may not know it yet
+    """
+    limit = 1 if reading.is_one_page else MISSED_READINGS_LIMIT
+    return was_listed and suspicion.missed_readings >= limit
+
+
+@dataclasses.dataclass(frozen=True)
+class SilentRun:
+    """What is known of a run on a target that is silent.
+
+    :param deadline_ms: elapsed time at which it has ended unless suspensions
+        add up
+    :param last_deadline_ms: the latest such time of all runs there
+    :param is_lasting: whether its task lasts
+    :param is_executor_known: whether the owner knows the executor's id
+    :param missed_readings: as in ``Suspicion``
+    """
+
+    deadline_ms: int
+    last_deadline_ms: int
+    is_lasting: bool
+    is_executor_known: bool
+    missed_readings: int
+
+
+def has_ended_in_silence(
+    run: SilentRun, has_listing: bool, failed_readings: int, now_ms: int
+) -> bool:
+    """Tell whether a run of a silent target counts as ended.
+
+    Suspensions may add up in one silence, so the deadline alone proves nothing
+    of a VM that is up.
+
+    :param has_listing: whether there is a list of VMs
+    :param failed_readings: number of the last readings that failed
+    """
+    if now_ms < run.deadline_ms:
+        return False
+    if (
+        not has_listing
+        or failed_readings >= FAILED_READINGS_LIMIT
+        or now_ms >= run.last_deadline_ms + LISTED_EXTENSION_MS
+    ):
+        return True
+    # Rule LOST allows a lasting task no wait for the VM of another one.
+    if run.is_lasting and not run.is_executor_known:
+        return True
+    return run.missed_readings >= MISSED_READINGS_LIMIT
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -18,13 +18,16 @@
 
 
 class GoneCause(enum.Enum):
-    """How an agent learned that its executor has gone.
+    """What tells an agent that its executor has gone, or that it may have.
 
-    ``REPLACED``: an executor with another id answers; ``RESTARTED``: another
-    incarnation under the same id does.
+    Which of them are proofs is decided in ``end_proofs``. ``REPLACED``: an
+    executor with another id has answered under it; ``RESTARTED``: another
+    incarnation under the same id has.
     """
 
     NOTHING_LISTENS = 'nothing listens'
+    OTHER_ANSWERS = 'other executor answers'
+    OTHER_ANNOUNCED = 'other incarnation announced'
     REPLACED = 'replaced'
     RESTARTED = 'started again'
     LEASE_ENDED = 'lease ended'
@@ -177,15 +180,15 @@
 
 
 class ExecutorGone(Message, frozen=True, array_like=True, tag=True):
-    """An incarnation of the executor has gone, and its runs with it.
+    """An incarnation of the executor has gone, or may have.
 
     :param reached: task and attempt of each run whose start the executor may
         have received; None if it is not known
     :param silent_ms: how long it has not answered any more, at least
     :param unproved: task and attempt of each run that the next incarnation
         may start, because an order is still on its way to the executor id
-    :param is_answering: whether the executor still answers, so that its runs
-        have ended without a crash
+    :param is_orderly: whether its runs have ended without a crash, because it
+        still answers or has announced its end
     :param order_age_ms: time since the last start of an unproved run was
         sent, at least; if ``reached`` is None, since the last of any run
     """
@@ -196,7 +199,7 @@
     reached: tuple[tuple[str, int], ...] | None = None
     silent_ms: int = 0
     unproved: tuple[tuple[str, int], ...] = ()
-    is_answering: bool = False
+    is_orderly: bool = False
     order_age_ms: int = 0
 
 
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -22,16 +22,17 @@
 from borageshelf.ports import task_executor
 from borageshelf.workflows import crashes
 from borageshelf.workflows import effects
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import fleet
 from borageshelf.workflows import hand_over
 from borageshelf.workflows import idle
 from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
-from borageshelf.workflows import policy
 from borageshelf.workflows import records
 from borageshelf.workflows import scheduler
 from borageshelf.workflows import silence
 from borageshelf.workflows import targets
+from borageshelf.workflows import vm_list
 
 # The platform's protocol allows 32 entries in one commit; the expected
 # revision and the head take two of them.
@@ -46,15 +47,6 @@
 # Agents report every 400 ms. After a longer gap the agent, the network or
 # this process was paused.
 REPORT_GAP_LIMIT_MS: Final = 900
-# The list of VMs is read from this long before runs of a silent target would
-# be given up.
-LISTING_LEAD_MS: Final = 1_500
-# The pages of the list are read one by one and may change meanwhile, so one
-# reading may miss an executor.
-MISSED_READINGS_LIMIT: Final = 2
-FAILED_READINGS_LIMIT: Final = 3
-# Bounds the wait for an agent that never comes back on a VM that is up.
-LISTED_EXTENSION_MS: Final = 20_000
 FULL_PACE_PERCENT: Final = 100
 # A filler that stays below this pace for longer than the limit is moved. The
 # stop with a checkpoint and the new start cost about one report interval.
@@ -64,18 +56,6 @@
 # the fleet is unknown.
 FLEET_DISCOVERY_MS: Final = 2_000
 
-# Multiples of ``policy.ORDER_LIMIT_MS`` after which the run of a late start
-# counts as ended. An incarnation that may be back has begun its clock anew, so
-# the run has a whole lease there; one that was seen gets one more for a start
-# that is very late.
-LATE_START_LIMITS: Final = {
-    messages.GoneCause.NOTHING_LISTENS: 1,
-    messages.GoneCause.LEFT: 1,
-    messages.GoneCause.LEASE_ENDED: 2,
-    messages.GoneCause.RESTARTED: 3,
-    messages.GoneCause.REPLACED: 3,
-}
-
 
 RecordEvent = abc.Callable[..., None]
 
@@ -156,8 +136,7 @@
         self._immediate_effects: list[effects.Effect] = []
         self._expired_workflow_ids: list[str] = []
         self._next_expiry_ms = 0
-        self._has_listing = False
-        self._failed_readings = 0
+        self._vm_list = vm_list.VmList(record)
         self._crash_tracker = crashes.CrashTracker(self._fleet, record)
         self.scheduler = scheduler.Scheduler(
             self._fleet, self._crash_tracker, self.set_aside
@@ -329,6 +308,7 @@
         target.is_ready = False
         target.data_centre = hello.data_centre
         target.announced_incarnation = hello.incarnation
+        target.attached_at_ms = moment.elapsed_ms
         target.sent_spec_ids.clear()
         target.clear_uncommitted_ends()
         target.in_touch_at_ms = moment.elapsed_ms
@@ -395,6 +375,7 @@
         target.is_ready = True
         target.missed_readings = 0
         target.is_listed_up = None
+        target.suspicions.clear()
         target.has_given_up_runs = False
         ended = {(end.task, end.attempt) for end in snapshot.ended}
         listed = {(row.task, row.attempt): row for row in snapshot.running}
@@ -421,6 +402,7 @@
             self._drop_lost_run(
                 run,
                 'not listed in the snapshot',
+                end_proofs.Sign.NOT_IN_SNAPSHOT,
                 f'snapshot of {snapshot.state.incarnation}',
                 moment,
             )
@@ -461,11 +443,7 @@
         gone: messages.ExecutorGone,
         moment: clock.Moment,
     ) -> None:
-        """Drop the runs of the incarnation of an executor that has gone.
-
-        A run that another incarnation may have is kept until a snapshot shows
-        whether it has, or until its order has expired.
-        """
+        """Drop the runs of an executor that has gone, once that is proved."""
         target.is_ready = False
         target.unexpected_runs.clear()
         self._fleet.touch(target)
@@ -474,11 +452,41 @@
             target=target.target_id,
             incarnation=gone.incarnation,
             cause=gone.cause.value,
+            is_proof=end_proofs.is_proof(gone.cause),
             silent_ms=gone.silent_ms,
             is_draining=target.is_draining,
             runs=len(target.runs),
         )
         measurements.EXECUTORS_GONE.labels(gone.cause.value).inc()
+        if end_proofs.is_proof(gone.cause):
+            target.suspicions.pop(gone.incarnation, None)
+            self._drop_runs_of_executor(
+                target,
+                gone,
+                end_proofs.Sign(gone.cause.value),
+                moment.elapsed_ms,
+                moment,
+            )
+        else:
+            target.suspicions[gone.incarnation] = end_proofs.Suspicion(
+                gone, moment.elapsed_ms
+            )
+
+    def _drop_runs_of_executor(
+        self,
+        target: targets.Target,
+        gone: messages.ExecutorGone,
+        proof: end_proofs.Sign,
+        reported_at_ms: int,
+        moment: clock.Moment,
+    ) -> None:
+        """Drop the runs of an incarnation of an executor.
+
+        A run that another incarnation may have is kept until a snapshot shows
+        whether it has, or until its order has expired.
+
+        :param reported_at_ms: elapsed time of the report
+        """
         is_repeated = target.gone_incarnation == gone.incarnation
         target.gone_incarnation = gone.incarnation
         gone_hash = targets.hash_incarnation(gone.incarnation)
@@ -486,7 +494,7 @@
         # An executor that drains may crash, too; its young runs show it, as
         # it gets none in the time before it leaves.
         has_crashed = (
-            gone.cause is not messages.GoneCause.LEFT and not gone.is_answering
+            gone.cause is not messages.GoneCause.LEFT and not gone.is_orderly
         )
         if has_crashed:
             crashed = [
@@ -498,7 +506,7 @@
                     or (run.task.name, run.attempt) in gone.reached
                 )
             ]
-            crashed_at_ms = moment.elapsed_ms - gone.silent_ms
+            crashed_at_ms = reported_at_ms - gone.silent_ms
             if crashed or not is_repeated:
                 self._handle_crash(target, crashed, crashed_at_ms, moment)
         for run in lost:
@@ -520,7 +528,7 @@
             if is_unproved:
                 ordered_by_ms = moment.elapsed_ms
                 if is_of_incarnation:
-                    ordered_by_ms -= gone.order_age_ms
+                    ordered_by_ms = reported_at_ms - gone.order_age_ms
                 self._keep_unproved_run(target, key, ordered_by_ms, gone.cause)
                 if run.executor_hash == gone_hash:
                     # A report may be repeated, even to the next owner.
@@ -530,7 +538,8 @@
                 self._drop_lost_run(
                     run,
                     'the executor has gone',
-                    f'{gone.cause.value}: {gone.incarnation}',
+                    proof,
+                    gone.incarnation,
                     moment,
                 )
 
@@ -551,8 +560,7 @@
             key, targets.UnprovedRun(ordered_by_ms, 0)
         )
         ordered_by_ms = min(ordered_by_ms, former.ordered_by_ms)
-        limit_ms = LATE_START_LIMITS[cause] * policy.ORDER_LIMIT_MS
-        expiry_ms = ordered_by_ms + limit_ms
+        expiry_ms = ordered_by_ms + end_proofs.compute_order_limit_ms(cause)
         expiry_ms = max(expiry_ms, former.expiry_ms)
         target.unproved_runs[key] = targets.UnprovedRun(
             ordered_by_ms, expiry_ms
@@ -767,7 +775,7 @@
                 for key, run in target.runs.items()
                 if run.is_sent
                 and key not in target.unproved_runs
-                and self._is_given_up(target, run, now_ms)
+                and self._vm_list.has_ended_in_silence(target, run, now_ms)
             ]
             if granted:
                 self._record('target lost', target=target.target_id)
@@ -776,6 +784,7 @@
                 self._drop_lost_run(
                     run,
                     'the grant has ended',
+                    end_proofs.Sign.SILENCE,
                     f'no report until {target.find_lost_deadline_ms(run)}',
                     moment,
                 )
@@ -788,79 +797,45 @@
                     self._expired_workflow_ids.append(workflow_id)
 
     def await_listings(self) -> None:
-        """Give up no run of a silent target before the list was read."""
-        self._has_listing = True
+        """Let the list of VMs decide on suspected and silent targets."""
+        self._vm_list.is_used = True
 
-    def needs_listing(self, moment: clock.Moment) -> bool:
-        """Tell whether runs of a silent target are about to be given up."""
-        return any(self._list_expiring_targets(moment))
+    @property
+    def has_suspicion(self) -> bool:
+        """Whether an executor may have gone."""
+        return self._vm_list.has_suspicion(self.targets.values())
 
-    def _list_expiring_targets(
-        self, moment: clock.Moment
-    ) -> abc.Iterator[targets.Target]:
-        for target in self.targets.values():
-            begin_ms = target.lost_deadlines.first_ms - LISTING_LEAD_MS
-            if (
-                not target.is_ready
-                and target.runs
-                and moment.elapsed_ms >= begin_ms
-            ):
-                yield target
+    def needs_listing(self, moment: clock.Moment) -> bool:
+        """Tell whether the list of VMs has to be read now."""
+        return self._vm_list.needs_reading(
+            self.targets.values(), moment.elapsed_ms
+        )
 
     def apply_listing(
-        self, executor_ids: frozenset[str], requested_at: clock.Moment
+        self, reading: end_proofs.Reading, moment: clock.Moment
     ) -> None:
-        """Note which silent targets the platform lists as up.
-
-        A new owner may not know the executor of a target. It counts as up as
-        long as an executor is up that belongs to no other target.
-
-        :param executor_ids: those of all executors that are up
-        """
-        self._failed_readings = 0
-        known_ids = {target.executor_id for target in self.targets.values()}
-        is_unknown_up = bool(executor_ids - known_ids)
-        for target in self._list_expiring_targets(requested_at):
-            is_up = is_unknown_up
-            if target.executor_id:
-                is_up = target.executor_id in executor_ids
-            target.missed_readings = 0 if is_up else target.missed_readings + 1
-            if is_up != target.is_listed_up:
-                target.is_listed_up = is_up
-                self._record(
-                    'silent target listed',
-                    target=target.target_id,
-                    executor=target.executor_id,
-                    is_up=is_up,
-                    silent_ms=requested_at.elapsed_ms - target.contact_at_ms,
-                )
+        """Drop the runs of executors that the list proves to have gone."""
+        confirmed = self._vm_list.apply_reading(self.targets.values(), reading)
+        for target, suspicion in confirmed:
+            del target.suspicions[suspicion.gone.incarnation]
+            self._record(
+                'suspected executor not listed',
+                target=target.target_id,
+                incarnation=suspicion.gone.incarnation,
+                cause=suspicion.gone.cause.value,
+                waited_ms=moment.elapsed_ms - suspicion.received_at_ms,
+            )
+            self._drop_runs_of_executor(
+                target,
+                suspicion.gone,
+                end_proofs.Sign.NOT_LISTED_AS_UP,
+                suspicion.received_at_ms,
+                moment,
+            )
 
     def note_failed_listing(self) -> None:
         """Note that the list of VMs could not be read."""
-        self._failed_readings += 1
-
-    def _is_given_up(
-        self, target: targets.Target, run: jobs.Run, now_ms: int
-    ) -> bool:
-        """Tell whether a run of a silent target counts as ended.
-
-        Suspensions may add up in one silence, so the deadline alone proves
-        nothing of a VM that is up.
-        """
-        limit_ms = target.lost_deadlines.other_ms + LISTED_EXTENSION_MS
-        if now_ms < target.find_lost_deadline_ms(run):
-            return False
-        if (
-            not self._has_listing
-            or self._failed_readings >= FAILED_READINGS_LIMIT
-            or now_ms >= limit_ms
-        ):
-            return True
-        # Rule LOST allows a lasting task no wait for the VM of another one.
-        is_guess = not target.executor_id
-        if is_guess and run.task.group.step.is_lasting:
-            return True
-        return target.missed_readings >= MISSED_READINGS_LIMIT
+        self._vm_list.note_failed_reading()
 
     def _drop_expired_runs(
         self, target: targets.Target, moment: clock.Moment
@@ -877,11 +852,14 @@
             run = target.runs[key]
             if moment.elapsed_ms >= unproved.expiry_ms and (
                 is_in_touch
-                or self._is_given_up(target, run, moment.elapsed_ms)
+                or self._vm_list.has_ended_in_silence(
+                    target, run, moment.elapsed_ms
+                )
             ):
                 self._drop_lost_run(
                     run,
                     'its order has expired',
+                    end_proofs.Sign.ORDER_EXPIRED,
                     f'ordered by {unproved.ordered_by_ms}',
                     moment,
                 )
@@ -1394,12 +1372,15 @@
         run.task.group.job.remove_run(run, ended_at_ms)
 
     def _drop_lost_run(
-        self, run: jobs.Run, cause: str, proof: str, moment: clock.Moment
+        self,
+        run: jobs.Run,
+        cause: str,
+        proof: end_proofs.Sign,
+        detail: str,
+        moment: clock.Moment,
     ) -> None:
-        """Drop a run that has certainly ended without a reported end.
-
-        :param proof: what has shown it, for the log
-        """
+        """Drop a run that has certainly ended without a reported end."""
+        assert end_proofs.WORTH[proof].is_proof
         job = run.task.group.job
         target = self.targets[run.target_id]
         self._record(
@@ -1409,7 +1390,8 @@
             attempt=run.attempt,
             target=run.target_id,
             cause=cause,
-            proof=proof,
+            proof=proof.value,
+            detail=detail,
             incarnation=target.incarnation,
             is_same_incarnation=(
                 run.executor_hash == target.compute_executor_hash()
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -10,6 +10,7 @@
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_placement
 from borageshelf.model import resources
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import jobs
 from borageshelf.workflows import silence
 
@@ -41,6 +42,8 @@
         did not show its executor as up
     :ivar is_listed_up: what the list last said of a silent target; None if it
         was not read
+    :ivar suspicions: incarnations of its executor that may have gone
+    :ivar attached_at_ms: elapsed time of the begin of the session
     :ivar has_given_up_runs: whether runs were given up since the last snapshot
         because their grant had ended
     :ivar sent_spec_ids: ids of the workflows whose specification has been
@@ -111,6 +114,8 @@
         self.lost_deadlines = lost_deadlines
         self.missed_readings = 0
         self.is_listed_up: bool | None = None
+        self.suspicions: dict[str, end_proofs.Suspicion] = {}
+        self.attached_at_ms = 0
         self.has_given_up_runs = False
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.unexpected_runs: set[tuple[str, int]] = set()
@@ -246,7 +251,7 @@
     @property
     def executor_id(self) -> str:
         """Id of the executor that the agent knew last; '' if not known."""
-        announced_id = self.announced_incarnation.partition('/')[0]
+        announced_id = end_proofs.find_executor_id(self.announced_incarnation)
         return announced_id or self.former_executor_id
 
     def compute_executor_hash(self) -> int:
--- a/tests/lasting/agents.py
+++ b/tests/lasting/agents.py
@@ -233,9 +233,9 @@
         lease_end_ms = (
             executor.lease_deadline_ms + executor_lease.LEASE_END_MARGIN_MS
         )
+        is_suspect = self._gone_cause is messages.GoneCause.NOTHING_LISTENS
         if (
-            executor.mute_count
-            and self._gone_cause is None
+            (is_suspect or (executor.mute_count and self._gone_cause is None))
             and self._inspected_incarnation
             and now_ms > lease_end_ms
         ):
--- a/tests/lasting/world.py
+++ b/tests/lasting/world.py
@@ -8,6 +8,7 @@
 from borageshelf.model import resources
 from borageshelf.model import workflows
 from borageshelf.workflows import effects
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import hand_over
 from borageshelf.workflows import journal
 from borageshelf.workflows import owner
@@ -280,11 +281,24 @@
         for agent in cluster.agents.values():
             agent.advance(core, cluster.is_granting, cluster.moment)
         if self.has_owner:
+            self._read_list()
             cluster.apply_effects(cluster.core.take_immediate_effects())
             cluster.run_until_idle()
             self._read_replies()
         return self.monitor.check(self.executors.values(), cluster.now_ms)
 
+    def _read_list(self) -> None:
+        """Let the owner read which executors are up."""
+        cluster = self.cluster
+        if cluster.core.needs_listing(cluster.moment):
+            up_ids = frozenset(
+                executor.executor_id
+                for executor in self.executors.values()
+                if executor.is_up and not executor.is_lost
+            )
+            reading = end_proofs.Reading(up_ids, cluster.now_ms)
+            cluster.core.apply_listing(reading, cluster.moment)
+
     def _send_requests(self) -> None:
         unsent, self._unsent = self._unsent, []
         for workflow in unsent:
--- a/tests/model/processes.py
+++ b/tests/model/processes.py
@@ -14,6 +14,7 @@
 from borageshelf import errors
 from borageshelf.model import resources
 from borageshelf.model import workflows
+from borageshelf.ports import inventory
 from borageshelf.ports import store as store_interface
 from borageshelf.ports import task_executor
 from borageshelf.workflows import hand_over
@@ -55,6 +56,11 @@
         """Return the clock that an executor shows in its answers."""
         raise NotImplementedError
 
+    @property
+    def listing(self) -> inventory.Inventory | None:
+        """The platform's list of VMs; None if there is none."""
+        raise NotImplementedError
+
     def note_event(self, process: 'Process', text: str) -> None:
         """Add a line to the history."""
 
@@ -165,6 +171,7 @@
             lambda: (),
             confirmed_at_ms,
             handed_over=handed_over,
+            listing=self.world.listing,
         )
         while True:
             try:
--- a/tests/model/safeguards.py
+++ b/tests/model/safeguards.py
@@ -18,6 +18,7 @@
 from borageshelf.entry.workflows import runtime
 from borageshelf.ports import store as store_interface
 from borageshelf.ports import task_executor
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import journal
 from borageshelf.workflows import owner
 from borageshelf.workflows import policy
@@ -267,6 +268,14 @@
         yield
 
 
+@contextlib.contextmanager
+def _believe_refused_connections() -> abc.Iterator[None]:
+    """Take a refused connection for the end of an executor."""
+    believed = {end_proofs.Sign.NOTHING_LISTENS: end_proofs.Worth(True)}
+    with mock.patch.dict(end_proofs.WORTH, believed):
+        yield
+
+
 LATE_ORDERS: Final = ('keep for later', 'carry out the late order')
 SAFEGUARDS: Final = (
     Safeguard(
@@ -350,6 +359,12 @@
         suspension_ms=policy.SUSPENSION_LIMIT_MS,
         has_suspensions_beside_cuts=True,
     ),
+    Safeguard(
+        'a refused connection proves no end',
+        _believe_refused_connections,
+        search.Bounds(8, 1, 0),
+        ('connections refused at',),
+    ),
     Safeguard(
         'messages of a replaced session are ignored',
         _receive_from_former_streams,
--- a/tests/model/search.py
+++ b/tests/model/search.py
@@ -204,6 +204,7 @@
     parser.add_argument('--tasks', type=int, default=1)
     parser.add_argument('--ends-limit', type=int, default=500)
     parser.add_argument('--duration-ms', type=int, default=9_000)
+    parser.add_argument('--listing', action='store_true')
     parser.add_argument('--exclude', action='append', default=[])
     parser.add_argument('--only', action='append', default=[])
     parser.add_argument('--time-limit-s', type=float, default=0)
@@ -218,6 +219,7 @@
             options.ends_limit,
             frozenset(excluded),
             options.duration_ms,
+            has_listing=options.listing,
         ),
         Bounds(options.depth, options.faults, options.events),
         options.time_limit_s,
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -10,6 +10,7 @@
 from typing import Any, Final
 
 from borageshelf import errors
+from borageshelf.ports import inventory
 from borageshelf.ports import task_executor
 from borageshelf.workflows import policy
 from tests.model import executors
@@ -44,6 +45,7 @@
     :param suspension_ms: how long a VM is suspended
     :param has_suspensions_beside_cuts: whether a VM may be suspended while its
         agent is cut off
+    :param has_listing: whether the owner can read which executors are up
     :param has_long_silences: whether it may also be suspended again, so that
         its owner can't wait for it
     """
@@ -56,6 +58,7 @@
     suspension_ms: int = SUSPENSION_MS
     has_suspensions_beside_cuts: bool = False
     has_long_silences: bool = False
+    has_listing: bool = False
 
 
 class World(transit.Network):
@@ -220,6 +223,21 @@
             and now_ms >= self.unhealthy_until_ms.get(name, 0)
         )
 
+    @property
+    def listing(self) -> inventory.Inventory | None:
+        """The platform's list of VMs; None if there is none."""
+        return self if self.scenario.has_listing else None
+
+    async def list_up_executors(self) -> inventory.UpExecutors:
+        """Return all executors that are up."""
+        return inventory.UpExecutors(
+            frozenset(
+                f'i-{executor.name}'
+                for executor in self.executors.values()
+                if executor.is_up
+            )
+        )
+
     def start_agent(self, name: str) -> None:
         """Start the agent of an executor."""
         former = self.agents.get(name)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -46,8 +46,10 @@
     """Return seeds from the first one on, or random ones of both shapes."""
     if first is not None:
         return list(range(first, first + count))
-    small = random.randrange(plans.FIRST_SEED_WITH_CUTS, site_plans.FIRST_SEED)
-    site = random.randrange(site_plans.FIRST_SEED, SEED_LIMIT)
+    small = random.randrange(
+        plans.FIRST_SEED_WITH_REFUSALS + count, site_plans.FIRST_SEED
+    )
+    site = random.randrange(site_plans.FIRST_SEED_WITH_ALL_FAULTS, SEED_LIMIT)
     return [
         site + number if number % SITE_INTERVAL == 0 else small - number
         for number in range(count)
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -21,6 +21,7 @@
 from borageshelf.entry.workflows import configuration
 from borageshelf import main
 from borageshelf.workflows import channel
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import owner
 from borageshelf.workflows import policy
 from borageshelf.workflows import silence
@@ -95,7 +96,13 @@
     """Take the runs of a silent target for ended with their grant."""
     limits = silence.Limits(policy.GRANT_LIMIT_MS, policy.GRANT_LIMIT_MS)
     setattr(policy.OwnerPolicy, 'silence_limits', limits)
-    setattr(owner, 'LISTED_EXTENSION_MS', 0)
+    setattr(end_proofs, 'LISTED_EXTENSION_MS', 0)
+
+
+def believe_all_signs() -> None:
+    """Take each sign of an executor's end for a proof."""
+    for sign, worth in end_proofs.WORTH.items():
+        end_proofs.WORTH[sign] = dataclasses.replace(worth, is_proof=True)
 
 
 def forget_runs_of_lost_streams() -> None:
@@ -159,6 +166,7 @@
     'blame': blame_no_task_for_crashes,
     'capacity': ignore_changed_capacities,
     'suspension': count_no_suspensions,
+    'proof': believe_all_signs,
 }
 
 if __name__ == '__main__':
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -61,6 +61,9 @@
 ODD_ENTRY_KINDS: Final = ('configuration', 'owner', 'keys', 'heartbeats')
 VM_KINDS: Final = ('suspend', 'suspend-agent-longer')
 FIRST_SEED_WITH_CUTS: Final = 3_000_000
+FIRST_SEED_WITH_REFUSALS: Final = 3_500_000
+REFUSAL_COUNT_RANGE: Final = (1, 3)
+REFUSAL_DURATIONS_MS: Final = (300, 1_500, 5_500)
 # As the sites of the users' platform have them.
 CUT_MS: Final = 5_500
 SUSPENSION_BESIDE_CUT_MS: Final = 4_000
@@ -204,6 +207,11 @@
         faults += _draw_suspensions(rng, faults, targets)
     if seed >= FIRST_SEED_WITH_CUTS:
         faults += _draw_suspension_beside_cut(rng, faults, targets)
+    if seed >= FIRST_SEED_WITH_REFUSALS:
+        faults += [
+            _draw_refusal(rng)
+            for _ in range(rng.randint(*REFUSAL_COUNT_RANGE))
+        ]
     faults.sort(key=lambda fault: fault.at_ms)
     return Plan(
         seed,
@@ -303,6 +311,17 @@
     ]
 
 
+def _draw_refusal(rng: random.Random) -> Fault:
+    """Return refused connections of an executor that goes on."""
+    return Fault(
+        rng.randint(FIRST_FAULT_AT_MS, LOAD_DURATION_MS),
+        rng.choice(REFUSAL_DURATIONS_MS),
+        'vm',
+        'refuse-executor',
+        rng.randrange(100),
+    )
+
+
 def _is_same_agent(fault: Fault, index: int, targets: int) -> bool:
     """Tell whether a fault stops or ends the agent of a VM."""
     if fault.subject == 'group':
--- a/tests/soak/site_plans.py
+++ b/tests/soak/site_plans.py
@@ -13,6 +13,7 @@
 from tests.soak import plans
 
 FIRST_SEED: Final = 4_000_000
+FIRST_SEED_WITH_ALL_FAULTS: Final = 4_600_000
 LOAD_MS: Final = 30_000
 ENTRIES: Final = 3
 TARGETS: Final = 11
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -8,6 +8,7 @@
 
 from borageshelf import clock
 from borageshelf.ports import task_executor
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import messages
 from tests import test_proofs_of_ends as proofs
 from tests import test_workflow_driver as driver_tests
@@ -96,6 +97,7 @@
         reached=None if incarnation == 1 else (KEY,),
     )
     cluster.core.handle_executor_gone(target, gone, cluster.moment)
+    cluster.list_vms_without(cluster.targets[target_id])
     cluster.run_until_idle()
     assert len(cluster.sent_starts) == 1 + is_started_again
 
@@ -304,7 +306,7 @@
         extending.cancel()
         assert gone.cause is messages.GoneCause.LEASE_ENDED
         assert gone.reached == (KEY,)
-        assert gone.is_answering
+        assert gone.is_orderly
 
     driver_tests.run_scenario(scenario)
 
@@ -321,7 +323,7 @@
         cluster.targets[start[0]],
         messages.GoneCause.LEASE_ENDED,
         reached=(KEY,),
-        is_answering=True,
+        is_orderly=True,
     )
     assert count_crashes(cluster) == 0
     assert [start[2] for start in cluster.sent_starts] == [1, 2]
@@ -386,19 +388,7 @@
 def test_open_order_is_void_once_another_executor_id_answers() -> None:
     async def scenario(harness: driver_tests.DriverHarness) -> None:
         await crash_with_an_open_order(harness)
-        harness.driver._executor = ReplacedExecutor()
-        gone = await harness.wait_for(messages.ExecutorGone, 2)
-        assert gone.cause is messages.GoneCause.REPLACED
-        assert (gone.reached, gone.unproved) == ((KEY,), ())
-
-    driver_tests.run_scenario(scenario)
-
-
-def test_open_order_is_void_once_another_executor_id_announces_itself() -> (
-    None
-):
-    async def scenario(harness: driver_tests.DriverHarness) -> None:
-        await crash_with_an_open_order(harness)
+        executor = harness.executor
         # It restarts under its id first and is not inspected.
         for instance_id, born_at_ms in (('i-1', 2), ('i-2', 3)):
             harness.driver.handle_announcement(
@@ -411,15 +401,40 @@
             harness.driver.begin_session(
                 messages.Welcome(1, driver_tests.TOKEN, 5_000, ())
             )
-        reports = [
-            (gone.incarnation, gone.cause, gone.reached, gone.unproved)
-            for gone in harness.list_sent(messages.ExecutorGone)[1:]
-        ]
-        assert reports == [
-            ('i-1/1', messages.GoneCause.RESTARTED, (KEY,), (KEY,)),
-            ('i-1/1', messages.GoneCause.REPLACED, (KEY,), ()),
-            ('i-1/2', messages.GoneCause.REPLACED, None, ()),
-        ]
+        assert all(
+            gone.unproved in ((KEY,), ())
+            and not end_proofs.is_proof(gone.cause)
+            for gone in harness.list_sent(messages.ExecutorGone)
+        )
+        executor.born_at_ms = 3
+        executor.is_down = False
+        await harness.wait_for(messages.Snapshot, 2)
+        (proof,) = (
+            gone
+            for gone in harness.list_sent(messages.ExecutorGone)
+            if end_proofs.is_proof(gone.cause)
+        )
+        assert proof.incarnation == 'i-1/1'
+        assert proof.cause is messages.GoneCause.REPLACED
+        assert (proof.reached, proof.unproved) == ((KEY,), ())
+
+    driver_tests.run_scenario(scenario)
+
+
+def test_answer_of_another_executor_alone_is_no_proof() -> None:
+    """Guards against a path that leads to another executor for a while."""
+
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await harness.begin_session()
+        harness.start()
+        await harness.wait_until(lambda: len(harness.executor.starts) == 1)
+        harness.driver._executor = ReplacedExecutor()
+        gone = await harness.wait_for(messages.ExecutorGone)
+        assert gone.cause is messages.GoneCause.OTHER_ANSWERS
+        assert gone.reached == (KEY,)
+        harness.driver._executor = harness.executor
+        await harness.wait_until(lambda: harness.requested_sessions > 0)
+        assert len(harness.list_sent(messages.ExecutorGone)) == 1
 
     driver_tests.run_scenario(scenario)
 
--- a/tests/test_grant_watch.py
+++ b/tests/test_grant_watch.py
@@ -257,6 +257,7 @@
     (fields,) = (
         fields for event, fields in cluster.log_lines if event == 'run lost'
     )
-    assert fields['proof'] == f'lease ended: {incarnation}'
+    assert fields['proof'] == 'lease ended'
+    assert fields['detail'] == incarnation
     assert fields['is_same_incarnation']
     assert fields['silent_ms'] == 0
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -250,9 +250,7 @@
     """Guards against the end of a run whose start is still on its way."""
     handed_over = hand_over.HandOver()
     core, moment = make_owner(100_000, handed_over)
-    gone = messages.ExecutorGone(
-        0, 'vm-0/1', messages.GoneCause.NOTHING_LISTENS
-    )
+    gone = messages.ExecutorGone(0, 'vm-0/1', messages.GoneCause.LEASE_ENDED)
     core.handle_executor_gone(core.targets['vm-0'], gone, moment)
     assert core.targets['vm-0'].unproved_runs
     assert not handed_over.name_silent_targets(102_000, True)
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -3,7 +3,6 @@
 Rule LOST of the users' platform; ``tests.lasting.monitor`` states it.
 """
 
-import collections
 import dataclasses
 import types
 from typing import Any
@@ -13,7 +12,7 @@
 from borageshelf.entry.workflows import runtime
 from borageshelf.model import resources
 from borageshelf.model import workflows
-from borageshelf.workflows import owner
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import policy
 from borageshelf.workflows import silence
 from tests.lasting import agents
@@ -426,9 +425,9 @@
         ),
         (
             LATE_ON_NEXT_INCARNATION,
-            owner,
-            'LATE_START_LIMITS',
-            collections.Counter(),
+            end_proofs,
+            'compute_order_limit_ms',
+            lambda _: 0,
         ),
         (
             SUSPENDED_FOR_LONG,
--- a/tests/test_model_search.py
+++ b/tests/test_model_search.py
@@ -13,6 +13,7 @@
     ('scenario', 'bounds'),
     [
         (world.Scenario(), search.Bounds(10, 1, 1)),
+        (world.Scenario(has_listing=True), search.Bounds(10, 1, 1)),
         (
             world.Scenario(tasks=3, ends_limit=1),
             search.Bounds(12, 0, 2),
@@ -22,7 +23,12 @@
             search.Bounds(12, 1, 0),
         ),
     ],
-    ids=['one task', 'three tasks, one end at a time', 'placed later'],
+    ids=[
+        'one task',
+        'list of VMs',
+        'three tasks, one end at a time',
+        'placed later',
+    ],
 )
 def test_intact_code_keeps_the_promise(
     scenario: world.Scenario, bounds: search.Bounds
--- a/tests/test_promises_beside_waits.py
+++ b/tests/test_promises_beside_waits.py
@@ -43,6 +43,7 @@
     )
     fake.running.clear()
     cluster.core.handle_executor_gone(target, gone, cluster.moment)
+    cluster.list_vms_without(fake)
     reported_at_ms = cluster.now_ms
     # The machine is cut off; the executor is back there, and the start, which
     # is on its way, arrives 3 s later and gets a whole lease.
@@ -115,6 +116,7 @@
     )
     fake.running.clear()
     cluster.core.handle_executor_gone(target, gone, cluster.moment)
+    cluster.list_vms_without(fake)
     # The last report comes 3,400 ms after the order; then the machine is cut
     # off. The owner takes its session for alive until 1,700 ms later.
     while cluster.now_ms < ordered_at_ms + 5_000:
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -19,7 +19,10 @@
     cause: messages.GoneCause = messages.GoneCause.RESTARTED,
     **fields: Any,
 ) -> None:
-    """Let the agent of a target report that its executor has gone."""
+    """Let the agent of a target report that its executor has gone.
+
+    The list of VMs confirms it.
+    """
     gone = messages.ExecutorGone(
         0,
         fake.make_state().incarnation,
@@ -28,6 +31,7 @@
     )
     target = cluster.core.targets[fake.target_id]
     cluster.core.handle_executor_gone(target, gone, cluster.moment)
+    cluster.list_vms_without(fake)
     cluster.run_until_idle()
 
 
--- a/tests/test_silent_vms.py
+++ b/tests/test_silent_vms.py
@@ -9,8 +9,8 @@
 from borageshelf import clock
 from borageshelf.platform import inventory as platform_inventory
 from borageshelf.ports import inventory
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import hand_over
-from borageshelf.workflows import owner
 from borageshelf.workflows import records
 from standins import platform_executor
 from standins import platform_machines
@@ -20,7 +20,7 @@
 
 TICK_MS: Final = 100
 LISTING_MS: Final = 500
-LIMIT_MS: Final = support.GRANT_MS + owner.LISTED_EXTENSION_MS
+LIMIT_MS: Final = support.GRANT_MS + end_proofs.LISTED_EXTENSION_MS
 OTHER_ID: Final = 'other'
 TERMS: Final = records.Terms('short', 'pigment', 0, 3, 2.0, 1_000, 1)
 
@@ -48,16 +48,16 @@
 class SlowListing:
     """A list that always shows the executor as up."""
 
-    async def list_up_executors(self) -> frozenset[str]:
+    async def list_up_executors(self) -> inventory.UpExecutors:
         """Answer just in time."""
         await asyncio.sleep(0.7)
-        return frozenset({'i-0'})
+        return inventory.UpExecutors(frozenset({'i-0'}))
 
 
 class FailingListing:
     """A list that can't be read."""
 
-    async def list_up_executors(self) -> frozenset[str]:
+    async def list_up_executors(self) -> inventory.UpExecutors:
         """Fail."""
         raise inventory.InventoryUnavailable('down')
 
@@ -91,9 +91,10 @@
         silent_ms = cluster.now_ms - began_ms
         is_due = not silent_ms % LISTING_MS
         if list_executors and is_due and _needs_listing(cluster):
-            cluster.core.apply_listing(
-                list_executors(silent_ms), cluster.moment
+            reading = end_proofs.Reading(
+                list_executors(silent_ms), cluster.now_ms
             )
+            cluster.core.apply_listing(reading, cluster.moment)
         cluster.run_until_idle()
         assert silent_ms < 2 * LIMIT_MS
     return silent_ms
@@ -137,7 +138,10 @@
     lost_at_ms = 6_500
     assert support.GRANT_MS < lost_at_ms < LIMIT_MS
     started_ms = find_second_start_ms(list_until_lost)
-    assert started_ms <= lost_at_ms + owner.MISSED_READINGS_LIMIT * LISTING_MS
+    assert (
+        started_ms
+        <= lost_at_ms + end_proofs.MISSED_READINGS_LIMIT * LISTING_MS
+    )
 
 
 def test_vm_that_one_reading_misses_is_waited_for() -> None:
@@ -199,12 +203,9 @@
             adapter = platform_inventory.PlatformInventory(
                 url.removeprefix('http://')
             )
-            assert await adapter.list_up_executors() == {
-                'i-0',
-                'i-2',
-                'i-3',
-                'i-4',
-            }
+            assert await adapter.list_up_executors() == inventory.UpExecutors(
+                frozenset({'i-0', 'i-2', 'i-3', 'i-4'}), is_one_page=False
+            )
             machines.is_refusing = True
             with pytest.raises(inventory.InventoryUnavailable):
                 await adapter.list_up_executors()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,22 +45,23 @@
 
 
 def test_seeds_that_nobody_names_have_all_faults() -> None:
-    """Guards against cuts and suspensions that ``make soak`` never plays."""
+    """Guards against kinds of faults that ``make soak`` never plays."""
     seeds = soak.draw_seeds(None, 50)
     site_count = sum(seed >= site_plans.FIRST_SEED for seed in seeds)
     assert 10 <= site_count <= 40
-    assert min(seeds) >= plans.FIRST_SEED_WITH_CUTS
+    assert min(seeds) >= plans.FIRST_SEED_WITH_REFUSALS
     drawn = {
         (fault.subject, fault.kind)
-        for seed in range(4_500_000, 4_500_100)
+        for seed in range(4_600_000, 4_600_100)
         for fault in site_plans.make_plan(seed).faults
     }
     small = {
         (fault.subject, fault.kind)
-        for seed in range(3_000_000, 3_000_500)
+        for seed in range(3_500_000, 3_500_500)
         for fault in plans.make_plan(seed).faults
     }
     assert drawn >= small
+    assert ('vm', 'refuse-executor') in small
 
 
 def test_cut_delivers_later_what_it_holds_back() -> None:
--- a/tests/test_waits_of_work.py
+++ b/tests/test_waits_of_work.py
@@ -41,13 +41,19 @@
     cluster: support.Cluster,
     fake: support.FakeTarget,
     cause: messages.GoneCause,
+    is_orderly: bool = False,
 ) -> None:
     """Report the present incarnation of an executor as gone."""
     target = cluster.core.targets[fake.target_id]
     gone = messages.ExecutorGone(
-        0, fake.make_state().incarnation, cause, reached=()
+        0,
+        fake.make_state().incarnation,
+        cause,
+        reached=(),
+        is_orderly=is_orderly,
     )
     cluster.core.handle_executor_gone(target, gone, cluster.moment)
+    cluster.list_vms_without(fake)
     cluster.run_until_idle()
 
 
@@ -74,8 +80,11 @@
     cluster = make_cluster(8)
     fake = cluster.targets['vm-00']
     for _ in range(2):
-        report_gone(cluster, fake, messages.GoneCause.LEFT)
-        report_gone(cluster, fake, messages.GoneCause.REPLACED)
+        for cause in (
+            messages.GoneCause.LEFT,
+            messages.GoneCause.REPLACED,
+        ):
+            report_gone(cluster, fake, cause, is_orderly=True)
         cluster.restart(fake)
         cluster.now_ms += 3_000
     assert not is_withheld(cluster, 'vm-00')
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -12,6 +12,7 @@
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
 from borageshelf.workflows import effects
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import journal
 from borageshelf.workflows import messages
 from borageshelf.workflows import owner
@@ -229,9 +230,17 @@
                 0, fake.make_state().incarnation, cause, reached=reached
             )
             self.core.handle_executor_gone(target, gone, self.moment)
+            self.list_vms_without(fake)
             self.apply_effects(self.core.take_immediate_effects())
         return lost
 
+    def list_vms_without(self, fake: FakeTarget) -> None:
+        """Read the list before and after the executor of a target has gone."""
+        ids = frozenset(self.core.targets)
+        for up_ids in (ids, ids - {fake.target_id}):
+            reading = end_proofs.Reading(up_ids, self.now_ms)
+            self.core.apply_listing(reading, self.moment)
+
     def restart(self, fake: FakeTarget) -> None:
         """Start an executor again; it knows nothing of its former runs."""
         fake.start_count += 1
