Ignore SIGHUP while an entry or agent of workflows loads

What operators saw: a process that is told of changed settings just after its start ends with status 129, as the handler is installed only once everything is imported. Such a process reads its settings afterwards, so it may ignore the signal until then. The entry point loads nothing before it does; the command line moved to commands/application.py.

--- a/borageshelf/main.py
+++ b/borageshelf/main.py
@@ -1,49 +1,23 @@
-"""Entry point of the executable: builds and runs the command line."""
+"""Entry point of the executable."""
 
+import importlib
+import signal
 import sys
 from typing import Final
 
-import cleo.application
-import cleo.exceptions
-
-from borageshelf.commands import callers
-from borageshelf.commands import explain
-from borageshelf.commands import operators
-from borageshelf.commands import processes
-from borageshelf.commands import publish
-from borageshelf.commands import top
-from borageshelf.commands import workflows
-from borageshelf import options
-
-VERSION: Final = '0.1.0'
-
-
-def make_application() -> cleo.application.Application:
-    """Return the command-line application with all commands."""
-    application = cleo.application.Application('borageshelf', VERSION)
-    for module in (
-        processes,
-        workflows,
-        operators,
-        publish,
-        callers,
-        explain,
-        top,
-    ):
-        for command in module.COMMANDS:
-            application.add(command())
-    application.auto_exits(False)
-    application.catch_exceptions(False)
-    return application
+# Processes that read their settings again at a SIGHUP.
+RELOADING_COMMANDS: Final = ('workflow-entry', 'workflow-agent')
 
 
 def main() -> int:
     """Run the command that the command line names; return its exit status."""
-    try:
-        return make_application().run()
-    except cleo.exceptions.CleoError as error:
-        print(f'borageshelf: {error}', file=sys.stderr)
-        return options.EXIT_WRONG_SETTINGS
+    if sys.argv[1:2] and sys.argv[1] in RELOADING_COMMANDS:
+        # Its handler is installed once the program is loaded, which takes
+        # long. The settings are read afterwards, so that nothing is missed.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    application = importlib.import_module('borageshelf.commands.application')
+    status: int = application.run()
+    return status
 
 
 if __name__ == '__main__':
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -14,11 +14,11 @@
 import cleo.io.outputs.buffered_output
 import pytest
 
+from borageshelf.commands import application
 from borageshelf.commands import base
 from borageshelf.commands import confirmations
 from borageshelf.commands import http_documents
 from borageshelf.commands import top
-from borageshelf import main
 from tests import loopback
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -30,7 +30,7 @@
     """Run a command in this process; return status, output and errors."""
     output = cleo.io.outputs.buffered_output.BufferedOutput()
     error_output = cleo.io.outputs.buffered_output.BufferedOutput()
-    status = main.make_application().run(
+    status = application.make_application().run(
         cleo.io.inputs.argv_input.ArgvInput(['borageshelf', *arguments]),
         output,
         error_output,
