Weigh the list of VMs by time and by incarnation; expire no order beside one

- Three failed readings counted as a list that can't be read; with a suspect they took 0.3 s, and a silent VM that is up was given up (TWICE).
The list now has to fail for 1.2 s, and a failing list is not read faster.
- An id that was listed before its executor restarted under it counted as listed, so a list that does not know the new life yet proved its end (TWICE).
- An open try of a start was forgotten once a suspect answered again, so a restart under the same id proved the end of a run that the next incarnation had started late (TWICE).
- The end of the lease raised the wait of an open order from 5.9 to 11.8 s though the list did not show the executor (LOST).
- A path that fails until the lease has ended counted as a crash, and after three a sound workflow failed; not if the list shows the executor as up.
- A suspicion whose agent is lost was kept, and the list read, for good.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -404,6 +404,8 @@
 
     def _report_snapshot(self, inspection: task_executor.Inspection) -> None:
         former_runs = self._runs
+        if self._ends.incarnation == self.incarnation:
+            former_runs |= {run.key: run for run in self._ends.runs}
         self._runs = {}
         for row in inspection.running:
             key = (row.task, row.attempt)
--- a/borageshelf/entry/workflows/presence.py
+++ b/borageshelf/entry/workflows/presence.py
@@ -19,7 +19,7 @@
 
 INTERVAL_MS: Final = 400
 # While an executor may have gone, its tasks wait for the list.
-SUSPICION_INTERVAL_MS: Final = 100
+URGENT_INTERVAL_MS: Final = 100
 
 
 class PresenceWatch:
@@ -58,24 +58,26 @@
             self._is_wanted.clear()
             if self._core.needs_listing(clock.read_moment()):
                 await self._read(listing)
-            interval_ms = INTERVAL_MS
-            if self._core.has_suspicion:
-                interval_ms = SUSPICION_INTERVAL_MS
-            await loop.wait_for_event(self._is_wanted, interval_ms)
+            if self._core.is_listing_urgent(clock.read_moment()):
+                await asyncio.sleep(URGENT_INTERVAL_MS / 1000)
+            else:
+                await loop.wait_for_event(self._is_wanted, INTERVAL_MS)
 
     async def _read(self, listing: inventory.Inventory) -> None:
-        requested_at_ms = clock.read_elapsed_ms()
+        requested_at = clock.read_moment()
         try:
             up = await listing.list_up_executors()
         except inventory.InventoryUnavailable as error:
             measurements.INVENTORY_FAILURES.inc()
-            self._core.note_failed_listing()
+            self._core.note_failed_listing(requested_at)
             self._event_log.record_state(
                 'list of VMs not read', detail=str(error)
             )
             return
         self._core.apply_listing(
-            end_proofs.Reading(up.ids, requested_at_ms, up.is_one_page),
+            end_proofs.Reading(
+                up.ids, requested_at.elapsed_ms, up.is_one_page
+            ),
             clock.read_moment(),
         )
         self._process_change()
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -551,7 +551,7 @@
         moment: clock.Moment,
     ) -> None:
         self._core.handle_executor_gone(session.target, message, moment)
-        if self._core.has_suspicion:
+        if self._core.is_listing_urgent(moment):
             self._presence_watch.request_reading()
 
     async def _close_silent_sessions(self) -> None:
--- a/borageshelf/workflows/end_proofs.py
+++ b/borageshelf/workflows/end_proofs.py
@@ -18,7 +18,10 @@
 # The pages of a list are read one by one and may change meanwhile, so one
 # reading of several pages may miss an executor.
 MISSED_READINGS_LIMIT: Final = 2
-FAILED_READINGS_LIMIT: Final = 3
+# A list that fails for so long can't be waited for.
+UNREADABLE_LIMIT_MS: Final = 1_200
+# A suspected executor has answered, or its lease has ended, before that.
+SUSPICION_LIMIT_MS: Final = 10_000
 # Bounds the wait for an agent that never comes back on a VM that is up.
 LISTED_EXTENSION_MS: Final = 20_000
 
@@ -101,19 +104,29 @@
     """A report that an executor may have gone, which is no proof by itself.
 
     :param received_at_ms: elapsed time
+    :param announced_at_ms: elapsed time at which the owner learned of its
+        incarnation; an earlier reading may have shown another one
     :param missed_readings: number of the last readings that did not list the
         executor as up
+    :param is_listed_up: what the last reading said; None before the first one
     """
 
     gone: messages.ExecutorGone
     received_at_ms: int
+    announced_at_ms: int = 0
     missed_readings: int = 0
+    is_listed_up: bool | None = None
 
     @property
     def executor_id(self) -> str:
         """Id of the suspected executor."""
         return find_executor_id(self.gone.incarnation)
 
+    @property
+    def deadline_ms(self) -> int:
+        """Elapsed time after which other proofs decide."""
+        return self.received_at_ms + SUSPICION_LIMIT_MS
+
 
 def find_executor_id(incarnation: str) -> str:
     """Return the executor id of an incarnation."""
@@ -127,24 +140,64 @@
     """
     if reading.requested_at_ms < suspicion.received_at_ms:
         return suspicion
-    missed_readings = 0
-    if suspicion.executor_id not in reading.executor_ids:
-        missed_readings = suspicion.missed_readings + 1
-    return dataclasses.replace(suspicion, missed_readings=missed_readings)
+    is_up = suspicion.executor_id in reading.executor_ids
+    return dataclasses.replace(
+        suspicion,
+        missed_readings=0 if is_up else suspicion.missed_readings + 1,
+        is_listed_up=is_up,
+    )
 
 
 def is_confirmed(
-    suspicion: Suspicion, reading: Reading, was_listed: bool
+    suspicion: Suspicion, reading: Reading, listed_at_ms: int | None
 ) -> bool:
     """Tell whether the list proves a suspicion.
 
-    :param was_listed: whether an earlier reading listed the executor as up;
-        otherwise the list may not know it yet
+    The list may not know a new incarnation yet, so it must have shown it.
+
+    :param listed_at_ms: when a reading was requested that listed the executor
+        as up; None if none did
     """
     limit = 1 if reading.is_one_page else MISSED_READINGS_LIMIT
+    was_listed = (
+        listed_at_ms is not None and listed_at_ms >= suspicion.announced_at_ms
+    )
     return was_listed and suspicion.missed_readings >= limit
 
 
+@dataclasses.dataclass(frozen=True)
+class OpenOrder:
+    """A start on its way to an executor id whose incarnation has gone.
+
+    :param ordered_by_ms: elapsed time by which it was sent
+    :param expiry_ms: when it is void if no incarnation is back
+    :param is_agent_in_touch: whether the agent would tell of one
+    :param is_listed_up: what the list last said of the id; None if it was not
+        read
+    """
+
+    ordered_by_ms: int
+    expiry_ms: int
+    is_agent_in_touch: bool
+    is_listed_up: bool | None
+
+
+def has_expired(order: OpenOrder, now_ms: int) -> bool:
+    """Tell whether no run of an open order goes on or begins later.
+
+    An incarnation that may be back has begun its clock anew, so that it takes
+    a late start and gives its run a whole lease.
+    """
+    limits = WORTH[Sign.RESTARTED].order_limits
+    back_ms = order.ordered_by_ms + limits * policy.ORDER_LIMIT_MS
+    if order.is_listed_up is False and order.expiry_ms < back_ms:
+        # No incarnation was seen, and none is up.
+        return now_ms >= order.ordered_by_ms + policy.ORDER_LIMIT_MS
+    if order.is_listed_up is None and order.is_agent_in_touch:
+        return now_ms >= order.expiry_ms
+    return now_ms >= max(order.expiry_ms, back_ms)
+
+
 @dataclasses.dataclass(frozen=True)
 class SilentRun:
     """What is known of a run on a target that is silent.
@@ -165,23 +218,17 @@
 
 
 def has_ended_in_silence(
-    run: SilentRun, has_listing: bool, failed_readings: int, now_ms: int
+    run: SilentRun, is_list_readable: bool, now_ms: int
 ) -> bool:
     """Tell whether a run of a silent target counts as ended.
 
     Suspensions may add up in one silence, so the deadline alone proves nothing
     of a VM that is up.
-
-    :param has_listing: whether there is a list of VMs
-    :param failed_readings: number of the last readings that failed
     """
     if now_ms < run.deadline_ms:
         return False
-    if (
-        not has_listing
-        or failed_readings >= FAILED_READINGS_LIMIT
-        or now_ms >= run.last_deadline_ms + LISTED_EXTENSION_MS
-    ):
+    last_ms = run.last_deadline_ms + LISTED_EXTENSION_MS
+    if not is_list_readable or now_ms >= last_ms:
         return True
     # Rule LOST allows a lasting task no wait for the VM of another one.
     if run.is_lasting and not run.is_executor_known:
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -307,8 +307,9 @@
         target.session = session
         target.is_ready = False
         target.data_centre = hello.data_centre
-        target.announced_incarnation = hello.incarnation
-        target.attached_at_ms = moment.elapsed_ms
+        if target.announced_incarnation != hello.incarnation:
+            target.announced_incarnation = hello.incarnation
+            target.announced_at_ms = moment.elapsed_ms
         target.sent_spec_ids.clear()
         target.clear_uncommitted_ends()
         target.in_touch_at_ms = moment.elapsed_ms
@@ -458,19 +459,26 @@
             runs=len(target.runs),
         )
         measurements.EXECUTORS_GONE.labels(gone.cause.value).inc()
-        if end_proofs.is_proof(gone.cause):
-            target.suspicions.pop(gone.incarnation, None)
-            self._drop_runs_of_executor(
-                target,
+        if not end_proofs.is_proof(gone.cause):
+            is_announced = gone.incarnation == target.announced_incarnation
+            target.suspicions[gone.incarnation] = end_proofs.Suspicion(
                 gone,
-                end_proofs.Sign(gone.cause.value),
                 moment.elapsed_ms,
-                moment,
-            )
-        else:
-            target.suspicions[gone.incarnation] = end_proofs.Suspicion(
-                gone, moment.elapsed_ms
+                target.announced_at_ms if is_announced else 0,
             )
+            return
+        former = target.suspicions.pop(gone.incarnation, None)
+        is_listed_up = former is not None and former.is_listed_up is True
+        if gone.cause is messages.GoneCause.LEASE_ENDED and is_listed_up:
+            # The executor could not be reached; it has not crashed.
+            gone = msgspec.structs.replace(gone, is_orderly=True)
+        self._drop_runs_of_executor(
+            target,
+            gone,
+            end_proofs.Sign(gone.cause.value),
+            moment.elapsed_ms,
+            moment,
+        )
 
     def _drop_runs_of_executor(
         self,
@@ -768,6 +776,9 @@
         for target in self.targets.values():
             self._crash_tracker.end_expired_isolation(target, now_ms)
             self._drop_expired_runs(target, moment)
+            for incarnation, suspicion in list(target.suspicions.items()):
+                if now_ms >= suspicion.deadline_ms:
+                    del target.suspicions[incarnation]
             if target.is_ready or now_ms < target.lost_deadlines.first_ms:
                 continue
             granted = [
@@ -800,10 +811,11 @@
         """Let the list of VMs decide on suspected and silent targets."""
         self._vm_list.is_used = True
 
-    @property
-    def has_suspicion(self) -> bool:
-        """Whether an executor may have gone."""
-        return self._vm_list.has_suspicion(self.targets.values())
+    def is_listing_urgent(self, moment: clock.Moment) -> bool:
+        """Tell whether tasks wait for the list of VMs."""
+        return self._vm_list.is_urgent(
+            self.targets.values(), moment.elapsed_ms
+        )
 
     def needs_listing(self, moment: clock.Moment) -> bool:
         """Tell whether the list of VMs has to be read now."""
@@ -833,9 +845,9 @@
                 moment,
             )
 
-    def note_failed_listing(self) -> None:
+    def note_failed_listing(self, requested_at: clock.Moment) -> None:
         """Note that the list of VMs could not be read."""
-        self._vm_list.note_failed_reading()
+        self._vm_list.note_failed_reading(requested_at.elapsed_ms)
 
     def _drop_expired_runs(
         self, target: targets.Target, moment: clock.Moment
@@ -850,7 +862,13 @@
         is_in_touch = is_attached and silent_ms <= REPORT_GAP_LIMIT_MS
         for key, unproved in list(target.unproved_runs.items()):
             run = target.runs[key]
-            if moment.elapsed_ms >= unproved.expiry_ms and (
+            order = end_proofs.OpenOrder(
+                unproved.ordered_by_ms,
+                unproved.expiry_ms,
+                is_in_touch,
+                target.is_listed_up,
+            )
+            if end_proofs.has_expired(order, moment.elapsed_ms) and (
                 is_in_touch
                 or self._vm_list.has_ended_in_silence(
                     target, run, moment.elapsed_ms
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -43,7 +43,8 @@
     :ivar is_listed_up: what the list last said of a silent target; None if it
         was not read
     :ivar suspicions: incarnations of its executor that may have gone
-    :ivar attached_at_ms: elapsed time of the begin of the session
+    :ivar announced_at_ms: elapsed time at which the owner learned of the
+        announced incarnation
     :ivar has_given_up_runs: whether runs were given up since the last snapshot
         because their grant had ended
     :ivar sent_spec_ids: ids of the workflows whose specification has been
@@ -115,7 +116,7 @@
         self.missed_readings = 0
         self.is_listed_up: bool | None = None
         self.suspicions: dict[str, end_proofs.Suspicion] = {}
-        self.attached_at_ms = 0
+        self.announced_at_ms = 0
         self.has_given_up_runs = False
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.unexpected_runs: set[tuple[str, int]] = set()
--- a/borageshelf/workflows/vm_list.py
+++ b/borageshelf/workflows/vm_list.py
@@ -5,10 +5,13 @@
 
 from borageshelf.workflows import end_proofs
 from borageshelf.workflows import jobs
+from borageshelf.workflows import policy
 from borageshelf.workflows import targets
 
 # A list that does not show an executor for so long is not asked for it again.
 FIRST_LISTING_LIMIT_MS: Final = 10_000
+# The list shows most crashes within this time.
+URGENT_MS: Final = 1_500
 
 
 class VmList:
@@ -21,13 +24,20 @@
     def __init__(self, record: abc.Callable[..., None]) -> None:
         self._record = record
         self.is_used = False
-        self._failed_readings = 0
-        # Ids of executors that a reading has shown as up.
-        self._listed_ids: set[str] = set()
+        # Elapsed time at which a list that fails counts as not readable.
+        self._unreadable_deadline_ms: int | None = None
+        # When the last reading was requested that has shown an executor as up.
+        self._listed_at_ms: dict[str, int] = {}
 
-    def has_suspicion(self, all_targets: abc.Iterable[targets.Target]) -> bool:
-        """Tell whether an executor may have gone."""
-        return any(target.suspicions for target in all_targets)
+    def is_urgent(
+        self, all_targets: abc.Iterable[targets.Target], now_ms: int
+    ) -> bool:
+        """Tell whether tasks wait for what the list says of an executor."""
+        return self._unreadable_deadline_ms is None and any(
+            now_ms < suspicion.received_at_ms + URGENT_MS
+            for target in all_targets
+            for suspicion in target.suspicions.values()
+        )
 
     def needs_reading(
         self, all_targets: abc.Iterable[targets.Target], now_ms: int
@@ -44,9 +54,12 @@
             for target in all_targets
         )
 
-    def note_failed_reading(self) -> None:
+    def note_failed_reading(self, requested_at_ms: int) -> None:
         """Note that the list could not be read."""
-        self._failed_readings += 1
+        if self._unreadable_deadline_ms is None:
+            self._unreadable_deadline_ms = (
+                requested_at_ms + end_proofs.UNREADABLE_LIMIT_MS
+            )
 
     def apply_reading(
         self,
@@ -60,7 +73,7 @@
 
         :return: the suspicions that are proved
         """
-        self._failed_readings = 0
+        self._unreadable_deadline_ms = None
         known_ids = {target.executor_id for target in all_targets}
         is_unknown_up = bool(reading.executor_ids - known_ids)
         confirmed = []
@@ -71,15 +84,21 @@
                 if target.executor_id:
                     is_up = target.executor_id in reading.executor_ids
                 self._note_silent_target(target, is_up, reading)
-        self._listed_ids |= reading.executor_ids
+        for executor_id in reading.executor_ids:
+            self._listed_at_ms[executor_id] = reading.requested_at_ms
         return confirmed
 
+    def _is_readable(self, now_ms: int) -> bool:
+        deadline_ms = self._unreadable_deadline_ms
+        return self.is_used and (deadline_ms is None or now_ms < deadline_ms)
+
     def _is_new(self, target: targets.Target, now_ms: int) -> bool:
         """Tell whether the list has not shown the executor of a session."""
         return (
             target.session != targets.UNATTACHED
-            and target.executor_id not in self._listed_ids
-            and now_ms < target.attached_at_ms + FIRST_LISTING_LIMIT_MS
+            and now_ms < target.announced_at_ms + FIRST_LISTING_LIMIT_MS
+            and self._listed_at_ms.get(target.executor_id, -1)
+            < target.announced_at_ms
         )
 
     def _weigh_suspicions(
@@ -89,8 +108,8 @@
         for incarnation, former in list(target.suspicions.items()):
             suspicion = end_proofs.weigh_reading(former, reading)
             target.suspicions[incarnation] = suspicion
-            was_listed = suspicion.executor_id in self._listed_ids
-            if end_proofs.is_confirmed(suspicion, reading, was_listed):
+            listed_at_ms = self._listed_at_ms.get(suspicion.executor_id)
+            if end_proofs.is_confirmed(suspicion, reading, listed_at_ms):
                 confirmed.append((target, suspicion))
         return confirmed
 
@@ -120,13 +139,20 @@
                 bool(target.executor_id),
                 target.missed_readings,
             ),
-            self.is_used,
-            self._failed_readings,
+            self._is_readable(now_ms),
             now_ms,
         )
 
 
 def _is_expiring(target: targets.Target, now_ms: int) -> bool:
     """Tell whether runs of a silent target are about to be given up."""
-    begin_ms = target.lost_deadlines.first_ms - end_proofs.LISTING_LEAD_MS
-    return not target.is_ready and bool(target.runs) and now_ms >= begin_ms
+    if target.is_ready or not target.runs:
+        return False
+    first_ms = min(
+        [target.lost_deadlines.first_ms]
+        + [
+            order.ordered_by_ms + policy.ORDER_LIMIT_MS
+            for order in target.unproved_runs.values()
+        ]
+    )
+    return now_ms >= first_ms - end_proofs.LISTING_LEAD_MS
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -433,7 +433,7 @@
         assert gone.cause is messages.GoneCause.OTHER_ANSWERS
         assert gone.reached == (KEY,)
         harness.driver._executor = harness.executor
-        await harness.wait_until(lambda: harness.requested_sessions > 0)
+        await harness.wait_until(lambda: harness.requested_sessions > 1)
         assert len(harness.list_sent(messages.ExecutorGone)) == 1
 
     driver_tests.run_scenario(scenario)
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from borageshelf.ports import task_executor
+from borageshelf.workflows import end_proofs
 from borageshelf.workflows import messages
 from borageshelf.workflows import owner
 from borageshelf.workflows import policy
@@ -21,7 +22,7 @@
 ) -> None:
     """Let the agent of a target report that its executor has gone.
 
-    The list of VMs confirms it.
+    The list of VMs confirms what is no proof.
     """
     gone = messages.ExecutorGone(
         0,
@@ -31,7 +32,8 @@
     )
     target = cluster.core.targets[fake.target_id]
     cluster.core.handle_executor_gone(target, gone, cluster.moment)
-    cluster.list_vms_without(fake)
+    if not end_proofs.is_proof(cause):
+        cluster.list_vms_without(fake)
     cluster.run_until_idle()
 
 
@@ -70,11 +72,25 @@
     assert [start[2] for start in cluster.sent_starts] == [1, 2]
 
 
-def test_run_of_an_executor_that_stays_away_is_started_again() -> None:
+@pytest.mark.parametrize(
+    ('is_in_touch', 'is_listed_up', 'orders'),
+    [(True, None, 1), (False, False, 1), (False, None, 3), (True, True, 3)],
+)
+def test_run_of_an_executor_that_stays_away_is_started_again(
+    is_in_touch: bool, is_listed_up: bool | None, orders: int
+) -> None:
+    """Guards against an expiry beside an incarnation that may be back."""
     cluster, fake = make_unproved_cluster(messages.GoneCause.NOTHING_LISTENS)
     fake.running.clear()
-    cluster.now_ms += policy.ORDER_LIMIT_MS
-    cluster.run_until_idle()
+    target = cluster.core.targets[fake.target_id]
+    expiry_ms = cluster.now_ms + orders * policy.ORDER_LIMIT_MS
+    while cluster.now_ms < expiry_ms:
+        assert len(cluster.sent_starts) == 1
+        cluster.now_ms = min(cluster.now_ms + 100, expiry_ms)
+        if is_in_touch:
+            cluster.core.note_contact(target, cluster.moment)
+        target.is_listed_up = is_listed_up
+        cluster.run_until_idle()
     assert [start[2] for start in cluster.sent_starts] == [1, 2]
 
 
--- a/tests/test_signs_of_ends.py
+++ b/tests/test_signs_of_ends.py
@@ -1,11 +1,13 @@
 """Signs that an executor has gone start nothing again while it goes on."""
 
 import dataclasses
+from typing import Any
 
 import pytest
 
 from borageshelf.workflows import end_proofs
 from borageshelf.workflows import messages
+from borageshelf.workflows import policy
 from tests import test_gone_executors as gone_tests
 from tests import test_proofs_of_ends as proofs
 from tests import test_workflow_driver as driver_tests
@@ -39,10 +41,10 @@
         """What the list shows without the suspect."""
         return LISTED - {self.fake.target_id}
 
-    def report(self, cause: messages.GoneCause) -> None:
+    def report(self, cause: messages.GoneCause, **fields: Any) -> None:
         """Let the agent report a sign or a proof."""
         gone = messages.ExecutorGone(
-            0, self.fake.make_state().incarnation, cause, (KEY,)
+            0, self.fake.make_state().incarnation, cause, (KEY,), **fields
         )
         target = self.core.targets[self.fake.target_id]
         self.core.handle_executor_gone(target, gone, self.moment)
@@ -101,7 +103,7 @@
 def test_end_of_the_lease_decides_without_a_list() -> None:
     """Guards against a run that waits for a list that can't be read."""
     cluster = SuspectCluster(messages.GoneCause.NOTHING_LISTENS)
-    cluster.core.note_failed_listing()
+    cluster.core.note_failed_listing(cluster.moment)
     cluster.run_until_idle()
     assert len(cluster.sent_starts) == 1
     cluster.fake.running.clear()
@@ -148,6 +150,76 @@
     assert len(cluster.sent_starts) == 1
 
 
+def test_former_life_of_an_executor_id_does_not_count_as_listed() -> None:
+    """Guards against a list that does not know a restarted executor yet."""
+    cluster = SuspectCluster(messages.GoneCause.NOTHING_LISTENS)
+    cluster.now_ms += 100
+    cluster.restart(cluster.fake)
+    cluster.report(messages.GoneCause.NOTHING_LISTENS)
+    cluster.read_list(cluster.lost_ids)
+    assert len(cluster.sent_starts) == 1
+
+
+def test_path_that_fails_until_the_lease_ends_counts_as_no_crash() -> None:
+    """Guards against sound tasks that are blamed for a fault of the path."""
+    cluster = SuspectCluster(messages.GoneCause.NOTHING_LISTENS)
+    cluster.read_list(LISTED)
+    cluster.fake.running.clear()
+    cluster.report(messages.GoneCause.LEASE_ENDED)
+    assert [start[2] for start in cluster.sent_starts] == [1, 2]
+    assert gone_tests.count_crashes(cluster) == 0
+
+
+def test_end_of_the_lease_prolongs_no_wait_for_an_unlisted_executor() -> None:
+    """Guards against a lasting task that waits for two limits (LOST)."""
+    cluster = SuspectCluster(messages.GoneCause.LEFT)
+    ordered_at_ms = cluster.now_ms
+    cluster.report(messages.GoneCause.NOTHING_LISTENS, unproved=(KEY,))
+    cluster.fake.running.clear()
+    cluster.read_list(cluster.lost_ids)
+    cluster.now_ms += 4_700
+    cluster.report(
+        messages.GoneCause.LEASE_ENDED, unproved=(KEY,), order_age_ms=4_700
+    )
+    target = cluster.core.targets[cluster.fake.target_id]
+    while len(cluster.sent_starts) == 1:
+        assert cluster.now_ms < ordered_at_ms + policy.ORDER_LIMIT_MS
+        cluster.now_ms += 100
+        cluster.core.note_contact(target, cluster.moment)
+        assert cluster.core.needs_listing(cluster.moment)
+        cluster.read_list(cluster.lost_ids)
+
+
+@pytest.mark.parametrize(
+    ('failing_ms', 'is_kept'), [(900, True), (1_300, False)]
+)
+def test_silent_vm_is_given_up_for_a_list_that_fails_for_long_only(
+    failing_ms: int, is_kept: bool
+) -> None:
+    """Guards against failures in quick succession, beside a suspicion."""
+    cluster = SuspectCluster(messages.GoneCause.NOTHING_LISTENS)
+    cluster.core.await_listings()
+    target = cluster.core.targets[cluster.fake.target_id]
+    cluster.now_ms = target.lost_deadlines.other_ms
+    cluster.read_list(LISTED)
+    for _ in range(failing_ms // 100):
+        cluster.core.note_failed_listing(cluster.moment)
+        cluster.run_until_idle()
+        cluster.now_ms += 100
+    cluster.run_until_idle()
+    assert len(cluster.sent_starts) == 2 - is_kept
+
+
+def test_suspicion_ends_once_other_proofs_have_decided() -> None:
+    """Guards against a list that is read for good for a lost agent."""
+    cluster = SuspectCluster(messages.GoneCause.NOTHING_LISTENS)
+    assert cluster.core.is_listing_urgent(cluster.moment)
+    cluster.core.detach(cluster.fake.target_id, cluster.fake.session)
+    cluster.now_ms += 60_000
+    cluster.run_until_idle()
+    assert not cluster.core.needs_listing(cluster.moment)
+
+
 def test_new_executor_is_looked_for_in_the_list() -> None:
     cluster = support.Cluster()
     cluster.add_target('vm-0')
@@ -237,3 +309,29 @@
         assert all(gone.is_orderly for gone in reports)
 
     driver_tests.run_scenario(scenario)
+
+
+def test_open_start_is_not_forgotten_when_a_suspect_answers_again() -> None:
+    """Guards against a late start on the next incarnation (TWICE)."""
+
+    async def scenario(harness: driver_tests.DriverHarness) -> None:
+        await harness.begin_session()
+        executor = harness.executor
+        executor.lost_starts = 1
+        executor.applies_lost_starts = True
+        harness.start()
+        await harness.wait_until(lambda: len(executor.starts) == 2)
+        executor.is_down = True
+        suspected = await harness.wait_for(messages.ExecutorGone)
+        executor.is_down = False
+        await harness.wait_until(lambda: harness.requested_sessions > 1)
+        harness.driver.begin_session(
+            messages.Welcome(1, driver_tests.TOKEN + 1, 5_000, ())
+        )
+        await harness.wait_for(messages.Snapshot, 2)
+        executor.restart()
+        proved = await harness.wait_for(messages.ExecutorGone, 3)
+        assert proved.cause is messages.GoneCause.RESTARTED
+        assert proved.unproved == suspected.unproved == (KEY,)
+
+    driver_tests.run_scenario(scenario)
