Doubt a refusal of the owner's address once replaced without reason

An entry whose ownership ended without a resignation now waits for the end of the owner's lease instead of believing a refusal, for 10 s and as long as the address refuses. The others still take over at once from a killed owner.

test_entries_that_refuse_each_other_do_not_take_over_endlessly failed before and passes; the tests of the election and the hand-over pass.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -1,8 +1,8 @@
 """Elects the entry that owns the workflows and keeps a stream to it.
 
 The owner's key in the store is bound to a lease. An entry takes over when the
-key is gone, or at once when the owner's process is certainly dead: its
-address refuses connections, or another process answers there. If several
+key is gone, or at once when the owner's process seems to be dead: its address
+refuses connections, or another process answers there. If several
 entries try to take over at the same time, a transaction of the store lets one
 of them succeed. A former owner that has not noticed the takeover cannot
 commit anything.
@@ -35,6 +35,9 @@
 from borageshelf.workflows import records
 
 WATCH_TIMEOUT_MS: Final = 1_500
+# An entry that was replaced waits for the end of an owner's lease for so long,
+# and as long as that one's address refuses.
+DOUBT_MS: Final = 10_000
 STORE_RETRY_PAUSE_MS: Final = 150
 POLL_INTERVAL_MS: Final = 100
 # An owner whose key the store has removed writes it again within a few
@@ -113,6 +116,8 @@
         self._get_configuration = get_configuration
         self._apply_configuration = apply_configuration
         self._listing = listing
+        # Until then a refused connection does not count as the end of one.
+        self._doubt_deadline_ms = 0
         self.local_owner: runtime.OwnerRuntime | None = None
         self.owner_link: owner_stream.OwnerLink | None = None
         self.owner_changed = asyncio.Event()
@@ -484,7 +489,7 @@
         try:
             await channel.connect(owner.address, run_stream)
         except ConnectionRefusedError:
-            return True
+            return self._is_refusal_believed()
         except channel.CONNECTION_ERRORS as error:
             self._event_log.record_detail(
                 'owner not reached', owner=owner.entry_id, error=repr(error)
@@ -492,6 +497,18 @@
             is_owner_dead = await self._is_unacquired(owner)
         return is_owner_dead or is_owner_cut
 
+    def _is_refusal_believed(self) -> bool:
+        """Tell whether a refused connection counts as the owner's end.
+
+        The path may refuse while the owner goes on. Takeovers are fenced, but
+        two entries that refuse each other would replace each other by turns.
+        """
+        now_ms = clock.read_elapsed_ms()
+        if now_ms >= self._doubt_deadline_ms:
+            return True
+        self._doubt_deadline_ms = now_ms + DOUBT_MS
+        return False
+
     async def _is_unacquired(self, owner: records.OwnerRecord) -> bool:
         """Tell whether another writer has written an owner's record.
 
@@ -625,6 +642,9 @@
         try:
             await owner_runtime.run()
         finally:
+            if not owner_runtime.is_resigned:
+                # Another entry may have taken a refusal for its end.
+                self._doubt_deadline_ms = clock.read_elapsed_ms() + DOUBT_MS
             self.local_owner = None
             self.owner_changed.set()
             # The others take over when their streams end.
--- a/tests/test_workflow_election.py
+++ b/tests/test_workflow_election.py
@@ -67,3 +67,25 @@
         assert owner.entry_id == 'other'
 
     asyncio.run(check())
+
+
+def test_entries_that_refuse_each_other_do_not_take_over_endlessly() -> None:
+    """Guards against takeovers by turns, in which no target gets a grant."""
+
+    async def check() -> int:
+        store = memory_store.MemoryStore()
+        # Nothing listens at their addresses, though both go on.
+        elections = [make_election(store, name) for name in ('a', 'b')]
+        for each in elections:
+            each.start()
+        await asyncio.sleep(5)
+        entry = await store.get(records.OWNER_KEY)
+        for each in elections:
+            await each.stop()
+        assert entry is not None
+        owner: records.OwnerRecord = journal.decode(
+            entry.value, records.OwnerRecord
+        )
+        return owner.epoch
+
+    assert asyncio.run(check()) <= 3
