--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -111,8 +111,8 @@
         self._specs: dict[str, str] = {}
         self._unanswered_since_ms = 0
         self._inspected_at_ms = 0
-        # What has shown that the executor has gone or may have, until it
-        # answers again.
+        # What has shown that the announced incarnation has gone or may have,
+        # until it answers again.
         self._gone_cause: messages.GoneCause | None = None
         # Whether the last inspection was answered with a refusal.
         self._is_refused = False
@@ -1004,6 +1004,7 @@
         """Report that a suspected incarnation has gone if another answers."""
         cause = self._ends.find_proof(self.announcement, inspection.born_at_ms)
         if cause is not None:
+            # What is known of the announced incarnation stays.
             gone_cause = self._gone_cause
             self._report_executor_gone(self._ends.suspect, cause)
             self._gone_cause = gone_cause
--- a/borageshelf/agent/workflows/executor_ends.py
+++ b/borageshelf/agent/workflows/executor_ends.py
@@ -54,10 +54,10 @@
         self.runs: tuple[runs.AgentRun, ...] = ()
         self.cause: messages.GoneCause | None = None
         self._lost_keys: tuple[RunKey, ...] = ()
-        # Runs that the next incarnation may start, and those of them whose
-        # start was not answered before a refused connection.
+        # Runs that the next incarnation may start, and those of them that it
+        # may start even if no incarnation was listed as up meanwhile.
         self._unproved_keys: tuple[RunKey, ...] = ()
-        self._undated_keys: tuple[RunKey, ...] = ()
+        self._unproved_if_unlisted_keys: tuple[RunKey, ...] = ()
         # When the last start of an unproved run was sent.
         self._unproved_order_at_running_ms = self._begun_at_running_ms
 
@@ -71,7 +71,9 @@
         self._incarnation = incarnation
         self._clear()
         self.cause = None
-        self._lost_keys = self._unproved_keys = self._undated_keys = ()
+        self._lost_keys = self._unproved_keys = (
+            self._unproved_if_unlisted_keys
+        ) = ()
 
     def add(
         self,
@@ -93,7 +95,7 @@
                 self._add_run(run, evidence)
         if cause is messages.GoneCause.REPLACED:
             # An order names the executor's id, which another one refuses.
-            self._unproved_keys = self._undated_keys = ()
+            self._unproved_keys = self._unproved_if_unlisted_keys = ()
         if not (is_inspected and end_proofs.is_proof(cause)):
             return False
         self._clear()
@@ -107,7 +109,7 @@
             return
         self._unproved_keys += (run.key,)
         if run.may_start_later(evidence.refused_at_ms):
-            self._undated_keys += (run.key,)
+            self._unproved_if_unlisted_keys += (run.key,)
         self._unproved_order_at_running_ms = max(
             self._unproved_order_at_running_ms, run.ordered_at_running_ms
         )
@@ -150,7 +152,7 @@
             reached = self._lost_keys
             unproved = self._unproved_keys
             if cause in _REFUSED_CAUSES:
-                unproved = self._undated_keys
+                unproved = self._unproved_if_unlisted_keys
             ordered_at_running_ms = self._unproved_order_at_running_ms
         return messages.ExecutorGone(
             token,
--- a/borageshelf/entry/peers.py
+++ b/borageshelf/entry/peers.py
@@ -94,8 +94,9 @@
     async def observe_process(self, address: str) -> bool:
         """Keep a stream to a peer open until it ends.
 
-        :return: whether the peer's process has certainly ended: the stream
-            has ended and the peer's address refuses connections
+        :return: whether the peer's process seems to have ended: the stream
+            has ended and the peer's address refuses connections, as may the
+            path to it
         """
         channel = self._open_channel(address)
         try:
@@ -146,7 +147,7 @@
 
 
 async def _is_connection_refused(address: str) -> bool:
-    """Tell whether no process listens at an address.
+    """Tell whether an address refuses connections.
 
     A timeout or another error is no proof, because the network may be
     partitioned.
--- a/borageshelf/ports/http_client.py
+++ b/borageshelf/ports/http_client.py
@@ -37,7 +37,8 @@
     """A request got no complete answer.
 
     :param may_have_been_sent: False only if no byte of the request was sent
-    :param is_connection_refused: whether nothing listens at the address
+    :param is_connection_refused: whether the connection was refused, which
+        says nothing of the process behind the address
     """
 
     def __init__(
--- a/borageshelf/ports/task_executor.py
+++ b/borageshelf/ports/task_executor.py
@@ -115,8 +115,8 @@
 class ExecutorUnavailable(Exception):
     """The executor did not answer; an order may have been carried out.
 
-    :param is_connection_refused: whether nothing listens at the address, so
-        that the order was certainly not carried out
+    :param is_connection_refused: whether the connection was refused, so that
+        the order was certainly not carried out; the executor may go on
     """
 
     def __init__(
--- a/borageshelf/workflows/channel.py
+++ b/borageshelf/workflows/channel.py
@@ -148,7 +148,8 @@
 ) -> None:
     """Open a stream and run a handler on it until either side ends it.
 
-    :raises ConnectionRefusedError: if no process listens at the address
+    :raises ConnectionRefusedError: if the address refuses connections, which
+        its process may survive
     :raises decoding.Unreadable: if it is no address
     :raises OSError: or another of ``CONNECTION_ERRORS`` if it can't be opened
     """
