--- a/borageshelf/entry/watchdog.py
+++ b/borageshelf/entry/watchdog.py
@@ -1,8 +1,8 @@
 """Detects quickly that the process of another entry has ended.
 
 Each entry keeps one idle stream to the next entry in the order of the ids. If
-the stream breaks and the address refuses connections, its process seems to have
-ended. The entry's key is then deleted, so that the other entries take over its
+the stream breaks and the address refuses connections, its process has probably
+ended. Its key is then deleted, so that the other entries take over its
 shards without waiting for the lease to expire; an entry that goes on writes it
 again. A VM that is lost or partitioned refuses no connection; its shards move
 when the lease expires. Safety depends on neither.
