Expire an open order only once two readings have missed its executor

One reading of a list of several pages may miss an executor that is up; the other decisions on such lists ask for two readings. Found by reading; the test checks that one reading does not suffice.

--- a/borageshelf/workflows/end_proofs.py
+++ b/borageshelf/workflows/end_proofs.py
@@ -172,14 +172,16 @@
     :param ordered_by_ms: elapsed time by which it was sent
     :param expiry_ms: when it is void if no incarnation is back
     :param is_agent_in_touch: whether the agent would tell of one
-    :param is_listed_up: what the list last said of the id; None if it was not
-        read
+    :param is_list_read: whether the list was read meanwhile
+    :param missed_readings: number of the last readings that did not list the
+        id as up
     """
 
     ordered_by_ms: int
     expiry_ms: int
     is_agent_in_touch: bool
-    is_listed_up: bool | None
+    is_list_read: bool
+    missed_readings: int
 
 
 def has_expired(order: OpenOrder, now_ms: int) -> bool:
@@ -190,10 +192,11 @@
     """
     limits = WORTH[Sign.RESTARTED].order_limits
     back_ms = order.ordered_by_ms + limits * policy.ORDER_LIMIT_MS
-    if order.is_listed_up is False and order.expiry_ms < back_ms:
+    is_away = order.missed_readings >= MISSED_READINGS_LIMIT
+    if is_away and order.expiry_ms < back_ms:
         # No incarnation was seen, and none is up.
         return now_ms >= order.ordered_by_ms + policy.ORDER_LIMIT_MS
-    if order.is_listed_up is None and order.is_agent_in_touch:
+    if order.is_agent_in_touch and not order.is_list_read:
         return now_ms >= order.expiry_ms
     return now_ms >= max(order.expiry_ms, back_ms)
 
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -866,7 +866,8 @@
                 unproved.ordered_by_ms,
                 unproved.expiry_ms,
                 is_in_touch,
-                target.is_listed_up,
+                target.is_listed_up is not None,
+                target.missed_readings,
             )
             if end_proofs.has_expired(order, moment.elapsed_ms) and (
                 is_in_touch
--- a/tests/test_proofs_of_ends.py
+++ b/tests/test_proofs_of_ends.py
@@ -73,11 +73,20 @@
 
 
 @pytest.mark.parametrize(
-    ('is_in_touch', 'is_listed_up', 'orders'),
-    [(True, None, 1), (False, False, 1), (False, None, 3), (True, True, 3)],
+    ('is_in_touch', 'is_listed_up', 'missed_readings', 'orders'),
+    [
+        (True, None, 0, 1),
+        (False, False, 2, 1),
+        (False, False, 1, 3),
+        (False, None, 0, 3),
+        (True, True, 0, 3),
+    ],
 )
 def test_run_of_an_executor_that_stays_away_is_started_again(
-    is_in_touch: bool, is_listed_up: bool | None, orders: int
+    is_in_touch: bool,
+    is_listed_up: bool | None,
+    missed_readings: int,
+    orders: int,
 ) -> None:
     """Guards against an expiry beside an incarnation that may be back."""
     cluster, fake = make_unproved_cluster(messages.GoneCause.NOTHING_LISTENS)
@@ -90,6 +99,7 @@
         if is_in_touch:
             cluster.core.note_contact(target, cluster.moment)
         target.is_listed_up = is_listed_up
+        target.missed_readings = missed_readings
         cluster.run_until_idle()
     assert [start[2] for start in cluster.sent_starts] == [1, 2]
 
