--- a/borageshelf/agent/workflows/process.py
+++ b/borageshelf/agent/workflows/process.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections import abc
 import importlib
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 import uuid
 
 from borageshelf.agent.workflows import driver
 from borageshelf.agent.workflows import owner_link
+from borageshelf import clock
 from borageshelf.entry.workflows import process as entry_process
 from borageshelf import events
 from borageshelf import loop
@@ -20,6 +21,10 @@
 from borageshelf.workflows import policy
 
 
+# For calls and streams whose peers take nothing.
+STOP_LIMIT_MS: Final = 1_000
+
+
 class RegistrationSite(Protocol):
     """HTTP site where the executor announces itself."""
 
@@ -99,8 +104,9 @@
         # Runs continue under their lease; the agent's next process adopts
         # them.
         self._event_log.record_state('agent stopped')
-        await self._driver.stop()
-        await self._background.stop()
+        deadline_ms = clock.read_elapsed_ms() + STOP_LIMIT_MS
+        for stop in (self._driver.stop(), self._background.stop()):
+            await loop.finish_by(stop, deadline_ms)
         return 0
 
     def _make_hello(self) -> messages.AgentHello | None:
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -602,6 +602,13 @@
                 and now_ms - absent_since_ms > KEY_RESTORE_GRACE_MS
             )
             if is_silent or is_replaced or is_key_gone:
+                self._event_log.record_state(
+                    'stream to the owner closed',
+                    owner=owner.entry_id,
+                    silent_ms=silent_ms,
+                    is_replaced=is_replaced,
+                    is_key_gone=is_key_gone,
+                )
                 link.close()
                 return
 
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -40,6 +40,8 @@
 # A request that has been accepted by then can be answered in time.
 LAST_REQUEST_MS: Final = 300
 DRAIN_POLL_INTERVAL_MS: Final = 50
+# For streams whose peers take nothing. Part of the margin above.
+STOP_LIMIT_MS: Final = 450
 # An entry that knows no owner for less than this stays in the rotation of the
 # load balancer.
 OWNER_LOSS_GRACE_MS: Final = 5_000
@@ -151,7 +153,9 @@
         self._background.start_with_restarts(
             self._configuration_follower.run, self._event_log.record_failure
         )
-        server = channel.make_server(channel.Service(self._election.serve))
+        server = channel.make_server(
+            channel.Service(self._election.serve, self._record_abort)
+        )
         host, _, port = self._settings.inner_address.rpartition(':')
         await server.start(host, int(port))
         self._election.start()
@@ -170,11 +174,16 @@
         await self._stop_requested.wait()
         await self._drain()
         server.close()
-        await self._election.stop()
+        deadline_ms = clock.read_elapsed_ms() + STOP_LIMIT_MS
+        if not await loop.finish_by(self._election.stop(), deadline_ms):
+            self._event_log.record_state('stop cut off', part='election')
         self._event_log.record_state('entry stopped')
-        await self._background.stop()
+        await loop.finish_by(self._background.stop(), deadline_ms)
         return 0
 
+    def _record_abort(self, cause: str) -> None:
+        self._event_log.record_state('stream aborted', cause=cause)
+
     def _listen(self, address: str, site: Any) -> None:
         reactor: Any = importlib.import_module('twisted.internet.reactor')
         host, _, port = address.rpartition(':')
--- a/borageshelf/loop.py
+++ b/borageshelf/loop.py
@@ -108,6 +108,24 @@
     return True
 
 
+async def finish_by(
+    coroutine: abc.Coroutine[Any, Any, Any], deadline_ms: int
+) -> bool:
+    """Run a coroutine; return whether it ended in time.
+
+    One that is late goes on in the background, as it may not even end when it
+    is cancelled.
+
+    :param deadline_ms: elapsed time
+    """
+    task = asyncio.ensure_future(coroutine)
+    left_ms = max(deadline_ms - clock.read_elapsed_ms(), 0)
+    done, _ = await asyncio.wait({task}, timeout=left_ms / 1000)
+    if done:
+        task.result()
+    return bool(done)
+
+
 # Keeps a coroutine that fails immediately from using a whole processor.
 RESTART_DELAY_MS: Final = 200
 
--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -63,6 +63,9 @@
 COMMITS = _counter('commits', 'Commits to the store.', ('result',))
 COMMIT_SECONDS = _histogram('commit_seconds', 'Time of a commit.')
 TAKEOVERS = _counter('takeovers', 'Times this entry became the owner.')
+STREAMS_ABORTED = _counter(
+    'streams_aborted', 'Connections aborted as their peer took nothing.'
+)
 RUNS_STARTED = _counter('runs_started', 'Runs that an owner ordered.')
 FIRST_START_SECONDS = _histogram(
     'first_start_seconds',
--- a/borageshelf/workflows/channel.py
+++ b/borageshelf/workflows/channel.py
@@ -18,10 +18,13 @@
 
 from borageshelf import decoding
 from borageshelf.workflows import messages
+from borageshelf.workflows import transmission
 
 METHOD_PATH: Final = '/borageshelf.Workflows/Exchange'
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_MS: Final = 600
+# A client sends its first message at once.
+FIRST_MESSAGE_LIMIT_MS: Final = 3_000
 QUEUED_MESSAGES_LIMIT: Final = 20_000
 
 # Errors that end a stream.
@@ -62,11 +65,16 @@
 
     The queue is bounded; when the other side reads too slowly and the queue
     fills up, the stream is closed.
+
+    :param begin_close: called when the stream is closed
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, begin_close: abc.Callable[[], None] = lambda: None
+    ) -> None:
         self._queued: Batch = []
         self._changed = asyncio.Event()
+        self._begin_close = begin_close
         self.is_closed = False
 
     def send(self, message: messages.AnyMessage) -> None:
@@ -78,18 +86,26 @@
             self._changed.set()
 
     def close(self) -> None:
-        """End the stream once the queued messages have been sent."""
-        self.is_closed = True
+        """End the stream once the queued messages have been sent.
+
+        A peer that does not take them in time is given up.
+        """
+        if not self.is_closed:
+            self.is_closed = True
+            self._begin_close()
         self._changed.set()
 
-    async def send_queued(self, stream: Any) -> None:
+    async def send_queued(
+        self, stream: Any, sending: transmission.Transmission
+    ) -> None:
         """Send queued messages until the outbox is closed."""
         while True:
             await self._changed.wait()
             self._changed.clear()
             batch, self._queued = self._queued, []
             if batch:
-                await stream.send_message(batch)
+                with sending.limit_stall():
+                    await stream.send_message(batch)
             if self.is_closed:
                 return
 
@@ -99,6 +115,7 @@
 
     :param serve: handles one stream; its arguments are an iterator over the
         incoming messages and the outbox
+    :param record_abort: called with the cause if a connection was aborted
     """
 
     def __init__(
@@ -107,20 +124,29 @@
             [abc.AsyncIterator[messages.AnyMessage], Outbox],
             abc.Coroutine[Any, Any, None],
         ],
+        record_abort: abc.Callable[[str], None] = lambda cause: None,
     ) -> None:
         self._serve = serve
+        self._record_abort = record_abort
 
     async def _exchange(self, stream: Any) -> None:
-        outbox = Outbox()
+        sending = transmission.Transmission(stream, self._record_abort)
+        outbox = Outbox(sending.begin_close)
         try:
             with _TransportGuard():
                 await stream.send_initial_metadata()
                 await _run_with_sender(
-                    self._serve(_receive(stream), outbox), stream, outbox
+                    self._serve(_receive_from_client(stream), outbox),
+                    stream,
+                    outbox,
+                    sending,
                 )
         except CONNECTION_ERRORS:
             # The peer is gone; the handler has seen its stream end.
             return
+        finally:
+            # Each client opens one stream on a connection.
+            sending.finish(transmission.LINGER_LIMIT_MS)
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """Return the handlers by method path, as grpclib requires."""
@@ -151,6 +177,7 @@
     :raises ConnectionRefusedError: if the address refuses connections, which
         its process may survive
     :raises decoding.Unreadable: if it is no address
+    :raises transmission.PeerStalled: if the peer took nothing any more
     :raises OSError: or another of ``CONNECTION_ERRORS`` if it can't be opened
     """
     parsed = decoding.parse_address(address)
@@ -164,12 +191,20 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 stream = await stack.enter_async_context(method.open())
                 await stream.send_request()
-            outbox = Outbox()
+            sending = transmission.Transmission(stream)
+            outbox = Outbox(sending.begin_close)
             try:
                 await _run_with_sender(
-                    handle(_receive(stream), outbox), stream, outbox
+                    handle(_receive(stream), outbox), stream, outbox, sending
                 )
+            except CONNECTION_ERRORS as error:
+                if sending.abort_cause:
+                    raise transmission.PeerStalled(
+                        sending.abort_cause
+                    ) from error
+                raise
             finally:
+                sending.finish(transmission.CLOSE_LIMIT_MS)
                 with (
                     contextlib.suppress(*CONNECTION_ERRORS),
                     _TransportGuard(),
@@ -203,13 +238,28 @@
             yield message
 
 
+async def _receive_from_client(
+    stream: Any,
+) -> abc.AsyncIterator[messages.AnyMessage]:
+    """Yield the messages of a client, whose first one must come soon."""
+    async with asyncio.timeout(FIRST_MESSAGE_LIMIT_MS / 1000):
+        first = await stream.recv_message()
+    for message in first or ():
+        yield message
+    async for message in _receive(stream):
+        yield message
+
+
 async def _run_with_sender(
-    handler: abc.Coroutine[Any, Any, None], stream: Any, outbox: Outbox
+    handler: abc.Coroutine[Any, Any, None],
+    stream: Any,
+    outbox: Outbox,
+    sending: transmission.Transmission,
 ) -> None:
     """Run a handler and the sender; when one ends, cancel the other."""
     tasks = [
         asyncio.ensure_future(handler),
-        asyncio.ensure_future(outbox.send_queued(stream)),
+        asyncio.ensure_future(outbox.send_queued(stream, sending)),
     ]
     try:
         done, _ = await asyncio.wait(
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -14,6 +14,11 @@
 
 HOST: Final = '127.0.0.1'
 CHUNK_BYTES: Final = 65_536
+# Segments and receive buffers of a small link between machines. Loopback takes
+# megabytes from a sender although nobody reads them.
+SEGMENT_BYTES: Final = 1_448
+SMALL_WINDOW_BYTES: Final = 2_048
+DEFAULT_LIMIT_BYTES: Final = 65_536
 HELD_POLL_S: Final = 0.05
 
 
@@ -31,7 +36,10 @@
 
 
 class _Connection:
-    """One proxied connection; its ``mode``, if set, overrides the proxy's."""
+    """One proxied connection; its ``mode``, if set, overrides the proxy's.
+
+    :ivar is_frozen: whether nothing passes any more, not even its end
+    """
 
     def __init__(
         self,
@@ -41,17 +49,27 @@
         self.client = client
         self.server = server
         self.mode: Mode | None = None
+        self.is_frozen = False
+
+    async def wait_if_frozen(self) -> None:
+        """Wait for good if the connection is frozen."""
+        if self.is_frozen:
+            await asyncio.get_running_loop().create_future()
 
 
 class Proxy:
     """Forwards connections to one address.
 
     :param port: port to listen on, 0 for a free one; ``refuse`` needs a port
+    :param has_small_windows: whether it takes hardly anything from a sender
+        while it holds bytes back
     :ivar mode: treatment of connections that have no mode of their own
     :ivar delay_ms: delay of each chunk
     """
 
-    def __init__(self, address: str, port: int = 0) -> None:
+    def __init__(
+        self, address: str, port: int = 0, has_small_windows: bool = False
+    ) -> None:
         host, _, upstream_port = address.rpartition(':')
         self._upstream_address = (host, int(upstream_port))
         self._server: asyncio.Server | None = None
@@ -59,8 +77,12 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.mode = Mode.OPEN
         self.delay_ms = 0
+        self._has_small_windows = has_small_windows
+        self._limit_bytes = DEFAULT_LIMIT_BYTES
+        if has_small_windows:
+            self._limit_bytes = SMALL_WINDOW_BYTES
         # Keeps the port while the proxy doesn't listen.
-        self._socket = socket.socket()
+        self._socket = self._make_socket()
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((HOST, port))
         self._hold_count = 0
@@ -70,10 +92,37 @@
     async def start(self) -> str:
         """Listen and return the address."""
         self._server = await asyncio.start_server(
-            self._accept, sock=self._socket.dup()
+            self._accept, sock=self._socket.dup(), limit=self._limit_bytes
         )
         return f'{HOST}:{self._socket.getsockname()[1]}'
 
+    def _make_socket(self) -> socket.socket:
+        made = socket.socket()
+        if self._has_small_windows:
+            made.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES
+            )
+            made.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES
+            )
+        return made
+
+    async def _connect_upstream(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        made = self._make_socket()
+        made.setblocking(False)
+        try:
+            await asyncio.get_running_loop().sock_connect(
+                made, self._upstream_address
+            )
+        except OSError:
+            made.close()
+            raise
+        return await asyncio.open_connection(
+            sock=made, limit=self._limit_bytes
+        )
+
     async def stop(self) -> None:
         """Stop listening and end all connections."""
         if self._server is not None:
@@ -114,6 +163,14 @@
             _reset_connection(connection.client)
             _reset_connection(connection.server)
 
+    def freeze_open_connections(self) -> None:
+        """Take nothing more from the open connections; new ones work.
+
+        Their peers learn nothing either, as if this end had no power.
+        """
+        for connection in self._connections:
+            connection.is_frozen = True
+
     def silence_open_connections(self) -> None:
         """Drop all further bytes of the open connections; new ones work."""
         for connection in self._connections:
@@ -142,9 +199,7 @@
             return
         try:
             held = await self._read_held(reader)
-            server_reader, server_writer = await asyncio.open_connection(
-                *self._upstream_address
-            )
+            server_reader, server_writer = await self._connect_upstream()
         except OSError:
             _reset_connection(writer)
             return
@@ -158,6 +213,7 @@
             )
         except OSError:
             # One side closed its connection; reset the other one as well.
+            await connection.wait_if_frozen()
             await self._released.wait()
             _reset_connection(writer)
             _reset_connection(server_writer)
@@ -194,6 +250,7 @@
         while data := await reader.read(CHUNK_BYTES):
             if self.delay_ms:
                 await asyncio.sleep(self.delay_ms / 1000)
+            await connection.wait_if_frozen()
             await self._wait_for_release(reader)
             mode = connection.mode or self.mode
             is_forwarded = mode is Mode.OPEN or (
@@ -206,6 +263,7 @@
                 # These bytes are lost, so no later ones may be forwarded
                 # either: the connection keeps this mode.
                 connection.mode = mode
+        await connection.wait_if_frozen()
         await self._wait_for_release(reader)
         if not writer.is_closing() and writer.can_write_eof():
             writer.write_eof()
