Forget entries that are lost, and close their streams

One whose machine was lost counted as connected for as long as the kernel kept the connection, also as the largest entry, to which the owner hands over (`_hand_over_to_larger_entry`), and was listed to agents.

Change: `entry/workflows/peers.py` keeps the connected entries, closes the stream of one that has sent nothing for 1.7 s (they ping each 0.4 s; pauses of the owner itself do not count), and the former stream of one that is back.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -20,6 +20,7 @@
 from borageshelf import clock
 from borageshelf.decisions import owner_preference
 from borageshelf.entry.workflows import owner_stream
+from borageshelf.entry.workflows import peers
 from borageshelf.entry.workflows import runtime
 from borageshelf import errors
 from borageshelf import events
@@ -77,15 +78,6 @@
     processor_millicores: int = 0
 
 
-@dataclasses.dataclass(frozen=True)
-class _Peer:
-    """Another entry that is connected to this owner."""
-
-    address: str
-    processor_millicores: int
-    outbox: channel.Outbox
-
-
 class Election:
     """Follows the current owner, or takes over from an owner that is gone.
 
@@ -130,7 +122,7 @@
         self._head_seen_at_ms = 0
         self._key_absent_since_ms = 0
         self._has_read_key = False
-        self._peers: dict[str, _Peer] = {}
+        self._peers = peers.Peers(event_log)
         # Known to an entry that follows the owner.
         self._largest_millicores = 0
         self._known_addresses: tuple[str, ...] = ()
@@ -149,6 +141,7 @@
             self._watch_owner_key,
             self._follow_or_take_over,
             self._hand_over_to_larger_entry,
+            self._peers.close_silent,
         ):
             self._background.start_with_restarts(
                 run_loop, self._event_log.record_failure
@@ -169,11 +162,7 @@
         own_address = messages.EntryAddress(
             self._identity.entry_id, self._identity.address
         )
-        others = (
-            messages.EntryAddress(entry_id, peer.address)
-            for entry_id, peer in sorted(self._peers.items())
-        )
-        return (own_address, *others)
+        return (own_address, *self._peers.list_addresses())
 
     # Streams from agents and other entries.
 
@@ -211,8 +200,7 @@
     ) -> None:
         local_owner = self.local_owner
         assert local_owner is not None
-        peer = _Peer(hello.address, hello.processor_millicores, outbox)
-        self._peers[hello.entry_id] = peer
+        peer = self._peers.add(hello, outbox)
         outbox.send(
             messages.OwnerHello(local_owner.epoch, self.list_entries())
         )
@@ -226,13 +214,16 @@
 
         try:
             async for message in incoming:
+                peer.last_received_at_ms = clock.read_elapsed_ms()
                 if self.local_owner is not local_owner:
                     return
                 if isinstance(message, messages.Ping):
                     outbox.send(
                         messages.Answer(
                             message.sent_at_elapsed_ms,
-                            largest_millicores=self._find_largest_peer(),
+                            largest_millicores=(
+                                self._peers.find_largest_millicores()
+                            ),
                             store_silent_ms=local_owner.store_silent_ms,
                             head_revision=local_owner.head_revision,
                         )
@@ -243,8 +234,7 @@
                 elif isinstance(message, _REQUEST_TYPES):
                     request_tasks.start(answer_request(message))
         finally:
-            if self._peers.get(hello.entry_id) is peer:
-                del self._peers[hello.entry_id]
+            self._peers.remove(peer)
             await request_tasks.stop()
 
     def _send_newer_configuration(
@@ -655,8 +645,7 @@
             self.local_owner = None
             self.owner_changed.set()
             # The others take over when their streams end.
-            for peer in self._peers.values():
-                peer.outbox.close()
+            self._peers.close_all()
 
     async def _hand_over_to_larger_entry(self) -> None:
         """Resign in favour of a larger entry if the fleet needs one."""
@@ -665,7 +654,7 @@
             local_owner = self.local_owner
             if local_owner is None or self.is_stopping:
                 continue
-            largest_millicores = self._find_largest_peer()
+            largest_millicores = self._peers.find_largest_millicores()
             if not owner_preference.should_hand_over(
                 self._identity.processor_millicores,
                 largest_millicores,
@@ -682,13 +671,6 @@
             self._largest_millicores = largest_millicores
             await local_owner.resign()
 
-    def _find_largest_peer(self) -> int:
-        """Return the processors of the largest connected entry."""
-        return max(
-            (peer.processor_millicores for peer in self._peers.values()),
-            default=0,
-        )
-
     async def _acquire_ownership(
         self, seen_revision: int
     ) -> runtime.OwnerRuntime | None:
