--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -11,6 +11,7 @@
 from borageshelf.decisions import crash_blame
 from borageshelf.model import workflows
 from borageshelf.workflows import effects
+from borageshelf.workflows import failures
 from borageshelf.workflows import records
 
 STATE_NAMES: Final = {
@@ -93,6 +94,7 @@
 
     :ivar number: index among all tasks of the workflow
     :ivar index: index among the tasks of the group
+    :ivar failed_attempts: shared by the members of a gang
     :ivar avoided: targets on which the task failed
     :ivar stalls: number of its runs that were stopped as stalled
     :ivar waiting_since_ms: elapsed time at which its last run may have ended;
@@ -110,7 +112,7 @@
         'avoided',
         'checkpoint',
         'crash_history',
-        'failures',
+        'failed_attempts',
         'group',
         'index',
         'is_done',
@@ -132,7 +134,9 @@
             f'{group.step_number}.{index}'
         )
         self.attempts = 0
-        self.failures = 0
+        self.failed_attempts = group.failed_attempts
+        if not group.step.is_gang:
+            self.failed_attempts = failures.FailedAttempts()
         self.checkpoint = ''
         self.runs: dict[int, Run] = {}
         self.is_done = False
@@ -160,6 +164,11 @@
             and not self.group.step.is_gang
         )
 
+    @property
+    def failures(self) -> int:
+        """Number of failed attempts of the task, or of its gang."""
+        return self.failed_attempts.count
+
     @property
     def is_waiting(self) -> bool:
         """Tell whether the task needs a run."""
@@ -191,6 +200,7 @@
 class Group:
     """The tasks of one step in one occurrence of the workflow.
 
+    :ivar failed_attempts: those of the gang, if it is one
     :ivar was_ready: whether its tasks' turn has been noticed
     :ivar waiting_count: number of tasks that need a run
     :ivar running_percent: sum of the progress of the runs of unfinished tasks
@@ -202,6 +212,7 @@
 
     __slots__ = (
         'done_count',
+        'failed_attempts',
         'is_complete',
         'job',
         'misfit',
@@ -223,6 +234,7 @@
         self.occurrence = occurrence
         self.step_number = step_number
         self.step = job.workflow.steps[step_number]
+        self.failed_attempts = failures.FailedAttempts()
         self.tasks = [
             Task(self, first_number + index, index)
             for index in range(self.step.count)
@@ -514,6 +526,7 @@
                         for run in task.runs.values()
                     ),
                     _make_crash_record(task.crash_history),
+                    task.failed_attempts.numbers,
                 )
             )
         return records.StateRecord(
@@ -531,7 +544,9 @@
         for record in state.tasks:
             task = self.tasks[record.number]
             task.attempts = record.attempts
-            task.failures = record.failures
+            task.failed_attempts.restore(
+                record.failures, record.failed_attempts, record.attempts
+            )
             task.checkpoint = record.checkpoint
             task.waiting_since_ms = now_ms
             if record.crashes is not None:
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -1224,7 +1224,7 @@
         run: jobs.Run,
         moment: clock.Moment,
     ) -> None:
-        """Count a failed attempt; after the last one the workflow fails.
+        """Count a failed run against its task and against its target.
 
         A failure counts only against the first target on which the task
         fails: a task that fails on several targets is at fault itself.
@@ -1243,14 +1243,17 @@
             )
         if is_first_failure_here:
             task.avoided = (*task.avoided, target.target_id)
+        self._count_failed_attempt(task, run.attempt, moment)
+
+    def _count_failed_attempt(
+        self, task: jobs.Task, attempt: int, moment: clock.Moment
+    ) -> None:
+        """Count a failed attempt; after the last one the workflow fails."""
+        job = task.group.job
         if not job.is_active or task.is_done or task.group.step.is_lasting:
             return
-        members = [task]
-        if task.group.step.is_gang:
-            members = task.group.tasks
-        for member in members:
-            member.failures += 1
-        if task.failures >= job.terms.attempts_limit:
+        is_new = task.failed_attempts.add(attempt)
+        if is_new and task.failures >= job.terms.attempts_limit:
             cause = f'task {task.name} failed {task.failures} times'
             self._end_workflow(job, records.Phase.FAILED, cause, moment)
 
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -88,8 +88,9 @@
 
     :param number: index of the task among all tasks of the workflow
     :param attempts: highest attempt number used so far
-    :param failures: number of attempts that failed
+    :param failures: number of attempts that failed, of the task or its gang
     :param crashes: crashes of executors under the task; None for none
+    :param failed_attempts: numbers of the attempts that failed
     """
 
     number: numbers.WholeNumber
@@ -99,6 +100,7 @@
     checkpoint: str = ''
     runs: tuple[RunRecord, ...] = ()
     crashes: CrashRecord | None = None
+    failed_attempts: tuple[numbers.WholeNumber, ...] = ()
 
 
 class StateRecord(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/tests/test_gang_failures.py
@@ -0,0 +1,108 @@
+"""Failed attempts of gangs, which their members share."""
+
+import itertools
+import random
+
+import pytest
+
+from borageshelf.ports import task_executor
+from borageshelf.workflows import jobs
+from borageshelf.workflows import records
+from tests import workflow_support as support
+
+FAILED = task_executor.EndKind.FAILED
+BROKEN = task_executor.EndKind.GANG_BROKEN
+MEMBERS = 3
+LIMIT = support.QUEUE.attempts_limit
+
+
+def make_cluster() -> support.Cluster:
+    """Return an owner that has started a gang on several targets."""
+    cluster = support.Cluster()
+    for number in range(MEMBERS):
+        cluster.add_target(f't{number}')
+    cluster.submit(
+        support.make_workflow(support.make_step(MEMBERS, is_gang=True))
+    )
+    cluster.run_until_idle()
+    return cluster
+
+
+def change_owner(cluster: support.Cluster) -> None:
+    """Replace the owner; all agents report to the next one."""
+    cluster.take_over()
+    for fake in cluster.targets.values():
+        cluster.attach(fake)
+
+
+def find_job(cluster: support.Cluster) -> jobs.Job:
+    """Return the only workflow."""
+    (job,) = cluster.core.jobs.values()
+    return job
+
+
+def test_members_that_fail_together_are_one_failed_attempt() -> None:
+    """Guards against a gang given up after one failed run (review/9)."""
+    cluster = make_cluster()
+    for attempt in range(1, LIMIT + 1):
+        assert find_job(cluster).phase is records.Phase.ACTIVE
+        assert len(cluster.sent_starts) == attempt * MEMBERS
+        for task in cluster.list_running():
+            cluster.end_run(task, FAILED)
+        cluster.run_until_idle()
+    assert len(cluster.sent_starts) == LIMIT * MEMBERS
+    (archived,) = cluster.core.archive.values()
+    assert archived.phase is records.Phase.FAILED
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_failures_count_by_attempt_in_any_order(seed: int) -> None:
+    """Guards against counts that depend on who reports an end, and when.
+
+    Members fail or are broken in any order; the owner changes before, between
+    and after their ends, which are then reported again if they were not
+    acknowledged.
+    """
+    rng = random.Random(seed)
+    cluster = make_cluster()
+    failed_attempts = 0
+    for _ in itertools.count():
+        running = cluster.list_running()
+        if not running:
+            break
+        assert len(running) == MEMBERS
+        rng.shuffle(running)
+        failing = running[: rng.randint(0, MEMBERS)]
+        failed_attempts += bool(failing)
+        rng.shuffle(running)
+        for task in running:
+            cluster.end_run(task, FAILED if task in failing else BROKEN)
+            if rng.random() < 0.3:
+                cluster.commit(cluster.core.take_batch())
+            if rng.random() < 0.3:
+                change_owner(cluster)
+        cluster.run_until_idle()
+    assert failed_attempts == LIMIT
+    (archived,) = cluster.core.archive.values()
+    assert archived.phase is records.Phase.FAILED
+
+
+def test_records_that_count_members_count_no_more_than_the_attempts() -> None:
+    """Guards against gangs given up because a former version overcounted."""
+    job = find_job(make_cluster())
+    record = job.make_record()
+    former = records.StateRecord(
+        tasks=tuple(
+            records.TaskRecord(task.number, attempts=1, failures=LIMIT - 1)
+            for task in record.tasks
+        )
+    )
+    restored = jobs.Job(job.workflow, job.terms, 0)
+    restored.restore(former, 0)
+    assert [task.failures for task in restored.tasks] == [1] * MEMBERS
+    for task in restored.tasks:
+        task.attempts = 2
+    assert restored.tasks[0].failed_attempts.add(2)
+    again = jobs.Job(job.workflow, job.terms, 0)
+    again.restore(restored.make_record(), 0)
+    assert [task.failures for task in again.tasks] == [2] * MEMBERS
--- a/tests/test_lasting_waits.py
+++ b/tests/test_lasting_waits.py
@@ -187,7 +187,8 @@
     day.play(10_000)
     day.refusing.clear()
     job = day.cluster.core.jobs['1' * 16]
-    job.tasks[0].failures = job.terms.attempts_limit - 1
+    for attempt in range(job.terms.attempts_limit - 1):
+        job.tasks[0].failed_attempts.add(attempt)
     is_paused = [
         target.health.is_suspect(day.cluster.now_ms + overdue_limit_ms())
         for target in day.cluster.core.targets.values()
