Count the failure of a run that was taken for lost (BUDGET)

When the target is back, the end is acknowledged, but the owner counted only a success of a run that it no longer knew. So the task, or the gang, got one more start than MaxAttempts failed runs allow.

Change: a failure counts by its attempt, whether the run is still known or not; one that is reported again counts once.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -605,8 +605,9 @@
             else:
                 known.effects.append(acknowledge)
                 self._mark_dirty(known)
-                if end.kind is task_executor.EndKind.DONE:
-                    self._use_success_of_dropped_run(known, end, moment)
+                task = known.find_task(end.task)
+                if task is not None and end.attempt <= task.attempts:
+                    self._use_end_of_dropped_run(task, end, moment)
             return
         job = run.task.group.job
         job.note_run_seen()
@@ -1311,16 +1312,18 @@
             return
         self._finish_task(task, moment)
 
-    def _use_success_of_dropped_run(
-        self, job: jobs.Job, end: messages.Ended, moment: clock.Moment
+    def _use_end_of_dropped_run(
+        self, task: jobs.Task, end: messages.Ended, moment: clock.Moment
     ) -> None:
-        """Finish a task whose successful run was taken for lost.
+        """Use the end of a run that was taken for lost.
 
-        The acknowledgement makes its end final, so nothing may start the task
-        afterwards.
+        The acknowledgement makes its end final. So nothing may start the task
+        after a success, and a failure counts like any other.
         """
-        task = job.find_task(end.task)
-        if task is None or task.is_done or end.attempt > task.attempts:
+        job = task.group.job
+        if end.kind is task_executor.EndKind.FAILED:
+            self._count_failed_attempt(task, end.attempt, moment)
+        if end.kind is not task_executor.EndKind.DONE or task.is_done:
             return
         if not job.is_active or task.group.step.is_lasting:
             return
--- a/tests/test_gang_failures.py
+++ b/tests/test_gang_failures.py
@@ -1,4 +1,4 @@
-"""Failed attempts of gangs, which their members share."""
+"""Failed attempts of tasks, and of gangs, whose members share them."""
 
 import itertools
 import random
@@ -7,6 +7,7 @@
 
 from borageshelf.ports import task_executor
 from borageshelf.workflows import jobs
+from borageshelf.workflows import messages
 from borageshelf.workflows import records
 from tests import workflow_support as support
 
@@ -106,3 +107,53 @@
     again = jobs.Job(job.workflow, job.terms, 0)
     again.restore(restored.make_record(), 0)
     assert [task.failures for task in again.tasks] == [2] * MEMBERS
+
+
+@pytest.mark.parametrize('members', [1, MEMBERS])
+@pytest.mark.parametrize('is_owner_changed', [False, True])
+def test_failure_of_a_run_that_was_taken_for_lost_counts(
+    members: int, is_owner_changed: bool
+) -> None:
+    """Guards against one more start than the attempts allow (BUDGET).
+
+    The run has failed on a target that was given up before it could tell; the
+    failure is acknowledged once the target is back.
+    """
+    cluster = support.Cluster()
+    for number in range(MEMBERS + 1):
+        cluster.add_target(f't{number}')
+    cluster.submit(
+        support.make_workflow(support.make_step(members, is_gang=members > 1))
+    )
+    cluster.run_until_idle()
+    lost = next(fake for fake in cluster.targets.values() if fake.running)
+    (name,) = lost.running
+    failed = messages.Ended(1, name, lost.running.pop(name), FAILED, '')
+    cluster.core.detach(lost.target_id, lost.session)
+    for fake in cluster.targets.values():
+        for task in list(fake.running):
+            cluster.end_run(task, BROKEN)
+    cluster.now_ms += 2 * support.GRANT_MS
+    cluster.run_until_idle()
+    for _ in range(LIMIT - 1):
+        assert len(cluster.list_running()) == members
+        for task in cluster.list_running():
+            cluster.end_run(task, FAILED)
+        if is_owner_changed:
+            cluster.commit(cluster.core.take_batch())
+            cluster.take_over()
+            for fake in cluster.targets.values():
+                if fake is not lost:
+                    cluster.attach(fake)
+        cluster.run_until_idle()
+    assert len(cluster.sent_starts) == (LIMIT + 1) * members
+    for task in cluster.list_running():
+        cluster.end_run(task, BROKEN)
+    for _ in range(2):
+        # An agent repeats what was not acknowledged.
+        lost.ended = {failed.number: failed}
+        cluster.attach(lost)
+        cluster.run_until_idle()
+    assert len(cluster.sent_starts) == (LIMIT + 1) * members
+    (archived,) = cluster.core.archive.values()
+    assert archived.phase is records.Phase.FAILED
