Let a gang avoid targets on which any of its members failed

A gang could fail on one target until it was given up; and each member counted once against the health of a target, as if it were a task of its own.

Change: the members share the targets that they avoid. `test_gang_avoids_a_target_on_which_one_of_its_members_failed` failed before.

--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -95,7 +95,7 @@
     :ivar number: index among all tasks of the workflow
     :ivar index: index among the tasks of the group
     :ivar failed_attempts: shared by the members of a gang
-    :ivar avoided: targets on which the task failed
+    :ivar avoided: targets on which the task, or its gang, failed
     :ivar stalls: number of its runs that were stopped as stalled
     :ivar waiting_since_ms: elapsed time at which its last run may have ended;
         before its first run, that of the acceptance, of the takeover, or at
@@ -256,6 +256,10 @@
                 if not task.attempts:
                     task.waiting_since_ms = now_ms
 
+    def list_members(self, task: Task) -> abc.Sequence[Task]:
+        """Return the tasks that fail and succeed together with a task."""
+        return self.tasks if self.step.is_gang else (task,)
+
     def count_runs_by_target(self) -> dict[str, int]:
         """Return the number of the group's runs on each target."""
         counts: dict[str, int] = {}
@@ -452,8 +456,7 @@
     def finish_task(self, task: Task) -> None:
         """Mark a task as done, and with it all members of its gang."""
         group = task.group
-        members = group.tasks if group.step.is_gang else [task]
-        for member in members:
+        for member in group.list_members(task):
             if member.is_done:
                 continue
             if member.is_waiting:
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -1227,8 +1227,8 @@
     ) -> None:
         """Count a failed run against its task and against its target.
 
-        A failure counts only against the first target on which the task
-        fails: a task that fails on several targets is at fault itself.
+        A failure counts only against the first target on which the task, or
+        its gang, fails: one that fails on several targets is at fault itself.
         """
         task = run.task
         job = task.group.job
@@ -1243,7 +1243,8 @@
                 moment,
             )
         if is_first_failure_here:
-            task.avoided = (*task.avoided, target.target_id)
+            for member in task.group.list_members(task):
+                member.avoided = (*member.avoided, target.target_id)
         self._count_failed_attempt(task, run.attempt, moment)
 
     def _count_failed_attempt(
--- a/tests/test_gang_failures.py
+++ b/tests/test_gang_failures.py
@@ -157,3 +157,26 @@
     assert len(cluster.sent_starts) == (LIMIT + 1) * members
     (archived,) = cluster.core.archive.values()
     assert archived.phase is records.Phase.FAILED
+
+
+def test_gang_avoids_a_target_on_which_one_of_its_members_failed() -> None:
+    """Guards against gangs that fail on one target until they are given up.
+
+    Only the member that had failed there avoided it, and another one was
+    placed in its stead.
+    """
+    cluster = support.Cluster()
+    for number in range(MEMBERS + 1):
+        cluster.add_target(f't{number}')
+    cluster.submit(
+        support.make_workflow(support.make_step(MEMBERS, is_gang=True))
+    )
+    cluster.run_until_idle()
+    failing_id = cluster.find_target_id(cluster.list_running()[0])
+    for task in cluster.list_running():
+        is_failing = cluster.find_target_id(task) == failing_id
+        cluster.end_run(task, FAILED if is_failing else BROKEN)
+    cluster.run_until_idle()
+    placed = {target_id for target_id, _, _ in cluster.sent_starts[MEMBERS:]}
+    assert len(cluster.sent_starts) == 2 * MEMBERS
+    assert failing_id not in placed
