Soak: entries that lose their power beside large configurations; gangs

From (4700000 at the size of a site) on the proxies have the segments and small windows of a network; once or twice an entry, mostly the owner, loses its power beside four changes of a configuration of 100 KB; 4 to 8 workflows are gangs. At the end each entry must have an owner, and must end by SIGTERM in time. Failed attempts of a gang count once in the checks, for the budget as well, and one end `done` stands for the gang.

`test_seeds_that_nobody_names_have_all_faults` asks for these kinds, too; it looks at the seeds from 3700000 and 4700000 on, which have all former kinds.

--- a/standins/platform_executor.py
+++ b/standins/platform_executor.py
@@ -2,9 +2,9 @@
 
 The specification of a task is its run time in milliseconds. A ``!`` behind
 it makes every run fail, a ``#`` makes every run crash the executor, and ``0``
-stands for a task that runs until it is stopped. The documents are written out
-here and not taken from the adapter, so that a mistake in the adapter is not
-repeated here.
+stands for a task that runs until it is stopped; for ``&`` see ``gangs``. The
+documents are written out here and not taken from the adapter, so that a
+mistake in the adapter is not repeated here.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 from twisted.web import server
 
 from borageshelf.ports import http_client
+from standins import gangs
 from standins import http_server
 
 HEARTBEAT_INTERVAL_S: Final = 0.3
@@ -45,6 +46,7 @@
 
     :param saved_ms: run time that the checkpoint at its start covers
     :param will_crash: whether the executor crashes at its end
+    :param gang_size: number of members of its gang; 0 if it is in none
     """
 
     task: str
@@ -55,6 +57,8 @@
     will_crash: bool = False
     is_long_running: bool = False
     saved_ms: int = 0
+    gang_size: int = 0
+    has_joined: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,6 +112,7 @@
     :param registration_url: URL at which the agent takes heartbeats
     :param clock_rate: rate of its clock relative to the machine's clock
     :param zone: zone that it announces
+    :param known_gangs: shared by the executors on which members may run
     :ivar checks_fence: whether it refuses lower tokens than it has seen
     :ivar life: number of starts so far
     """
@@ -120,8 +125,10 @@
         clock_rate: float = 1.0,
         seed: int = 0,
         zone: str = 'tajo-norte',
+        known_gangs: gangs.Gangs | None = None,
     ) -> None:
         self.instance_id = instance_id
+        self._gangs = known_gangs or gangs.Gangs()
         self._zone = zone
         self._service = service
         self._agent_client = http_client.HttpClient(registration_url, 1)
@@ -229,6 +236,8 @@
         self.is_down = True
         for run in list(self._runs.values()):
             self._record_event(run.task, run.attempt, 'died')
+            if run.gang_size:
+                self._gangs.leave(run.task, run.attempt, 'died')
         self._runs.clear()
 
     async def _restart_after_crash(self) -> None:
@@ -315,6 +324,15 @@
             now_ms = self._read_clock_ms()
             if now_ms > self._lease_deadline_ms:
                 self._lapsed_end_number = self._last_end_number
+            # Members of a gang that fail on one executor fail together.
+            outcomes = [
+                (run, self._find_gang_outcome(run, now_ms))
+                for run in self._runs.values()
+                if run.gang_size
+            ]
+            for run, outcome in outcomes:
+                if outcome and now_ms <= self._lease_deadline_ms:
+                    self._end_run(run, outcome)
             for run in list(self._runs.values()):
                 if now_ms > self._lease_deadline_ms:
                     self._end_run(run, 'lapsed')
@@ -326,10 +344,32 @@
                     self.crash()
                     self._spawn(self._restart_after_crash())
                     break
-                elif not run.is_long_running and now_ms >= run.end_ms:
+                elif (
+                    not (run.is_long_running or run.gang_size)
+                    and now_ms >= run.end_ms
+                ):
                     fails = run.will_fail or self.faults.fails_all
                     self._end_run(run, 'failed' if fails else 'done')
 
+    def _find_gang_outcome(self, run: Run, now_ms: int) -> str:
+        """Return how the run of a member of a gang ends now, '' if not."""
+        end = self._gangs.find_end(run.task, run.attempt)
+        if end == 'done':
+            return end
+        if not run.has_joined and self._gangs.is_complete(
+            run.task, run.attempt
+        ):
+            run.has_joined = True
+            work_ms = run.end_ms - run.start_ms
+            run.start_ms, run.end_ms = now_ms, now_ms + work_ms
+        if run.has_joined and now_ms >= run.end_ms:
+            fails = run.will_fail or self.faults.fails_all
+            return 'failed' if fails else 'done'
+        waited_ms = now_ms - run.start_ms
+        if not (end or run.has_joined) and waited_ms > gangs.WAIT_LIMIT_MS:
+            return 'alone'
+        return end
+
     async def _send_heartbeats(self) -> None:
         for _ in itertools.count():
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
@@ -373,6 +413,9 @@
         return done_ms - done_ms % CHECKPOINT_INTERVAL_MS
 
     def _describe_checkpoint(self, run: Run) -> str:
+        if run.gang_size:
+            # Gangs have none here: all members would have to carry the same.
+            return ''
         work_ms = self._find_saved_work_ms(run)
         return f'{run.task}:{work_ms}' if work_ms else ''
 
@@ -384,6 +427,8 @@
             [self._last_end_number, run.task, run.attempt, outcome, saved]
         )
         self._record_event(run.task, run.attempt, outcome)
+        if run.gang_size:
+            self._gangs.leave(run.task, run.attempt, outcome)
 
     def _record_event(
         self,
@@ -481,7 +526,8 @@
             return 'old'
         self._highest_attempts[task] = attempt
         spec, checkpoint = document['Spec'], document.get('Checkpoint', '')
-        work_ms = int(spec.rstrip(FAILURE_SUFFIX + CRASH_SUFFIX))
+        rest, gang_size = gangs.parse_size(spec.rstrip(FAILURE_SUFFIX))
+        work_ms = int(rest.rstrip(CRASH_SUFFIX))
         saved_ms = int(checkpoint.rpartition(':')[2] or 0)
         self._runs[task] = Run(
             task,
@@ -492,7 +538,10 @@
             spec.endswith(CRASH_SUFFIX),
             not work_ms,
             saved_ms,
+            gang_size,
         )
+        if gang_size:
+            self._gangs.join(task, attempt, gang_size)
         self._record_event(task, attempt, 'start', spec, checkpoint, is_late)
         return ''
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,6 +9,7 @@
 import dataclasses
 from typing import Any, Final
 
+from standins import gangs
 from standins import platform_executor
 from tests.soak import plans
 
@@ -147,7 +148,7 @@
     running: dict[str, platform_executor.Event] = {}
     acknowledged_done: set[str] = set()
     done: set[str] = set()
-    failures: collections.Counter[str] = collections.Counter()
+    failed: dict[str, list[tuple[str, int]]] = collections.defaultdict(list)
     for event in events:
         task = event.task
         workflow_id, _, phase, _ = task.split('.')
@@ -155,24 +156,28 @@
         if submission is None:
             yield f'unasked: {task} was never submitted'
             continue
+        fate = _find_fate(submission, task)
         if event.what != 'start':
             if running.get(task) is not None:
                 if running[task].attempt == event.attempt:
                     del running[task]
             key = (task, event.attempt)
             if event.what == 'done':
-                done.add(task)
+                done.add(fate)
                 if key in acknowledged:
-                    acknowledged_done.add(task)
+                    acknowledged_done.add(fate)
             elif event.what == 'failed' and key in acknowledged:
-                failures[task] += 1
+                failed[fate].append(key)
             continue
         if task in running:
             yield f'twice: {task} runs as {event.attempt} and {running[task]}'
-        if task in acknowledged_done:
+        if fate in acknowledged_done:
             yield f'twice: {task} starts as {event.attempt} after success'
-        if failures[task] >= ATTEMPTS_LIMIT and not submission.is_long_running:
-            yield f'budget: {task} starts after {failures[task]} failures'
+        failures = gangs.count_failed_attempts(
+            failed[fate], submission.has_gangs
+        )
+        if failures >= ATTEMPTS_LIMIT and not submission.is_long_running:
+            yield f'budget: {task} starts after {failures} failures'
         if event.spec != submission.document['Spec']:
             yield f'unasked: {task} with the specification {event.spec}'
         if event.checkpoint and not event.checkpoint.startswith(f'{task}:'):
@@ -181,11 +186,16 @@
         for previous_phase in phases[int(phase)].get('After', ()):
             for index in range(phases[previous_phase]['Count']):
                 name = f'{workflow_id}.0.{previous_phase}.{index}'
-                if name not in done:
+                if _find_fate(submission, name) not in done:
                     yield f'order: {task} starts before {name} is done'
         running[task] = event
 
 
+def _find_fate(submission: plans.Submission, task: str) -> str:
+    """Return the name of a task, or of its gang, which ends as one."""
+    return gangs.find_gang(task) if submission.has_gangs else task
+
+
 def _check_capacity(
     submissions: abc.Mapping[str, plans.Submission],
     events: abc.Sequence[platform_executor.Event],
@@ -290,19 +300,26 @@
             )
         )
     own_phases = submission.document['Phases']
+    # One end stands for all members of a gang.
+    combine = any if submission.has_gangs else all
     is_complete = [
-        all(
+        combine(
             f'{submission.workflow_id}.0.{number}.{index}' in done
             for index in range(phase['Count'])
         )
         for number, phase in enumerate(own_phases)
     ]
     return any(
-        phase['Cpu'] <= millicores and phase['MemMb'] <= memory_mb
+        sum(
+            max(
+                min(millicores // phase['Cpu'], memory_mb // phase['MemMb']), 0
+            )
+            for millicores, memory_mb in free
+        )
+        >= (phase['Count'] if submission.has_gangs else 1)
         for number, phase in enumerate(own_phases)
         if not is_complete[number]
         and all(is_complete[other] for other in phase.get('After', ()))
-        for millicores, memory_mb in free
     )
 
 
@@ -352,7 +369,14 @@
             ended = [
                 event for event in events if event.at_ms <= call.answered_ms
             ]
-            failures = _count_ends(ended, 'failed')
+            failures = gangs.count_failed_attempts(
+                (
+                    (event.task, event.attempt)
+                    for event in ended
+                    if event.what == 'failed'
+                ),
+                submission.has_gangs,
+            )
             crashes = _count_ends(ended, 'crashed')
             if failures < ATTEMPTS_LIMIT and crashes < GIVE_UP_CRASHES:
                 yield f'lost: {workflow_id} has failed without cause'
@@ -389,6 +413,14 @@
         for event in events
         if event.what == 'done' and event.at_ms <= call.answered_ms
     }
+    if submission.has_gangs:
+        # One end stands for all members.
+        phases = submission.document['Phases']
+        done = {
+            f'{gang}.{index}'
+            for gang in map(gangs.find_gang, done)
+            for index in range(phases[int(gang.rpartition('.')[2])]['Count'])
+        }
     task_count = sum(phase['Count'] for phase in submission.document['Phases'])
     if len(done) < task_count:
         yield (
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from borageshelf.workflows import policy
+from standins import gangs
 
 # Submissions and faults start within this time; then all workflows must end.
 LOAD_DURATION_MS: Final = 10_000
@@ -64,6 +65,12 @@
 FIRST_SEED_WITH_REFUSALS: Final = 3_500_000
 REFUSAL_COUNT_RANGE: Final = (1, 3)
 REFUSAL_DURATIONS_MS: Final = (300, 1_500, 5_500)
+FIRST_SEED_WITH_GANGS: Final = 3_700_000
+GANG_COUNT_RANGE: Final = (4, 8)
+GANG_SIZES: Final = (2, 3, 4)
+FAILING_GANG_SHARE: Final = 0.3
+LOST_ENTRY_COUNT_RANGE: Final = (1, 2)
+LOST_ENTRY_DURATIONS_MS: Final = (800, 5_000)
 # As the sites of the users' platform have them.
 CUT_MS: Final = 5_500
 SUSPENSION_BESIDE_CUT_MS: Final = 4_000
@@ -111,6 +118,11 @@
             phase.get('LongRunning') for phase in self.document['Phases']
         )
 
+    @property
+    def has_gangs(self) -> bool:
+        """Tell whether the tasks of each of its steps run only together."""
+        return gangs.GANG_MARK in self.document['Spec']
+
     @property
     def always_fails(self) -> bool:
         """Tell whether every attempt of its tasks fails."""
@@ -138,6 +150,14 @@
     load_ms: int = LOAD_DURATION_MS
     zones: tuple[str, ...] = ZONES[:1]
 
+    @property
+    def has_lost_entries(self) -> bool:
+        """Tell whether an entry loses its power."""
+        return any(
+            (fault.subject, fault.kind) == ('entry-link', 'lose-power')
+            for fault in self.faults
+        )
+
 
 _KINDS_BY_SUBJECT: Final[dict[str, tuple[str, ...]]] = {
     'entry': ENTRY_KINDS,
@@ -212,6 +232,12 @@
             _draw_refusal(rng)
             for _ in range(rng.randint(*REFUSAL_COUNT_RANGE))
         ]
+    if seed >= FIRST_SEED_WITH_GANGS:
+        submissions = make_some_gangs(rng, submissions)
+        faults += [
+            _draw_lost_entry(rng)
+            for _ in range(rng.randint(*LOST_ENTRY_COUNT_RANGE))
+        ]
     faults.sort(key=lambda fault: fault.at_ms)
     return Plan(
         seed,
@@ -322,6 +348,57 @@
     )
 
 
+def _draw_lost_entry(rng: random.Random) -> Fault:
+    """Return a loss of power of an entry beside large configurations."""
+    return Fault(
+        rng.randint(FIRST_FAULT_AT_MS, LOAD_DURATION_MS),
+        rng.choice(LOST_ENTRY_DURATIONS_MS),
+        'entry-link',
+        'lose-power',
+        rng.randrange(100),
+    )
+
+
+def make_some_gangs(
+    rng: random.Random, submissions: list[Submission]
+) -> list[Submission]:
+    """Make gangs of all steps of some workflows.
+
+    They have no checkpoints: an owner may know different ones of the members
+    (review/7).
+    """
+    finite = [
+        number
+        for number, item in enumerate(submissions)
+        if not (item.is_long_running or item.is_deadly)
+    ]
+    count = min(rng.randint(*GANG_COUNT_RANGE), len(finite))
+    made = list(submissions)
+    for number in rng.sample(finite, count):
+        item = submissions[number]
+        size = rng.choice(GANG_SIZES)
+        work, failure_mark, _ = str(item.document['Spec']).partition('!')
+        if rng.random() < FAILING_GANG_SHARE:
+            failure_mark = '!'
+        phases = [
+            {
+                **{
+                    name: value
+                    for name, value in phase.items()
+                    if name not in ('AntiAffinity', 'Checkpointing')
+                },
+                'Count': size,
+                'Gang': True,
+            }
+            for phase in item.document['Phases']
+        ]
+        spec = f'{work}{gangs.GANG_MARK}{size}{failure_mark}'
+        made[number] = dataclasses.replace(
+            item, document={'Spec': spec, 'Phases': phases}
+        )
+    return made
+
+
 def _is_same_agent(fault: Fault, index: int, targets: int) -> bool:
     """Tell whether a fault stops or ends the agent of a VM."""
     if fault.subject == 'group':
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -21,6 +21,7 @@
 from bench import local_fleet
 from borageshelf import errors
 from standins import faults
+from standins import gangs
 from standins import memory_store
 from standins import platform_executor
 from standins import platform_machines
@@ -28,6 +29,7 @@
 from tests import loopback
 from tests import platform_support
 from tests.soak import checks
+from tests.soak import lost_entries
 from tests.soak import nodes
 from tests.soak import odd_entries
 from tests.soak import plans
@@ -153,6 +155,8 @@
             }
             for version in self.published_versions
         ]
+        if self.plan.has_lost_entries:
+            routes += lost_entries.make_more_routes(first)
         document = {
             **platform_support.CONFIGURATION,
             'Version': self.version,
@@ -271,6 +275,14 @@
             await asyncio.sleep(CHAIN_PAUSE_S)
     elif fault.subject == 'odd-entry':
         await inject_odd_entry(run, fault, duration_s)
+    elif fault.kind == 'lose-power' and fault.subject == 'entry-link':
+        number = lost_entries.choose_entry(run.entries, fault.index)
+        await lost_entries.lose_power(
+            run.entries[number],
+            run.proxies[2 * number : 2 * number + 2],
+            run.publish_configuration,
+            duration_s,
+        )
     elif fault.subject == 'entry-link':
         first = 2 * (fault.index % len(run.entries))
         count = 1 if fault.kind == 'cut-store' else 2
@@ -542,6 +554,10 @@
                 ),
             )
             await wait_for_workflows(run)
+            if plan.has_lost_entries:
+                run.history.problems += await lost_entries.find_stuck(
+                    run.entries, run.http
+                )
         finally:
             for task in background_tasks:
                 task.cancel()
@@ -586,10 +602,12 @@
     )
     run = SoakRun(plan, store, http, [], [], [], [], [], checks.History())
 
+    known_gangs = gangs.Gangs()
+
     async def make_proxy(
         address: str, made: list[proxies.Proxy] = run.proxies, port: int = 0
     ) -> str:
-        proxy = proxies.Proxy(address, port)
+        proxy = proxies.Proxy(address, port, plan.has_lost_entries)
         made.append(proxy)
         proxied_address = await proxy.start()
         stack.push_async_callback(proxy.stop)
@@ -625,6 +643,7 @@
             clock_rate=(1.0, 0.985, 1.0)[number % 3],
             seed=plan.seed + number,
             zone=zone,
+            known_gangs=known_gangs,
         )
         executor.checks_fence = safeguard != 'fence'
         url = await stack.enter_async_context(
--- a/tests/soak/site_plans.py
+++ b/tests/soak/site_plans.py
@@ -13,7 +13,7 @@
 from tests.soak import plans
 
 FIRST_SEED: Final = 4_000_000
-FIRST_SEED_WITH_ALL_FAULTS: Final = 4_600_000
+FIRST_SEED_WITH_ALL_FAULTS: Final = 4_700_000
 LOAD_MS: Final = 30_000
 ENTRIES: Final = 3
 TARGETS: Final = 11
@@ -70,6 +70,8 @@
     submissions = [_draw_submission(rng, load_ms) for _ in range(count)]
     if rng.random() < DEADLY_SHARE:
         submissions = plans.make_some_deadly(rng, submissions)
+    if seed >= FIRST_SEED_WITH_ALL_FAULTS:
+        submissions = plans.make_some_gangs(rng, submissions)
     submissions.sort(key=lambda item: item.at_ms)
     return plans.Plan(
         seed,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Runs seeds of the soak, and its checks on made-up histories."""
 
 import asyncio
+import dataclasses
 import pathlib
 from typing import Final
 
@@ -49,19 +50,24 @@
     seeds = soak.draw_seeds(None, 50)
     site_count = sum(seed >= site_plans.FIRST_SEED for seed in seeds)
     assert 10 <= site_count <= 40
-    assert min(seeds) >= plans.FIRST_SEED_WITH_REFUSALS
+    assert min(seeds) >= plans.FIRST_SEED_WITH_GANGS
     drawn = {
         (fault.subject, fault.kind)
-        for seed in range(4_600_000, 4_600_100)
+        for seed in range(4_700_000, 4_700_100)
         for fault in site_plans.make_plan(seed).faults
     }
     small = {
         (fault.subject, fault.kind)
-        for seed in range(3_500_000, 3_500_500)
+        for seed in range(3_700_000, 3_700_500)
         for fault in plans.make_plan(seed).faults
     }
     assert drawn >= small
     assert ('vm', 'refuse-executor') in small
+    assert ('entry-link', 'lose-power') in small
+    assert all(
+        any(item.has_gangs for item in site_plans.make_plan(seed).submissions)
+        for seed in seeds
+    )
 
 
 def test_cut_delivers_later_what_it_holds_back() -> None:
@@ -240,6 +246,63 @@
     assert find_kinds(history) == set()
 
 
+def make_gang_events(
+    *attempts: tuple[str, str],
+) -> list[platform_executor.Event]:
+    """Return the events of a gang of two by the ends of its attempts."""
+    events = []
+    for attempt, ends in enumerate(attempts, 1):
+        for index, end in enumerate(ends):
+            for at_ms, what in ((100 * attempt, 'start'), (50, end)):
+                events.append(
+                    dataclasses.replace(
+                        make_event(
+                            at_ms + (100 * attempt if what == end else 0),
+                            what,
+                            0,
+                            attempt,
+                            '100&2',
+                        ),
+                        task=f'{WORKFLOW_ID}.0.0.{index}',
+                    )
+                )
+    return events
+
+
+@pytest.mark.parametrize(
+    ('attempts', 'expected'),
+    [
+        ([('failed', 'failed')], {'lost'}),
+        ([('failed', 'failed'), ('broken', 'failed')], {'lost'}),
+        ([('failed', 'broken')] * 2 + [('broken', 'failed')], set()),
+        (
+            [('failed', 'broken')] * 2
+            + [('broken', 'failed'), ('broken', 'broken')],
+            {'budget'},
+        ),
+    ],
+)
+def test_failed_attempts_of_a_gang_are_counted_once(
+    attempts: list[tuple[str, str]], expected: set[str]
+) -> None:
+    """Guards against checks that count members instead (review/9)."""
+    phase = {'Count': 2, 'Cpu': 100, 'MemMb': 1, 'Gang': True}
+    submission = plans.Submission(
+        0, WORKFLOW_ID, {'Spec': '100&2', 'Phases': [phase]}, 0
+    )
+    events = make_gang_events(*attempts)
+    history = checks.History(
+        calls=[make_call('POST', 200), make_call('GET', 200, 'failed')],
+        events=events,
+        acknowledged={
+            (event.task, event.attempt)
+            for event in events
+            if event.what == 'failed'
+        },
+    )
+    assert find_kinds(history, submission) == expected
+
+
 def test_starts_after_crashes_beyond_the_budget_are_found() -> None:
     events = []
     for attempt in range(1, 7):
