--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -10,6 +10,7 @@
 
 from borageshelf.decisions import crash_blame
 from borageshelf.model import workflows
+from borageshelf.workflows import checkpoints
 from borageshelf.workflows import effects
 from borageshelf.workflows import failures
 from borageshelf.workflows import records
@@ -95,6 +96,7 @@
     :ivar number: index among all tasks of the workflow
     :ivar index: index among the tasks of the group
     :ivar failed_attempts: shared by the members of a gang
+    :ivar newest_checkpoint: shared by the members of a gang
     :ivar avoided: targets on which the task, or its gang, failed
     :ivar stalls: number of its runs that were stopped as stalled
     :ivar waiting_since_ms: elapsed time at which its last run may have ended;
@@ -110,7 +112,6 @@
     __slots__ = (
         'attempts',
         'avoided',
-        'checkpoint',
         'crash_history',
         'failed_attempts',
         'group',
@@ -118,6 +119,7 @@
         'is_done',
         'isolation_wait_deadline_ms',
         'name',
+        'newest_checkpoint',
         'number',
         'overdue_retry_deadline_ms',
         'runs',
@@ -135,9 +137,10 @@
         )
         self.attempts = 0
         self.failed_attempts = group.failed_attempts
+        self.newest_checkpoint = group.newest_checkpoint
         if not group.step.is_gang:
             self.failed_attempts = failures.FailedAttempts()
-        self.checkpoint = ''
+            self.newest_checkpoint = checkpoints.Checkpoint()
         self.runs: dict[int, Run] = {}
         self.is_done = False
         self.waiting_since_ms = group.job.accepted_at_ms
@@ -169,6 +172,11 @@
         """Number of failed attempts of the task, or of its gang."""
         return self.failed_attempts.count
 
+    @property
+    def checkpoint(self) -> str:
+        """Checkpoint from which the next run starts, '' for none."""
+        return self.newest_checkpoint.value
+
     @property
     def is_waiting(self) -> bool:
         """Tell whether the task needs a run."""
@@ -201,6 +209,7 @@
     """The tasks of one step in one occurrence of the workflow.
 
     :ivar failed_attempts: those of the gang, if it is one
+    :ivar newest_checkpoint: that of the gang, if it is one
     :ivar was_ready: whether its tasks' turn has been noticed
     :ivar waiting_count: number of tasks that need a run
     :ivar running_percent: sum of the progress of the runs of unfinished tasks
@@ -216,6 +225,7 @@
         'is_complete',
         'job',
         'misfit',
+        'newest_checkpoint',
         'occurrence',
         'overdue_misfit_deadline_ms',
         'running_percent',
@@ -235,6 +245,7 @@
         self.step_number = step_number
         self.step = job.workflow.steps[step_number]
         self.failed_attempts = failures.FailedAttempts()
+        self.newest_checkpoint = checkpoints.Checkpoint()
         self.tasks = [
             Task(self, first_number + index, index)
             for index in range(self.step.count)
@@ -465,7 +476,7 @@
                 run.progress_percent for run in member.runs.values()
             )
             member.is_done = True
-            member.checkpoint = ''
+            member.newest_checkpoint.clear()
             group.done_count += 1
         if group.done_count == len(group.tasks):
             group.is_complete = True
@@ -550,7 +561,7 @@
             task.failed_attempts.restore(
                 record.failures, record.failed_attempts, record.attempts
             )
-            task.checkpoint = record.checkpoint
+            task.newest_checkpoint.restore(record.checkpoint)
             task.waiting_since_ms = now_ms
             if record.crashes is not None:
                 task.set_crash_history(
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -20,6 +20,7 @@
 from borageshelf import measurements
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
+from borageshelf.workflows import checkpoints
 from borageshelf.workflows import crashes
 from borageshelf.workflows import effects
 from borageshelf.workflows import end_proofs
@@ -615,8 +616,10 @@
         self._mark_dirty(job)
         self._drop_run(run, _find_earliest_end_ms(target, run))
         task = run.task
-        if end.checkpoint and not task.is_done:
-            task.checkpoint = end.checkpoint
+        if not task.is_done:
+            task.newest_checkpoint.note(
+                end.checkpoint, end.attempt, checkpoints.ENDED_PERCENT
+            )
         self._record(
             'run ended',
             workflow=job.workflow_id,
@@ -741,8 +744,10 @@
                 run.task.group.job.record_progress(
                     run, row.progress_percent, moment.elapsed_ms
                 )
-            if row.checkpoint and not run.task.is_done:
-                run.task.checkpoint = row.checkpoint
+            if not run.task.is_done:
+                run.task.newest_checkpoint.note(
+                    row.checkpoint, row.attempt, row.progress_percent
+                )
             if row.pace_percent >= SLOW_PACE_PERCENT:
                 run.slow_since_ms = 0
             elif not run.slow_since_ms:
