--- a/standins/gangs.py
+++ b/standins/gangs.py
@@ -22,12 +22,12 @@
 class _Attempt:
     """One attempt of a gang.
 
-    :ivar present: members that have a run
+    :ivar present: the checkpoint of each member that has a run
     :ivar is_complete: whether all were present together, so that they work
     :ivar end: how the first run ended, '' before
     """
 
-    present: set[str] = dataclasses.field(default_factory=set)
+    present: dict[str, str] = dataclasses.field(default_factory=dict)
     is_complete: bool = False
     end: str = ''
 
@@ -38,16 +38,20 @@
     def __init__(self) -> None:
         self._attempts: dict[tuple[str, int], _Attempt] = {}
 
-    def join(self, task: str, attempt: int, size: int) -> None:
-        """Note the run of a member."""
+    def join(
+        self, task: str, attempt: int, size: int, checkpoint: str
+    ) -> None:
+        """Note the run of a member; all must carry the same checkpoint."""
         found = self._find(task, attempt)
-        found.present.add(task)
-        found.is_complete = found.is_complete or len(found.present) == size
+        found.present[task] = checkpoint
+        found.is_complete = found.is_complete or (
+            len(found.present) == size and len({*found.present.values()}) == 1
+        )
 
     def leave(self, task: str, attempt: int, outcome: str) -> None:
         """Note the end of the run of a member."""
         found = self._find(task, attempt)
-        found.present.discard(task)
+        found.present.pop(task, None)
         found.end = found.end or outcome
 
     def is_complete(self, task: str, attempt: int) -> bool:
--- a/standins/platform_executor.py
+++ b/standins/platform_executor.py
@@ -413,11 +413,13 @@
         return done_ms - done_ms % CHECKPOINT_INTERVAL_MS
 
     def _describe_checkpoint(self, run: Run) -> str:
-        if run.gang_size:
-            # Gangs have none here: all members would have to carry the same.
-            return ''
         work_ms = self._find_saved_work_ms(run)
-        return f'{run.task}:{work_ms}' if work_ms else ''
+        owner = run.task
+        if run.gang_size:
+            owner = gangs.find_gang(run.task)
+            if not run.has_joined:
+                work_ms = run.saved_ms
+        return f'{owner}:{work_ms}' if work_ms else ''
 
     def _end_run(self, run: Run, outcome: str) -> None:
         del self._runs[run.task]
@@ -541,7 +543,7 @@
             gang_size,
         )
         if gang_size:
-            self._gangs.join(task, attempt, gang_size)
+            self._gangs.join(task, attempt, gang_size, checkpoint)
         self._record_event(task, attempt, 'start', spec, checkpoint, is_late)
         return ''
 
