--- a/borageshelf/platform/documents.py
+++ b/borageshelf/platform/documents.py
@@ -98,16 +98,25 @@
 class _Heartbeat(msgspec.Struct, rename='pascal'):
     """An executor's report of its state and capacity.
 
+    Each executor sends all fields without a default; a report that lacks one
+    is of another program.
+
+    :param slots: not used, like the zone, the version and ``cold_left_ms``
+    :param cold_left_ms: how much longer it is slow after its start
     :param remaining_ms: least time until a draining executor ends
     :param born: start of the executor, in Unix milliseconds
     """
 
     service: str
     address: str
+    zone: str
+    version: str
+    slots: numbers.Number
     state: str
+    cold_left_ms: numbers.Number
     seq_no: numbers.WholeNumber
     capacity: _Capacity
-    labels: list[str] = []
+    labels: list[str]
     remaining_ms: numbers.Number = 0
     clock_ms: numbers.WholeNumber = 0
     born: numbers.WholeNumber = msgspec.field(name='born', default=0)
--- a/tests/soak/odd_entries.py
+++ b/tests/soak/odd_entries.py
@@ -26,10 +26,17 @@
     'born': 2**53,
     'Service': platform_support.SERVICE,
     'Address': '127.0.0.1:1',
+    'Zone': 'tajo-norte',
+    'Version': 'v1',
+    'Slots': 8,
+    'ColdLeftMs': 0,
     'State': 'ready',
     'SeqNo': 1,
     'Capacity': {'Cpu': 64_000, 'MemMb': 256_000},
+    'Labels': [],
 }
+# Each heartbeat has these; one without them is of another writer.
+NEEDED_FIELDS: Final = ('Zone', 'Version', 'Slots', 'ColdLeftMs', 'Labels')
 ODD_FIELDS: Final[tuple[dict[str, Any], ...]] = (
     {'SeqNo': 10**30},
     {'born': 10**30},
@@ -95,6 +102,12 @@
     bodies = [
         json.dumps({**HEARTBEAT, **fields}).encode() for fields in ODD_FIELDS
     ]
+    bodies += [
+        json.dumps(
+            {key: HEARTBEAT[key] for key in HEARTBEAT if key != missing}
+        ).encode()
+        for missing in NEEDED_FIELDS
+    ]
     bodies += [
         odd_values.add_field(valid, odd_values.nest_lists(depth))
         for depth in odd_values.DEPTHS
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -127,6 +127,10 @@
     {
         'Service': 'pigment',
         'Address': '10.0.0.1:1',
+        'Zone': 'z',
+        'Version': 'v1',
+        'Slots': 8,
+        'ColdLeftMs': 0,
         'State': 'draining',
         'SeqNo': 1,
         'Capacity': {'Cpu': 64_000, 'MemMb': 256_000, 'Gpu': 0},
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -126,6 +126,9 @@
     'Service': 'pigment',
     'Address': '10.0.0.1:1',
     'Zone': 'z',
+    'Version': 'v1',
+    'Slots': 8,
+    'ColdLeftMs': 0,
     'State': 'ready',
     'SeqNo': 4,
     'Capacity': {'Cpu': 16000, 'MemMb': 32768, 'Gpu': 0},
@@ -176,6 +179,19 @@
     assert documents.decode_announcement('i-1', b'\xff\xfe', 0) is None
 
 
+@pytest.mark.parametrize('name', sorted(set(VALID_HEARTBEAT) - {'born'}))
+def test_heartbeat_without_a_field_announces_no_executor(name: str) -> None:
+    """Guards against agents that leave their executor (review/8).
+
+    A report of another program with a later start hid it for good.
+    """
+    document = {
+        key: value for key, value in VALID_HEARTBEAT.items() if key != name
+    }
+    body = json.dumps(document).encode()
+    assert documents.decode_announcement('i-1', body, 0) is None
+
+
 def test_submission_is_decoded() -> None:
     """Guards against a field that is decoded with another meaning."""
     body = {
