--- a/borageshelf/workflows/overdue.py
+++ b/borageshelf/workflows/overdue.py
@@ -14,6 +14,7 @@
 from collections import abc
 from typing import Final, Protocol
 
+from borageshelf.decisions import crash_blame
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_placement
 from borageshelf.model import workflows
@@ -160,9 +161,9 @@
         """Add runs of the overdue tasks, as far as there is room.
 
         Tasks are spread over the targets, as it is not known which of them are
-        sound. Targets that are kept free for a suspected task come last, and
-        only lasting tasks start there: other tasks share the blame for a
-        crash, which may end their workflow.
+        sound. Targets that are kept free for a suspected task come last. Tasks
+        that do not last share the blame for a crash, which may end their
+        workflow, so they start there only beside runs that have grown old.
         """
         queues = [pool.paused]
         if group.step.is_gang:
@@ -173,8 +174,16 @@
                 for target in index.list_targets()
             )
             queues.insert(0, collections.deque(usable))
-        # The rules ask for a run only where two targets have room.
-        if group.step.is_lasting and len(self._fleet.targets) > 1:
+        if not group.step.is_lasting:
+            queues.append(
+                collections.deque(
+                    target
+                    for target in pool.kept_free
+                    if _has_old_suspects(target, now_ms)
+                )
+            )
+        elif len(self._fleet.targets) > 1:
+            # The rules ask for a run only where two targets have room.
             queues.append(pool.kept_free)
         sibling_counts = group.count_runs_by_target()
         placed: list[tuple[jobs.Run, targets.Target]] = []
@@ -239,6 +248,19 @@
             self._fleet.touch(target)
 
 
+def _has_old_suspects(target: targets.Target, now_ms: int) -> bool:
+    """Tell whether a target is isolated for runs that have lasted.
+
+    A deadly task has most likely crashed its executor by then, and if it does
+    so later, it explains the crash better than a task that has just started.
+    """
+    suspects = list(target.list_isolated_runs())
+    return bool(suspects) and all(
+        run.is_sent and now_ms - run.started_at_ms > crash_blame.COUNTED_AGE_MS
+        for run in suspects
+    )
+
+
 def is_overdue(task: jobs.Task, now_ms: int) -> bool:
     """Tell whether a lasting task has waited too long for a run."""
     return (
