Return to an executor that goes on while its rival is silent

Delayed announcements of an executor that has gone arrive together, and a cut that holds them back holds back those of the later one as well.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -16,6 +16,7 @@
 from borageshelf.agent.workflows import grant_watch
 from borageshelf.agent.workflows import lease_lapse
 from borageshelf.agent.workflows import pacer
+from borageshelf.agent.workflows import rivals
 from borageshelf.agent.workflows import runs
 from borageshelf import clock
 from borageshelf.decisions import pacing
@@ -80,6 +81,7 @@
         self._send = send
         self._request_session = request_session
         self.announcement: targets.Announcement | None = None
+        self._rival = rivals.Rival()
         self._token = 0
         self._is_ready = False
         self._grant_ms = 0
@@ -144,7 +146,12 @@
         """Apply an announcement of the executor unless it is outdated."""
         former = self.announcement
         if former is not None and not announcement.is_newer_than(former):
-            return
+            is_rival = former.instance_id != announcement.instance_id
+            if not is_rival or not self._rival.has_outlasted(
+                announcement, clock.read_elapsed_ms()
+            ):
+                return
+        self._rival.forget()
         self.announcement = announcement
         if former is None or former.incarnation != announcement.incarnation:
             self._event_log.record_state(
@@ -343,6 +350,7 @@
             if self._token != token:
                 return
             self._is_refused = False
+            self._rival.forget()
             self._inspected_at_ms = clock.read_elapsed_ms()
             self._unanswered_since_ms = 0
             self._conclude_from_answer(inspection)
