--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -303,6 +303,28 @@
     assert find_kinds(history, submission) == expected
 
 
+def test_member_that_starts_late_is_in_the_same_attempt() -> None:
+    """Guards against a check that takes it for the next one (3800139)."""
+    phase = {'Count': 2, 'Cpu': 100, 'MemMb': 1, 'Gang': True}
+    submission = plans.Submission(
+        0, WORKFLOW_ID, {'Spec': '100&2', 'Phases': [phase]}, 0
+    )
+    events = make_gang_events(*[('failed', 'failed')] * 3)
+    late = events[-2]
+    assert (late.what, late.attempt) == ('start', 3)
+    events[-2] = dataclasses.replace(late, at_ms=events[-1].at_ms)
+    history = checks.History(
+        calls=[make_call('POST', 200), make_call('GET', 200, 'failed')],
+        events=events,
+        acknowledged={
+            (event.task, event.attempt)
+            for event in events
+            if event.what == 'failed'
+        },
+    )
+    assert find_kinds(history, submission) == set()
+
+
 def test_starts_after_crashes_beyond_the_budget_are_found() -> None:
     events = []
     for attempt in range(1, 7):
