Hold a peer back before a large message is sent to it, in the tests

Traced: the large message was sent 0.1 s before the proxy held everything back. On the idle machine all 8 MB had passed by then (data_sent 8,000,026, nothing left in the transport), so nothing was blocked, and the stream rightly went on. Each side now sends it once its peer takes nothing any more; what is checked, and the limits, are unchanged.

--- a/tests/test_peers_that_take_nothing.py
+++ b/tests/test_peers_that_take_nothing.py
@@ -40,14 +40,11 @@
 class Side:
     """What one side of a stream does: it sends, and ends in some way.
 
-    :ivar has_begun: set once the stream is open and the messages are queued
+    :ivar has_begun: set once the stream is open and a small message is queued
     :ivar ended_at_ms: elapsed time at which the handler ended, 0 before
     """
 
-    def __init__(
-        self, message: messages.AnyMessage, returns_on: asyncio.Event
-    ) -> None:
-        self._message = message
+    def __init__(self, returns_on: asyncio.Event) -> None:
         self._returns_on = returns_on
         self.has_begun = asyncio.Event()
         self.outbox: channel.Outbox | None = None
@@ -55,10 +52,10 @@
         self.ended_at_ms = 0
 
     async def handle(self, incoming: Incoming, outbox: channel.Outbox) -> None:
-        """Send the message and read the stream until told to return."""
+        """Send a message and read the stream until told to return."""
         self.outbox = outbox
         self.task = asyncio.current_task()
-        outbox.send(self._message)
+        outbox.send(SMALL)
         self.has_begun.set()
         reading = asyncio.ensure_future(read_all(incoming))
         returning = asyncio.ensure_future(self._returns_on.wait())
@@ -127,8 +124,7 @@
 
     async def check() -> None:
         returns_on, never = asyncio.Event(), asyncio.Event()
-        sender = Side(LARGE, returns_on)
-        other = Side(SMALL, never)
+        sender, other = Side(returns_on), Side(never)
         client, server = (sender, other) if is_client else (other, sender)
         async with serve_behind_proxy(server.handle) as (address, proxy):
             connecting = asyncio.ensure_future(
@@ -138,9 +134,11 @@
             await asyncio.sleep(0.1)
             proxy.hold()
             opened = count_connections()
+            assert sender.outbox is not None
+            sender.outbox.send(LARGE)
+            await asyncio.sleep(0.1)
             begun_ms = clock.read_elapsed_ms()
             if how == 'closes':
-                assert sender.outbox is not None
                 sender.outbox.close()
             elif how == 'returns':
                 returns_on.set()
