Give no port to servers of two test processes

Each returned port is locked in a file until the process that uses it ends. The function has a module of its own now.

--- a/bench/binary.py
+++ b/bench/binary.py
@@ -22,6 +22,7 @@
 
 from bench import binary_environment
 from bench import binary_load
+from bench import free_ports
 from bench import local_fleet
 from bench import traces
 
@@ -83,7 +84,7 @@
     program: binary_environment.Program,
 ) -> tuple[Sample, Sample]:
     """Start an entry and an agent, measure both and stop them."""
-    inner_address = f'{local_fleet.HOST}:{local_fleet.find_free_ports(1)[0]}'
+    inner_address = f'{local_fleet.HOST}:{free_ports.find_free_ports(1)[0]}'
     entry, entry_ms = await _start_timed(
         environment,
         program,
@@ -150,7 +151,7 @@
     memory_folder: pathlib.Path,
 ) -> dict[str, tuple[traces.Counts, int]]:
     """Trace an entry and an agent; return counts and exit statuses."""
-    inner_address = f'{local_fleet.HOST}:{local_fleet.find_free_ports(1)[0]}'
+    inner_address = f'{local_fleet.HOST}:{free_ports.find_free_ports(1)[0]}'
     flags = {
         'entry': environment.make_entry_flags(inner_address),
         'agent': environment.make_agent_flags(inner_address),
--- a/bench/binary_environment.py
+++ b/bench/binary_environment.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from bench import binary_load
+from bench import free_ports
 from bench import local_fleet
 
 DRAIN_MS: Final = 5_000
@@ -60,7 +61,7 @@
 
     def make_entry_flags(self, inner_address: str) -> list[str]:
         """Return the command-line arguments of an entry."""
-        caller, admin = local_fleet.find_free_ports(2)
+        caller, admin = free_ports.find_free_ports(2)
         self.caller_url = f'http://{local_fleet.HOST}:{caller}'
         self.admin_url = f'http://{local_fleet.HOST}:{admin}'
         return [
--- a/bench/local_fleet.py
+++ b/bench/local_fleet.py
@@ -10,23 +10,21 @@
 import dataclasses
 import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 import time
 from typing import Any, Final
 
 import aiohttp
 
+from bench import free_ports
+
 ROOT: Final = pathlib.Path(__file__).parents[1]
-HOST: Final = '127.0.0.1'
+HOST: Final = free_ports.HOST
 READY_TIMEOUT_S: Final = 60
 STOP_TIMEOUT_S: Final = 60
 ADMIN_TOKEN: Final = 'demonstration-token-of-the-bench'
 OUTPUT_LINE_LIMIT: Final = 400
-# Ends below 32768, where the default ephemeral ports of Linux begin.
-SERVER_PORT_RANGE: Final = (15_000, 32_000)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -175,34 +173,6 @@
     return process, 'http://' + line.split('listening on ')[1].strip()
 
 
-_returned_ports: set[int] = set()
-
-
-def find_free_ports(count: int) -> list[int]:
-    """Return TCP ports that were free when they were checked.
-
-    They lie below the ephemeral range. The kernel may assign a free port of
-    that range to an outgoing connection before a server listens on it. No
-    port is returned twice, because its server may not listen yet.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randint(*SERVER_PORT_RANGE)
-        if port in _returned_ports:
-            continue
-        with socket.socket() as probe:
-            # Servers set this option too: a port whose only connections are
-            # closed (TIME_WAIT) counts as free.
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        _returned_ports.add(port)
-        ports.append(port)
-    return ports
-
-
 class Fleet:
     """A running deployment, used as an asynchronous context manager."""
 
@@ -257,7 +227,7 @@
         self, entry_id: str, data_centre: str
     ) -> EntryHandle:
         """Start an entry and wait until it accepts connections."""
-        caller, inner, admin = find_free_ports(3)
+        caller, inner, admin = free_ports.find_free_ports(3)
         process = await start_process(
             entry_id,
             'borageshelf.main',
--- a/tests/election_support.py
+++ b/tests/election_support.py
@@ -6,7 +6,7 @@
 import os
 from typing import Final
 
-from bench import local_fleet
+from bench import free_ports
 from borageshelf import clock
 from borageshelf.entry.workflows import election
 from borageshelf import events
@@ -41,7 +41,7 @@
         self, number: int, store: memory_store.MemoryStore, millicores: int
     ) -> None:
         self.document = Document()
-        (self._port,) = local_fleet.find_free_ports(1)
+        (self._port,) = free_ports.find_free_ports(1)
         self._number = number
         self._store = store
         self._millicores = millicores
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -17,6 +17,7 @@
 
 import aiohttp
 
+from bench import free_ports
 from bench import local_fleet
 from borageshelf.workflows import journal
 from borageshelf.workflows import records
@@ -104,7 +105,7 @@
 
     def add_entry(self, number: int) -> None:
         """Add the settings of an entry; the process is not started."""
-        ports = local_fleet.find_free_ports(4)
+        ports = free_ports.find_free_ports(4)
         name = f'entry-{number}'
         self.entries.append(
             Node(
@@ -148,7 +149,7 @@
                         entry.settings['inner_address']
                         for entry in self.entries
                     ],
-                    'metrics_port': local_fleet.find_free_ports(1)[0],
+                    'metrics_port': free_ports.find_free_ports(1)[0],
                 },
             )
         )
@@ -266,7 +267,7 @@
         ):
             entry.settings['processor_share'] = share
         for number in range(targets):
-            port = local_fleet.find_free_ports(1)[0]
+            port = free_ports.find_free_ports(1)[0]
             executor = platform_executor.PlatformExecutor(
                 f'i-{number}', SERVICE, f'http://{HOST}:{port}'
             )
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -18,6 +18,7 @@
 
 import aiohttp
 
+from bench import free_ports
 from bench import local_fleet
 from borageshelf import errors
 from standins import faults
@@ -631,7 +632,7 @@
         )
     for number in range(plan.targets):
         zone = plan.zones[number % len(plan.zones)]
-        port, *inner_ports = local_fleet.find_free_ports(3)
+        port, *inner_ports = free_ports.find_free_ports(3)
         inner: list[proxies.Proxy] = []
         registration = await make_proxy(
             f'{HOST}:{port}', inner, inner_ports[0]
--- a/tests/test_election_cut_entry.py
+++ b/tests/test_election_cut_entry.py
@@ -6,7 +6,7 @@
 import os
 from typing import Any
 
-from bench import local_fleet
+from bench import free_ports
 from borageshelf import clock
 from borageshelf.entry.workflows import election
 from borageshelf.entry.workflows import owner_stream
@@ -86,7 +86,7 @@
     store: memory_store.MemoryStore, count: int
 ) -> abc.AsyncIterator[list[RunningEntry]]:
     """Run entries that elect an owner."""
-    ports = local_fleet.find_free_ports(count)
+    ports = free_ports.find_free_ports(count)
     entries = [
         RunningEntry(number, store, port) for number, port in enumerate(ports)
     ]
--- a/tests/test_peers_that_take_nothing.py
+++ b/tests/test_peers_that_take_nothing.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from bench import local_fleet
+from bench import free_ports
 from borageshelf.agent.workflows import owner_link
 from borageshelf import clock
 from borageshelf.entry.workflows import election
@@ -81,7 +81,7 @@
     handle: Any,
 ) -> abc.AsyncIterator[tuple[str, proxies.Proxy]]:
     """Serve streams behind a proxy with small windows."""
-    (port,) = local_fleet.find_free_ports(1)
+    (port,) = free_ports.find_free_ports(1)
     server = channel.make_server(channel.Service(handle))
     await server.start(HOST, port)
     proxy = proxies.Proxy(f'{HOST}:{port}', has_small_windows=True)
