--- a/borageshelf/entry/workflows/request_service.py
+++ b/borageshelf/entry/workflows/request_service.py
@@ -174,7 +174,8 @@
             )
         except errors.BorageshelfError:
             return messages.RequestAnswer(0, effects.Outcome.UNKNOWN)
-        active_state = 'running' if state.tasks else 'queued'
+        has_begun = state.tasks or state.complete_occurrences
+        active_state = 'running' if has_begun else 'queued'
         return messages.RequestAnswer(
             0,
             effects.Outcome.FOUND,
--- a/borageshelf/workflows/idle.py
+++ b/borageshelf/workflows/idle.py
@@ -64,10 +64,8 @@
     waiting = [
         (task.waiting_since_ms, group, task)
         for job in active_jobs
-        for group in job.groups
+        for group in job.list_waiting_groups(moment.wall_ms)
         if group.step.is_lasting
-        and group.waiting_count
-        and job.is_ready(group, moment.wall_ms)
         for task in group.tasks
         if task.is_waiting
         and now_ms - task.waiting_since_ms >= LASTING_WAIT_LIMIT_MS
@@ -131,11 +129,7 @@
     now_ms = moment.elapsed_ms
     if job.live_runs:
         return 'no target lists its runs'
-    groups = [
-        group
-        for group in job.groups
-        if group.waiting_count and job.is_ready(group, moment.wall_ms)
-    ]
+    groups = job.list_waiting_groups(moment.wall_ms)
     if not groups:
         return 'no step is due'
     waiting = [
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -13,6 +13,7 @@
 from borageshelf.workflows import checkpoints
 from borageshelf.workflows import effects
 from borageshelf.workflows import failures
+from borageshelf.workflows import occurrences
 from borageshelf.workflows import records
 
 STATE_NAMES: Final = {
@@ -210,6 +211,7 @@
 
     :ivar failed_attempts: those of the gang, if it is one
     :ivar newest_checkpoint: that of the gang, if it is one
+    :ivar predecessors: those that must be complete before this one begins
     :ivar was_ready: whether its tasks' turn has been noticed
     :ivar waiting_count: number of tasks that need a run
     :ivar running_percent: sum of the progress of the runs of unfinished tasks
@@ -228,6 +230,7 @@
         'newest_checkpoint',
         'occurrence',
         'overdue_misfit_deadline_ms',
+        'predecessors',
         'running_percent',
         'step',
         'step_number',
@@ -238,12 +241,18 @@
     )
 
     def __init__(
-        self, job: 'Job', occurrence: int, step_number: int, first_number: int
+        self,
+        job: 'Job',
+        occurrence: int,
+        step_number: int,
+        first_number: int,
+        earlier: abc.Sequence['Group'],
     ) -> None:
         self.job = job
         self.occurrence = occurrence
         self.step_number = step_number
         self.step = job.workflow.steps[step_number]
+        self.predecessors = [earlier[number] for number in self.step.after]
         self.failed_attempts = failures.FailedAttempts()
         self.newest_checkpoint = checkpoints.Checkpoint()
         self.tasks = [
@@ -319,17 +328,43 @@
         self.cause = ''
         self.waiters: list[int] = []
         self.effects: list[effects.Effect] = []
-        self.groups: list[Group] = []
-        self.tasks: list[Task] = []
         self._live_runs = 0
         self.idle_since_ms = accepted_at_ms
-        for occurrence in range(workflow.occurrences):
-            for number in range(len(workflow.steps)):
-                group = Group(self, occurrence, number, len(self.tasks))
-                self.groups.append(group)
-                self.tasks += group.tasks
+        self._occurrence_size = sum(step.count for step in workflow.steps)
+        self._occurrences = occurrences.Occurrences(
+            workflow, self._make_groups
+        )
+        if not workflow.has_due_times:
+            self._occurrences.open_one(0)
         self.objective_ms = compute_objective_ms(workflow, terms)
 
+    def _make_groups(self, occurrence: int) -> list[Group]:
+        groups: list[Group] = []
+        task_number = occurrence * self._occurrence_size
+        for number, step in enumerate(self.workflow.steps):
+            groups.append(Group(self, occurrence, number, task_number, groups))
+            task_number += step.count
+        return groups
+
+    @property
+    def groups(self) -> list[Group]:
+        """Groups of the occurrences in memory."""
+        return [
+            group
+            for groups in self._occurrences.open.values()
+            for group in groups
+        ]
+
+    @property
+    def tasks(self) -> list[Task]:
+        """Tasks of the occurrences in memory."""
+        return [task for group in self.groups for task in group.tasks]
+
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of all occurrences."""
+        return self._occurrence_size * self.workflow.occurrences
+
     @property
     def workflow_id(self) -> str:
         """Id that the caller chose."""
@@ -371,17 +406,38 @@
             occurrence, number, index = map(int, parts[1:])
         except ValueError:
             return None
-        step_count = len(self.workflow.steps)
-        if not (0 <= number < step_count and 0 <= occurrence):
-            return None
-        position = occurrence * step_count + number
-        if position >= len(self.groups):
+        groups = self._occurrences.open.get(occurrence)
+        if groups is None or not 0 <= number < len(groups):
             return None
-        tasks = self.groups[position].tasks
+        tasks = groups[number].tasks
         return tasks[index] if 0 <= index < len(tasks) else None
 
-    def is_ready(self, group: Group, wall_ms: int) -> bool:
-        """Tell whether a group is due and the steps before it are complete."""
+    def list_waiting_groups(self, wall_ms: int) -> list[Group]:
+        """Return the groups with tasks that need a run now.
+
+        Occurrences that have become due come into memory.
+
+        :param wall_ms: Unix time
+        """
+        waiting = [
+            group for group in self.groups if self._is_waiting(group, wall_ms)
+        ]
+        task_count = sum(group.waiting_count for group in waiting)
+        while task_count < occurrences.WAITING_TASKS_LIMIT:
+            opened = self._occurrences.open_next(wall_ms)
+            if opened is None:
+                break
+            found = [
+                group for group in opened if self._is_waiting(group, wall_ms)
+            ]
+            waiting += found
+            task_count += sum(group.waiting_count for group in found)
+        return waiting
+
+    def _is_waiting(self, group: Group, wall_ms: int) -> bool:
+        """Tell whether tasks of a group need a run, and their turn is now."""
+        if not group.waiting_count:
+            return False
         if self.workflow.has_due_times:
             due_ms = (
                 self.workflow.first_start_ms
@@ -389,24 +445,7 @@
             )
             if wall_ms < due_ms:
                 return False
-        base = group.occurrence * len(self.workflow.steps)
-        return all(
-            self.groups[base + number].is_complete
-            for number in group.step.after
-        )
-
-    def find_next_due_ms(self, wall_ms: int) -> int | None:
-        """Return the Unix time of the next occurrence, or None."""
-        if not (self.workflow.has_due_times and self.is_active):
-            return None
-        for occurrence in range(self.workflow.occurrences):
-            due_ms = (
-                self.workflow.first_start_ms
-                + occurrence * self.workflow.period_ms
-            )
-            if due_ms > wall_ms:
-                return due_ms
-        return None
+        return all(earlier.is_complete for earlier in group.predecessors)
 
     def add_run(self, task: Task, target_id: str, now_ms: int) -> Run:
         """Add the next attempt of a task, to be started on a target.
@@ -445,6 +484,7 @@
             task.group.running_percent -= run.progress_percent
         if task.is_waiting:
             task.group.waiting_count += 1
+        self._close_if_over(task.group.occurrence)
 
     def record_progress(self, run: Run, percent: int, now_ms: int) -> None:
         """Record the progress that a run has reported."""
@@ -480,15 +520,36 @@
             group.done_count += 1
         if group.done_count == len(group.tasks):
             group.is_complete = True
+            self._close_if_over(group.occurrence)
+
+    def _close_if_over(self, occurrence: int) -> None:
+        """Forget an occurrence that is complete and has no runs."""
+        groups = self._occurrences.open.get(occurrence, ())
+        if not groups or not all(group.is_complete for group in groups):
+            return
+        self._occurrences.mark_complete(occurrence)
+        # The last one is forgotten with the workflow.
+        if not self.is_complete and not any(
+            task.runs for group in groups for task in group.tasks
+        ):
+            self._occurrences.close(occurrence)
 
     @property
     def is_complete(self) -> bool:
         """Tell whether all tasks are done."""
-        return all(group.is_complete for group in self.groups)
+        return self._occurrences.are_complete
+
+    def estimate_remaining_work(self, wall_ms: int) -> int:
+        """Return the estimated remaining processor time, in millicore-ms.
+
+        Occurrences that are not due yet are left out.
 
-    def estimate_remaining_work(self) -> int:
-        """Return the estimated remaining processor time, in millicore-ms."""
-        work_millicore_ms = 0.0
+        :param wall_ms: Unix time
+        """
+        work_millicore_ms = float(
+            self._occurrences.count_due_unopened(wall_ms)
+            * estimate_work(self.workflow.steps)
+        )
         for group in self.groups:
             if group.is_complete or group.step.is_lasting:
                 continue
@@ -505,16 +566,15 @@
 
     def estimate_remaining_ms(self) -> int:
         """Return the estimated run time of the remaining critical path."""
-        step_count = len(self.workflow.steps)
         longest_ms = 0
-        ends_ms: list[int] = []
-        for position, group in enumerate(self.groups):
-            if position % step_count == 0:
-                ends_ms = []
-            start_ms = max((ends_ms[i] for i in group.step.after), default=0)
-            own_ms = 0 if group.is_complete else group.get_estimate_ms()
-            ends_ms.append(start_ms + own_ms)
-            longest_ms = max(longest_ms, ends_ms[-1])
+        if self._occurrences.has_unopened:
+            longest_ms = _compute_path_ms(self.workflow.steps, ())
+        for groups in self._occurrences.open.values():
+            complete = [
+                group.step_number for group in groups if group.is_complete
+            ]
+            path_ms = _compute_path_ms(self.workflow.steps, complete)
+            longest_ms = max(longest_ms, path_ms)
         return longest_ms
 
     def make_record(self) -> records.StateRecord:
@@ -544,7 +604,11 @@
                 )
             )
         return records.StateRecord(
-            self.phase, self.ended_at_ms, self.cause, tuple(tasks)
+            self.phase,
+            self.ended_at_ms,
+            self.cause,
+            tuple(tasks),
+            self._occurrences.list_complete() if self.is_active else (),
         )
 
     def restore(self, state: records.StateRecord, now_ms: int) -> None:
@@ -555,8 +619,14 @@
         self.has_spec_key = True
         self.ended_at_ms = state.ended_at_ms
         self.cause = state.cause
+        self._occurrences.restore(state.complete_occurrences)
+        if state.complete_occurrences:
+            self.note_run_seen()
+        done: list[Task] = []
         for record in state.tasks:
-            task = self.tasks[record.number]
+            task = self._find_task_by_number(record.number)
+            if record.is_done:
+                done.append(task)
             task.attempts = record.attempts
             task.failed_attempts.restore(
                 record.failures, record.failed_attempts, record.attempts
@@ -591,14 +661,26 @@
             self.is_started = self.is_started or record.attempts > 0
             if record.is_done or record.failures or record.checkpoint:
                 self.note_run_seen()
-        for record in state.tasks:
-            if record.is_done:
-                self.finish_task(self.tasks[record.number])
+        for task in done:
+            self.finish_task(task)
+
+    def _find_task_by_number(self, number: int) -> Task:
+        """Return a task; its occurrence comes into memory.
+
+        :raises IndexError: if the workflow has fewer tasks
+        """
+        occurrence, position = divmod(number, self._occurrence_size)
+        for group in self._occurrences.open_one(occurrence):
+            if position < len(group.tasks):
+                break
+            position -= len(group.tasks)
+        return group.tasks[position]
 
     def list_runs(self) -> abc.Iterator[Run]:
         """Yield all runs that may still exist."""
-        for task in self.tasks:
-            yield from task.runs.values()
+        for group in self.groups:
+            for task in group.tasks:
+                yield from task.runs.values()
 
 
 def _make_crash_record(
@@ -614,6 +696,35 @@
     )
 
 
+def estimate_work(steps: abc.Iterable[workflows.Step]) -> int:
+    """Return the estimated processor time of steps, in millicore-ms.
+
+    Tasks that last are left out.
+    """
+    return sum(
+        step.count
+        * max(step.demand.processor_millicores, 1)
+        * (step.estimate_ms or DEFAULT_ESTIMATE_MS)
+        for step in steps
+        if not step.is_lasting
+    )
+
+
+def _compute_path_ms(
+    steps: abc.Iterable[workflows.Step], complete: abc.Container[int]
+) -> int:
+    """Return the estimated run time of the critical path.
+
+    :param complete: numbers of the steps that are complete
+    """
+    ends_ms: list[int] = []
+    for number, step in enumerate(steps):
+        start_ms = max((ends_ms[i] for i in step.after), default=0)
+        own_ms = step.estimate_ms or DEFAULT_ESTIMATE_MS
+        ends_ms.append(start_ms + (0 if number in complete else own_ms))
+    return max(ends_ms)
+
+
 def compute_objective_ms(
     workflow: workflows.Workflow, terms: records.Terms
 ) -> int:
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -226,7 +226,7 @@
             queue.latency_target_ms,
             moment.wall_ms,
         )
-        decision = self._admit(workflow, terms, moment.elapsed_ms)
+        decision = self._admit(workflow, terms, moment)
         if isinstance(decision, workflow_admission.Refused):
             self._record(
                 'workflow refused',
@@ -247,7 +247,7 @@
             'workflow taken',
             workflow=workflow_id,
             queue=queue.name,
-            tasks=len(job.tasks),
+            tasks=job.task_count,
             objective_ms=job.objective_ms,
             expected_ms=decision.expected_ms,
             is_prompt=decision.is_prompt,
@@ -1039,8 +1039,7 @@
         waiting = [
             group.step.demand.processor_millicores
             for job in self._active_jobs.values()
-            for group in job.groups
-            if not group.is_complete and job.is_ready(group, moment.wall_ms)
+            for group in job.list_waiting_groups(moment.wall_ms)
             for task in group.tasks
             if task.is_waiting
         ]
@@ -1137,13 +1136,14 @@
         self,
         workflow: workflows.Workflow,
         terms: records.Terms,
-        now_ms: int,
+        moment: clock.Moment,
     ) -> workflow_admission.Admitted | workflow_admission.Refused:
         """Decide whether a workflow can be completed in time.
 
         Lasting and timed workflows are always accepted, because they have no
         expected end to compare with an objective.
         """
+        now_ms = moment.elapsed_ms
         is_lasting = any(step.is_lasting for step in workflow.steps)
         if is_lasting or workflow.has_due_times:
             return workflow_admission.Admitted(0, True)
@@ -1158,7 +1158,7 @@
         )
         accepted = [
             workflow_admission.Accepted(
-                job.estimate_remaining_work(),
+                job.estimate_remaining_work(moment.wall_ms),
                 job.objective_deadline_ms,
                 job.terms.is_prompt,
             )
@@ -1166,16 +1166,10 @@
             if job.terms.service == terms.service
             and job.terms.priority <= terms.priority
         ]
-        work_millicore_ms = sum(
-            step.count
-            * max(step.demand.processor_millicores, 1)
-            * (step.estimate_ms or jobs.DEFAULT_ESTIMATE_MS)
-            for step in workflow.steps
-        )
         return workflow_admission.decide_admission(
             workflow_admission.Request(
                 workflow.workflow_id,
-                work_millicore_ms,
+                jobs.estimate_work(workflow.steps),
                 workflows.compute_critical_path_ms(workflow),
                 jobs.compute_objective_ms(workflow, terms),
             ),
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -108,12 +108,17 @@
 
     :param ended_at_ms: Unix time of the end; 0 while the workflow is active
     :param cause: human-readable reason for the end
+    :param complete_occurrences: first and last number of each range of
+        complete occurrences; their tasks are listed only if they have runs
     """
 
     phase: Phase = Phase.ACTIVE
     ended_at_ms: numbers.WholeNumber = 0
     cause: str = ''
     tasks: tuple[TaskRecord, ...] = ()
+    complete_occurrences: tuple[
+        tuple[numbers.WholeNumber, numbers.WholeNumber], ...
+    ] = ()
 
 
 class SilentTarget(msgspec.Struct, frozen=True, array_like=True):
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -105,11 +105,7 @@
         self._fleet.refresh(now_ms)
         waiting = []
         for job in active_jobs.values():
-            groups = [
-                group
-                for group in job.groups
-                if group.waiting_count and job.is_ready(group, moment.wall_ms)
-            ]
+            groups = job.list_waiting_groups(moment.wall_ms)
             if job.live_runs or not groups:
                 job.idle_since_ms = now_ms
             for group in groups:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -185,9 +185,10 @@
         if event.checkpoint and not event.checkpoint.startswith(f'{fate}:'):
             yield f'unasked: {task} with the checkpoint {event.checkpoint}'
         phases = submission.document['Phases']
+        occurrence = task.split('.')[1]
         for previous_phase in phases[int(phase)].get('After', ()):
             for index in range(phases[previous_phase]['Count']):
-                name = f'{workflow_id}.0.{previous_phase}.{index}'
+                name = f'{workflow_id}.{occurrence}.{previous_phase}.{index}'
                 if _find_fate(submission, name) not in done:
                     yield f'order: {task} starts before {name} is done'
         running[task] = event
@@ -301,12 +302,28 @@
                 - sum(phases[key]['MemMb'] for key in keys),
             )
         )
+    return any(
+        _has_room_for_occurrence(submission, occurrence, free, done)
+        for occurrence in range(submission.repeats)
+    )
+
+
+def _has_room_for_occurrence(
+    submission: plans.Submission,
+    occurrence: int,
+    free: abc.Sequence[tuple[int, int]],
+    done: abc.Container[str],
+) -> bool:
+    """Tell whether a task of one occurrence whose turn has come fits.
+
+    :param free: free millicores and memory of each executor
+    """
     own_phases = submission.document['Phases']
     # One end stands for all members of a gang.
     combine = any if submission.has_gangs else all
     is_complete = [
         combine(
-            f'{submission.workflow_id}.0.{number}.{index}' in done
+            f'{submission.workflow_id}.{occurrence}.{number}.{index}' in done
             for index in range(phase['Count'])
         )
         for number, phase in enumerate(own_phases)
@@ -423,7 +440,9 @@
             for gang in map(gangs.find_gang, done)
             for index in range(phases[int(gang.rpartition('.')[2])]['Count'])
         }
-    task_count = sum(phase['Count'] for phase in submission.document['Phases'])
+    task_count = submission.repeats * sum(
+        phase['Count'] for phase in submission.document['Phases']
+    )
     if len(done) < task_count:
         yield (
             f'mixed: {submission.workflow_id} is completed with '
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -6,6 +6,7 @@
 
 from borageshelf.workflows import policy
 from standins import gangs
+from tests.soak import recurring
 
 # Submissions and faults start within this time; then all workflows must end.
 LOAD_DURATION_MS: Final = 10_000
@@ -70,6 +71,7 @@
 GANG_SIZES: Final = (2, 3, 4)
 FAILING_GANG_SHARE: Final = 0.3
 FIRST_SEED_WITH_GANG_CHECKPOINTS: Final = 3_800_000
+FIRST_SEED_WITH_RECURRING: Final = 3_900_000
 LOST_ENTRY_COUNT_RANGE: Final = (1, 2)
 LOST_ENTRY_DURATIONS_MS: Final = (800, 5_000)
 # As the sites of the users' platform have them.
@@ -119,6 +121,11 @@
             phase.get('LongRunning') for phase in self.document['Phases']
         )
 
+    @property
+    def repeats(self) -> int:
+        """Number of times that its steps run."""
+        return int(self.document.get('RepeatCount', 1))
+
     @property
     def has_gangs(self) -> bool:
         """Tell whether the tasks of each of its steps run only together."""
@@ -151,6 +158,11 @@
     load_ms: int = LOAD_DURATION_MS
     zones: tuple[str, ...] = ZONES[:1]
 
+    @property
+    def has_recurring(self) -> bool:
+        """Tell whether workflows repeat."""
+        return any(item.repeats > 1 for item in self.submissions)
+
     @property
     def has_lost_entries(self) -> bool:
         """Tell whether an entry loses its power."""
@@ -241,6 +253,8 @@
             _draw_lost_entry(rng)
             for _ in range(rng.randint(*LOST_ENTRY_COUNT_RANGE))
         ]
+    if seed >= FIRST_SEED_WITH_RECURRING:
+        submissions = make_some_recurring(rng, submissions)
     faults.sort(key=lambda fault: fault.at_ms)
     return Plan(
         seed,
@@ -404,6 +418,25 @@
     return made
 
 
+def make_some_recurring(
+    rng: random.Random, submissions: list[Submission]
+) -> list[Submission]:
+    """Let some workflows repeat."""
+    finite = [
+        number
+        for number, item in enumerate(submissions)
+        if not (item.is_long_running or item.is_deadly)
+    ]
+    count = min(rng.randint(*recurring.COUNT_RANGE), len(finite))
+    made = list(submissions)
+    for number in rng.sample(finite, count):
+        item = made[number]
+        made[number] = dataclasses.replace(
+            item, document=recurring.repeat(rng, item.document)
+        )
+    return made
+
+
 def _is_same_agent(fault: Fault, index: int, targets: int) -> bool:
     """Tell whether a fault stops or ends the agent of a VM."""
     if fault.subject == 'group':
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -35,6 +35,7 @@
 from tests.soak import odd_entries
 from tests.soak import plans
 from tests.soak import proxies
+from tests.soak import recurring
 from tests.soak import vms
 
 HOST: Final = '127.0.0.1'
@@ -183,10 +184,11 @@
 ) -> None:
     """Act as the caller of one workflow: submit, cancel if planned, poll."""
     await asyncio.sleep(submission.at_ms / 1000)
+    document = recurring.set_due_time(submission.document)
     for _ in range(TRIES_LIMIT):
         number = rng.randrange(len(run.entries))
         status = await run.call_workflow(
-            number, 'POST', submission.workflow_id, submission.document
+            number, 'POST', submission.workflow_id, document
         )
         if status == 200:
             break
@@ -210,6 +212,18 @@
         await run.call_workflow(number, 'GET', submission.workflow_id)
 
 
+async def submit_waiting(run: SoakRun) -> None:
+    """Hand in workflows that wait for days, to any entry."""
+    entries = itertools.cycle(range(len(run.entries)))
+
+    async def submit(workflow_id: str, document: dict[str, Any]) -> int:
+        path = f'/short/{workflow_id}'
+        *_, status, _ = await run.call(next(entries), 'POST', path, document)
+        return status
+
+    await recurring.submit_waiting(submit)
+
+
 async def probe_versions(run: SoakRun, rng: random.Random) -> None:
     """Request routes of published versions from entries, until cancelled."""
     while True:
@@ -545,6 +559,13 @@
             asyncio.ensure_future(restart_processes(run)),
             asyncio.ensure_future(probe_versions(run, rng)),
         ]
+        if plan.has_recurring:
+            background_tasks += [
+                asyncio.ensure_future(submit_waiting(run)),
+                asyncio.ensure_future(
+                    recurring.watch_memory(run.entries, run.history.problems)
+                ),
+            ]
         run.history.started_ms = read_clock_ms()
         try:
             await asyncio.gather(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,15 +50,15 @@
     seeds = soak.draw_seeds(None, 50)
     site_count = sum(seed >= site_plans.FIRST_SEED for seed in seeds)
     assert 10 <= site_count <= 40
-    assert min(seeds) >= plans.FIRST_SEED_WITH_GANG_CHECKPOINTS
+    assert min(seeds) >= plans.FIRST_SEED_WITH_RECURRING
     drawn = {
         (fault.subject, fault.kind)
-        for seed in range(4_700_000, 4_700_100)
+        for seed in range(4_800_000, 4_800_100)
         for fault in site_plans.make_plan(seed).faults
     }
     small = {
         (fault.subject, fault.kind)
-        for seed in range(3_800_000, 3_800_500)
+        for seed in range(3_900_000, 3_900_500)
         for fault in plans.make_plan(seed).faults
     }
     assert drawn >= small
@@ -66,6 +66,7 @@
     assert ('entry-link', 'lose-power') in small
     assert all(
         any(item.has_gangs for item in site_plans.make_plan(seed).submissions)
+        and site_plans.make_plan(seed).has_recurring
         for seed in seeds
     )
 
