Refuse workflows that have no room in the owner's memory

Cause: nothing bounded the sum over the accepted workflows.

Change: memory_budget.py estimates what a workflow takes, and the owner refuses at once what has no room beside those that have not ended, with a Retry-After of 6 to 8 s. Where many occurrences have been missed, workflows get the next one by one once 50,000 tasks are in memory. Only the scheduler brings occurrences into memory now, and not the lines of the log.

--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -13,6 +13,7 @@
 from borageshelf.workflows import checkpoints
 from borageshelf.workflows import effects
 from borageshelf.workflows import failures
+from borageshelf.workflows import memory_budget
 from borageshelf.workflows import occurrences
 from borageshelf.workflows import records
 
@@ -301,6 +302,7 @@
     :ivar waiters: tokens of requests that wait for the commit of the
         acceptance
     :ivar idle_since_ms: elapsed time at which the owner last saw a run
+    :ivar memory_bytes: what it is assumed to take in memory
     :ivar effects: effects to release once the current state is committed
     """
 
@@ -337,6 +339,7 @@
         if not workflow.has_due_times:
             self._occurrences.open_one(0)
         self.objective_ms = compute_objective_ms(workflow, terms)
+        self.memory_bytes = memory_budget.compute_bytes(workflow)
 
     def _make_groups(self, occurrence: int) -> list[Group]:
         groups: list[Group] = []
@@ -360,6 +363,11 @@
         """Tasks of the occurrences in memory."""
         return [task for group in self.groups for task in group.tasks]
 
+    @property
+    def open_task_count(self) -> int:
+        """Number of tasks of the occurrences in memory."""
+        return self._occurrence_size * len(self._occurrences.open)
+
     @property
     def task_count(self) -> int:
         """Number of tasks of all occurrences."""
@@ -412,27 +420,39 @@
         tasks = groups[number].tasks
         return tasks[index] if 0 <= index < len(tasks) else None
 
-    def list_waiting_groups(self, wall_ms: int) -> list[Group]:
-        """Return the groups with tasks that need a run now.
-
-        Occurrences that have become due come into memory.
+    def open_due_occurrences(self, wall_ms: int, waiting_limit: int) -> int:
+        """Bring occurrences that have become due into memory.
 
         :param wall_ms: Unix time
+        :param waiting_limit: number of waiting tasks from which no occurrence
+            is added
+        :return: the number of tasks that were added
         """
-        waiting = [
-            group for group in self.groups if self._is_waiting(group, wall_ms)
-        ]
-        task_count = sum(group.waiting_count for group in waiting)
-        while task_count < occurrences.WAITING_TASKS_LIMIT:
+        if not self._occurrences.count_due_unopened(wall_ms):
+            return 0
+        former_count = self.open_task_count
+        waiting_count = sum(
+            group.waiting_count for group in self.list_waiting_groups(wall_ms)
+        )
+        while waiting_count < waiting_limit:
             opened = self._occurrences.open_next(wall_ms)
             if opened is None:
                 break
-            found = [
-                group for group in opened if self._is_waiting(group, wall_ms)
-            ]
-            waiting += found
-            task_count += sum(group.waiting_count for group in found)
-        return waiting
+            waiting_count += sum(
+                group.waiting_count
+                for group in opened
+                if self._is_waiting(group, wall_ms)
+            )
+        return self.open_task_count - former_count
+
+    def list_waiting_groups(self, wall_ms: int) -> list[Group]:
+        """Return the groups in memory with tasks that need a run now.
+
+        :param wall_ms: Unix time
+        """
+        return [
+            group for group in self.groups if self._is_waiting(group, wall_ms)
+        ]
 
     def _is_waiting(self, group: Group, wall_ms: int) -> bool:
         """Tell whether tasks of a group need a run, and their turn is now."""
--- a/borageshelf/workflows/number_ranges.py
+++ b/borageshelf/workflows/number_ranges.py
@@ -29,6 +29,12 @@
         position = self._find_position(number)
         return position > 0 and number <= self._ranges[position - 1][1]
 
+    def find_absent(self, number: int) -> int:
+        """Return the first number from a given one on that is no member."""
+        if number not in self:
+            return number
+        return self._ranges[self._find_position(number) - 1][1] + 1
+
     def add(self, number: int) -> None:
         """Add a number; nothing changes if it is a member."""
         if number in self:
--- a/borageshelf/workflows/occurrences.py
+++ b/borageshelf/workflows/occurrences.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import math
 from typing import Final, Generic, TypeVar
 
 from borageshelf.model import workflows
@@ -37,6 +38,9 @@
         self._complete = number_ranges.NumberRanges()
         # All before are open or complete; later ones only if restored.
         self._next_number = 0
+        # None that is not known is due before; spares each scheduling pass the
+        # search for the next one.
+        self._next_due_ms: float = 0
         self.open: dict[int, Groups] = {}
 
     @property
@@ -83,8 +87,12 @@
 
     def count_due_unopened(self, wall_ms: int) -> int:
         """Return how many are due and not in memory, an upper bound."""
+        if wall_ms < self._next_due_ms:
+            return 0
         if not self.has_unopened:
+            self._next_due_ms = math.inf
             return 0
+        self._next_due_ms = self._compute_due_ms(self._next_number)
         return max(self._count_due(wall_ms) - self._next_number, 0)
 
     def list_complete(self) -> tuple[tuple[int, int], ...]:
@@ -109,11 +117,17 @@
         }
 
     def _skip_known(self) -> None:
-        while (
-            self._next_number in self._complete
-            or self._next_number in self.open
-        ):
-            self._next_number += 1
+        while True:
+            number = self._complete.find_absent(self._next_number)
+            if number == self._next_number and number not in self.open:
+                return
+            self._next_number = number + (number in self.open)
+
+    def _compute_due_ms(self, number: int) -> int:
+        workflow = self._workflow
+        if not workflow.has_due_times:
+            return 0
+        return workflow.first_start_ms + number * max(workflow.period_ms, 0)
 
     def _count_due(self, wall_ms: int) -> int:
         workflow = self._workflow
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -28,6 +28,7 @@
 from borageshelf.workflows import hand_over
 from borageshelf.workflows import idle
 from borageshelf.workflows import jobs
+from borageshelf.workflows import memory_budget
 from borageshelf.workflows import messages
 from borageshelf.workflows import records
 from borageshelf.workflows import scheduler
@@ -56,6 +57,8 @@
 # Agents find a new owner within about a second. Until then the capacity of
 # the fleet is unknown.
 FLEET_DISCOVERY_MS: Final = 2_000
+# Memory becomes free when workflows end, which takes seconds to minutes.
+MEMORY_RETRY_MS: Final = 6_000
 
 
 RecordEvent = abc.Callable[..., None]
@@ -226,6 +229,19 @@
             queue.latency_target_ms,
             moment.wall_ms,
         )
+        if not self._has_memory_for(workflow):
+            retry_after_s = workflow_admission.compute_retry_after_s(
+                workflow_id, MEMORY_RETRY_MS
+            )
+            self._record(
+                'workflow refused',
+                workflow=workflow_id,
+                queue=queue.name,
+                cause='the accepted workflows fill the memory',
+                retry_after_s=retry_after_s,
+            )
+            self._reply(token, effects.Outcome.REFUSED, retry_after_s)
+            return
         decision = self._admit(workflow, terms, moment)
         if isinstance(decision, workflow_admission.Refused):
             self._record(
@@ -1132,6 +1148,11 @@
             effects.Reply((token,), outcome, retry_after_s)
         )
 
+    def _has_memory_for(self, workflow: workflows.Workflow) -> bool:
+        held_bytes = sum(job.memory_bytes for job in self.jobs.values())
+        needed_bytes = memory_budget.compute_bytes(workflow)
+        return held_bytes + needed_bytes <= memory_budget.LIMIT_BYTES
+
     def _admit(
         self,
         workflow: workflows.Workflow,
@@ -1140,8 +1161,8 @@
     ) -> workflow_admission.Admitted | workflow_admission.Refused:
         """Decide whether a workflow can be completed in time.
 
-        Lasting and timed workflows are always accepted, because they have no
-        expected end to compare with an objective.
+        Lasting and timed workflows have no expected end to compare with an
+        objective.
         """
         now_ms = moment.elapsed_ms
         is_lasting = any(step.is_lasting for step in workflow.steps)
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -18,6 +18,7 @@
 from borageshelf.workflows import effects
 from borageshelf.workflows import fleet
 from borageshelf.workflows import jobs
+from borageshelf.workflows import memory_budget
 from borageshelf.workflows import messages
 from borageshelf.workflows import overdue
 from borageshelf.workflows import targets
@@ -104,7 +105,11 @@
         self._refresh_latencies(now_ms)
         self._fleet.refresh(now_ms)
         waiting = []
+        open_count = sum(job.open_task_count for job in active_jobs.values())
         for job in active_jobs.values():
+            open_count += job.open_due_occurrences(
+                moment.wall_ms, memory_budget.find_waiting_limit(open_count)
+            )
             groups = job.list_waiting_groups(moment.wall_ms)
             if job.live_runs or not groups:
                 job.idle_since_ms = now_ms
--- a/tests/test_number_ranges.py
+++ b/tests/test_number_ranges.py
@@ -19,6 +19,7 @@
     expected = {*numbers, *later}
     assert {number for number in range(42) if number in ranges} == expected
     assert len(ranges) == len(expected)
+    assert ranges.find_absent(0) == min({*range(42)} - expected)
     found = ranges.list_ranges()
     assert list(found) == sorted(found)
     assert all(
--- a/tests/test_recurring_workflows.py
+++ b/tests/test_recurring_workflows.py
@@ -192,6 +192,7 @@
     job.restore(journal.decode(journal.encode(former), type(former)), 0)
     assert len(job.tasks) == TASKS
     assert [task.is_done for task in job.tasks[:2]] == [False, True]
+    job.open_due_occurrences(NOW_WALL_MS, occurrences.WAITING_TASKS_LIMIT)
     assert [
         group.occurrence for group in job.list_waiting_groups(NOW_WALL_MS)
     ] == [1, 2]
