Count crashes that another task explains towards the last start

Cause: a crash that another suspect explains counted for nothing, so a deadly task got one start more for each crash that was put down to another one.

Change: History.early_crashes counts them all. After four, the next start is in isolation, and a crash there gives the task up. Ruled out: counting all crashes alike, which gives up sound tasks beside deadly ones.

--- a/borageshelf/decisions/crash_blame.py
+++ b/borageshelf/decisions/crash_blame.py
@@ -71,6 +71,9 @@
 # on work without any run counts at the end of a day; for a lasting task it
 # begins to count 6 s after its last run.
 STRONG_SUSPECT_CRASHES: Final = 3
+# Another task may explain a crash that this one has caused as well. After so
+# many crashes, whatever explains them, only one more start is allowed.
+LAST_START_CRASHES: Final = 4
 STRICT_ISOLATION_WAIT_MS: Final = 10_000
 LASTING_ISOLATION_WAIT_MS: Final = 5_000
 # After a change of the owner, which itself takes up to 3 s. The users' rule on
@@ -95,17 +98,23 @@
     :param evidence: decimal logarithm of how much likelier these crashes are
         if the task is deadly than if it is not
     :param is_suspect: whether the task has to be started in isolation
+    :param early_crashes: number of executors that crashed early in its runs,
+        also of those that another task has probably crashed
     """
 
     crashes: int = 0
     quick_crashes: int = 0
     evidence: float = 0.0
     is_suspect: bool = False
+    early_crashes: int = 0
 
     @property
     def is_strong_suspect(self) -> bool:
         """Tell whether the next crash has to leave no doubt."""
-        return self.crashes >= STRONG_SUSPECT_CRASHES
+        return (
+            self.crashes >= STRONG_SUSPECT_CRASHES
+            or self.early_crashes >= LAST_START_CRASHES
+        )
 
     @property
     def is_at_fault(self) -> bool:
@@ -126,10 +135,13 @@
 
     :param history: earlier crashes under its task
     :param age_ms: how long it had run; None if this is not known
+    :param is_isolated: whether no other suspect was there, but for those of
+        its workflow
     """
 
     history: History
     age_ms: int | None
+    is_isolated: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -170,15 +182,22 @@
             is_early and (not is_explained or own >= COUNTED_RATIO * likeliest)
         )
         crashes = run.history.crashes + is_counted
+        early_crashes = run.history.early_crashes + is_early
+        if run.is_isolated and early_crashes >= CRASHES_LIMIT:
+            # Nothing else explains this one.
+            crashes = max(crashes, CRASHES_LIMIT)
+        history = History(
+            crashes,
+            run.history.quick_crashes
+            + (is_quick and own >= QUICK_RATIO * second_likeliest),
+            evidence,
+            run.history.is_suspect or evidence >= SUSPECT_EVIDENCE,
+            early_crashes,
+        )
         histories.append(
-            History(
-                crashes,
-                run.history.quick_crashes
-                + (is_quick and own >= QUICK_RATIO * second_likeliest),
-                evidence,
-                run.history.is_suspect
-                or evidence >= SUSPECT_EVIDENCE
-                or crashes >= STRONG_SUSPECT_CRASHES,
+            dataclasses.replace(
+                history,
+                is_suspect=history.is_suspect or history.is_strong_suspect,
             )
         )
     return Verdict(tuple(histories), spontaneous_per_s / total)
--- a/borageshelf/workflows/crashes.py
+++ b/borageshelf/workflows/crashes.py
@@ -75,6 +75,7 @@
                 crash_blame.CrashedRun(
                     run.task.crash_history,
                     _find_age_ms(run, crashed_at_ms),
+                    run.is_isolated,
                 )
                 for run in runs
             ],
@@ -105,6 +106,7 @@
                 attempt=run.attempt,
                 target=target.target_id,
                 crashes=history.crashes,
+                early_crashes=history.early_crashes,
                 quick_crashes=history.quick_crashes,
                 evidence=round(history.evidence, 1),
                 is_isolated=run.is_isolated,
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -660,6 +660,10 @@
                         record.crashes.quick_crashes,
                         record.crashes.evidence,
                         record.crashes.is_suspect,
+                        max(
+                            record.crashes.early_crashes,
+                            record.crashes.crashes,
+                        ),
                     )
                 )
                 task.isolation_wait_deadline_ms = (
@@ -713,6 +717,7 @@
         history.quick_crashes,
         history.evidence,
         history.is_suspect,
+        history.early_crashes,
     )
 
 
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -81,6 +81,7 @@
     quick_crashes: numbers.WholeNumber = 0
     evidence: numbers.Amount = 0.0
     is_suspect: bool = False
+    early_crashes: numbers.WholeNumber = 0
 
 
 class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -17,11 +17,13 @@
         if kind == 'rate':
             spontaneous_per_s = float(words[0])
             continue
-        ages = dict(word.split('=') for word in words)
+        isolated = {word[0] for word in words if word[1] == '!'}
+        ages = dict(word.replace('!', '').split('=') for word in words)
         runs = [
             crash_blame.CrashedRun(
                 histories.get(task, crash_blame.NO_CRASHES),
                 None if age == '?' else int(age),
+                task in isolated,
             )
             for task, age in ages.items()
         ]
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -133,13 +133,16 @@
             age_ms = self._run_ages_ms.get(key, 0)
             self._run_ages_ms[key] = age_ms + TICK_MS
             run_ms = self.run_ms.get(task.split('.')[0], RUN_MS)
-            if self._deadly(task) and age_ms >= self._crash_age_ms:
+            if self._is_due_to_crash(task, age_ms):
                 self.culprits[task] += 1
                 self.crash(fake)
                 return
             if age_ms >= run_ms and not self._is_lasting(task):
                 self.cluster.end_run(task)
 
+    def _is_due_to_crash(self, task: str, age_ms: int) -> bool:
+        return self._deadly(task) and age_ms >= self._crash_age_ms
+
     def _is_lasting(self, task: str) -> bool:
         job = self.cluster.core.jobs.get(task.split('.')[0])
         found = job.find_task(task) if job else None
