Stop the other members of a gang if a start is not sent

A target that loses its session between the placement of a gang and the commit gets no start. Its run was dropped, but the members that were started stayed: executors end them as 'alone' after their wait, and callers' gangs lost that time on each such change of session.

Cause: handle_unsent_start did not break the gang, unlike each other way in which a run ends before it begins (refusal, loss, end).

Shown: the new test fails without the line, for each of the three members.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -728,6 +728,7 @@
             )
             self._drop_run(run)
             self._mark_dirty(run.task.group.job)
+            self._break_gang(run.task)
 
     def update_progress(
         self,
--- a/tests/test_gang_failures.py
+++ b/tests/test_gang_failures.py
@@ -88,6 +88,33 @@
     assert archived.phase is records.Phase.FAILED
 
 
+@pytest.mark.parametrize('lost', range(MEMBERS))
+def test_gang_with_a_start_that_is_not_sent_begins_again(lost: int) -> None:
+    """Guards against members that wait in vain for one that never begins."""
+    cluster = support.Cluster()
+    for number in range(MEMBERS + 1):
+        cluster.add_target(f't{number}', millicores=1_000)
+    cluster.submit(
+        support.make_workflow(support.make_step(MEMBERS, is_gang=True))
+    )
+    cluster.core.schedule(cluster.moment)
+    batch = cluster.core.take_batch()
+    (job,) = cluster.core.jobs.values()
+    target_id = [run.target_id for run in job.list_runs()][lost]
+    cluster.core.detach(target_id, cluster.targets[target_id].session)
+    cluster.commit(batch)
+    sent = cluster.list_running()
+    ordered = {
+        task for fake in cluster.targets.values() for task in fake.stop_orders
+    }
+    assert ordered == set(sent)
+    for task in sent:
+        cluster.end_run(task, BROKEN)
+    cluster.run_until_idle()
+    assert len(cluster.list_running()) == MEMBERS
+    assert {task.failures for task in job.tasks} == {0}
+
+
 def test_records_that_count_members_count_no_more_than_the_attempts() -> None:
     """Guards against gangs given up because a former version overcounted."""
     job = find_job(make_cluster())
