--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -12,6 +12,7 @@
 from borageshelf.model import workflows
 from borageshelf.workflows import checkpoints
 from borageshelf.workflows import effects
+from borageshelf.workflows import estimates
 from borageshelf.workflows import failures
 from borageshelf.workflows import memory_budget
 from borageshelf.workflows import occurrences
@@ -22,9 +23,6 @@
     records.Phase.FAILED: 'failed',
     records.Phase.CANCELLED: 'cancelled',
 }
-# Used where the caller gives no estimate; about the mean of the users' tasks.
-DEFAULT_ESTIMATE_MS: Final = 1_000
-
 # Stands for an incarnation whose end has been counted as a crash.
 COUNTED_EXECUTOR_HASH: Final = 0
 
@@ -291,7 +289,7 @@
 
     def get_estimate_ms(self) -> int:
         """Return the estimated run time of one task."""
-        return self.step.estimate_ms or DEFAULT_ESTIMATE_MS
+        return estimates.get_estimate_ms(self.step)
 
 
 class Job:
@@ -338,7 +336,7 @@
         )
         if not workflow.has_due_times:
             self._occurrences.open_one(0)
-        self.objective_ms = compute_objective_ms(workflow, terms)
+        self.objective_ms = estimates.compute_objective_ms(workflow, terms)
         self.memory_bytes = memory_budget.compute_bytes(workflow)
 
     def _make_groups(self, occurrence: int) -> list[Group]:
@@ -568,7 +566,7 @@
         """
         work_millicore_ms = float(
             self._occurrences.count_due_unopened(wall_ms)
-            * estimate_work(self.workflow.steps)
+            * estimates.compute_work(self.workflow.steps)
         )
         for group in self.groups:
             if group.is_complete or group.step.is_lasting:
@@ -588,12 +586,12 @@
         """Return the estimated run time of the remaining critical path."""
         longest_ms = 0
         if self._occurrences.has_unopened:
-            longest_ms = _compute_path_ms(self.workflow.steps, ())
+            longest_ms = estimates.compute_path_ms(self.workflow.steps, ())
         for groups in self._occurrences.open.values():
             complete = [
                 group.step_number for group in groups if group.is_complete
             ]
-            path_ms = _compute_path_ms(self.workflow.steps, complete)
+            path_ms = estimates.compute_path_ms(self.workflow.steps, complete)
             longest_ms = max(longest_ms, path_ms)
         return longest_ms
 
@@ -719,43 +717,3 @@
         history.is_suspect,
         history.early_crashes,
     )
-
-
-def estimate_work(steps: abc.Iterable[workflows.Step]) -> int:
-    """Return the estimated processor time of steps, in millicore-ms.
-
-    Tasks that last are left out.
-    """
-    return sum(
-        step.count
-        * max(step.demand.processor_millicores, 1)
-        * (step.estimate_ms or DEFAULT_ESTIMATE_MS)
-        for step in steps
-        if not step.is_lasting
-    )
-
-
-def _compute_path_ms(
-    steps: abc.Iterable[workflows.Step], complete: abc.Container[int]
-) -> int:
-    """Return the estimated run time of the critical path.
-
-    :param complete: numbers of the steps that are complete
-    """
-    ends_ms: list[int] = []
-    for number, step in enumerate(steps):
-        start_ms = max((ends_ms[i] for i in step.after), default=0)
-        own_ms = step.estimate_ms or DEFAULT_ESTIMATE_MS
-        ends_ms.append(start_ms + (0 if number in complete else own_ms))
-    return max(ends_ms)
-
-
-def compute_objective_ms(
-    workflow: workflows.Workflow, terms: records.Terms
-) -> int:
-    """Return the time in which a caller expects a workflow to complete."""
-    critical_path_ms = workflows.compute_critical_path_ms(workflow)
-    critical_path_ms = critical_path_ms or DEFAULT_ESTIMATE_MS
-    return (
-        round(terms.slack_factor * critical_path_ms) + terms.latency_target_ms
-    )
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -24,6 +24,7 @@
 from borageshelf.workflows import crashes
 from borageshelf.workflows import effects
 from borageshelf.workflows import end_proofs
+from borageshelf.workflows import estimates
 from borageshelf.workflows import fleet
 from borageshelf.workflows import hand_over
 from borageshelf.workflows import idle
@@ -1191,9 +1192,9 @@
         return workflow_admission.decide_admission(
             workflow_admission.Request(
                 workflow.workflow_id,
-                jobs.estimate_work(workflow.steps),
+                estimates.compute_work(workflow.steps),
                 workflows.compute_critical_path_ms(workflow),
-                jobs.compute_objective_ms(workflow, terms),
+                estimates.compute_objective_ms(workflow, terms),
             ),
             workflow_admission.Load(accepted, room_millicores),
             now_ms,
