Count the crash of an executor that is listed because it is back

Cause: when the connection to an executor is lost and its lease ends while the list of VMs shows it as up, the owner takes it for unreachable and counts no crash. The list names ids, not incarnations: here it showed the next one, which had been announced 1.7 s after the crash.

The new test fails without the change; an executor that is listed and not back still counts as unreachable.

--- a/borageshelf/workflows/end_proofs.py
+++ b/borageshelf/workflows/end_proofs.py
@@ -133,6 +133,14 @@
     return incarnation.partition('/')[0]
 
 
+def has_restarted(incarnation: str, announced: str) -> bool:
+    """Tell whether another incarnation under the same id was announced."""
+    executor_id = find_executor_id(incarnation)
+    return announced != incarnation and (
+        find_executor_id(announced) == executor_id
+    )
+
+
 def weigh_reading(suspicion: Suspicion, reading: Reading) -> Suspicion:
     """Return a suspicion after a reading of the list.
 
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -487,7 +487,11 @@
             return
         former = target.suspicions.pop(gone.incarnation, None)
         is_listed_up = former is not None and former.is_listed_up is True
-        if gone.cause is messages.GoneCause.LEASE_ENDED and is_listed_up:
+        # The list names no incarnations.
+        is_still_up = is_listed_up and not end_proofs.has_restarted(
+            gone.incarnation, target.announced_incarnation
+        )
+        if gone.cause is messages.GoneCause.LEASE_ENDED and is_still_up:
             # The executor could not be reached; it has not crashed.
             gone = msgspec.structs.replace(gone, is_orderly=True)
         self._drop_runs_of_executor(
--- a/tests/test_gone_executors.py
+++ b/tests/test_gone_executors.py
@@ -40,6 +40,44 @@
     assert count_crashes(cluster) == crashes
 
 
+@pytest.mark.parametrize('is_back', [True, False])
+def test_lease_of_an_executor_that_is_listed_tells_of_a_crash_if_it_is_back(
+    is_back: bool,
+) -> None:
+    """Guards against a deadly task whose crash counts as a lost connection.
+
+    The list names no incarnations, so it also shows the next one as up.
+    """
+    cluster = support.Cluster()
+    fake = cluster.add_target('vm-0')
+    cluster.submit(support.make_workflow())
+    cluster.run_until_idle()
+    (run,) = cluster.core.jobs['0123456789abcdef'].list_runs()
+    former = fake.make_state().incarnation
+    target = cluster.core.targets[fake.target_id]
+    for cause in (
+        messages.GoneCause.OTHER_ANNOUNCED,
+        messages.GoneCause.LEASE_ENDED,
+    ):
+        gone = messages.ExecutorGone(0, former, cause, reached=(KEY,))
+        cluster.core.handle_executor_gone(target, gone, cluster.moment)
+        if is_back and fake.start_count == 1:
+            fake.start_count += 1
+            hello = messages.AgentHello(
+                fake.target_id,
+                'boot',
+                'tajo-norte',
+                fake.make_state().incarnation,
+            )
+            target = cluster.core.attach(hello, 99, cluster.moment)
+        cluster.now_ms += 1_000
+        cluster.core.apply_listing(
+            end_proofs.Reading(frozenset(['vm-0']), cluster.now_ms),
+            cluster.moment,
+        )
+    assert run.task.crash_history.crashes == is_back
+
+
 def test_report_about_an_older_incarnation_drops_no_run_of_a_newer_one() -> (
     None
 ):
