--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -439,7 +439,7 @@
             waiting_count += sum(
                 group.waiting_count
                 for group in opened
-                if self._is_waiting(group, wall_ms)
+                if self._is_ready(group, wall_ms)
             )
         return self.open_task_count - former_count
 
@@ -449,13 +449,14 @@
         :param wall_ms: Unix time
         """
         return [
-            group for group in self.groups if self._is_waiting(group, wall_ms)
+            group
+            for groups in self._occurrences.open.values()
+            for group in groups
+            if group.waiting_count and self._is_ready(group, wall_ms)
         ]
 
-    def _is_waiting(self, group: Group, wall_ms: int) -> bool:
-        """Tell whether tasks of a group need a run, and their turn is now."""
-        if not group.waiting_count:
-            return False
+    def _is_ready(self, group: Group, wall_ms: int) -> bool:
+        """Tell whether a group is due and the steps before it are complete."""
         if self.workflow.has_due_times:
             due_ms = (
                 self.workflow.first_start_ms
@@ -564,10 +565,12 @@
 
         :param wall_ms: Unix time
         """
-        work_millicore_ms = float(
-            self._occurrences.count_due_unopened(wall_ms)
-            * estimates.compute_work(self.workflow.steps)
-        )
+        work_millicore_ms = 0.0
+        unopened_count = self._occurrences.count_due_unopened(wall_ms)
+        if unopened_count:
+            work_millicore_ms += unopened_count * estimates.compute_work(
+                self.workflow.steps
+            )
         for group in self.groups:
             if group.is_complete or group.step.is_lasting:
                 continue
