Renew the lease of the owner's key while the workflows are loaded

Cause: a new owner renewed the lease of its key, which lasts 2 s, only once it had loaded all workflows.

Change: OwnerRuntime.load renews the lease meanwhile, for 15 s after the acquisition at most, so that an entry which can't load lets others try.

Ruled out: an error in loading (each log has 'workflows loaded'), and a head that stands still.

--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import dataclasses
 import functools
 import itertools
@@ -48,6 +49,8 @@
 RESIGNED_LASTING_LIMIT_MS: Final = 6_700
 LEASE_TTL_MS: Final = 2_000
 LEASE_RENEWAL_INTERVAL_MS: Final = 500
+# An entry that has not loaded the workflows by then lets others try.
+LOAD_LIMIT_MS: Final = 15_000
 # Agents report every 400 ms.
 AGENT_SILENCE_LIMIT_MS: Final = 1_700
 # A commit takes a few milliseconds, and 320 ms on a slow store.
@@ -133,6 +136,7 @@
         self._store = store
         self._journal = owner_journal
         self._lease_id = lease_id
+        self._load_deadline_ms = clock.read_elapsed_ms() + LOAD_LIMIT_MS
         self._grant_ms = owner_policy.grant_ms
         self._event_log = event_log
         self._list_entries = list_entries
@@ -192,11 +196,16 @@
         return self._journal.head_revision
 
     async def load(self) -> None:
-        """Load the stored workflows.
+        """Load the stored workflows, and keep the owner's key meanwhile.
 
         :raises BorageshelfError: ``STORE_UNAVAILABLE``
         """
-        loaded = await self._journal.load()
+        renewal = asyncio.ensure_future(self._renew_lease_while_loading())
+        try:
+            loaded = await self._journal.load()
+        finally:
+            renewal.cancel()
+            await asyncio.gather(renewal, return_exceptions=True)
         moment = clock.read_moment()
         if loaded.foreign_keys:
             self._event_log.record_state(
@@ -797,6 +806,12 @@
 
     # The owner's key.
 
+    async def _renew_lease_while_loading(self) -> None:
+        left_ms = self._load_deadline_ms - clock.read_elapsed_ms()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(left_ms, 0) / 1000):
+                await self._renew_lease()
+
     async def _renew_lease(self) -> None:
         while True:
             await asyncio.sleep(LEASE_RENEWAL_INTERVAL_MS / 1000)
