Start nothing in an evacuated data centre

Operators evacuate a data centre by the key op/evacuate/ZONE. With the new setting evacuation_limit_ms each entry follows these keys with the watch of the configuration, on the prefix op/; with 0 the watch stays on op/config.

Three checks keep starts away: the owner places and sends nothing there, and nothing anywhere without a reading of the keys that is at most 2.6 s old; its answers and its welcome state whether the data centre is evacuated; the agent refuses starts, also before each repeated try, and needs an answer to a report that it sent at most 1.5 s ago. Ages count from the begin of the call or report on the clock of the process that made it.

Sessions of agents, totals of the fleet, rows of reports and the estimate of an epoch move to modules of their own, so that the large files shrink.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -11,6 +11,7 @@
 import dataclasses
 from typing import Final
 
+from borageshelf.agent.workflows import evacuation_gate
 from borageshelf.agent.workflows import executor_ends
 from borageshelf.agent.workflows import executor_lease
 from borageshelf.agent.workflows import grant_watch
@@ -19,7 +20,6 @@
 from borageshelf.agent.workflows import rivals
 from borageshelf.agent.workflows import runs
 from borageshelf import clock
-from borageshelf.decisions import pacing
 from borageshelf import events
 from borageshelf import loop
 from borageshelf import measurements
@@ -66,6 +66,7 @@
     :param send: sends a message to the owner, if there is a stream
     :param request_session: asks the owner for a new session
     :param former_grant_ms: longest grant of a former process of this agent
+    :param needs_answers: whether starts need a recent answer of the owner
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         send: abc.Callable[[messages.AnyMessage], None],
         request_session: abc.Callable[[], None],
         former_grant_ms: int,
+        needs_answers: bool = False,
     ) -> None:
         self._executor = executor
         self._event_log = event_log
@@ -82,6 +84,9 @@
         self._request_session = request_session
         self.announcement: targets.Announcement | None = None
         self._rival = rivals.Rival()
+        self._evacuation = evacuation_gate.EvacuationGate(
+            needs_answers, event_log
+        )
         self._token = 0
         self._is_ready = False
         self._grant_ms = 0
@@ -204,6 +209,7 @@
         self._token = welcome.token
         self._grant_watch.note_token(welcome.token)
         self._grant_ms = welcome.grant_ms
+        self._evacuation.note_statement(welcome.service_state)
         if welcome.has_given_up_runs:
             self._lapse.begin()
         self._is_ready = False
@@ -248,6 +254,9 @@
 
     def extend_grant(self, answer: messages.Answer) -> None:
         """Extend the grant, counted from the time of the report."""
+        self._evacuation.note_statement(
+            answer.service_state, answer.sent_at_elapsed_ms
+        )
         if answer.is_granted:
             self._grant_watch.extend(
                 answer.sent_at_elapsed_ms + self._grant_ms
@@ -265,7 +274,7 @@
             else:
                 self._reported_state = state
         rows = tuple(
-            _make_row(
+            runs.make_row(
                 run.row,
                 run.pace_percent,
                 run.terms.is_lasting and bool(run.open_tries),
@@ -419,7 +428,7 @@
             key = (row.task, row.attempt)
             run = former_runs.get(key)
             if run is None:
-                run = _make_unknown_run(
+                run = runs.make_unknown_run(
                     row.task, row.attempt, runs.RunState.RUNNING
                 )
             run.state = runs.RunState.RUNNING
@@ -453,8 +462,8 @@
             messages.Snapshot(
                 self._token,
                 state,
-                tuple(_make_row(row) for row in inspection.running),
-                tuple(_make_end(end) for end in inspection.ended),
+                tuple(runs.make_row(row) for row in inspection.running),
+                tuple(runs.make_end(end) for end in inspection.ended),
                 inspection.has_all_ends,
             )
         )
@@ -533,7 +542,7 @@
         key = (order.task, order.attempt)
         run = self._runs.get(key)
         if run is None:
-            run = _make_unknown_run(
+            run = runs.make_unknown_run(
                 order.task, order.attempt, runs.RunState.STOPPING
             )
             self._runs[key] = run
@@ -566,6 +575,8 @@
     def _find_refusal_reason(self, order: messages.Start) -> str:
         """Return why a start is refused; '' if it is allowed."""
         announcement = self.announcement
+        if self._evacuation.is_evacuated:
+            return messages.EVACUATED_REASON
         if announcement is None or self._gone_cause is not None:
             return 'no executor'
         if announcement.is_draining:
@@ -599,6 +610,7 @@
         is_unhealthy: bool = False,
     ) -> None:
         measurements.STARTS_REFUSED.labels(reason).inc()
+        self._evacuation.count_refusal(reason)
         self._event_log.record(
             'start refused',
             task=terms.task,
@@ -635,10 +647,12 @@
                 return
             if run.is_being_stopped():
                 return
-            if not extension.lease_deadline_ms:
-                run.refusal_reason = 'no grant'
+            evacuation_reason = self._evacuation.find_refusal_reason()
+            if evacuation_reason or not extension.lease_deadline_ms:
+                run.refusal_reason = evacuation_reason or 'no grant'
                 if self._lapse.is_awaited:
                     run.refusal_reason = LAPSE_REASON
+                run.is_unhealthy = run.is_unhealthy and not evacuation_reason
                 break
             if self.announcement is None or self.announcement.is_draining:
                 run.refusal_reason = 'draining'
@@ -792,16 +806,26 @@
     async def _wait_for_grant(self) -> executor_lease.Extension:
         """Return the lease to request; ``NO_EXTENSION`` if none may start.
 
-        A start needs a grant of the owner and a recent announcement of the
-        executor. After a pause of this process, both may be outdated.
+        A start needs a grant, a recent answer of the owner and a recent
+        announcement of the executor. After a pause of this process, they may
+        be outdated.
         """
         deadline_ms = clock.read_elapsed_ms() + GRANT_WAIT_LIMIT_MS
         while True:
             extension = self._compute_lease_extension()
-            if extension.lease_deadline_ms and self._is_announcement_recent():
+            is_allowed = not self._evacuation.find_refusal_reason()
+            if (
+                extension.lease_deadline_ms
+                and is_allowed
+                and self._is_announcement_recent()
+            ):
                 return extension
             is_late = clock.read_elapsed_ms() >= deadline_ms
-            if is_late or self._lapse.is_awaited:
+            if (
+                is_late
+                or self._lapse.is_awaited
+                or self._evacuation.is_evacuated
+            ):
                 return executor_lease.NO_EXTENSION
             await asyncio.sleep(0.02)
 
@@ -905,7 +929,7 @@
         if new_ends:
             self._send(
                 messages.Ends(
-                    self._token, tuple(_make_end(end) for end in new_ends)
+                    self._token, tuple(runs.make_end(end) for end in new_ends)
                 )
             )
         listed_keys = set()
@@ -1159,31 +1183,3 @@
             announcement.is_draining,
             left_ms,
         )
-
-
-def _make_unknown_run(
-    task: str, attempt: int, state: runs.RunState
-) -> runs.AgentRun:
-    terms = messages.RunTerms(task, attempt, resources.NOTHING)
-    return runs.AgentRun(terms, state, is_known=False)
-
-
-def _make_row(
-    row: task_executor.RunningTask,
-    pace_percent: int = pacing.FULL_PACE_PERCENT,
-    is_start_open: bool = False,
-) -> messages.Row:
-    return messages.Row(
-        row.task,
-        row.attempt,
-        row.checkpoint,
-        row.progress_percent,
-        pace_percent,
-        is_start_open,
-    )
-
-
-def _make_end(end: task_executor.EndedRun) -> messages.Ended:
-    return messages.Ended(
-        end.number, end.task, end.attempt, end.kind, end.checkpoint
-    )
--- a/borageshelf/agent/workflows/process.py
+++ b/borageshelf/agent/workflows/process.py
@@ -75,6 +75,7 @@
             self._owner_link.send,
             self._owner_link.request_session,
             policy.make_policy(settings).grant_ms,
+            bool(settings.evacuation_limit_ms),
         )
         self._owner_link.driver = self._driver
         self._site = make_site(
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -4,6 +4,7 @@
 
 from borageshelf import clock
 from borageshelf.decisions import pacing
+from borageshelf.model import resources
 from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
 
@@ -104,3 +105,32 @@
             or 0 < self.confirmed_at_ms <= proved_at_ms
         )
         return self.may_have_arrived and not has_ended
+
+
+def make_unknown_run(task: str, attempt: int, state: RunState) -> AgentRun:
+    """Return a run of which only the name is known."""
+    terms = messages.RunTerms(task, attempt, resources.NOTHING)
+    return AgentRun(terms, state, is_known=False)
+
+
+def make_row(
+    row: task_executor.RunningTask,
+    pace_percent: int = pacing.FULL_PACE_PERCENT,
+    is_start_open: bool = False,
+) -> messages.Row:
+    """Return a listed run as the owner is told of it."""
+    return messages.Row(
+        row.task,
+        row.attempt,
+        row.checkpoint,
+        row.progress_percent,
+        pace_percent,
+        is_start_open,
+    )
+
+
+def make_end(end: task_executor.EndedRun) -> messages.Ended:
+    """Return the end of a run as the owner is told of it."""
+    return messages.Ended(
+        end.number, end.task, end.attempt, end.kind, end.checkpoint
+    )
--- a/borageshelf/entry/workflows/configuration.py
+++ b/borageshelf/entry/workflows/configuration.py
@@ -1,7 +1,9 @@
 """Follows the operators' queue configuration in an entry.
 
 The entry watches the document in the store and also accepts newer versions
-from other entries. Within a process the version in force never decreases.
+from other entries. Within a process the version in force never decreases. The
+same watch follows the evacuations of data centres, if the deployment uses
+them.
 """
 
 import asyncio
@@ -10,6 +12,7 @@
 
 from borageshelf import clock
 from borageshelf import decoding
+from borageshelf.entry.workflows import evacuations
 from borageshelf import errors
 from borageshelf import events
 from borageshelf import measurements
@@ -31,6 +34,8 @@
     :param key: key of the document in the store
     :param decode: decodes the document; raises ``decoding.Unreadable`` if it
         is malformed
+    :param evacuated: follows the evacuations, or None
+    :param prefix: prefix of the keys of both, if there are evacuations
     """
 
     def __init__(
@@ -39,9 +44,13 @@
         key: str,
         decode: abc.Callable[[bytes], workflows.QueueConfiguration],
         event_log: events.EventLog,
+        evacuated: evacuations.Evacuations | None = None,
+        prefix: str = '',
     ) -> None:
         self._store = store
         self._key = key
+        self._evacuated = evacuated
+        self._prefix = key if evacuated is None else prefix
         self._decode = decode
         self._event_log = event_log
         self._document = b''
@@ -89,13 +98,19 @@
         is_store_available = True
         while True:
             try:
+                begun_at_ms = clock.read_elapsed_ms()
                 if revision < 0:
-                    listing = await self._store.scan(self._key)
+                    listing = await self._store.scan(self._prefix)
                     revision = listing.revision
                     self._apply(listing.entries)
+                    if self._evacuated is not None:
+                        self._evacuated.apply_listing(
+                            listing.entries, begun_at_ms
+                        )
+                begun_at_ms = clock.read_elapsed_ms()
                 deadline_ms = clock.read_wall_clock_ms() + WATCH_TIMEOUT_MS
                 answer = await self._store.watch(
-                    self._key, revision, deadline_ms
+                    self._prefix, revision, deadline_ms
                 )
             except errors.BorageshelfError as error:
                 measurements.STORE_FAILURES.labels(error.code.name).inc()
@@ -115,6 +130,13 @@
             if answer.compacted:
                 revision = -1
                 continue
+            if self._evacuated is not None:
+                if answer.revision < revision:
+                    # The store has lost changes, which a watch from here on
+                    # would not tell of.
+                    revision = -1
+                    continue
+                self._evacuated.apply_changes(answer.entries, begun_at_ms)
             revision = max(revision, answer.revision)
             self._apply(answer.entries)
 
--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -19,6 +19,7 @@
 
 from borageshelf import clock
 from borageshelf.decisions import owner_preference
+from borageshelf.entry.workflows import evacuations
 from borageshelf.entry.workflows import owner_stream
 from borageshelf.entry.workflows import peers
 from borageshelf.entry.workflows import runtime
@@ -59,8 +60,6 @@
 SEARCH_INTERVAL_MS: Final = 500
 # More takeovers than can happen between two readings of the owner's key.
 UNSEEN_TAKEOVERS_LIMIT: Final = 1_000
-# 2020-01-01. The seconds since then exceed the number of takeovers.
-EPOCH_ESTIMATE_START_MS: Final = 1_577_836_800_000
 # Agents and entries connect to a new owner within a second.
 HAND_OVER_CHECK_INTERVAL_MS: Final = 1_500
 
@@ -86,6 +85,7 @@
     :param apply_configuration: called with each document that another entry
         sends
     :param listing: the platform's list of VMs, if there is one
+    :param evacuated: follows the evacuations, if the deployment uses them
     :ivar local_owner: the owner if it runs in this process
     :ivar owner_link: the stream to the owner if it is another entry
     :ivar owner_changed: set when the owner or its reachability changes
@@ -100,6 +100,7 @@
         get_configuration: abc.Callable[[], tuple[int, bytes]],
         apply_configuration: abc.Callable[[bytes], None],
         listing: inventory.Inventory | None = None,
+        evacuated: evacuations.Evacuations | None = None,
     ) -> None:
         self._identity = identity
         self._store = store
@@ -108,6 +109,7 @@
         self._get_configuration = get_configuration
         self._apply_configuration = apply_configuration
         self._listing = listing
+        self._evacuated = evacuated
         # Until then a refused connection does not count as the end of one.
         self._doubt_deadline_ms = 0
         self.local_owner: runtime.OwnerRuntime | None = None
@@ -307,7 +309,9 @@
                 if revision < 0:
                     listing = await self._store.scan(records.OWNER_KEY)
                     revision = listing.revision
-                    self._apply_owner_key(_find_owner_entry(listing.entries))
+                    self._apply_owner_key(
+                        journal.find_owner_entry(listing.entries)
+                    )
                 deadline_ms = clock.read_wall_clock_ms() + WATCH_TIMEOUT_MS
                 answer = await self._store.watch(
                     records.OWNER_KEY, revision, deadline_ms
@@ -322,7 +326,7 @@
                 revision = -1
                 continue
             revision = max(revision, answer.revision)
-            changed = _find_owner_entry(answer.entries)
+            changed = journal.find_owner_entry(answer.entries)
             if changed is not None:
                 self._apply_owner_key(changed)
 
@@ -727,6 +731,7 @@
             head.is_resigned,
             handed_over,
             self._listing,
+            self._evacuated,
         )
         now_ms = clock.read_elapsed_ms()
         self._event_log.record_detail(
@@ -758,7 +763,12 @@
         except errors.BorageshelfError as error:
             former = self._owner
             if former is None:
-                former = records.OwnerRecord(_estimate_epoch(), '', '', '')
+                former = records.OwnerRecord(
+                    records.estimate_epoch(clock.read_wall_clock_ms()),
+                    '',
+                    '',
+                    '',
+                )
             self._event_log.record_state(
                 'head not readable', detail=error.detail, epoch=former.epoch
             )
@@ -814,18 +824,3 @@
     messages.FindRequest,
     messages.CountRequest,
 )
-
-
-def _estimate_epoch() -> int:
-    """Return an epoch above those of all owners, none of which is known."""
-    now_ms = clock.read_wall_clock_ms()
-    return (now_ms - EPOCH_ESTIMATE_START_MS) // 1_000
-
-
-def _find_owner_entry(
-    entries: abc.Iterable[store_interface.Entry],
-) -> store_interface.Entry | None:
-    """Return the owner's key among the keys that begin like it."""
-    return next(
-        (entry for entry in entries if entry.key == records.OWNER_KEY), None
-    )
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import importlib
 from typing import Any, Final, Protocol
 import uuid
@@ -13,6 +14,7 @@
 from borageshelf import clock
 from borageshelf.entry.workflows import configuration
 from borageshelf.entry.workflows import election
+from borageshelf.entry.workflows import evacuations
 from borageshelf.entry.workflows import request_service
 from borageshelf import events
 from borageshelf import loop
@@ -77,10 +79,24 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class OperatorKeys:
+    """Keys that operators write to the store.
+
+    :param configuration: key of the queue configuration
+    :param prefix: prefix of all of them
+    :param evacuation_prefix: followed by the name of an evacuated data centre
+    """
+
+    configuration: str
+    prefix: str
+    evacuation_prefix: str
+
+
 class Entry:
     """An entry: its servers, its configuration and its part in the election.
 
-    :param configuration_key: key of the queue configuration in the store
+    :param keys: keys that operators write to the store
     :param read_configuration: decodes the queue configuration; raises
         ``decoding.Unreadable`` if it is malformed
     :param make_site: builds the platform's sites for callers
@@ -92,7 +108,7 @@
         self,
         settings: node_settings.NodeSettings,
         store: store_interface.TransactionalStore,
-        configuration_key: str,
+        keys: OperatorKeys,
         read_configuration: abc.Callable[
             [bytes], workflows.QueueConfiguration
         ],
@@ -110,8 +126,18 @@
         self._stop_requested = asyncio.Event()
         self._abort_requested = asyncio.Event()
         self._background = loop.TaskGroup()
+        evacuated = None
+        if settings.evacuation_limit_ms:
+            evacuated = evacuations.Evacuations(
+                keys.evacuation_prefix, event_log
+            )
         self._configuration_follower = configuration.ConfigurationFollower(
-            store, configuration_key, read_configuration, event_log
+            store,
+            keys.configuration,
+            read_configuration,
+            event_log,
+            evacuated,
+            keys.prefix,
         )
         self._election = election.Election(
             election.Identity(
@@ -126,6 +152,7 @@
             self._configuration_follower.get_version_and_document,
             self._configuration_follower.apply_if_newer,
             listing,
+            evacuated,
         )
         self._request_service = request_service.RequestService(
             self._election, store
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -9,12 +9,14 @@
 import asyncio
 from collections import abc
 import contextlib
-import dataclasses
 import functools
 import itertools
 from typing import Any, Final
 
 from borageshelf import clock
+from borageshelf.entry.workflows import agent_session
+from borageshelf.entry.workflows import evacuation_sender
+from borageshelf.entry.workflows import evacuations
 from borageshelf.entry.workflows import presence
 from borageshelf import errors
 from borageshelf import events
@@ -31,7 +33,6 @@
 from borageshelf.workflows import policy
 from borageshelf.workflows import records
 from borageshelf.workflows import silence
-from borageshelf.workflows import targets
 
 # Changes that arrive within this time share a commit. 20 ms would be a third
 # of the 60 ms target from a submission to its first start.
@@ -64,41 +65,6 @@
 SESSIONS_PER_EPOCH: Final = 1_000_000
 
 
-@dataclasses.dataclass(frozen=True)
-class WithheldGrant:
-    """A grant that a report has requested and that waits for a commit.
-
-    :param sent_at_ms: elapsed time of the agent, as the report carries it
-    :param received_at: when the report arrived
-    """
-
-    sent_at_ms: int
-    received_at: clock.Moment
-
-
-class AgentSession:
-    """A session of an agent, from its hello to the next one or its end.
-
-    :param number: counts the sessions of this owner
-    :param token: fencing token of the orders of this session
-    :ivar withheld: the last grant that waits; None for none
-    """
-
-    def __init__(
-        self,
-        number: int,
-        token: int,
-        target: targets.Target,
-        outbox: channel.Outbox,
-    ) -> None:
-        self.number = number
-        self.token = token
-        self.target = target
-        self.outbox = outbox
-        self.last_received_at_ms = clock.read_elapsed_ms()
-        self.withheld: WithheldGrant | None = None
-
-
 class OwnerRuntime:
     """Owns all workflows while this entry is the owner.
 
@@ -117,6 +83,7 @@
         last change of the head, after which it extended no grant
     :param handed_over: knows the targets that the former head names as silent
     :param listing: the platform's list of VMs, if there is one
+    :param evacuated: follows the evacuations, if the deployment uses them
     """
 
     def __init__(
@@ -132,6 +99,7 @@
         is_former_resigned: bool = False,
         handed_over: hand_over.HandOver | None = None,
         listing: inventory.Inventory | None = None,
+        evacuated: evacuations.Evacuations | None = None,
     ) -> None:
         self._store = store
         self._journal = owner_journal
@@ -159,8 +127,11 @@
         self._presence_watch = presence.PresenceWatch(
             self._core, listing, event_log, self._process_change
         )
+        self._evacuation_sender = evacuation_sender.EvacuationSender(
+            self._core, evacuated, self._find_session, self._process_change
+        )
         self._session_numbers = itertools.count(1)
-        self._sessions: dict[str, AgentSession] = {}
+        self._sessions: dict[str, agent_session.AgentSession] = {}
         self._reply_tokens = itertools.count(1)
         self._reply_futures: dict[int, asyncio.Future[effects.Reply]] = {}
         self._changed = asyncio.Event()
@@ -243,6 +214,7 @@
     async def run(self) -> None:
         """Run until the ownership ends, then close all sessions."""
         self._presence_watch.begin()
+        self._evacuation_sender.begin()
         for run_loop in (
             self._renew_lease,
             self._close_silent_sessions,
@@ -263,6 +235,7 @@
                 # starts from the stored state.
                 commit_loop.result()
         finally:
+            self._evacuation_sender.end()
             commit_loop.cancel()
             ended_task.cancel()
             await asyncio.gather(
@@ -421,11 +394,11 @@
 
     def _begin_session(
         self, hello: messages.AgentHello, outbox: channel.Outbox
-    ) -> AgentSession:
+    ) -> agent_session.AgentSession:
         number = next(self._session_numbers)
         token = self.epoch * SESSIONS_PER_EPOCH + number
         target = self._core.attach(hello, number, clock.read_moment())
-        session = AgentSession(number, token, target, outbox)
+        session = agent_session.AgentSession(number, token, target, outbox)
         previous = self._sessions.get(hello.target_id)
         if previous is not None and previous.outbox is not outbox:
             previous.outbox.close()
@@ -444,12 +417,13 @@
                 self._list_entries(),
                 target.has_given_up_runs
                 and target.incarnation == hello.incarnation,
+                self._evacuation_sender.judge(target),
             )
         )
         measurements.TARGETS.set(len(self._sessions))
         return session
 
-    def _end_session(self, session: AgentSession) -> None:
+    def _end_session(self, session: agent_session.AgentSession) -> None:
         target_id = session.target.target_id
         self._core.detach(target_id, session.number)
         if self._sessions.get(target_id) is session:
@@ -458,7 +432,7 @@
         measurements.TARGETS.set(len(self._sessions))
 
     def _receive(
-        self, session: AgentSession, message: messages.AnyMessage
+        self, session: agent_session.AgentSession, message: messages.AnyMessage
     ) -> None:
         session.last_received_at_ms = clock.read_elapsed_ms()
         if self._sessions.get(session.target.target_id) is not session:
@@ -475,7 +449,10 @@
 
     @functools.singledispatchmethod
     def _handle(
-        self, message: Any, session: AgentSession, moment: clock.Moment
+        self,
+        message: Any,
+        session: agent_session.AgentSession,
+        moment: clock.Moment,
     ) -> None:
         self._event_log.record_state(
             'unexpected message', kind=type(message).__name__
@@ -485,7 +462,7 @@
     def _(
         self,
         message: messages.Report,
-        session: AgentSession,
+        session: agent_session.AgentSession,
         moment: clock.Moment,
     ) -> None:
         target = session.target
@@ -502,21 +479,21 @@
                 is_granted = self._core.extend_grant(target, moment)
                 session.withheld = None
                 if not is_granted:
-                    session.withheld = WithheldGrant(
+                    session.withheld = agent_session.WithheldGrant(
                         message.sent_at_elapsed_ms, moment
                     )
                     self._request_commit()
         elif is_confirmed:
             self._core.note_contact(target, moment)
-        session.outbox.send(
-            messages.Answer(message.sent_at_elapsed_ms, is_granted)
+        self._evacuation_sender.answer(
+            session, message.sent_at_elapsed_ms, is_granted
         )
 
     @_handle.register
     def _(
         self,
         message: messages.Ends,
-        session: AgentSession,
+        session: agent_session.AgentSession,
         moment: clock.Moment,
     ) -> None:
         for end in message.ended:
@@ -526,7 +503,7 @@
     def _(
         self,
         message: messages.Snapshot,
-        session: AgentSession,
+        session: agent_session.AgentSession,
         moment: clock.Moment,
     ) -> None:
         target = session.target
@@ -547,7 +524,7 @@
     def _(
         self,
         message: messages.StartRefused,
-        session: AgentSession,
+        session: agent_session.AgentSession,
         moment: clock.Moment,
     ) -> None:
         self._core.handle_start_refusal(session.target, message, moment)
@@ -556,7 +533,7 @@
     def _(
         self,
         message: messages.ExecutorGone,
-        session: AgentSession,
+        session: agent_session.AgentSession,
         moment: clock.Moment,
     ) -> None:
         self._core.handle_executor_gone(session.target, message, moment)
@@ -700,7 +677,9 @@
                 session.target, withheld.received_at
             ):
                 session.withheld = None
-                session.outbox.send(messages.Answer(withheld.sent_at_ms, True))
+                self._evacuation_sender.answer(
+                    session, withheld.sent_at_ms, True
+                )
 
     def _forget_ended_workflows(self, batch: owner.Batch) -> None:
         for job in batch.jobs:
@@ -728,7 +707,12 @@
         run = target.runs.get((effect.task, effect.attempt))
         if run is None:
             return
-        if session is None or not target.is_ready or run.is_stopping:
+        if (
+            session is None
+            or not target.is_ready
+            or run.is_stopping
+            or self._evacuation_sender.bars_start(target)
+        ):
             self._core.handle_unsent_start(effect)
             self._changed.set()
             return
@@ -797,7 +781,9 @@
             if future is not None and not future.done():
                 future.set_result(effect)
 
-    def _find_session(self, target_id: str) -> AgentSession | None:
+    def _find_session(
+        self, target_id: str
+    ) -> agent_session.AgentSession | None:
         session = self._sessions.get(target_id)
         target = self._core.targets.get(target_id)
         if session is None or target is None:
--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -103,6 +103,13 @@
 CONFIGURATION_VERSION = _gauge(
     'configuration_version', 'Version of the configuration in force.'
 )
+EVACUATED_DATA_CENTRES = _gauge(
+    'evacuated_data_centres', 'Data centres that operators evacuate.'
+)
+EVACUATION_REFUSALS = _counter(
+    'evacuation_refusals',
+    'Starts that an agent refused in an evacuated data centre.',
+)
 LOG_LINES_DROPPED = _gauge(
     'log_lines_dropped', 'Log lines that nobody read in time.'
 )
--- a/borageshelf/node_settings.py
+++ b/borageshelf/node_settings.py
@@ -9,6 +9,7 @@
 import pathlib
 from typing import Final
 
+from borageshelf.decisions import evacuation
 from borageshelf import decoding
 from borageshelf import settings
 
@@ -49,6 +50,8 @@
     :param processor_speed: speed of that processor, as a multiple of the
         smallest processor of the deployment
     :param executor_lease_limit_ms: longest lease that an executor accepts
+    :param evacuation_limit_ms: bound from the evacuation of a data centre to
+        the last start there; 0 if the deployment uses no evacuations
     :param grace_s: time between the request to stop and the kill
     :param status_retention_s: how long the final state of a workflow can be
         queried after its end
@@ -71,6 +74,7 @@
     processor_share: float = 1.0
     processor_speed: float = 1.0
     executor_lease_limit_ms: int = 6_000
+    evacuation_limit_ms: int = 0
     grace_s: float = 6.0
     status_retention_s: float = 120.0
 
@@ -89,6 +93,10 @@
     'grace_s': (0.5, 600),
     'status_retention_s': (1, 86_400),
 }
+# Checked unless they are 0, which switches their part off.
+_OPTIONAL_RANGES: Final[dict[str, tuple[float, float]]] = {
+    'evacuation_limit_ms': (evacuation.MIN_EVACUATION_LIMIT_MS, 600_000),
+}
 _ADDRESS_FIELDS: Final = (
     'store_address',
     'caller_address',
@@ -166,3 +174,10 @@
         value = getattr(loaded, name)
         if not minimum <= value <= maximum:
             yield f'{name}: must be from {minimum} to {maximum}, not {value}'
+    for name, (minimum, maximum) in _OPTIONAL_RANGES.items():
+        value = getattr(loaded, name)
+        if value and not minimum <= value <= maximum:
+            yield (
+                f'{name}: must be 0 or from {minimum} to {maximum},'
+                f' not {value}'
+            )
--- a/borageshelf/platform/documents.py
+++ b/borageshelf/platform/documents.py
@@ -16,6 +16,10 @@
 from borageshelf.model import workflows
 
 CONFIGURATION_KEY: Final = 'op/config'
+# Prefix of all keys that operators write.
+OPERATORS_PREFIX: Final = 'op/'
+# Followed by the name of a data centre; the value is not specified.
+EVACUATION_PREFIX: Final = 'op/evacuate/'
 
 
 class _Phase(msgspec.Struct, rename='pascal'):
--- a/borageshelf/platform/processes.py
+++ b/borageshelf/platform/processes.py
@@ -29,7 +29,11 @@
         return await entry_process.Entry(
             settings,
             store.PlatformStore(settings.store_address),
-            documents.CONFIGURATION_KEY,
+            entry_process.OperatorKeys(
+                documents.CONFIGURATION_KEY,
+                documents.OPERATORS_PREFIX,
+                documents.EVACUATION_PREFIX,
+            ),
             documents.decode_configuration,
             caller_site.PlatformSite,
             reload,
--- a/borageshelf/workflows/idle.py
+++ b/borageshelf/workflows/idle.py
@@ -185,6 +185,8 @@
         return 'not ready'
     if target.is_draining:
         return 'draining'
+    if target.is_evacuated:
+        return 'evacuated'
     if target.health.is_suspect(now_ms):
         return 'fails work'
     if target.stability.is_suspect(now_ms):
--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -327,3 +327,12 @@
             errors.STORE_UNAVAILABLE, str(error)
         ) from error
     return owner
+
+
+def find_owner_entry(
+    entries: abc.Iterable[store_interface.Entry],
+) -> store_interface.Entry | None:
+    """Return the owner's key among the keys that begin like it."""
+    return next(
+        (entry for entry in entries if entry.key == records.OWNER_KEY), None
+    )
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -6,10 +6,11 @@
 """
 
 import enum
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 import msgspec
 
+from borageshelf.model import data_centres
 from borageshelf.model import resources
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
@@ -17,6 +18,12 @@
 from borageshelf.workflows import records
 
 
+# Reasons of refusals that tell nothing about the target: its data centre is
+# evacuated, or no recent answer of the owner says that it is in service.
+EVACUATED_REASON: Final = 'evacuated'
+NO_RECENT_ANSWER_REASON: Final = 'no recent answer'
+
+
 class GoneCause(enum.Enum):
     """What tells an agent that its executor has gone, or that it may have.
 
@@ -47,6 +54,7 @@
 
     :param incarnation: identifies one start of the executor
     :param leaves_in_ms: minimum time until a draining executor leaves
+    :param cold_left_ms: how much longer the executor is slow after its start
     """
 
     incarnation: str
@@ -55,6 +63,7 @@
     labels: tuple[str, ...]
     is_draining: bool
     leaves_in_ms: int
+    cold_left_ms: int = 0
 
 
 class Row(Part, frozen=True, array_like=True):
@@ -178,6 +187,11 @@
     is_unhealthy: bool = False
     retry_in_ms: int = 0
 
+    @property
+    def is_neutral(self) -> bool:
+        """Whether the reason tells nothing about the target."""
+        return self.reason in (EVACUATED_REASON, NO_RECENT_ANSWER_REASON)
+
 
 class ExecutorGone(Message, frozen=True, array_like=True, tag=True):
     """An incarnation of the executor has gone, or may have.
@@ -213,6 +227,7 @@
     :param grant_ms: duration of a grant from the time of its report
     :param has_given_up_runs: whether runs of the target were given up because
         its grant had ended
+    :param service_state: whether the agent's data centre is evacuated
     """
 
     epoch: records.Epoch
@@ -220,6 +235,9 @@
     grant_ms: int
     entries: tuple[EntryAddress, ...]
     has_given_up_runs: bool = False
+    service_state: data_centres.ServiceState = (
+        data_centres.ServiceState.NOT_STATED
+    )
 
 
 class Start(Message, frozen=True, array_like=True, tag=True):
@@ -285,6 +303,9 @@
         answers to pings only
     :param head_revision: revision of the head after the last commit that was
         answered; in answers to pings only
+    :param service_state: whether the agent's data centre is evacuated; in
+        answers to reports, and in those that answer nothing
+        (``sent_at_elapsed_ms`` is 0) and tell of a change
     """
 
     sent_at_elapsed_ms: int
@@ -292,6 +313,9 @@
     largest_millicores: int = 0
     store_silent_ms: int = 0
     head_revision: int = 0
+    service_state: data_centres.ServiceState = (
+        data_centres.ServiceState.NOT_STATED
+    )
 
 
 # Sent between entries.
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -25,7 +25,9 @@
 from borageshelf.workflows import effects
 from borageshelf.workflows import end_proofs
 from borageshelf.workflows import estimates
+from borageshelf.workflows import evacuation_control
 from borageshelf.workflows import fleet
+from borageshelf.workflows import fleet_totals
 from borageshelf.workflows import hand_over
 from borageshelf.workflows import idle
 from borageshelf.workflows import jobs
@@ -134,6 +136,9 @@
         self._silence_limits = silence_limits
         self._retention_ms = retention_ms
         self._discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
+        self.evacuation = evacuation_control.EvacuationControl(
+            self._fleet, record, self._discovery_deadline_ms
+        )
         self._encode = encode
         self._record = record
         self._dirty_jobs: dict[str, jobs.Job] = {}
@@ -325,6 +330,7 @@
         target.session = session
         target.is_ready = False
         target.data_centre = hello.data_centre
+        self.evacuation.note_target(target)
         if target.announced_incarnation != hello.incarnation:
             target.announced_incarnation = hello.incarnation
             target.announced_at_ms = moment.elapsed_ms
@@ -686,7 +692,7 @@
                 'a start was refused as unhealthy',
                 moment,
             )
-        elif not refused.retry_in_ms:
+        elif not refused.retry_in_ms and not refused.is_neutral:
             # Other reasons, too, may hold for every start, so that a task
             # would go round among such targets.
             self._change_health(
@@ -697,9 +703,10 @@
                 'starts are refused again and again',
                 moment,
             )
-        target.refusal_deadline_ms = moment.elapsed_ms + (
-            refused.retry_in_ms or START_REFUSAL_PAUSE_MS
-        )
+        if not target.is_evacuated:
+            target.refusal_deadline_ms = moment.elapsed_ms + (
+                refused.retry_in_ms or START_REFUSAL_PAUSE_MS
+            )
         self._break_gang(run.task)
 
     def note_start_sent(
@@ -913,6 +920,8 @@
 
     def schedule(self, moment: clock.Moment) -> None:
         """Place waiting tasks on targets that have room."""
+        if not self.evacuation.may_place(moment.elapsed_ms):
+            return
         for job in self.scheduler.place_waiting_tasks(
             self._active_jobs, moment
         ):
@@ -1053,37 +1062,9 @@
 
     def describe_fleet(self, moment: clock.Moment) -> dict[str, int]:
         """Return totals over the fleet, for the log."""
-        healthy = [
-            target
-            for target in self.targets.values()
-            if target.is_healthy(moment.elapsed_ms)
-        ]
-        waiting = [
-            group.step.demand.processor_millicores
-            for job in self._active_jobs.values()
-            for group in job.list_waiting_groups(moment.wall_ms)
-            for task in group.tasks
-            if task.is_waiting
-        ]
-        return {
-            'targets': len(self.targets),
-            'sound': len(healthy),
-            'capacity_millicores': sum(
-                target.capacity.processor_millicores for target in healthy
-            ),
-            'busy_millicores': sum(
-                target.busy_millicores for target in healthy
-            ),
-            'filler_millicores': sum(
-                target.filler_millicores for target in healthy
-            ),
-            'filler_used_millicores': sum(
-                target.filler_used_millicores for target in healthy
-            ),
-            'active_workflows': len(self._active_jobs),
-            'waiting_tasks': len(waiting),
-            'waiting_millicores': sum(waiting),
-        }
+        return fleet_totals.describe(
+            self.targets.values(), self._active_jobs.values(), moment
+        )
 
     def describe_idle_workflows(
         self, moment: clock.Moment
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -25,6 +25,8 @@
 Epoch = Annotated[int, msgspec.Meta(ge=0, le=EPOCH_LIMIT)]
 # Longer than any wait for a silent target.
 LEFT_LIMIT_MS: Final = 60_000
+# 2020-01-01. The seconds since then exceed the number of takeovers.
+EPOCH_ESTIMATE_START_MS: Final = 1_577_836_800_000
 LeftTime = Annotated[int, msgspec.Meta(ge=0, le=LEFT_LIMIT_MS)]
 
 
@@ -192,3 +194,8 @@
     if not state_key.endswith(_STATE_SUFFIX):
         return None
     return state_key[len(JOBS_PREFIX) : -len(_STATE_SUFFIX)]
+
+
+def estimate_epoch(now_wall_ms: int) -> int:
+    """Return an epoch above those of all owners, none of which is known."""
+    return (now_wall_ms - EPOCH_ESTIMATE_START_MS) // 1_000
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -36,6 +36,7 @@
 
     :ivar session: number of the agent's session; ``UNATTACHED`` for none
     :ivar is_ready: whether the session has delivered a snapshot of the runs
+    :ivar is_evacuated: whether its data centre is evacuated
     :ivar lost_deadlines: when all granted runs have certainly ended, unless
         the agent reports again
     :ivar missed_readings: number of the last readings of the list of VMs that
@@ -107,6 +108,7 @@
         self.session = UNATTACHED
         self.is_ready = False
         self.is_draining = False
+        self.is_evacuated = False
         self.leaves_deadline_ms = 0
         self.incarnation = ''
         self.announced_incarnation = ''
@@ -144,6 +146,7 @@
         return (
             self.is_ready
             and not self.is_draining
+            and not self.is_evacuated
             and not self.health.is_suspect(now_ms)
             and not self.stability.is_suspect(now_ms)
         )
@@ -175,6 +178,7 @@
         return (
             self.is_ready
             and not self.is_draining
+            and not self.is_evacuated
             and not self.stability.is_suspect(now_ms)
             and not self.unexpected_runs
             and now_ms >= self.refusal_deadline_ms
--- a/tests/test_agent_sessions.py
+++ b/tests/test_agent_sessions.py
@@ -9,6 +9,7 @@
 
 from borageshelf import clock
 from borageshelf.entry.workflows import election
+from borageshelf.entry.workflows import evacuations
 from borageshelf.entry.workflows import runtime
 from borageshelf import events
 from borageshelf.model import resources
@@ -64,6 +65,7 @@
 async def make_runtime(
     handed_over: hand_over.HandOver | None = None,
     listing: inventory.Inventory | None = None,
+    evacuated: evacuations.Evacuations | None = None,
 ) -> runtime.OwnerRuntime:
     """Return the runtime of a new owner over an empty store."""
     store = memory_store.MemoryStore()
@@ -87,6 +89,7 @@
         confirmed_at_ms,
         handed_over=handed_over,
         listing=listing,
+        evacuated=evacuated,
     )
 
 
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -29,6 +29,7 @@
         'processor_share',
         'processor_speed',
         'executor_lease_limit_ms',
+        'evacuation_limit_ms',
         'grace_s',
         'status_retention_s',
     ):
@@ -46,6 +47,7 @@
         ({'processor_share': 0}, 'processor_share: must be from'),
         ({'grace_s': 0}, 'grace_s: must be from'),
         ({'executor_lease_limit_ms': 'x'}, 'executor_lease_limit_ms'),
+        ({'evacuation_limit_ms': 4_899}, 'must be 0 or from 4900'),
     ],
 )
 def test_faults_are_named(change: dict[str, object], message: str) -> None:
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -170,7 +170,7 @@
 class DriverHarness:
     """A driver with a fake executor; collects its messages to the owner."""
 
-    def __init__(self) -> None:
+    def __init__(self, needs_answers: bool = False) -> None:
         self.executor = FakeExecutor()
         self.sent: list[messages.AnyMessage] = []
         self.requested_sessions = 0
@@ -181,6 +181,7 @@
             self.sent.append,
             self._request_session,
             LEASE_LIMIT_MS,
+            needs_answers,
         )
 
     def _request_session(self) -> None:
@@ -233,11 +234,12 @@
 
 def run_scenario(
     scenario: abc.Callable[[DriverHarness], abc.Awaitable[None]],
+    needs_answers: bool = False,
 ) -> None:
     """Run a scenario; the timeout is reached only if it hangs."""
 
     async def run() -> None:
-        harness = DriverHarness()
+        harness = DriverHarness(needs_answers)
         try:
             async with asyncio.timeout(20):
                 await scenario(harness)
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -57,6 +57,7 @@
     target_id: str
     capacity: resources.Resources
     labels: tuple[str, ...]
+    data_centre: str = 'tajo-norte'
     session: int = 0
     token: int = 0
     start_count: int = 1
@@ -114,10 +115,14 @@
         millicores: int = 64_000,
         memory_mb: int = 256_000,
         labels: tuple[str, ...] = ('a', 'r1'),
+        data_centre: str = 'tajo-norte',
     ) -> FakeTarget:
         """Add a target and attach it to the owner."""
         fake = FakeTarget(
-            target_id, resources.Resources(millicores, memory_mb), labels
+            target_id,
+            resources.Resources(millicores, memory_mb),
+            labels,
+            data_centre,
         )
         self.targets[target_id] = fake
         self.attach(fake)
@@ -129,7 +134,7 @@
         fake.session = self.sessions
         state = fake.make_state()
         hello = messages.AgentHello(
-            fake.target_id, 'boot', 'tajo-norte', state.incarnation
+            fake.target_id, 'boot', fake.data_centre, state.incarnation
         )
         target = self.core.attach(hello, fake.session, self.moment)
         snapshot = messages.Snapshot(
@@ -296,7 +301,11 @@
         run = target.runs.get((effect.task, effect.attempt))
         if run is None:
             return
-        if not target.is_ready or run.is_stopping:
+        if (
+            not target.is_ready
+            or run.is_stopping
+            or self.core.evacuation.bars_start(target, self.now_ms)
+        ):
             self.core.handle_unsent_start(effect)
             return
         self.core.note_start_sent(target, run, self.now_ms)
