Move lasting tasks out of an evacuated data centre

Lasting tasks never end by themselves. The owner stops their runs once it has kept room for the task on another target, as far as the step's absent_limit allows beside tasks that are absent for another cause. A task is at work when a run of it has reported 100%, so agents report a lasting run a second time when it reaches that. Such a report must not move a paced lasting filler as a slow run, which it could not before, so those are left out explicitly.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -297,7 +297,8 @@
     def _take_reported_runs(self) -> list[runs.AgentRun]:
         """Return the runs whose progress the owner is to learn.
 
-        A lasting run is reported once, so that the owner knows it was listed.
+        A lasting run is reported when it is first listed and once it is at
+        work.
         """
         if not self._is_inspection_recent():
             return []
@@ -305,8 +306,8 @@
         for run in self._runs.values():
             if not run.terms.is_lasting:
                 reported.append(run)
-            elif run.row is not None and not run.is_reported:
-                run.is_reported = True
+            elif run.needs_report():
+                run.note_report()
                 reported.append(run)
         return reported
 
@@ -433,7 +434,7 @@
                 )
             run.state = runs.RunState.RUNNING
             run.row = row
-            run.is_reported = True
+            run.note_report()
             run.may_have_arrived = True
             run.confirmed_at_ms = clock.read_elapsed_ms()
             self._runs[key] = run
--- a/borageshelf/agent/workflows/runs.py
+++ b/borageshelf/agent/workflows/runs.py
@@ -3,6 +3,7 @@
 import enum
 
 from borageshelf import clock
+from borageshelf.decisions import evacuation
 from borageshelf.decisions import pacing
 from borageshelf.model import resources
 from borageshelf.ports import task_executor
@@ -35,7 +36,8 @@
     :ivar is_pace_known: whether the last order of a pace was answered
     :ivar row: the run in the last inspection that listed it
     :ivar is_stop_accepted: whether the executor has accepted a stop of it
-    :ivar is_reported: whether a snapshot or a report has contained it
+    :ivar reported_percent: progress that the last snapshot or report has told
+        the owner; None before the first one
     :ivar refusal_reason: reported to the owner if the run does not exist
     :ivar is_unhealthy: whether that report calls the executor unhealthy
     """
@@ -58,7 +60,7 @@
         self.row: task_executor.RunningTask | None = None
         self.is_dated = False
         self.is_stop_accepted = False
-        self.is_reported = False
+        self.reported_percent: int | None = None
         self.refusal_reason = 'absent'
         self.is_unhealthy = False
 
@@ -81,6 +83,24 @@
         """Tell whether a stop was ordered, so that no start may follow."""
         return self.state is RunState.STOPPING
 
+    def needs_report(self) -> bool:
+        """Tell whether the owner has to learn the progress of a lasting run.
+
+        It needs to know that the run is listed, and then that it is at work.
+        """
+        if self.row is None:
+            return False
+        return self.reported_percent is None or (
+            self.reported_percent
+            < evacuation.AT_WORK_PERCENT
+            <= self.row.progress_percent
+        )
+
+    def note_report(self) -> None:
+        """Note that the owner is told of the run."""
+        if self.row is not None:
+            self.reported_percent = self.row.progress_percent
+
     def note_accepted_stop(self) -> None:
         """Note that the executor has just accepted a stop of the run."""
         self.is_stop_accepted = True
--- a/borageshelf/workflows/evacuation_control.py
+++ b/borageshelf/workflows/evacuation_control.py
@@ -1,20 +1,40 @@
 """Applies the evacuated data centres to the owner's targets.
 
+Lasting tasks would never leave by themselves, so they are moved: a run is
+stopped once room is kept for its task on another target.
+
 Part of the owner's core; does no I/O.
 """
 
 from collections import abc
+import dataclasses
 
 from borageshelf import clock
 from borageshelf.decisions import evacuation
+from borageshelf.decisions import workflow_placement
 from borageshelf.model import data_centres
 from borageshelf.workflows import fleet
+from borageshelf.workflows import jobs
 from borageshelf.workflows import targets
 
 
+@dataclasses.dataclass(frozen=True)
+class KeptRoom:
+    """Room for a task whose run is being stopped."""
+
+    run: jobs.Run
+    target: targets.Target
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether the run still has to end."""
+        return self.run.attempt in self.run.task.runs
+
+
 class EvacuationControl:
     """Knows which targets may get starts.
 
+    :param predict_latency_share: used for fillers only
     :param record: writes the log line of a decision
     :param discovery_deadline_ms: elapsed time by which agents have found this
         owner
@@ -23,14 +43,17 @@
     def __init__(
         self,
         known_fleet: fleet.Fleet,
+        predict_latency_share: workflow_placement.LatencyPredictor,
         record: abc.Callable[..., None],
         discovery_deadline_ms: int,
     ) -> None:
         self._fleet = known_fleet
+        self._predict_latency_share = predict_latency_share
         self._record = record
         self._discovery_deadline_ms = discovery_deadline_ms
         self._known = evacuation.NOT_FOLLOWED
         self._reported_names: set[str] = set()
+        self._kept_rooms: list[KeptRoom] = []
 
     def apply(
         self, known: evacuation.EvacuatedSet, moment: clock.Moment
@@ -72,6 +95,120 @@
         """Tell whether the set is recent enough to place anything."""
         return evacuation.is_recent(self._known, now_ms)
 
+    # Lasting tasks.
+
+    def release_room(self) -> None:
+        """Give the room of tasks whose runs have ended to the placement.
+
+        Lasting tasks are the first ones that it places.
+        """
+        for kept in self._kept_rooms:
+            if not kept.is_needed:
+                kept.target.release_room(kept.run.task.group.step)
+                self._fleet.touch(kept.target)
+        self._kept_rooms = [
+            kept for kept in self._kept_rooms if kept.is_needed
+        ]
+
+    def choose_moves(self, now_ms: int) -> list[jobs.Run]:
+        """Return the lasting runs to stop now; room for their tasks is kept.
+
+        Gangs are left where they are.
+        """
+        if not self._known.data_centres:
+            return []
+        self._fleet.refresh(now_ms)
+        groups = {
+            id(run.task.group): run.task.group
+            for target in self._fleet.targets.values()
+            if target.is_evacuated
+            for run in target.runs.values()
+            if self._is_movable(run)
+        }
+        return [
+            run
+            for group in groups.values()
+            for run in self._move_group(group, now_ms)
+        ]
+
+    def _is_movable(self, run: jobs.Run) -> bool:
+        target = self._fleet.targets[run.target_id]
+        group = run.task.group
+        return (
+            target.is_evacuated
+            and target.is_ready
+            and run.is_sent
+            and not run.is_stopping
+            and group.step.is_lasting
+            and not group.step.is_gang
+            and group.job.is_active
+        )
+
+    def _is_at_work(self, run: jobs.Run) -> bool:
+        return (
+            run.progress_percent >= evacuation.AT_WORK_PERCENT
+            and not run.is_stopping
+            and self._fleet.targets[run.target_id].is_ready
+        )
+
+    def _move_group(self, group: jobs.Group, now_ms: int) -> list[jobs.Run]:
+        """Keep room for the tasks of a step that may be moved now."""
+        runs = {
+            task.name: tuple(task.runs.values())
+            for task in group.tasks
+            if not task.is_done
+        }
+        tasks = [
+            evacuation.LastingTask(
+                name,
+                any(map(self._is_at_work, task_runs)),
+                any(map(self._is_movable, task_runs)),
+            )
+            for name, task_runs in runs.items()
+        ]
+        moved = []
+        for name in evacuation.choose_moves(tasks, group.step.absent_limit):
+            run = next(filter(self._is_movable, runs[name]))
+            if not self._keep_room(run, now_ms):
+                # Tasks of a step have the same size.
+                break
+            moved.append(run)
+            self._record(
+                'lasting run moved',
+                workflow=group.job.workflow_id,
+                task=name,
+                attempt=run.attempt,
+                target=run.target_id,
+                kept_target=self._kept_rooms[-1].target.target_id,
+                cause='evacuation',
+                absent=sum(not task.is_at_work for task in tasks),
+                absent_limit=group.step.absent_limit,
+            )
+        return moved
+
+    def _keep_room(self, run: jobs.Run, now_ms: int) -> bool:
+        """Keep room for a task elsewhere; tell whether there is any."""
+        task = run.task
+        group = task.group
+        counts = group.count_runs_by_target()
+        for kept in self._kept_rooms:
+            if kept.run.task.group is group:
+                target_id = kept.target.target_id
+                counts[target_id] = counts.get(target_id, 0) + 1
+        chosen = self._fleet.get_index(group.job.terms.service).choose(
+            workflow_placement.PlacementRequest(
+                group.step, counts, task.avoided
+            ),
+            self._predict_latency_share,
+        )
+        if chosen is None:
+            return False
+        target = self._fleet.targets[chosen.target_id]
+        target.keep_room(group.step)
+        self._fleet.reindex(target, now_ms)
+        self._kept_rooms.append(KeptRoom(run, target))
+        return True
+
     def _report_unknown_names(self, now_ms: int) -> None:
         """Log once each evacuated data centre that no target is in."""
         unreported = self._known.data_centres - self._reported_names
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -136,9 +136,6 @@
         self._silence_limits = silence_limits
         self._retention_ms = retention_ms
         self._discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
-        self.evacuation = evacuation_control.EvacuationControl(
-            self._fleet, record, self._discovery_deadline_ms
-        )
         self._encode = encode
         self._record = record
         self._dirty_jobs: dict[str, jobs.Job] = {}
@@ -151,6 +148,12 @@
         self.scheduler = scheduler.Scheduler(
             self._fleet, self._crash_tracker, self.set_aside
         )
+        self.evacuation = evacuation_control.EvacuationControl(
+            self._fleet,
+            self.scheduler.predict_latency_share,
+            record,
+            self._discovery_deadline_ms,
+        )
 
     # Stored state.
 
@@ -922,10 +925,13 @@
         """Place waiting tasks on targets that have room."""
         if not self.evacuation.may_place(moment.elapsed_ms):
             return
+        self.evacuation.release_room()
         for job in self.scheduler.place_waiting_tasks(
             self._active_jobs, moment
         ):
             self._mark_dirty(job)
+        for run in self.evacuation.choose_moves(moment.elapsed_ms):
+            self._stop_run(run)
 
     # Commits.
 
@@ -1210,7 +1216,8 @@
         """
         run.slow_since_ms = moment.elapsed_ms
         group = run.task.group
-        if run.is_stopping or not group.step.is_checkpointing:
+        step = group.step
+        if run.is_stopping or step.is_lasting or not step.is_checkpointing:
             return
         better_target = self.scheduler.find_better_target(
             run, target, moment.elapsed_ms
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -10,6 +10,7 @@
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_placement
 from borageshelf.model import resources
+from borageshelf.model import workflows
 from borageshelf.workflows import end_proofs
 from borageshelf.workflows import jobs
 from borageshelf.workflows import silence
@@ -249,6 +250,14 @@
         if self.isolated_run is run:
             self.isolated_run = next(self.list_isolated_runs(), None)
 
+    def keep_room(self, step: workflows.Step) -> None:
+        """Keep room free for a task that is on its way here."""
+        self._adjust_room(step, 1)
+
+    def release_room(self, step: workflows.Step) -> None:
+        """Undo ``keep_room``."""
+        self._adjust_room(step, -1)
+
     def list_isolated_runs(self) -> abc.Iterator[jobs.Run]:
         """Yield the runs of suspected tasks of the workflow in isolation."""
         return (run for run in self.runs.values() if run.is_isolated)
@@ -266,30 +275,33 @@
     def _adjust_totals(self, run: jobs.Run, sign: int) -> None:
         step = run.task.group.step
         self.rejected_millicores.clear()
-        if sign > 0:
-            self.reserved = self.reserved.plus(step.reserved)
-        else:
-            self.reserved = self.reserved.minus(step.reserved)
+        self._adjust_room(step, sign)
         if step.is_filler:
-            size_millicores = step.demand.processor_millicores
-            self.filler_millicores += sign * size_millicores
             sizes = self.filler_sizes_millicores
             sizes[step.image] = (
-                sizes.get(step.image, 0) + sign * size_millicores
+                sizes.get(step.image, 0)
+                + sign * step.demand.processor_millicores
             )
             if not sizes[step.image]:
                 del sizes[step.image]
+        elif not step.is_lasting:
+            self.short_millicores += sign * step.demand.processor_millicores
+        if step.latency_target_ms:
+            self._adjust_serving_images(step.image, sign)
+
+    def _adjust_room(self, step: workflows.Step, sign: int) -> None:
+        """Add a task to the totals that decide where there is room."""
+        if sign > 0:
+            self.reserved = self.reserved.plus(step.reserved)
+        else:
+            self.reserved = self.reserved.minus(step.reserved)
+        if step.is_filler:
+            self.filler_millicores += sign * step.demand.processor_millicores
         else:
             expected_millicores = workflow_placement.estimate_use_millicores(
                 step
             )
             self.busy_millicores += sign * expected_millicores
-            if not step.is_lasting:
-                self.short_millicores += (
-                    sign * step.demand.processor_millicores
-                )
-        if step.latency_target_ms:
-            self._adjust_serving_images(step.image, sign)
 
     def _adjust_serving_images(self, image: str, sign: int) -> None:
         images = self.serving_images
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -13,6 +13,7 @@
 from borageshelf.model import data_centres
 from borageshelf.platform import documents
 from borageshelf.ports import store as store_interface
+from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
 from standins import faults
 from standins import memory_store
@@ -186,6 +187,88 @@
     assert cluster.replies[1].retry_after_s
 
 
+class LastingStep:
+    """Lasting tasks in the north, whose ends and progress a test decides."""
+
+    def __init__(self, absent_limit: int, south_millicores: int) -> None:
+        self.cluster = workflow_support.Cluster()
+        self.cluster.core.evacuation.apply(make_set(), self.cluster.moment)
+        self.cluster.add_target('vm-north', data_centre=NORTH)
+        step = workflow_support.make_step(
+            4, is_lasting=True, absent_limit=absent_limit
+        )
+        self.cluster.submit(workflow_support.make_workflow(step))
+        self.cluster.run_until_idle()
+        self.cluster.add_target(
+            'vm-south', south_millicores, data_centre=SOUTH
+        )
+        self.cluster.core.evacuation.apply(
+            make_set(NORTH), self.cluster.moment
+        )
+
+    def report(self, *tasks: str) -> None:
+        """Let the agents report that tasks are at work; all without names."""
+        for fake in self.cluster.targets.values():
+            self.cluster.core.update_progress(
+                self.cluster.core.targets[fake.target_id],
+                [
+                    messages.Row(task, attempt, '', 100)
+                    for task, attempt in fake.running.items()
+                    if not tasks or task in tasks
+                ],
+                self.cluster.moment,
+            )
+        self.cluster.run_until_idle()
+
+    def take_stopped(self) -> list[str]:
+        """End the runs whose stop was ordered; return their tasks."""
+        fake = self.cluster.targets['vm-north']
+        stopped, fake.stop_orders = sorted(fake.stop_orders), set()
+        for task in stopped:
+            self.cluster.end_run(task, task_executor.EndKind.STOPPED)
+        self.cluster.run_until_idle()
+        return [task[-1] for task in stopped]
+
+
+def test_lasting_tasks_move_within_their_limit() -> None:
+    """Guards against a step with more absent tasks than it allows."""
+    step = LastingStep(absent_limit=2, south_millicores=64_000)
+    step.report()
+    assert step.take_stopped() == ['0', '1']
+    assert not step.take_stopped()
+    step.report('0123456789abcdef.0.0.0')
+    assert step.take_stopped() == ['2']
+    step.report()
+    assert step.take_stopped() == ['3']
+    assert len(step.cluster.targets['vm-south'].running) == 4
+
+
+def test_lasting_tasks_without_a_limit_move_one_by_one() -> None:
+    """Guards against a move beside a task that is absent for another cause."""
+    step = LastingStep(absent_limit=0, south_millicores=64_000)
+    step.report('0123456789abcdef.0.0.1', '0123456789abcdef.0.0.2')
+    assert not step.take_stopped()
+    step.report('0123456789abcdef.0.0.3')
+    assert step.take_stopped() == ['0']
+    assert not step.take_stopped()
+    step.report()
+    assert step.take_stopped() == ['1']
+
+
+@pytest.mark.parametrize(
+    ('millicores', 'moved'), [(900, []), (2_900, ['0', '1'])]
+)
+def test_lasting_tasks_stay_where_no_room_is_elsewhere(
+    millicores: int, moved: list[str]
+) -> None:
+    """Guards against a lasting task that is stopped and finds no target."""
+    step = LastingStep(absent_limit=4, south_millicores=millicores)
+    step.report()
+    assert step.take_stopped() == moved
+    step.report()
+    assert not step.take_stopped()
+
+
 @pytest.mark.parametrize(
     ('statements', 'reason'),
     [
@@ -243,6 +326,29 @@
     test_workflow_driver.run_scenario(scenario, needs_answers=True)
 
 
+def test_agent_reports_that_a_lasting_run_is_at_work() -> None:
+    """Guards against moves that wait for a run that is at work long since."""
+
+    async def scenario(harness: test_workflow_driver.DriverHarness) -> None:
+        await harness.begin_session()
+        harness.executor.progress_percent = 40
+        harness.start(is_lasting=True)
+        reported: list[int] = []
+        while reported != [40, 100]:
+            await asyncio.sleep(0.005)
+            harness.driver.send_report()
+            rows = [
+                row
+                for report in harness.list_sent(messages.Report)
+                for row in report.rows
+            ]
+            reported = [row.progress_percent for row in rows]
+            if reported:
+                harness.executor.progress_percent = 100
+
+    test_workflow_driver.run_scenario(scenario)
+
+
 def test_agent_without_an_answer_starts_nothing() -> None:
     """Guards against starts on a grant that outlives the permission."""
 
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -54,6 +54,7 @@
         self.is_down = False
         self.outcome = STARTED
         self.measured: dict[str, int] = {}
+        self.progress_percent = 100
         self.on_lost_start: abc.Callable[[], None] = lambda: None
 
     def read_clock_ms(self) -> int:
@@ -137,7 +138,11 @@
             self.born_at_ms,
             tuple(
                 task_executor.RunningTask(
-                    task, attempt, '', 100, self.measured.get(task, 0)
+                    task,
+                    attempt,
+                    '',
+                    self.progress_percent,
+                    self.measured.get(task, 0),
                 )
                 for task, attempt in self.running
             ),
