Rank targets with a cold executor after warm ones

A data centre that returns to service has executors that are slow for a while; their heartbeats tell for how long. With evacuation_limit_ms set, agents tell the owner, rounded up to 500 ms, and placement ranks such a target after all warm ones on which the task has not failed, until the time is over.

The comparison of the index with the plain choice has cold targets, too.

--- a/borageshelf/agent/workflows/driver.py
+++ b/borageshelf/agent/workflows/driver.py
@@ -19,6 +19,7 @@
 from borageshelf.agent.workflows import pacer
 from borageshelf.agent.workflows import rivals
 from borageshelf.agent.workflows import runs
+from borageshelf.agent.workflows import target_state
 from borageshelf import clock
 from borageshelf import events
 from borageshelf import loop
@@ -1167,20 +1168,6 @@
         return announcement.instance_id if announcement else ''
 
     def _make_state(self) -> messages.TargetState:
-        announcement = self.announcement
-        if announcement is None:
-            return messages.TargetState('', '', resources.NOTHING, (), True, 0)
-        left_ms = 0
-        if announcement.is_draining:
-            now_ms = clock.read_elapsed_ms()
-            left_ms = max(announcement.leaves_deadline_ms - now_ms, 0)
-            # Rounded down, so that not every report contains a new state.
-            left_ms -= left_ms % 500
-        return messages.TargetState(
-            announcement.incarnation,
-            announcement.service,
-            announcement.capacity,
-            announcement.labels,
-            announcement.is_draining,
-            left_ms,
+        return target_state.make_state(
+            self.announcement, self._evacuation.needs_answers
         )
--- a/borageshelf/agent/workflows/evacuation_gate.py
+++ b/borageshelf/agent/workflows/evacuation_gate.py
@@ -14,14 +14,15 @@
     A permission counts from the time at which the answered report was sent, so
     what the owner states is at least as recent.
 
-    :param needs_answers: whether starts need a recent answer of the owner
+    :param needs_answers: whether starts need a recent answer of the owner,
+        which is so if the deployment uses evacuations
     :ivar is_evacuated: whether the last statement said so
     """
 
     def __init__(
         self, needs_answers: bool, event_log: events.EventLog
     ) -> None:
-        self._needs_answers = needs_answers
+        self.needs_answers = needs_answers
         self._event_log = event_log
         self.is_evacuated = False
         self._permitted_from_ms: int | None = None
@@ -54,7 +55,7 @@
         """Return why nothing may start now; '' if starts are allowed."""
         if self.is_evacuated:
             return messages.EVACUATED_REASON
-        if not self._needs_answers:
+        if not self.needs_answers:
             return ''
         if (
             self._permitted_from_ms is None
--- a/borageshelf/decisions/target_index.py
+++ b/borageshelf/decisions/target_index.py
@@ -17,8 +17,7 @@
 
 from borageshelf.decisions import workflow_placement
 
-# Prefix of the score of a target that is neither avoided nor in another rack.
-_PREFERRED: Final = (0.0, 0.0)
+_PREFERRED: Final = workflow_placement.PREFERRED
 
 _UnusedKey = tuple[int, int, str]
 _ServingKey = tuple[bool, bool, int, int, str]
@@ -195,7 +194,7 @@
         if score is None:
             return False
         candidates.append((score, self._positions[target_id], target_id))
-        return score[:2] == _PREFERRED
+        return score[: len(_PREFERRED)] == _PREFERRED
 
     def _record_change(self, target_id: str) -> None:
         self.change_number = next(self._numbers)
--- a/borageshelf/decisions/workflow_placement.py
+++ b/borageshelf/decisions/workflow_placement.py
@@ -27,6 +27,11 @@
 MIN_UNUSED_RATIO: Final = 0.85
 
 
+# Prefix of the score of a target that is neither avoided nor cold nor in
+# another rack.
+PREFERRED: Final = (0.0, 0.0, 0.0)
+
+
 class Target(Protocol):
     """Attributes of a target that the decision reads.
 
@@ -34,6 +39,7 @@
         processors of fillers
     :ivar busy_millicores: expected use of processors by all tasks but fillers
     :ivar filler_millicores: declared processors of its fillers
+    :ivar is_cold: whether its executor is slow for a while after its start
     """
 
     target_id: str
@@ -43,6 +49,7 @@
     reserved: resources.Resources
     busy_millicores: int
     filler_millicores: int
+    is_cold: bool
 
     @property
     def serving_images(self) -> abc.Mapping[str, int]:
@@ -134,8 +141,8 @@
 ) -> tuple[float, ...] | None:
     """Return the score of a target, or None if the task can't run there.
 
-    The lowest score is best. It begins with whether the target is avoided and
-    whether it is in another rack than the task needs.
+    The lowest score is best. It begins with whether the target is avoided,
+    whether it is cold, and whether it is in another rack than the task needs.
     """
     step = request.step
     if step.label and step.label not in target.labels:
@@ -164,6 +171,7 @@
         )
     return (
         float(target.target_id in request.avoided),
+        float(target.is_cold),
         float(_is_in_other_rack(request, target)),
         *_compute_score_by_kind(step, target, unused_millicores, excess_share),
     )
--- a/borageshelf/model/targets.py
+++ b/borageshelf/model/targets.py
@@ -23,6 +23,8 @@
     :param leaves_deadline_ms: earliest time at which a draining executor
         leaves, Unix milliseconds
     :param clock_ms: the executor's clock at the report; 0 if it is not known
+    :param cold_deadline_ms: elapsed time until which the executor is slow; 0
+        if it is not
     """
 
     instance_id: str
@@ -35,6 +37,7 @@
     is_draining: bool = False
     leaves_deadline_ms: int = 0
     clock_ms: int = 0
+    cold_deadline_ms: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/borageshelf/platform/documents.py
+++ b/borageshelf/platform/documents.py
@@ -105,7 +105,7 @@
     Each executor sends all fields without a default; a report that lacks one
     is of another program.
 
-    :param slots: not used, like the zone, the version and ``cold_left_ms``
+    :param slots: not used, like the zone and the version
     :param cold_left_ms: how much longer it is slow after its start
     :param remaining_ms: least time until a draining executor ends
     :param born: start of the executor, in Unix milliseconds
@@ -233,6 +233,7 @@
         is_draining,
         now_ms + max(heartbeat.remaining_ms, 0) if is_draining else 0,
         heartbeat.clock_ms,
+        now_ms + heartbeat.cold_left_ms if heartbeat.cold_left_ms > 0 else 0,
     )
 
 
--- a/borageshelf/workflows/fleet.py
+++ b/borageshelf/workflows/fleet.py
@@ -86,7 +86,12 @@
         ):
             self.get_index(former_service).remove(target_id)
             del self._indexed_services[target_id]
+        target.is_cold = now_ms < target.cold_deadline_ms
         if is_usable:
+            if target.is_cold:
+                heapq.heappush(
+                    self._retry_deadlines, (target.cold_deadline_ms, target_id)
+                )
             self.get_index(target.service).put(target)
             self._indexed_services[target_id] = target.service
             return
--- a/borageshelf/workflows/overdue.py
+++ b/borageshelf/workflows/overdue.py
@@ -38,8 +38,7 @@
 # A run that has lasted for this long shows that its target is sound.
 SOUND_RUN_MS: Final = 2_000
 
-# Prefix of the score of a target that is neither avoided nor in another rack.
-_PREFERRED: Final = (0.0, 0.0)
+_PREFERRED: Final = workflow_placement.PREFERRED
 
 
 class Placer(Protocol):
@@ -222,7 +221,7 @@
                 )
                 if score is None:
                     continue
-                if score[:2] == _PREFERRED:
+                if score[: len(_PREFERRED)] == _PREFERRED:
                     queue.rotate(-position - 1)
                     return target
                 fallback = fallback or target
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -1129,6 +1129,7 @@
         target.rack = state.labels[1] if len(state.labels) > 1 else ''
         target.is_draining = state.is_draining
         target.leaves_deadline_ms = moment.elapsed_ms + state.leaves_in_ms
+        target.cold_deadline_ms = moment.elapsed_ms + state.cold_left_ms
         self._fleet.touch(target)
 
     def _mark_dirty(self, job: jobs.Job) -> None:
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -38,6 +38,8 @@
     :ivar session: number of the agent's session; ``UNATTACHED`` for none
     :ivar is_ready: whether the session has delivered a snapshot of the runs
     :ivar is_evacuated: whether its data centre is evacuated
+    :ivar cold_deadline_ms: elapsed time until which the executor is slow
+    :ivar is_cold: whether placement counts it as slow
     :ivar lost_deadlines: when all granted runs have certainly ended, unless
         the agent reports again
     :ivar missed_readings: number of the last readings of the list of VMs that
@@ -110,6 +112,8 @@
         self.is_ready = False
         self.is_draining = False
         self.is_evacuated = False
+        self.cold_deadline_ms = 0
+        self.is_cold = False
         self.leaves_deadline_ms = 0
         self.incarnation = ''
         self.announced_incarnation = ''
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,6 +6,7 @@
 import pytest
 
 from borageshelf.agent.workflows import evacuation_gate
+from borageshelf.agent.workflows import target_state
 from borageshelf import clock
 from borageshelf.decisions import evacuation
 from borageshelf.entry.workflows import configuration
@@ -187,6 +188,53 @@
     assert cluster.replies[1].retry_after_s
 
 
+def test_cold_target_takes_only_what_the_warm_ones_have_no_room_for() -> None:
+    """Guards against work on a slow target beside free warm ones."""
+    cluster = make_cluster()
+    north = cluster.targets['vm-north']
+    state = msgspec.structs.replace(north.make_state(), cold_left_ms=2_000)
+    target = cluster.core.targets['vm-north']
+    cluster.core.update_target_state(target, state, cluster.moment)
+    step = workflow_support.make_step(34)
+    cluster.submit(workflow_support.make_workflow(step))
+    cluster.run_until_idle()
+    assert len(cluster.targets['vm-south'].running) == 32
+    assert len(north.running) == 2
+    cluster.now_ms += 2_000
+    cluster.submit(
+        workflow_support.make_workflow(workflow_id='fedcba9876543210')
+    )
+    cluster.run_until_idle()
+    assert len(north.running) == 3
+
+
+@pytest.mark.parametrize(
+    ('cold_left_ms', 'told_ms'), [(0, 0), (1_200, 1_500), (500, 500)]
+)
+def test_agent_tells_how_long_its_executor_is_slow(
+    cold_left_ms: int, told_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a state that changes with each heartbeat."""
+    heartbeat = {
+        'Service': 'pigment',
+        'Address': '10.0.0.1:1',
+        'Zone': NORTH,
+        'Version': 'v1',
+        'Slots': 8,
+        'State': 'ready',
+        'ColdLeftMs': cold_left_ms,
+        'SeqNo': 1,
+        'Capacity': {'Cpu': 1, 'MemMb': 1},
+        'Labels': [],
+    }
+    monkeypatch.setattr(clock, 'read_elapsed_ms', lambda: 7_000)
+    found = documents.decode_announcement(
+        'i-1', msgspec.json.encode(heartbeat), 7_000
+    )
+    assert target_state.make_state(found, True).cold_left_ms == told_ms
+    assert not target_state.make_state(found, False).cold_left_ms
+
+
 class LastingStep:
     """Lasting tasks in the north, whose ends and progress a test decides."""
 
--- a/tests/test_target_index.py
+++ b/tests/test_target_index.py
@@ -59,6 +59,7 @@
         )
         target.labels = rng.choice((('a', 'r1'), ('b', 'r2')))
         target.rack = rng.choice(RACKS)
+        target.is_cold = rng.random() < 0.3
         fleet.append(target)
     return fleet
 
