Play evacuations of data centres in the soak

A start later than 5 s after the key was written is a violation; left out are VMs on which an order may have been held back.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -11,6 +11,7 @@
 
 from standins import gangs
 from standins import platform_executor
+from tests.soak import evacuations
 from tests.soak import plans
 
 ATTEMPTS_LIMIT: Final = 3
@@ -95,6 +96,9 @@
     )
     instances: list[frozenset[str]] = dataclasses.field(default_factory=list)
     problems: list[str] = dataclasses.field(default_factory=list)
+    evacuated: evacuations.Evacuations = dataclasses.field(
+        default_factory=evacuations.Evacuations
+    )
 
 
 def find_violations(plan: plans.Plan, history: History) -> abc.Iterator[str]:
@@ -121,6 +125,13 @@
         )
     yield from _check_drains(plan, history, events)
     yield from _check_versions(history.probes)
+    yield from evacuations.check_starts(
+        plan,
+        history.evacuated,
+        history.instances,
+        events,
+        history.started_ms,
+    )
 
 
 def is_fault_free(
@@ -499,5 +510,8 @@
         'events': [dataclasses.asdict(event) for event in history.events],
         'acknowledged': sorted(history.acknowledged),
         'drains': history.drains,
+        'evacuations': [
+            dataclasses.asdict(item) for item in history.evacuated.finished
+        ],
         'problems': history.problems,
     }
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -18,10 +18,13 @@
 from borageshelf.agent.workflows import driver
 from borageshelf import clock
 from borageshelf.decisions import crash_blame
+from borageshelf.decisions import evacuation
 from borageshelf.entry.workflows import configuration
 from borageshelf import main
+from borageshelf.model import data_centres
 from borageshelf.workflows import channel
 from borageshelf.workflows import end_proofs
+from borageshelf.workflows import evacuation_control
 from borageshelf.workflows import owner
 from borageshelf.workflows import policy
 from borageshelf.workflows import silence
@@ -155,6 +158,15 @@
     setattr(driver.ExecutorDriver, 'handle_announcement', handle_announcement)
 
 
+def start_in_evacuated_data_centres() -> None:
+    """Follow the keys, but let nobody keep starts away."""
+    in_service = data_centres.ServiceState.IN_SERVICE
+    setattr(evacuation, 'judge', lambda *_: in_service)
+    setattr(
+        evacuation_control.EvacuationControl, 'note_target', lambda *_: None
+    )
+
+
 SAFEGUARDS = {
     '-': lambda: None,
     # Executors that obey orders of all sessions; see ``runner``.
@@ -167,6 +179,7 @@
     'capacity': ignore_changed_capacities,
     'suspension': count_no_suspensions,
     'proof': believe_all_signs,
+    'evacuation': start_in_evacuated_data_centres,
 }
 
 if __name__ == '__main__':
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -163,6 +163,11 @@
         """Tell whether workflows repeat."""
         return any(item.repeats > 1 for item in self.submissions)
 
+    @property
+    def has_evacuations(self) -> bool:
+        """Tell whether data centres are evacuated."""
+        return any(fault.subject == 'evacuation' for fault in self.faults)
+
     @property
     def has_lost_entries(self) -> bool:
         """Tell whether an entry loses its power."""
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -30,6 +30,7 @@
 from tests import loopback
 from tests import platform_support
 from tests.soak import checks
+from tests.soak import evacuations
 from tests.soak import lost_entries
 from tests.soak import nodes
 from tests.soak import odd_entries
@@ -288,6 +289,11 @@
         for _ in range(count):
             await run.publish_configuration()
             await asyncio.sleep(CHAIN_PAUSE_S)
+    elif fault.subject == evacuations.SUBJECT:
+        zones = run.plan.zones
+        await run.history.evacuated.evacuate(
+            run.store, zones[fault.index % len(zones)], duration_s
+        )
     elif fault.subject == 'odd-entry':
         await inject_odd_entry(run, fault, duration_s)
     elif fault.kind == 'lose-power' and fault.subject == 'entry-link':
@@ -647,6 +653,8 @@
         settings = deployment.entries[number].settings
         settings['inventory_address'] = machines_url.removeprefix('http://')
         settings['data_centre'] = plan.zones[number % len(plan.zones)]
+        if plan.has_evacuations:
+            settings['evacuation_limit_ms'] = evacuations.LIMIT_MS
         settings['store_address'] = await make_proxy(settings['store_address'])
         settings['inner_advertised_address'] = await make_proxy(
             settings['inner_address']
@@ -678,6 +686,9 @@
         deployment.add_agent(number, f'http://{address}', port)
         settings = deployment.agents[number].settings
         settings['data_centre'] = zone
+        run.history.evacuated.zones.append(zone)
+        if plan.has_evacuations:
+            settings['evacuation_limit_ms'] = evacuations.LIMIT_MS
         settings['store_address'] = await make_proxy(settings['store_address'])
         settings['seeds'] = [
             entry.settings['inner_advertised_address']
--- a/tests/soak/site_plans.py
+++ b/tests/soak/site_plans.py
@@ -10,6 +10,7 @@
 import tomllib
 from typing import Any, Final
 
+from tests.soak import evacuations
 from tests.soak import plans
 
 FIRST_SEED: Final = 4_000_000
@@ -50,6 +51,14 @@
 
     :param load_ms: time for which there is load on a site; 0 for ``LOAD_MS``
     """
+    plan = _make_plan(seed, load_ms)
+    is_small = evacuations.FIRST_SMALL_SEED <= seed < FIRST_SEED
+    if is_small or seed >= evacuations.FIRST_SITE_SEED:
+        plan = evacuations.add_to_plan(plan)
+    return plan
+
+
+def _make_plan(seed: int, load_ms: int) -> plans.Plan:
     if seed < FIRST_SEED:
         return plans.make_plan(seed)
     load_ms = load_ms or LOAD_MS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from tests import loopback
 from tests.soak import __main__ as soak
 from tests.soak import checks
+from tests.soak import evacuations
 from tests.soak import plans
 from tests.soak import proxies
 from tests.soak import runner
@@ -50,7 +51,8 @@
     seeds = soak.draw_seeds(None, 50)
     site_count = sum(seed >= site_plans.FIRST_SEED for seed in seeds)
     assert 10 <= site_count <= 40
-    assert min(seeds) >= plans.FIRST_SEED_WITH_RECURRING
+    assert min(seeds) >= evacuations.FIRST_SMALL_SEED
+    assert all(site_plans.make_plan(seed).has_evacuations for seed in seeds)
     drawn = {
         (fault.subject, fault.kind)
         for seed in range(4_800_000, 4_800_100)
@@ -112,6 +114,36 @@
     assert sorted(found) == [b'before in the cut', b'late']
 
 
+@pytest.mark.parametrize(
+    ('kind', 'after_ms', 'is_found'),
+    [
+        ('none', 5_000, False),
+        ('none', 5_001, True),
+        ('none', 9_001, False),
+        ('silent', 5_001, True),
+        ('suspend', 5_001, False),
+    ],
+)
+def test_start_in_an_evacuated_data_centre_is_found(
+    kind: str, after_ms: int, is_found: bool
+) -> None:
+    """Guards against a check that finds nothing, or excuses too much."""
+    evacuated = evacuations.Evacuations(
+        [evacuations.Evacuation('north', 20_000, 29_000)], ['south', 'north']
+    )
+    subject = 'vm' if kind == 'suspend' else 'link'
+    fault = plans.Fault(12_000, 4_000, subject, kind, 1)
+    plan = plans.Plan(0, 1, 2, (fault,), ())
+    event = platform_executor.Event(
+        20_000 + after_ms, f'{WORKFLOW_ID}.0.0.0', 1, 'start', 'i-1'
+    )
+    instances = [frozenset({'i-0'}), frozenset({'i-1'})]
+    found = evacuations.check_starts(
+        plan, evacuated, instances, [event], 10_000
+    )
+    assert bool(list(found)) == is_found
+
+
 WORKFLOW_ID: Final = '0123456789abcdef'
 SUBMISSION: Final = plans.Submission(
     0,
