--- a/tests/soak/evacuations.py
+++ b/tests/soak/evacuations.py
@@ -19,7 +19,10 @@
 # No start may come later than this after the key was written.
 LIMIT_MS: Final = 5_000
 COUNT_RANGE: Final = (2, 4)
-DURATIONS_MS: Final = (1_000, 6_500, 9_000)
+SITE_COUNT_RANGE: Final = (4, 8)
+DURATIONS_MS: Final = (1_000, 8_000, 12_000)
+# Evacuations that begin later would find no more work to be placed.
+BEGIN_SHARE: Final = 0.5
 ABSENT_LIMITS: Final = (0, 1, 2)
 # What cuts off, ends or misleads those who follow the keys.
 BESIDE_SHARE: Final = 0.8
@@ -96,8 +99,12 @@
     """Return the plan with evacuations and with several data centres."""
     rng = random.Random(-plan.seed)
     faults = list(plan.faults)
-    for _ in range(rng.randint(*COUNT_RANGE)):
-        at_ms = rng.randint(plans.FIRST_FAULT_AT_MS, plan.load_ms)
+    is_site = plan.seed >= FIRST_SITE_SEED
+    last_ms = round(plan.load_ms * BEGIN_SHARE)
+    for _ in range(
+        rng.randint(*(SITE_COUNT_RANGE if is_site else COUNT_RANGE))
+    ):
+        at_ms = rng.randint(plans.FIRST_FAULT_AT_MS, last_ms)
         faults.append(
             plans.Fault(
                 at_ms,
