Let tasks wait for room on the rack of their data or group

Cause: a task of a step with a rack takes 1.5 to 3 times as long elsewhere, and placement never waited, even where room on the rack was 100 ms away.

The fleet keeps the usable targets of each rack, so that a waiting step looks at its rack only. New setting remote_factor (1 to 100, default 1: nothing waits).

--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -141,8 +141,7 @@
         self._event_log = event_log
         self._list_entries = list_entries
         self._ownership_confirmed_at_ms = confirmed_at_ms
-        self._store_answered_at_ms = clock.read_elapsed_ms()
-        now_ms = clock.read_elapsed_ms()
+        now_ms = self._store_answered_at_ms = clock.read_elapsed_ms()
         self.former_deadlines = compute_former_limits(
             owner_policy, is_former_resigned
         ).count_from(now_ms if head_seen_at_ms is None else head_seen_at_ms)
@@ -155,6 +154,7 @@
             journal.encode,
             event_log.record,
             handed_over,
+            owner_policy.remote_factor,
         )
         self._presence_watch = presence.PresenceWatch(
             self._core, listing, event_log, self._process_change
--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -89,6 +89,17 @@
 TASKS_AT_FAULT = _counter(
     'tasks_at_fault', 'Tasks given up because executors crashed under them.'
 )
+PLACE_WAITS_BEGUN = _counter(
+    'place_waits_begun', 'Waits for room on the rack of data or of a group.'
+)
+PLACE_WAITS_ENDED = _counter(
+    'place_waits_ended', 'Such waits that have ended.', ('cause',)
+)
+PLACE_WAITS_REFUSED = _counter(
+    'place_waits_refused',
+    'Decisions that starting on another rack is better than a wait.',
+    ('cause',),
+)
 INVENTORY_FAILURES = _counter(
     'inventory_failures', 'Readings of the list of VMs that failed.'
 )
--- a/borageshelf/node_settings.py
+++ b/borageshelf/node_settings.py
@@ -52,6 +52,8 @@
     :param grace_s: time between the request to stop and the kill
     :param status_retention_s: how long the final state of a workflow can be
         queried after its end
+    :param remote_factor: how many times as long a task takes on another rack
+        than that of its data or its group; nothing waits if it is 1
     """
 
     node_id: str
@@ -73,6 +75,7 @@
     executor_lease_limit_ms: int = 6_000
     grace_s: float = 6.0
     status_retention_s: float = 120.0
+    remote_factor: float = 1.0
 
     @property
     def processor_millicores(self) -> int:
@@ -88,6 +91,7 @@
     'executor_lease_limit_ms': (1_000, 3_600_000),
     'grace_s': (0.5, 600),
     'status_retention_s': (1, 86_400),
+    'remote_factor': (1, 100),
 }
 _ADDRESS_FIELDS: Final = (
     'store_address',
--- a/borageshelf/workflows/fleet.py
+++ b/borageshelf/workflows/fleet.py
@@ -1,5 +1,6 @@
 """The owner's targets, and the index of those that may get work now."""
 
+from collections import abc
 import heapq
 
 from borageshelf.decisions import target_index
@@ -34,6 +35,9 @@
         self._changed: dict[str, targets.Target] = {}
         self._indexes: dict[str, target_index.TargetIndex] = {}
         self._indexed_services: dict[str, str] = {}
+        # The targets that may get work, by service and rack.
+        self._racks: dict[tuple[str, str], dict[str, targets.Target]] = {}
+        self._indexed_racks: dict[str, tuple[str, str]] = {}
         # Times at which targets may get work again, earliest first.
         self._retry_deadlines: list[tuple[int, str]] = []
 
@@ -67,6 +71,12 @@
             self._indexes[service] = index
         return index
 
+    def list_rack(
+        self, service: str, rack: str
+    ) -> abc.Collection[targets.Target]:
+        """Return the targets of a rack that may get work."""
+        return self._racks.get((service, rack), {}).values()
+
     def refresh(self, now_ms: int) -> None:
         """Apply all changes to the index."""
         while self._retry_deadlines and self._retry_deadlines[0][0] <= now_ms:
@@ -81,6 +91,7 @@
         target_id = target.target_id
         former_service = self._indexed_services.get(target_id)
         is_usable = target.can_accept_runs(now_ms)
+        self._reindex_rack(target, is_usable)
         if former_service is not None and not (
             is_usable and former_service == target.service
         ):
@@ -94,6 +105,20 @@
         if deadline_ms:
             heapq.heappush(self._retry_deadlines, (deadline_ms, target_id))
 
+    def _reindex_rack(self, target: targets.Target, is_usable: bool) -> None:
+        key = (target.service, target.rack) if is_usable else None
+        former = self._indexed_racks.get(target.target_id)
+        if key == former:
+            return
+        if former is not None:
+            del self._indexed_racks[target.target_id]
+            del self._racks[former][target.target_id]
+            if not self._racks[former]:
+                del self._racks[former]
+        if key is not None:
+            self._racks.setdefault(key, {})[target.target_id] = target
+            self._indexed_racks[target.target_id] = key
+
     def refresh_latencies(self) -> None:
         """Let placement use the latest estimates of all latencies."""
         for target in self.targets.values():
--- a/borageshelf/workflows/memory_budget.py
+++ b/borageshelf/workflows/memory_budget.py
@@ -4,7 +4,8 @@
 loads the same workflows. So a workflow that has no room is refused at once.
 """
 
-from typing import Final
+from collections import abc
+from typing import Final, Protocol
 
 from borageshelf.model import workflows
 from borageshelf.workflows import occurrences
@@ -22,6 +23,20 @@
 OPEN_TASKS_LIMIT: Final = 50_000
 
 
+class Accepted(Protocol):
+    """What the budget reads of an accepted workflow."""
+
+    memory_bytes: int
+
+
+def has_room(
+    workflow: workflows.Workflow, accepted: abc.Iterable[Accepted]
+) -> bool:
+    """Tell whether the memory has room for one more workflow."""
+    held_bytes = sum(job.memory_bytes for job in accepted)
+    return held_bytes + compute_bytes(workflow) <= LIMIT_BYTES
+
+
 def compute_bytes(workflow: workflows.Workflow) -> int:
     """Return what a workflow takes in memory, in bytes.
 
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -31,6 +31,7 @@
 from borageshelf.workflows import jobs
 from borageshelf.workflows import memory_budget
 from borageshelf.workflows import messages
+from borageshelf.workflows import place_waiting
 from borageshelf.workflows import records
 from borageshelf.workflows import scheduler
 from borageshelf.workflows import silence
@@ -110,6 +111,7 @@
     :param encode: encodes a record for the store
     :param record: writes the log line of a decision
     :param handed_over: knows those targets, and names silent ones again
+    :param remote_factor: how many times as long tasks take on another rack
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         encode: abc.Callable[[Any], bytes],
         record: RecordEvent,
         handed_over: hand_over.HandOver | None = None,
+        remote_factor: float = 1.0,
     ) -> None:
         self.epoch = epoch
         self.jobs: dict[str, jobs.Job] = {}
@@ -144,7 +147,10 @@
         self._vm_list = vm_list.VmList(record)
         self._crash_tracker = crashes.CrashTracker(self._fleet, record)
         self.scheduler = scheduler.Scheduler(
-            self._fleet, self._crash_tracker, self.set_aside
+            self._fleet,
+            self._crash_tracker,
+            self.set_aside,
+            place_waiting.PlaceWaits(self._fleet, remote_factor, record),
         )
 
     # Stored state.
@@ -230,7 +236,7 @@
             queue.latency_target_ms,
             moment.wall_ms,
         )
-        if not self._has_memory_for(workflow):
+        if not memory_budget.has_room(workflow, self.jobs.values()):
             retry_after_s = workflow_admission.compute_retry_after_s(
                 workflow_id, MEMORY_RETRY_MS
             )
@@ -635,7 +641,7 @@
         job.note_run_seen()
         job.effects.append(acknowledge)
         self._mark_dirty(job)
-        self._drop_run(run, _find_earliest_end_ms(target, run))
+        self._drop_run(run, target.find_earliest_end_ms(run))
         task = run.task
         if not task.is_done:
             task.newest_checkpoint.note(
@@ -1154,11 +1160,6 @@
             effects.Reply((token,), outcome, retry_after_s)
         )
 
-    def _has_memory_for(self, workflow: workflows.Workflow) -> bool:
-        held_bytes = sum(job.memory_bytes for job in self.jobs.values())
-        needed_bytes = memory_budget.compute_bytes(workflow)
-        return held_bytes + needed_bytes <= memory_budget.LIMIT_BYTES
-
     def _admit(
         self,
         workflow: workflows.Workflow,
@@ -1455,7 +1456,7 @@
             is_restored=run.is_restored,
         )
         measurements.RUNS_LOST.labels(cause).inc()
-        self._drop_run(run, _find_earliest_end_ms(target, run))
+        self._drop_run(run, target.find_earliest_end_ms(run))
         self._mark_dirty(job)
         self._break_gang(run.task)
 
@@ -1519,11 +1520,6 @@
             self._stop_run(run)
 
 
-def _find_earliest_end_ms(target: targets.Target, run: jobs.Run) -> int:
-    """Return the time since which a run that has ended may not have run."""
-    return max(target.contact_at_ms, run.started_at_ms)
-
-
 def _find_stall_limit_ms(run: jobs.Run) -> int:
     """Return the time without progress after which a run has stalled."""
     group = run.task.group
--- a/borageshelf/workflows/policy.py
+++ b/borageshelf/workflows/policy.py
@@ -31,10 +31,13 @@
     :param grant_ms: how long the runs of a target may go on, by the clock of
         its executor, without an answer from the owner
     :param retention_ms: how long the state of an ended workflow can be read
+    :param remote_factor: how many times as long tasks take on another rack
+        than they want; nothing waits for that rack if it is 1
     """
 
     grant_ms: int
     retention_ms: int
+    remote_factor: float = 1.0
 
     @property
     def silence_limits(self) -> silence.Limits:
@@ -51,4 +54,5 @@
     return OwnerPolicy(
         min(GRANT_LIMIT_MS, lease_ms),
         round(settings.status_retention_s * 1000) + RETENTION_MARGIN_MS,
+        settings.remote_factor,
     )
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import functools
 import math
 from typing import Any, Final
 
@@ -21,6 +22,7 @@
 from borageshelf.workflows import memory_budget
 from borageshelf.workflows import messages
 from borageshelf.workflows import overdue
+from borageshelf.workflows import place_waiting
 from borageshelf.workflows import targets
 
 # The rules of the users' platform require a workflow to run within 3 s if
@@ -39,6 +41,7 @@
 
     :param set_aside: called with the id of a workflow that can't be scheduled
         because of an unexpected error, and the error
+    :param place_waits: lets tasks wait for room on the rack that they want
     """
 
     def __init__(
@@ -46,10 +49,12 @@
         known_fleet: fleet.Fleet,
         crash_tracker: crashes.CrashTracker,
         set_aside: abc.Callable[[str, str], None],
+        place_waits: place_waiting.PlaceWaits,
     ) -> None:
         self._fleet = known_fleet
         self._crash_tracker = crash_tracker
         self._set_aside = set_aside
+        self._place_waits = place_waits
         self._overdue_placer = overdue.OverduePlacer(known_fleet, self)
         self.filler_effects = filler_effects.FillerEffects()
         # Effects and latencies that placement uses until the next refresh.
@@ -125,6 +130,7 @@
             [group for _, _, groups in waiting for group in groups], now_ms
         )
         self._overdue_placer.begin_pass(now_ms)
+        self._place_waits.begin_pass(active_jobs, now_ms)
         for _, job, groups in waiting:
             try:
                 for group in groups:
@@ -382,12 +388,22 @@
                 if request.is_overdue
                 else self._predict_harmless_latency_share
             )
-            if misfit is None:
-                target = index.choose(request, predict)
-            else:
-                target = index.choose_changed_since(
-                    request, predict, misfit.change_number
+            choose = functools.partial(index.choose, request, predict)
+            if misfit is not None:
+                choose = functools.partial(
+                    index.choose_changed_since,
+                    request,
+                    predict,
+                    misfit.change_number,
                 )
+            target = self._place_waits.choose(
+                task, request, predict, choose, now_ms
+            )
+            if target is place_waiting.Held.HELD:
+                # No misfit: another rack has room. Suspects don't wait.
+                if group.suspects:
+                    continue
+                break
             if not isinstance(target, targets.Target):
                 # Tasks of a step have the same size, so no other one fits.
                 group.misfit = jobs.Misfit(
--- a/borageshelf/workflows/targets.py
+++ b/borageshelf/workflows/targets.py
@@ -205,6 +205,10 @@
             return self.lost_deadlines.lasting_ms
         return self.lost_deadlines.other_ms
 
+    def find_earliest_end_ms(self, run: jobs.Run) -> int:
+        """Return the time since which a run that has ended may not run."""
+        return max(self.contact_at_ms, run.started_at_ms)
+
     def refresh_placement_latencies(self) -> None:
         """Let placement use the latest estimates of the baselines."""
         self.placement_latency_shares = dict(self.baseline_latency_shares)
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -31,6 +31,7 @@
         'executor_lease_limit_ms',
         'grace_s',
         'status_retention_s',
+        'remote_factor',
     ):
         assert documented[name] == str(getattr(found, name))
 
@@ -45,6 +46,7 @@
         ({'metrics_port': 0}, 'metrics_port: must be from 1'),
         ({'processor_share': 0}, 'processor_share: must be from'),
         ({'grace_s': 0}, 'grace_s: must be from'),
+        ({'remote_factor': 0.5}, 'remote_factor: must be from 1'),
         ({'executor_lease_limit_ms': 'x'}, 'executor_lease_limit_ms'),
     ],
 )
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -81,8 +81,14 @@
 class Cluster:
     """An owner's core, its store and its targets."""
 
-    def __init__(self, epoch: int = 1, now_ms: int = 100_000) -> None:
+    def __init__(
+        self,
+        epoch: int = 1,
+        now_ms: int = 100_000,
+        remote_factor: float = 1.0,
+    ) -> None:
         self.now_ms = now_ms
+        self.remote_factor = remote_factor
         self.log_lines: list[tuple[str, dict[str, Any]]] = []
         self.replies: dict[int, effects.Reply] = {}
         self.targets: dict[str, FakeTarget] = {}
@@ -101,6 +107,7 @@
             SILENCE_LIMITS.count_from(self.now_ms),
             journal.encode,
             lambda event, **fields: self.log_lines.append((event, fields)),
+            remote_factor=self.remote_factor,
         )
 
     @property
