Look at the rack of a waiting step only when it has changed

Cause: each pass looked at all targets of the rack for each waiting step, and each forecast built vectors for all runs there.

Change: the fleet counts the changes of each rack; the expected ends of a target are shared by the forecasts of a pass, and a forecast ends at the latest time that matters.

--- a/borageshelf/decisions/place_waiting.py
+++ b/borageshelf/decisions/place_waiting.py
@@ -190,13 +190,11 @@
         # A wait that fails must still leave time for the start elsewhere.
         latest_ms = start_by_ms - remote_ms
         objective_cause = Cause.OBJECTIVE_AT_RISK
-    slots_ms = _list_slots_ms(request, places)[request.claimed_count :]
-    gainful_ms = [
-        slot_ms
-        for slot_ms in slots_ms
-        if slot_ms - now_ms <= saved_ms * GAIN_SHARE
-        and slot_ms <= request.latest_ms
-    ]
+    gainful_by_ms = min(
+        now_ms + round(saved_ms * GAIN_SHARE), request.latest_ms
+    )
+    gainful_ms = _list_slots_ms(request, places, gainful_by_ms)
+    del gainful_ms[: request.claimed_count]
     timely_ms = [slot_ms for slot_ms in gainful_ms if slot_ms <= latest_ms]
     needed_count = request.waiting_count if request.is_undivided else 1
     if len(gainful_ms) < needed_count:
@@ -222,8 +220,7 @@
     :param request: with the present number of waiting tasks; its claims are
         left out, as they may be of waits that began later
     """
-    slots_ms = _list_slots_ms(request, places)
-    timely_count = sum(slot_ms <= wait.deadline_ms for slot_ms in slots_ms)
+    timely_count = len(_list_slots_ms(request, places, wait.deadline_ms))
     needed_count = request.waiting_count if request.is_undivided else 1
     return timely_count >= needed_count
 
@@ -239,49 +236,58 @@
     return took_ms * 100 / gained_percent
 
 
-def _list_slots_ms(request: Request, places: abc.Iterable[Place]) -> list[int]:
+def _list_slots_ms(
+    request: Request, places: abc.Iterable[Place], until_ms: int
+) -> list[int]:
     """Return when there is room for each of the next tasks on the rack.
 
     There are no more than the waiting tasks and those before them need.
     """
     limit = request.claimed_count + request.waiting_count
     slots_ms = itertools.chain.from_iterable(
-        itertools.islice(_iterate_slots_ms(request.needed, place), limit)
+        itertools.islice(
+            _iterate_slots_ms(request.needed, place, until_ms), limit
+        )
         for place in places
     )
     return sorted(slots_ms)[:limit]
 
 
 def _iterate_slots_ms(
-    needed: resources.Resources, place: Place
+    needed: resources.Resources, place: Place, until_ms: int
 ) -> abc.Iterator[int]:
     """Yield when a place is expected to have room for one more task each.
 
     A place that has the resources now was not chosen for another reason, which
     no end of a run is known to change.
     """
-    free = place.free
-    slots = _count_fitting(needed, place)
+    free = _list_amounts(place.free)
+    amounts = _list_amounts(needed)
+    slots = _count_fitting(amounts, free, place.tasks_limit)
     if slots:
         return
     for end in sorted(place.ends, key=lambda end: end.at_ms):
-        free = free.plus(end.freed)
-        fitting = _count_fitting(needed, dataclasses.replace(place, free=free))
+        if end.at_ms > until_ms:
+            return
+        free = tuple(
+            map(sum, zip(free, _list_amounts(end.freed), strict=True))
+        )
+        fitting = _count_fitting(amounts, free, place.tasks_limit)
         for _ in range(fitting - slots):
             yield end.at_ms
         slots = max(fitting, slots)
 
 
-def _count_fitting(needed: resources.Resources, place: Place) -> int:
-    """Return how many tasks fit into the free resources of a place."""
-    free = place.free
-    counts = [
-        available // amount
-        for available, amount in (
-            (free.processor_millicores, needed.processor_millicores),
-            (free.memory_mb, needed.memory_mb),
-            (free.accelerators, needed.accelerators),
-        )
-        if amount > 0
-    ]
-    return max(min([*counts, place.tasks_limit]), 0)
+def _list_amounts(amount: resources.Resources) -> tuple[int, ...]:
+    # Building a vector for each end would take most of the time of a forecast.
+    return (amount.processor_millicores, amount.memory_mb, amount.accelerators)
+
+
+def _count_fitting(
+    needed: tuple[int, ...], free: tuple[int, ...], limit: int
+) -> int:
+    """Return how many tasks fit into free resources."""
+    for available, amount in zip(free, needed, strict=True):
+        if amount > 0:
+            limit = min(limit, available // amount)
+    return max(limit, 0)
--- a/borageshelf/workflows/fleet.py
+++ b/borageshelf/workflows/fleet.py
@@ -38,6 +38,7 @@
         # The targets that may get work, by service and rack.
         self._racks: dict[tuple[str, str], dict[str, targets.Target]] = {}
         self._indexed_racks: dict[str, tuple[str, str]] = {}
+        self._rack_changes: dict[tuple[str, str], int] = {}
         # Times at which targets may get work again, earliest first.
         self._retry_deadlines: list[tuple[int, str]] = []
 
@@ -77,6 +78,10 @@
         """Return the targets of a rack that may get work."""
         return self._racks.get((service, rack), {}).values()
 
+    def count_rack_changes(self, service: str, rack: str) -> int:
+        """Return a number that rises with each change of the rack."""
+        return self._rack_changes.get((service, rack), 0)
+
     def refresh(self, now_ms: int) -> None:
         """Apply all changes to the index."""
         while self._retry_deadlines and self._retry_deadlines[0][0] <= now_ms:
@@ -108,6 +113,10 @@
     def _reindex_rack(self, target: targets.Target, is_usable: bool) -> None:
         key = (target.service, target.rack) if is_usable else None
         former = self._indexed_racks.get(target.target_id)
+        for changed in {key, former}:
+            if changed is not None:
+                number = self._rack_changes.get(changed, 0) + 1
+                self._rack_changes[changed] = number
         if key == former:
             return
         if former is not None:
--- a/borageshelf/workflows/place_waiting.py
+++ b/borageshelf/workflows/place_waiting.py
@@ -92,6 +92,13 @@
         # When a forecast for a group may differ from its last one.
         self._next_forecast_ms: dict[jobs.Group, int] = {}
         self._refused_causes: dict[jobs.Group, place_waiting.Cause] = {}
+        # Changes of the rack that a group has looked at.
+        self._seen_changes: dict[jobs.Group, int] = {}
+        # Expected ends of the runs on a target as they count for fillers, or
+        # for other tasks; kept during a pass.
+        self._ends: dict[
+            tuple[str, bool], tuple[place_waiting.ExpectedEnd, ...]
+        ] = {}
         self._forecasts_left = 0
         self._next_cleanup_ms = 0
 
@@ -100,6 +107,7 @@
     ) -> None:
         """Begin a scheduling pass; forget the groups that need no run."""
         self._forecasts_left = FORECASTS_LIMIT
+        self._ends.clear()
         if now_ms < self._next_cleanup_ms:
             return
         self._next_cleanup_ms = now_ms + FORECAST_INTERVAL_MS
@@ -118,6 +126,7 @@
             self._ended.discard(group)
             self._next_forecast_ms.pop(group, None)
             self._refused_causes.pop(group, None)
+            self._seen_changes.pop(group, None)
 
     def choose(
         self,
@@ -139,7 +148,16 @@
         if self._remote_factor <= 1 or not rack or not _may_wait(task):
             return choose_anywhere()
         if wait is not None and group.waiting_count <= wait.count:
-            places = self._list_places(group.job.terms.service, rack, request)
+            service = group.job.terms.service
+            changes = self._fleet.count_rack_changes(service, rack)
+            if (
+                changes == self._seen_changes.get(group)
+                and now_ms < self._next_forecast_ms[group]
+                and self._find_due_cause(wait, request, now_ms) is None
+            ):
+                return Held.HELD
+            self._seen_changes[group] = changes
+            places = self._list_places(service, rack, request)
             found = workflow_placement.choose_target(request, places, predict)
             if found is not None:
                 if group.waiting_count == 1:
@@ -183,7 +201,7 @@
         else:
             decision = place_waiting.decide(
                 question,
-                [_make_place(place, request, now_ms) for place in places],
+                [self._make_place(place, request, now_ms) for place in places],
                 now_ms,
             )
         inputs = {
@@ -237,12 +255,9 @@
     ) -> EndCause | None:
         """Return why a wait ends now, or None."""
         group = wait.group
-        if request.is_overdue:
-            return EndCause.OVERDUE
-        if now_ms >= wait.deadline_ms:
-            return EndCause.DEADLINE
-        if now_ms >= _find_no_run_deadline_ms(group.job, now_ms):
-            return EndCause.NO_RUN
+        cause = self._find_due_cause(wait, request, now_ms)
+        if cause is not None:
+            return cause
         if not places:
             return EndCause.PLACE_LOST
         is_due = now_ms >= self._next_forecast_ms[group]
@@ -257,10 +272,25 @@
                 wait.count, wait.expected_at_ms, wait.deadline_ms
             ),
             self._make_request(group, wait.rack, now_ms),
-            [_make_place(place, request, now_ms) for place in places],
+            [self._make_place(place, request, now_ms) for place in places],
         )
         return None if is_expected else EndCause.NOT_EXPECTED
 
+    def _find_due_cause(
+        self,
+        wait: Wait,
+        request: workflow_placement.PlacementRequest,
+        now_ms: int,
+    ) -> EndCause | None:
+        """Return why a wait ends now whatever its places do, or None."""
+        if request.is_overdue:
+            return EndCause.OVERDUE
+        if now_ms >= wait.deadline_ms:
+            return EndCause.DEADLINE
+        if now_ms >= _find_no_run_deadline_ms(wait.group.job, now_ms):
+            return EndCause.NO_RUN
+        return None
+
     def _end(self, wait: Wait, cause: EndCause, now_ms: int) -> None:
         group = wait.group
         del self._waits[group]
@@ -330,6 +360,49 @@
             step.needs_one_rack,
         )
 
+    def _make_place(
+        self,
+        target: targets.Target,
+        request: workflow_placement.PlacementRequest,
+        now_ms: int,
+    ) -> place_waiting.Place:
+        """Return a target as the decision sees it.
+
+        A filler needs unused processors, and a little less than its size; the
+        others need processors that are not reserved.
+        """
+        step = request.step
+        free = target.capacity.minus(target.reserved)
+        if step.is_filler:
+            unneeded_millicores = (
+                step.demand.processor_millicores
+                - workflow_placement.compute_min_unused_millicores(step)
+            )
+            free = dataclasses.replace(
+                free,
+                processor_millicores=int(
+                    workflow_placement.compute_unused_millicores(target)
+                    + unneeded_millicores
+                ),
+            )
+        key = (target.target_id, step.is_filler)
+        if key not in self._ends:
+            self._ends[key] = tuple(
+                place_waiting.ExpectedEnd(
+                    place_waiting.predict_end_ms(_make_run_state(run), now_ms),
+                    _find_freed(run.task.group.step, step.is_filler),
+                )
+                for run in target.runs.values()
+                if run.is_stopping or not run.task.group.step.is_lasting
+            )
+        ends = self._ends[key]
+        if not step.spread_limit:
+            return place_waiting.Place(free, ends)
+        sibling_count = request.sibling_counts.get(target.target_id, 0)
+        return place_waiting.Place(
+            free, ends, step.spread_limit - sibling_count
+        )
+
 
 def _may_wait(task: jobs.Task) -> bool:
     """Tell whether a task may wait at all; the other parts come first."""
@@ -352,44 +425,6 @@
     return job.idle_since_ms + NO_RUN_LIMIT_MS
 
 
-def _make_place(
-    target: targets.Target,
-    request: workflow_placement.PlacementRequest,
-    now_ms: int,
-) -> place_waiting.Place:
-    """Return a target as the decision sees it.
-
-    A filler needs unused processors, and a little less than its size; the
-    others need processors that are not reserved.
-    """
-    step = request.step
-    free = target.capacity.minus(target.reserved)
-    if step.is_filler:
-        unneeded_millicores = (
-            step.demand.processor_millicores
-            - workflow_placement.compute_min_unused_millicores(step)
-        )
-        free = dataclasses.replace(
-            free,
-            processor_millicores=int(
-                workflow_placement.compute_unused_millicores(target)
-                + unneeded_millicores
-            ),
-        )
-    ends = tuple(
-        place_waiting.ExpectedEnd(
-            place_waiting.predict_end_ms(_make_run_state(run), now_ms),
-            _find_freed(run.task.group.step, step.is_filler),
-        )
-        for run in target.runs.values()
-        if run.is_stopping or not run.task.group.step.is_lasting
-    )
-    if not step.spread_limit:
-        return place_waiting.Place(free, ends)
-    sibling_count = request.sibling_counts.get(target.target_id, 0)
-    return place_waiting.Place(free, ends, step.spread_limit - sibling_count)
-
-
 def _find_freed(
     ended: workflows.Step, is_for_filler: bool
 ) -> resources.Resources:
--- a/tests/test_place_waiting.py
+++ b/tests/test_place_waiting.py
@@ -350,4 +350,8 @@
 
     monkeypatch.setattr(workflow_placement, 'has_room', record)
     waiting.cluster.run_until_idle()
+    assert looked_at == set()
+    for target in waiting.cluster.core.targets.values():
+        waiting.cluster.core.scheduler._fleet.touch(target)
+    waiting.cluster.run_until_idle()
     assert looked_at == {'near-0', 'near-1'}
