--- a/tests/test_place_waiting.py
+++ b/tests/test_place_waiting.py
@@ -334,6 +334,32 @@
     assert len(load.cluster.targets['far'].running) == 1
 
 
+def test_slots_of_earlier_waits_are_claimed(waiting: Load) -> None:
+    """Guards against many tasks that wait for the same room."""
+    waiting.submit(make_near_step(3))
+    waiting.cluster.run_until_idle()
+    assert waiting.list_lines(BEGUN)[-1]['claimed_tasks'] == 2
+
+
+def test_step_that_fitted_nowhere_is_tried_when_its_wait_ends() -> None:
+    """Guards against a misfit that hides the end of a wait."""
+    load = Load()
+    load.fill(1_000)
+    far = load.cluster.targets['far']
+    far.is_draining = True
+    load.cluster.attach(far)
+    group = load.cluster.core.jobs[load.submit(make_near_step())].groups[0]
+    load.cluster.run_until_idle()
+    assert group.misfit is not None
+    far.is_draining = False
+    load.cluster.attach(far)
+    load.cluster.run_until_idle()
+    (begun,) = load.list_lines(BEGUN)
+    load.cluster.now_ms += begun['limit_ms']
+    load.cluster.run_until_idle()
+    assert len(far.running) == 1
+
+
 def test_waiting_step_looks_at_its_rack_only(
     waiting: Load, monkeypatch: pytest.MonkeyPatch
 ) -> None:
