Check queues of the workflow scheduler before they are sent

Cause: nothing checked such a document. An entry serves what it can decode, also an entry that is shadowed by another one, or limits that refuse all.

Change: the command check-queues FILE [--against FILE] [--json]. The checks and differences of configurations are extended; platform/documents.py holds the names of the document and lists all entries that can't be decoded. New fault codes 301 to 304; QueueConfiguration has the declared services.

--- a/borageshelf/commands/operators.py
+++ b/borageshelf/commands/operators.py
@@ -1,7 +1,7 @@
-"""The commands of operators: check, show, diff and history.
+"""The commands of operators: check, check-queues, show, diff and history.
 
 ``publish`` has its own module. All commands here read the store, except
-``check`` and ``diff`` between two folders.
+``check``, ``check-queues`` and ``diff`` between two folders.
 """
 
 from collections import abc
@@ -21,7 +21,9 @@
 from borageshelf.configuration import rendering
 from borageshelf.configuration import schema
 from borageshelf.model import objects
+from borageshelf.model import workflows
 from borageshelf import options as options_module
+from borageshelf.platform import documents
 
 CURRENT_VERSION: Final = 'current'
 DEFAULT_HISTORY_COUNT: Final = 20
@@ -67,15 +69,28 @@
 
         return base.run_coroutine(run)
 
-    def print_faults(self, found_faults: abc.Sequence[faults.Fault]) -> None:
-        """Print the faults of a set."""
+    def print_faults(
+        self,
+        found_faults: abc.Sequence[faults.Fault],
+        changes: abc.Sequence[differences.Change] | None = None,
+    ) -> None:
+        """Print the faults of a set.
+
+        :param changes: changes to print as well; None if the set was compared
+            with no other one
+        """
         if self.is_json_requested():
-            self.print_json(
-                {'faults': [_describe_fault(item) for item in found_faults]}
-            )
+            document: dict[str, Any] = {
+                'faults': [_describe_fault(item) for item in found_faults]
+            }
+            if changes is not None:
+                document['changes'] = changes
+            self.print_json(document)
             return
         for fault in found_faults:
             self.print_text(str(fault))
+        for change in changes or ():
+            self.print_text(str(change))
         if found_faults:
             self.print_error(
                 f'{len(found_faults)} faults; nothing was published'
@@ -110,6 +125,70 @@
         return statuses.FAULTS_FOUND if checked.faults else statuses.OK
 
 
+class CheckQueuesCommand(OperatorCommand):
+    """Check the queues of the workflow scheduler before they are sent."""
+
+    name = 'check-queues'
+    description = 'Checks a queue configuration of the workflow scheduler'
+    arguments = [
+        cleo.helpers.argument('file', 'JSON document with the queues')
+    ]
+    options = [
+        base.JSON_FLAG,
+        cleo.helpers.option(
+            'against',
+            description='JSON document with the queues in force',
+            flag=False,
+        ),
+    ]
+
+    def execute_command(self) -> int:
+        """Print faults and changes; only faults set the exit status."""
+        in_force = None
+        if self.option('against'):
+            in_force = self._read_document(self.option('against'))
+            if in_force is None:
+                return statuses.FAULTS_FOUND
+        checked = self._read_document(self.argument('file'))
+        if checked is None:
+            return statuses.FAULTS_FOUND
+        names = documents.CONFIGURATION_NAMES
+        found = checks.find_queue_faults(
+            checked, self.argument('file'), names, in_force
+        )
+        changes = None
+        if in_force is not None:
+            changes = differences.find_queue_changes(in_force, checked, names)
+        self.print_faults(found, changes)
+        return statuses.FAULTS_FOUND if found else statuses.OK
+
+    def _read_document(self, path: str) -> workflows.QueueConfiguration | None:
+        """Read a document; print its faults if it can't be decoded.
+
+        :raises UsageError: if the file can't be read
+        """
+        try:
+            body = pathlib.Path(path).read_bytes()
+        except OSError as error:
+            raise base.UsageError(f'{path}: {error.strerror}') from error
+        errors = documents.list_configuration_errors(body)
+        if not errors:
+            return documents.decode_configuration(body)
+        self.print_faults(
+            [
+                faults.Fault(
+                    path,
+                    0,
+                    entry or 'file',
+                    faults.UNREADABLE_FILE.number,
+                    detail,
+                )
+                for entry, detail in errors
+            ]
+        )
+        return None
+
+
 class ShowCommand(OperatorCommand):
     """Show a published configuration."""
 
@@ -277,4 +356,10 @@
     }
 
 
-COMMANDS: Final = (CheckCommand, ShowCommand, DiffCommand, HistoryCommand)
+COMMANDS: Final = (
+    CheckCommand,
+    CheckQueuesCommand,
+    ShowCommand,
+    DiffCommand,
+    HistoryCommand,
+)
--- a/borageshelf/configuration/checks.py
+++ b/borageshelf/configuration/checks.py
@@ -9,6 +9,7 @@
 import dataclasses
 import graphlib
 import pathlib
+import re
 from typing import Any, Final
 
 from borageshelf.configuration import documents
@@ -18,9 +19,13 @@
 from borageshelf.configuration import yaml_files
 from borageshelf.model import objects
 from borageshelf.model import resources
+from borageshelf.model import workflows
 
 # Binary rounding can make decimal shares that add up to 1 exceed it slightly.
 ROUNDING_TOLERANCE: Final = 1e-9
+# Paths of requests end with the prefix of a queue, or with the prefix and the
+# id of a workflow, which has 16 hexadecimal digits.
+_ID_BEGIN: Final = re.compile('[0-9a-fA-F]{1,16}')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -332,6 +337,198 @@
             )
 
 
+class _QueueFaults:
+    """Collects the faults of a configuration of the workflow scheduler.
+
+    :param names: names of sections and fields in documents
+    """
+
+    def __init__(self, path: str, names: abc.Mapping[str, str]) -> None:
+        self._path = path
+        self._names = names
+        self.found: list[faults.Fault] = []
+
+    def add(
+        self, code: faults.FaultCode, section: str, field: str, detail: str
+    ) -> None:
+        """Add a fault of a section without entries."""
+        parts = [self._names[name] for name in (section, field) if name]
+        subject = '.'.join(parts)
+        self.found.append(
+            faults.Fault(self._path, 0, subject, code.number, detail)
+        )
+
+    def add_of_queue(
+        self,
+        code: faults.FaultCode,
+        queue: workflows.Queue,
+        field: str,
+        detail: str,
+    ) -> None:
+        """Add a fault of a queue."""
+        subject = f'{self._names["queues"]}/{queue.name}.{self._names[field]}'
+        self.found.append(
+            faults.Fault(self._path, 0, subject, code.number, detail)
+        )
+
+
+def find_queue_faults(
+    configuration: workflows.QueueConfiguration,
+    path: str,
+    names: abc.Mapping[str, str],
+    in_force: workflows.QueueConfiguration | None = None,
+) -> tuple[faults.Fault, ...]:
+    """Return the faults of a configuration of the workflow scheduler.
+
+    :param path: file that it was read from
+    :param names: names of sections and fields in documents
+    :param in_force: the configuration that it is to replace, if known
+    """
+    collected = _QueueFaults(path, names)
+    in_force_version = in_force.version if in_force else 0
+    if configuration.version <= in_force_version:
+        collected.add(
+            faults.VERSION_NOT_HIGHER,
+            'version',
+            '',
+            f'{configuration.version} is not above {in_force_version}',
+        )
+    if not configuration.queues:
+        collected.add(faults.NO_OBJECTS, 'queues', '', 'there are no entries')
+    if not configuration.limits.body_bytes:
+        collected.add(
+            faults.LIMIT_OF_ZERO, 'limits', 'body_bytes', 'no body is allowed'
+        )
+    if not configuration.limits.idle_ms:
+        collected.add(
+            faults.LIMIT_OF_ZERO,
+            'limits',
+            'idle_ms',
+            'no connection may be idle',
+        )
+    repeated = _find_repeated(configuration.services)
+    for name in repeated:
+        collected.add(
+            faults.DUPLICATE_NAME, 'services', 'name', f'{name!r} repeats'
+        )
+    for number, queue in enumerate(configuration.queues):
+        _check_matching(queue, number, configuration, collected)
+        _check_queue_limits(queue, collected)
+    return tuple(collected.found)
+
+
+def _find_repeated(names: abc.Sequence[str]) -> list[str]:
+    return [name for name in dict.fromkeys(names) if names.count(name) > 1]
+
+
+def _check_matching(
+    queue: workflows.Queue,
+    number: int,
+    configuration: workflows.QueueConfiguration,
+    collected: _QueueFaults,
+) -> None:
+    """Find out whether a queue gets the requests that it describes.
+
+    :param number: position of the queue in the configuration
+    """
+    earlier = configuration.queues[:number]
+    if not queue.name:
+        collected.add_of_queue(faults.WRONG_NAME, queue, 'name', 'empty')
+    elif queue.name in {other.name for other in earlier}:
+        collected.add_of_queue(
+            faults.DUPLICATE_NAME, queue, 'name', 'an earlier entry has it'
+        )
+    if not queue.host or ':' in queue.host:
+        collected.add_of_queue(
+            faults.NEVER_MATCHES,
+            queue,
+            'host',
+            f'{queue.host!r} is no host name without a port',
+        )
+    if not queue.path_prefix.startswith('/') or re.search(
+        r'[?#\s]', queue.path_prefix
+    ):
+        collected.add_of_queue(
+            faults.NEVER_MATCHES,
+            queue,
+            'path_prefix',
+            f'{queue.path_prefix!r} begins no path of a request',
+        )
+    if not queue.service or (
+        configuration.services and queue.service not in configuration.services
+    ):
+        collected.add_of_queue(
+            faults.DANGLING_REFERENCE,
+            queue,
+            'service',
+            f'{queue.service!r} is not a declared service',
+        )
+    for position, other in enumerate(configuration.queues):
+        if other.host != queue.host or not other.path_prefix.startswith(
+            queue.path_prefix
+        ):
+            continue
+        rest = other.path_prefix[len(queue.path_prefix) :]
+        if not rest and position < number:
+            collected.add_of_queue(
+                faults.NEVER_MATCHES,
+                queue,
+                'path_prefix',
+                f'{other.name!r} has the same host and prefix and comes first',
+            )
+        elif _ID_BEGIN.fullmatch(rest):
+            collected.add_of_queue(
+                faults.NEVER_MATCHES,
+                queue,
+                'path_prefix',
+                f'{other.name!r} with the longer prefix gets the workflows '
+                f'whose ids begin with {rest!r}',
+            )
+
+
+def _check_queue_limits(
+    queue: workflows.Queue, collected: _QueueFaults
+) -> None:
+    """Find limits of a queue that contradict each other or serve nothing."""
+    if queue.attempts_limit < 1:
+        collected.add_of_queue(
+            faults.OUT_OF_RANGE,
+            queue,
+            'attempts_limit',
+            f'{queue.attempts_limit} attempts',
+        )
+    if not queue.timeout_ms:
+        collected.add_of_queue(
+            faults.LIMIT_OF_ZERO,
+            queue,
+            'timeout_ms',
+            'no request without a deadline of its own may wait',
+        )
+    elif queue.timeout_ms < queue.latency_target_ms:
+        collected.add_of_queue(
+            faults.TIMEOUT_BELOW_TARGET,
+            queue,
+            'timeout_ms',
+            f'{queue.timeout_ms} ms is below the latency target, '
+            f'{queue.latency_target_ms} ms',
+        )
+    if queue.slack_factor < 0:
+        collected.add_of_queue(
+            faults.OUT_OF_RANGE,
+            queue,
+            'slack_factor',
+            f'{queue.slack_factor:g} is below 0',
+        )
+    elif queue.slack_factor < 1 and not queue.latency_target_ms:
+        collected.add_of_queue(
+            faults.OBJECTIVE_TOO_SHORT,
+            queue,
+            'slack_factor',
+            f'{queue.slack_factor:g} times the critical path, and no latency '
+            'target is added',
+        )
+
+
 def _sum_worker_capacity(
     document_set: documents.DocumentSet,
 ) -> resources.Resources | None:
--- a/borageshelf/configuration/differences.py
+++ b/borageshelf/configuration/differences.py
@@ -7,6 +7,7 @@
 from borageshelf.configuration import fields
 from borageshelf.configuration import rendering
 from borageshelf.model import objects
+from borageshelf.model import workflows
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,6 +52,32 @@
     return tuple(_compare_sections(old, new))
 
 
+def find_queue_changes(
+    old: workflows.QueueConfiguration,
+    new: workflows.QueueConfiguration,
+    names: abc.Mapping[str, str],
+) -> tuple[Change, ...]:
+    """Return the changes between two configurations of workflows.
+
+    The version is left out, as it always changes.
+
+    :param names: names of sections and fields in documents
+    """
+    before = rendering.render_queue_objects(old, names)
+    after = rendering.render_queue_objects(new, names)
+    changes = []
+    for subject in sorted(before.keys() | after.keys()):
+        if subject not in before:
+            changes.append(Change(subject, 'added'))
+        elif subject not in after:
+            changes.append(Change(subject, 'removed'))
+        elif before[subject] != after[subject]:
+            changes.append(
+                _compare_fields(subject, before[subject], after[subject])
+            )
+    return tuple(changes)
+
+
 def _compare_sections(
     old: objects.Configuration, new: objects.Configuration
 ) -> abc.Iterator[Change]:
@@ -76,8 +103,16 @@
 def _compare_objects(
     table: fields.Table, subject: str, before: Any, after: Any
 ) -> Change:
-    old = rendering.render_object(table, before)
-    new = rendering.render_object(table, after)
+    return _compare_fields(
+        subject,
+        rendering.render_object(table, before),
+        rendering.render_object(table, after),
+    )
+
+
+def _compare_fields(
+    subject: str, old: abc.Mapping[str, Any], new: abc.Mapping[str, Any]
+) -> Change:
     return Change(
         subject,
         'changed',
--- a/borageshelf/configuration/faults.py
+++ b/borageshelf/configuration/faults.py
@@ -140,3 +140,23 @@
     'JOB_WITHOUT_SIZE',
     'A job declares no processor time or no memory.',
 )
+
+# Faults of a configuration of the workflow scheduler.
+NEVER_MATCHES = register(
+    301,
+    'NEVER_MATCHES',
+    'An entry gets none of the requests that it describes, or not all.',
+)
+LIMIT_OF_ZERO = register(
+    302, 'LIMIT_OF_ZERO', 'A limit is zero, so nothing is served.'
+)
+OBJECTIVE_TOO_SHORT = register(
+    303,
+    'OBJECTIVE_TOO_SHORT',
+    'An objective is shorter than the work itself takes.',
+)
+VERSION_NOT_HIGHER = register(
+    304,
+    'VERSION_NOT_HIGHER',
+    'The version would not replace the one in force.',
+)
--- a/borageshelf/configuration/rendering.py
+++ b/borageshelf/configuration/rendering.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import dataclasses
 import enum
 import functools
 from typing import Any
@@ -14,6 +15,7 @@
 from borageshelf.configuration import fields
 from borageshelf.configuration import values
 from borageshelf.model import objects
+from borageshelf.model import workflows
 
 
 def render_document(configuration: objects.Configuration) -> str:
@@ -43,6 +45,30 @@
     return sections
 
 
+def render_queue_objects(
+    configuration: workflows.QueueConfiguration, names: abc.Mapping[str, str]
+) -> dict[str, dict[str, Any]]:
+    """Return the entries of a configuration of workflows, by subject.
+
+    :param names: names of sections and fields in documents
+    """
+    rendered = {
+        f'{names["services"]}/{service}': {
+            names['guarded']: service in configuration.guarded_services
+        }
+        for service in configuration.services
+    }
+    entries = {names['limits']: dataclasses.asdict(configuration.limits)}
+    for queue in configuration.queues:
+        entries[f'{names["queues"]}/{queue.name}'] = dataclasses.asdict(queue)
+    for subject, fields_of_entry in entries.items():
+        rendered[subject] = {
+            names[attribute]: value
+            for attribute, value in fields_of_entry.items()
+        }
+    return rendered
+
+
 def render_object(table: fields.Table, value: Any) -> dict[str, Any]:
     """Return the fields of an object without empty optional ones."""
     rendered = {}
--- a/borageshelf/model/workflows.py
+++ b/borageshelf/model/workflows.py
@@ -135,12 +135,14 @@
 
     :param guarded_services: services whose executors refuse starts that
         exceed their capacity
+    :param services: names of all services that the configuration declares
     """
 
     version: int = 0
     queues: tuple[Queue, ...] = ()
     guarded_services: tuple[str, ...] = ()
     limits: RequestLimits = RequestLimits()
+    services: tuple[str, ...] = ()
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix of a path."""
--- a/borageshelf/platform/documents.py
+++ b/borageshelf/platform/documents.py
@@ -5,6 +5,7 @@
 raises ``decoding.Unreadable``; the calling module decides how to respond.
 """
 
+from collections import abc
 from typing import Any, Final
 
 import msgspec
@@ -16,6 +17,25 @@
 from borageshelf.model import workflows
 
 CONFIGURATION_KEY: Final = 'op/config'
+# Names in the document of the sections and fields of a configuration.
+CONFIGURATION_NAMES: Final[abc.Mapping[str, str]] = {
+    'version': 'Version',
+    'queues': 'Routes',
+    'services': 'Services',
+    'limits': 'Limits',
+    'name': 'Name',
+    'host': 'Host',
+    'path_prefix': 'PathPrefix',
+    'service': 'Service',
+    'priority': 'Priority',
+    'attempts_limit': 'MaxAttempts',
+    'slack_factor': 'SlackFactor',
+    'latency_target_ms': 'TargetLatencyMs',
+    'timeout_ms': 'TimeoutMs',
+    'body_bytes': 'MaxBodyBytes',
+    'idle_ms': 'IdleTimeoutMs',
+    'guarded': 'EnforcesCapacity',
+}
 
 
 class _Phase(msgspec.Struct, rename='pascal'):
@@ -197,9 +217,45 @@
         workflows.RequestLimits(
             config.limits.max_body_bytes, config.limits.idle_timeout_ms
         ),
+        tuple(service.name for service in config.services),
     )
 
 
+def list_configuration_errors(body: bytes) -> abc.Sequence[tuple[str, str]]:
+    """Return why a configuration can't be decoded, by entry.
+
+    :return: the entry, '' if the error concerns no single one, and the error;
+        empty if the document can be decoded
+    """
+    try:
+        decoding.decode_json(body, _Config)
+        return ()
+    except decoding.Unreadable as error:
+        whole = ('', str(error))
+    try:
+        raw = decoding.decode_json(body, dict[str, Any])
+    except decoding.Unreadable:
+        return (whole,)
+    errors: list[tuple[str, str]] = []
+    for section, kind in (('Routes', _Route), ('Services', _Service)):
+        items = raw.get(section)
+        if not isinstance(items, list):
+            continue
+        # What is left is decoded without the entries.
+        raw[section] = []
+        for number, item in enumerate(items):
+            try:
+                msgspec.convert(item, kind)
+            except msgspec.ValidationError as error:
+                name = item.get('Name') if isinstance(item, dict) else None
+                errors.append((f'{section}/{name or number}', str(error)))
+    try:
+        msgspec.convert(raw, _Config)
+    except msgspec.ValidationError as error:
+        errors.append(('', str(error)))
+    return errors or (whole,)
+
+
 def decode_announcement(
     instance_id: str, body: bytes, now_ms: int
 ) -> targets.Announcement | None:
