Log each cause against a wait once for a step

Cause: two causes that alternate gave a line every 200 ms. Change: all logged causes of a step are kept until it needs no run.

--- a/borageshelf/workflows/place_waiting.py
+++ b/borageshelf/workflows/place_waiting.py
@@ -91,7 +91,7 @@
         self._ended: set[jobs.Group] = set()
         # When a forecast for a group may differ from its last one.
         self._next_forecast_ms: dict[jobs.Group, int] = {}
-        self._refused_causes: dict[jobs.Group, place_waiting.Cause] = {}
+        self._logged_causes: dict[jobs.Group, set[place_waiting.Cause]] = {}
         # Changes of the rack that a group has looked at.
         self._seen_changes: dict[jobs.Group, int] = {}
         # Expected ends of the runs on a target as they count for fillers, or
@@ -111,8 +111,7 @@
         if now_ms < self._next_cleanup_ms:
             return
         self._next_cleanup_ms = now_ms + FORECAST_INTERVAL_MS
-        known = self._ended | self._next_forecast_ms.keys()
-        for group in known:
+        for group in list(self._next_forecast_ms):
             is_over = (
                 group.job.workflow_id not in active_jobs or group.is_complete
             )
@@ -124,8 +123,8 @@
             if not is_over:
                 continue
             self._ended.discard(group)
-            self._next_forecast_ms.pop(group, None)
-            self._refused_causes.pop(group, None)
+            del self._next_forecast_ms[group]
+            self._logged_causes.pop(group, None)
             self._seen_changes.pop(group, None)
 
     def choose(
@@ -221,8 +220,9 @@
         }
         if isinstance(decision, place_waiting.NoWait):
             measurements.PLACE_WAITS_REFUSED.labels(decision.cause.value).inc()
-            if self._refused_causes.get(group) is not decision.cause:
-                self._refused_causes[group] = decision.cause
+            logged = self._logged_causes.setdefault(group, set())
+            if decision.cause not in logged:
+                logged.add(decision.cause)
                 self._record(
                     'no wait for a place', cause=decision.cause.value, **inputs
                 )
