--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -32,6 +32,7 @@
         'evacuation_limit_ms',
         'grace_s',
         'status_retention_s',
+        'remote_factor',
     ):
         assert documented[name] == str(getattr(found, name))
 
@@ -46,6 +47,7 @@
         ({'metrics_port': 0}, 'metrics_port: must be from 1'),
         ({'processor_share': 0}, 'processor_share: must be from'),
         ({'grace_s': 0}, 'grace_s: must be from'),
+        ({'remote_factor': 0.5}, 'remote_factor: must be from 1'),
         ({'executor_lease_limit_ms': 'x'}, 'executor_lease_limit_ms'),
         ({'evacuation_limit_ms': 4_899}, 'must be 0 or from 4900'),
     ],
