Let a task have two runs in the state of a workflow

Progress of a task was the sum over its runs, a run of a completed task counted as work of its workflow, and a restored run of a completed task was not stopped. Now the better run counts, working_runs leaves out runs of completed tasks, and those are restored as stopping.

--- a/borageshelf/workflows/idle.py
+++ b/borageshelf/workflows/idle.py
@@ -104,7 +104,7 @@
 
 def _find_idle_since_ms(job: jobs.Job, known_fleet: fleet.Fleet) -> int | None:
     """Return since when nothing is known to be at work; None if it is."""
-    runs = list(job.list_runs())
+    runs = [run for run in job.list_runs() if not run.task.is_done]
     if not runs:
         return job.idle_since_ms
     for run in runs:
@@ -127,7 +127,7 @@
     job: jobs.Job, known_fleet: fleet.Fleet, moment: clock.Moment
 ) -> str:
     now_ms = moment.elapsed_ms
-    if job.live_runs:
+    if job.working_runs:
         return 'no target lists its runs'
     groups = job.list_waiting_groups(moment.wall_ms)
     if not groups:
--- a/borageshelf/workflows/jobs.py
+++ b/borageshelf/workflows/jobs.py
@@ -11,6 +11,7 @@
 from borageshelf.decisions import crash_blame
 from borageshelf.model import workflows
 from borageshelf.workflows import checkpoints
+from borageshelf.workflows import crash_records
 from borageshelf.workflows import effects
 from borageshelf.workflows import estimates
 from borageshelf.workflows import failures
@@ -177,6 +178,13 @@
         """Checkpoint from which the next run starts, '' for none."""
         return self.newest_checkpoint.value
 
+    @property
+    def progress_percent(self) -> int:
+        """Progress of the run that has most."""
+        return max(
+            (run.progress_percent for run in self.runs.values()), default=0
+        )
+
     @property
     def is_waiting(self) -> bool:
         """Tell whether the task needs a run."""
@@ -213,7 +221,7 @@
     :ivar predecessors: those that must be complete before this one begins
     :ivar was_ready: whether its tasks' turn has been noticed
     :ivar waiting_count: number of tasks that need a run
-    :ivar running_percent: sum of the progress of the runs of unfinished tasks
+    :ivar running_percent: sum of the progress of unfinished tasks
     :ivar misfit: the last choice of a target that found none, or None
     :ivar suspects: tasks that are suspected of crashing executors
     :ivar overdue_misfit_deadline_ms: elapsed time from which room on withheld
@@ -329,6 +337,7 @@
         self.waiters: list[int] = []
         self.effects: list[effects.Effect] = []
         self._live_runs = 0
+        self._redundant_runs = 0
         self.idle_since_ms = accepted_at_ms
         self._occurrence_size = sum(step.count for step in workflow.steps)
         self._occurrences = occurrences.Occurrences(
@@ -386,6 +395,11 @@
         """Number of runs that may still exist."""
         return self._live_runs
 
+    @property
+    def working_runs(self) -> int:
+        """Number of runs of tasks that are not done."""
+        return self._live_runs - self._redundant_runs
+
     @property
     def objective_deadline_ms(self) -> int:
         """Elapsed time by which the caller expects the workflow to be done."""
@@ -494,21 +508,25 @@
             never began, so that its task goes on to wait
         """
         task = run.task
+        former_percent = task.progress_percent
         if task.runs.pop(run.attempt, None) is None:
             return
         if ended_at_ms is not None:
             task.waiting_since_ms = ended_at_ms
         self._live_runs -= 1
-        if not task.is_done:
-            task.group.running_percent -= run.progress_percent
+        if task.is_done:
+            self._redundant_runs -= 1
+        else:
+            task.group.running_percent += (
+                task.progress_percent - former_percent
+            )
         if task.is_waiting:
             task.group.waiting_count += 1
         self._close_if_over(task.group.occurrence)
 
     def record_progress(self, run: Run, percent: int, now_ms: int) -> None:
         """Record the progress that a run has reported."""
-        if not run.task.is_done:
-            run.task.group.running_percent += percent - run.progress_percent
+        former_percent = run.task.progress_percent
         if run.watched_from_percent is None and (
             0 < run.progress_percent != percent
         ):
@@ -517,6 +535,10 @@
             run.watched_from_percent = percent
         run.progress_percent = percent
         run.progress_at_ms = now_ms
+        if not run.task.is_done:
+            run.task.group.running_percent += (
+                run.task.progress_percent - former_percent
+            )
 
     def withdraw_run(self, run: Run) -> None:
         """Undo a task's last ``add_run``; its start was never ordered."""
@@ -531,9 +553,8 @@
                 continue
             if member.is_waiting:
                 group.waiting_count -= 1
-            group.running_percent -= sum(
-                run.progress_percent for run in member.runs.values()
-            )
+            group.running_percent -= member.progress_percent
+            self._redundant_runs += len(member.runs)
             member.is_done = True
             member.newest_checkpoint.clear()
             group.done_count += 1
@@ -620,7 +641,7 @@
                         )
                         for run in task.runs.values()
                     ),
-                    _make_crash_record(task.crash_history),
+                    crash_records.make_record(task.crash_history),
                     task.failed_attempts.numbers,
                 )
             )
@@ -656,16 +677,7 @@
             task.waiting_since_ms = now_ms
             if record.crashes is not None:
                 task.set_crash_history(
-                    crash_blame.History(
-                        record.crashes.crashes,
-                        record.crashes.quick_crashes,
-                        record.crashes.evidence,
-                        record.crashes.is_suspect,
-                        max(
-                            record.crashes.early_crashes,
-                            record.crashes.crashes,
-                        ),
-                    )
+                    crash_records.read_record(record.crashes)
                 )
                 task.isolation_wait_deadline_ms = (
                     now_ms
@@ -679,6 +691,8 @@
                 run = Run(task, stored.attempt, stored.target_id, now_ms)
                 run.is_sent = True
                 run.is_restored = True
+                # Another run of the task was first.
+                run.is_stopping = record.is_done
                 run.watched_from_percent = None
                 run.is_isolated = task.crash_history.is_suspect
                 run.executor_hash = stored.executor_hash
@@ -706,17 +720,3 @@
         for group in self.groups:
             for task in group.tasks:
                 yield from task.runs.values()
-
-
-def _make_crash_record(
-    history: crash_blame.History,
-) -> records.CrashRecord | None:
-    if history == crash_blame.NO_CRASHES:
-        return None
-    return records.CrashRecord(
-        history.crashes,
-        history.quick_crashes,
-        history.evidence,
-        history.is_suspect,
-        history.early_crashes,
-    )
--- a/borageshelf/workflows/overdue.py
+++ b/borageshelf/workflows/overdue.py
@@ -276,7 +276,7 @@
     step = group.step
     job = group.job
     is_idle = (
-        not job.live_runs
+        not job.working_runs
         and now_ms - job.idle_since_ms >= WORKFLOW_WAIT_LIMIT_MS
     )
     if not (step.is_lasting or is_idle):
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -111,7 +111,7 @@
                 moment.wall_ms, memory_budget.find_waiting_limit(open_count)
             )
             groups = job.list_waiting_groups(moment.wall_ms)
-            if job.live_runs or not groups:
+            if job.working_runs or not groups:
                 job.idle_since_ms = now_ms
             for group in groups:
                 group.note_ready(now_ms)
@@ -343,7 +343,7 @@
         index = self._fleet.get_index(job.terms.service)
         # A single run is enough for the workflow to make progress.
         is_overdue = (
-            not job.live_runs
+            not job.working_runs
             and now_ms - job.idle_since_ms > IDLE_WORKFLOW_LIMIT_MS
         )
         # The rules ask for a run of each lasting task.
@@ -375,7 +375,7 @@
                 sibling_counts,
                 task.avoided,
                 self._get_sibling_rack(group, sibling_counts),
-                is_lasting_overdue or (is_overdue and not job.live_runs),
+                is_lasting_overdue or (is_overdue and not job.working_runs),
             )
             predict = (
                 self._predict_latency_share
