Copy stragglers of speculative steps

A step waits for its slowest task, also if only the target is slow. The owner now starts a copy on another target if the lateness that it spares is worth the processors, and learns from the ends which queues gain. The first success counts; the other run is stopped after the commit and its end changes nothing.

--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -89,6 +89,12 @@
 TASKS_AT_FAULT = _counter(
     'tasks_at_fault', 'Tasks given up because executors crashed under them.'
 )
+COPIES_STARTED = _counter(
+    'copies_started', 'Speculative copies of slow runs that were ordered.'
+)
+COPIES_WON = _counter(
+    'copies_won', 'Speculative copies that were done before the first run.'
+)
 INVENTORY_FAILURES = _counter(
     'inventory_failures', 'Readings of the list of VMs that failed.'
 )
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -14,13 +14,13 @@
 import msgspec
 
 from borageshelf import clock
-from borageshelf.decisions import stalls
 from borageshelf.decisions import target_health
 from borageshelf.decisions import workflow_admission
 from borageshelf import measurements
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
 from borageshelf.workflows import checkpoints
+from borageshelf.workflows import copies
 from borageshelf.workflows import crashes
 from borageshelf.workflows import effects
 from borageshelf.workflows import end_proofs
@@ -32,6 +32,7 @@
 from borageshelf.workflows import memory_budget
 from borageshelf.workflows import messages
 from borageshelf.workflows import records
+from borageshelf.workflows import run_progress
 from borageshelf.workflows import scheduler
 from borageshelf.workflows import silence
 from borageshelf.workflows import targets
@@ -42,8 +43,6 @@
 COMMIT_ENTRIES_LIMIT: Final = 30
 # A target that refused a start is tried again after one report interval.
 START_REFUSAL_PAUSE_MS: Final = 400
-# The first percent that a new owner sees may have begun long before.
-MIN_GAINED_PERCENT: Final = 2
 # Reserved for the stop of a checkpointing task, which takes up to 900 ms (site
 # files).
 CHECKPOINT_STOP_MS: Final = 1_200
@@ -146,6 +145,7 @@
         self.scheduler = scheduler.Scheduler(
             self._fleet, self._crash_tracker, self.set_aside
         )
+        self._copier = copies.Copier(self._fleet, self.scheduler, record)
 
     # Stored state.
 
@@ -635,9 +635,10 @@
         job.note_run_seen()
         job.effects.append(acknowledge)
         self._mark_dirty(job)
+        self._copier.note_end(run, end.kind, moment.elapsed_ms)
         self._drop_run(run, _find_earliest_end_ms(target, run))
         task = run.task
-        if not task.is_done:
+        if run_progress.is_leading(run):
             task.newest_checkpoint.note(
                 end.checkpoint, end.attempt, checkpoints.ENDED_PERCENT
             )
@@ -650,6 +651,9 @@
             how=end.kind.value,
             ran_ms=moment.elapsed_ms - run.started_at_ms,
         )
+        if task.is_done and not task.group.step.is_gang:
+            # Another run of the task was first.
+            return
         if end.kind is task_executor.EndKind.FAILED:
             self._handle_failure(target, run, moment)
         elif end.kind is task_executor.EndKind.DONE:
@@ -766,7 +770,7 @@
                 run.task.group.job.record_progress(
                     run, row.progress_percent, moment.elapsed_ms
                 )
-            if not run.task.is_done:
+            if run_progress.is_leading(run):
                 run.task.newest_checkpoint.note(
                     row.checkpoint, row.attempt, row.progress_percent
                 )
@@ -913,9 +917,9 @@
 
     def schedule(self, moment: clock.Moment) -> None:
         """Place waiting tasks on targets that have room."""
-        for job in self.scheduler.place_waiting_tasks(
-            self._active_jobs, moment
-        ):
+        placed = self.scheduler.place_waiting_tasks(self._active_jobs, moment)
+        copied = self._copier.start_copies(self._active_jobs, moment)
+        for job in (*placed, *copied):
             self._mark_dirty(job)
 
     # Commits.
@@ -1371,10 +1375,11 @@
         """Mark a task as done, stop its runs, and complete its workflow."""
         job = task.group.job
         job.finish_task(task)
-        for run in list(task.runs.values()):
-            self._stop_run(run)
         if job.is_complete:
             self._end_workflow(job, records.Phase.COMPLETED, '', moment)
+            return
+        for run in task.runs.values():
+            self._stop_after_commit(run)
 
     def _end_workflow(
         self,
@@ -1397,11 +1402,14 @@
             after_ms=moment.elapsed_ms - job.accepted_at_ms,
         )
         for run in job.list_runs():
-            run.is_stopping = True
-            if run.is_sent:
-                job.effects.append(
-                    effects.SendStop(run.target_id, run.task.name, run.attempt)
-                )
+            self._stop_after_commit(run)
+
+    def _stop_after_commit(self, run: jobs.Run) -> None:
+        """Order the stop of a run once the cause of it is stored."""
+        run.is_stopping = True
+        if run.is_sent:
+            stop = effects.SendStop(run.target_id, run.task.name, run.attempt)
+            run.task.group.job.effects.append(stop)
 
     def _stop_run(self, run: jobs.Run) -> None:
         """Order the stop of a run, whose end its executor reports later."""
@@ -1503,7 +1511,7 @@
             and not run.task.group.step.is_lasting
         ]
         if not active_runs or any(
-            now_ms - run.progress_at_ms < _find_stall_limit_ms(run)
+            now_ms - run.progress_at_ms < run_progress.find_stall_limit_ms(run)
             for run in active_runs
         ):
             return
@@ -1522,23 +1530,3 @@
 def _find_earliest_end_ms(target: targets.Target, run: jobs.Run) -> int:
     """Return the time since which a run that has ended may not have run."""
     return max(target.contact_at_ms, run.started_at_ms)
-
-
-def _find_stall_limit_ms(run: jobs.Run) -> int:
-    """Return the time without progress after which a run has stalled."""
-    group = run.task.group
-    gained_percent = 0
-    if run.watched_from_percent is not None:
-        gained_percent = run.progress_percent - run.watched_from_percent
-        if run.is_restored and gained_percent < MIN_GAINED_PERCENT:
-            gained_percent = 0
-    return stalls.compute_stall_limit_ms(
-        stalls.Progress(
-            max(run.progress_at_ms - run.watched_since_ms, 0),
-            gained_percent,
-            run.progress_percent,
-            group.get_estimate_ms(),
-            group.step.is_checkpointing,
-            run.task.stalls,
-        )
-    )
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -184,10 +184,16 @@
         task: str,
         kind: task_executor.EndKind = task_executor.EndKind.DONE,
         checkpoint: str = '',
+        target_id: str = '',
     ) -> None:
-        """End a run and report its end to the owner."""
+        """End a run and report its end to the owner.
+
+        :param target_id: where it runs; '' for the first target that runs it
+        """
         fake = next(
-            fake for fake in self.targets.values() if task in fake.running
+            fake
+            for fake in self.targets.values()
+            if task in fake.running and target_id in ('', fake.target_id)
         )
         end = messages.Ended(
             fake.next_number, task, fake.running.pop(task), kind, checkpoint
@@ -198,6 +204,20 @@
         self.core.handle_run_end(target, end, self.moment)
         self.apply_effects(self.core.take_immediate_effects())
 
+    def report_progress(
+        self, target_id: str, percents: dict[str, int], checkpoint: str = ''
+    ) -> None:
+        """Report the progress of runs on a target."""
+        fake = self.targets[target_id]
+        rows = [
+            messages.Row(task, fake.running[task], checkpoint, percent)
+            for task, percent in percents.items()
+        ]
+        self.core.update_progress(
+            self.core.targets[target_id], rows, self.moment
+        )
+        self.apply_effects(self.core.take_immediate_effects())
+
     def find_target_id(self, task: str) -> str | None:
         """Return the id of the target that runs a task, or None."""
         return next(
