--- a/borageshelf/decisions/copies.py
+++ b/borageshelf/decisions/copies.py
@@ -50,7 +50,7 @@
 # Each outcome weighs this much less with every later one.
 RECORD_DECAY: Final = 0.9
 # One of so many stragglers that are declined for the record is copied.
-PROBE_INTERVAL: Final = 20
+PROBE_INTERVAL: Final = 10
 # Copies of one task that one owner starts.
 TASK_COPIES_LIMIT: Final = 2
 
