--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -100,6 +100,12 @@
     'Decisions that starting on another rack is better than a wait.',
     ('cause',),
 )
+COPIES_STARTED = _counter(
+    'copies_started', 'Speculative copies of slow runs that were ordered.'
+)
+COPIES_WON = _counter(
+    'copies_won', 'Speculative copies that were done before the first run.'
+)
 INVENTORY_FAILURES = _counter(
     'inventory_failures', 'Readings of the list of VMs that failed.'
 )
