Let the model search draw copies

The state of copies is left out of the fingerprints, as it is soft.

The random histories use the same eager decision from workflow_support.

--- a/tests/model/fingerprints.py
+++ b/tests/model/fingerprints.py
@@ -28,6 +28,7 @@
 _IGNORED: Final = frozenset(
     {
         '_clock_resolution',
+        '_copier',
         '_crash_tracker',
         '_event_log',
         '_latency_version',
--- a/tests/model/monitor.py
+++ b/tests/model/monitor.py
@@ -29,22 +29,26 @@
 class Monitor:
     """Observes all executors of a history.
 
+    :param runs_limit: number of runs that a task may have at a time; those
+        that may have two are speculative
     :ivar violation: what broke the promise; '' as long as it holds
     """
 
-    def __init__(self) -> None:
+    def __init__(self, runs_limit: int = 1) -> None:
+        self.runs_limit = runs_limit
         self.violation = ''
         self.running: dict[tuple[str, str, int], None] = {}
         self.ends: list[DoneEnd] = []
 
     def note_start(self, executor: str, task: str, attempt: int) -> None:
         """Check the start of a run."""
-        for other_executor, other_task, other_attempt in self.running:
-            if other_task == task:
-                self._report(
-                    f'{task} attempt {attempt} started on {executor} while'
-                    f' attempt {other_attempt} runs on {other_executor}'
-                )
+        others = [run for run in self.running if run[1] == task]
+        if len(others) >= self.runs_limit:
+            other_executor, _, other_attempt = others[0]
+            self._report(
+                f'{task} attempt {attempt} started on {executor} while'
+                f' attempt {other_attempt} runs on {other_executor}'
+            )
         for end in self.ends:
             if end.task == task:
                 end.is_followed = True
@@ -84,6 +88,9 @@
         ]
 
     def _check_end(self, end: DoneEnd) -> None:
+        if self.runs_limit > 1:
+            # A copy may have been on its way.
+            return
         if end.is_followed and end.is_acknowledged and not end.is_excused:
             self._report(
                 f'{end.task} was started again after attempt {end.attempt}'
--- a/tests/model/processes.py
+++ b/tests/model/processes.py
@@ -41,6 +41,7 @@
 
     clock: virtual_time.ModelClock
     platform_store: store.ModelStore
+    has_copies: bool
 
     def call_store(
         self, process: 'Process', call: store.Call
@@ -188,9 +189,13 @@
 
     def submit(self, workflow_id: str) -> None:
         """Submit a workflow with one task."""
-        workflow = workflows.Workflow(
-            workflow_id, 'spec', (workflows.Step(1, TASK_SIZE, 1_000),)
+        step = workflows.Step(
+            1,
+            TASK_SIZE,
+            1_000,
+            is_speculative=self.world.has_copies,
         )
+        workflow = workflows.Workflow(workflow_id, 'spec', (step,))
         assert self.runtime is not None
         self.loop.create_task(
             self.runtime.answer(
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -48,6 +48,9 @@
     :param has_listing: whether the owner can read which executors are up
     :param has_long_silences: whether it may also be suspended again, so that
         its owner can't wait for it
+    :param has_copies: whether each task gets a copy as soon as it may, and
+        there is a third target for a third run; the search is run beside
+        ``workflow_support.copy_eagerly``
     """
 
     tasks: int = 1
@@ -59,6 +62,7 @@
     has_suspensions_beside_cuts: bool = False
     has_long_silences: bool = False
     has_listing: bool = False
+    has_copies: bool = False
 
 
 class World(transit.Network):
@@ -71,9 +75,10 @@
 
     def __init__(self, scenario: Scenario) -> None:
         self.scenario = scenario
+        self.has_copies = scenario.has_copies
         super().__init__()
         self.platform_store = store.ModelStore()
-        self.promise = monitor.Monitor()
+        self.promise = monitor.Monitor(1 + scenario.has_copies)
         self.kept_orders: list[items.OrderItem] = []
         self.kept_calls: list[items.CallItem] = []
         self.parked: list[items.OrderItem] = []
@@ -92,7 +97,7 @@
             name: executors.Executor(
                 name, self.clock, self.promise, scenario.ends_limit
             )
-            for name in ('vm-1', 'vm-2')
+            for name in ('vm-1', 'vm-2', 'vm-3')[: 2 + scenario.has_copies]
         }
         self.agents: dict[str, processes.AgentProcess] = {}
         self.all_processes: list[processes.Process] = [*self.owners]
--- a/tests/test_model_search.py
+++ b/tests/test_model_search.py
@@ -7,6 +7,7 @@
 from tests.model import safeguards
 from tests.model import search
 from tests.model import world
+from tests import workflow_support as support
 
 
 @pytest.mark.parametrize(
@@ -39,6 +40,18 @@
     assert not result.violation, '\n'.join(result.lines)
 
 
+@pytest.mark.parametrize(
+    'bounds', [search.Bounds(8, 1, 0), search.Bounds(6, 1, 1)]
+)
+def test_task_with_a_copy_never_has_three_runs(bounds: search.Bounds) -> None:
+    """Guards against a third run after faults beside two runs of a task."""
+    scenario = world.Scenario(has_copies=True)
+    with support.copy_eagerly():
+        result = search.Search(scenario, bounds).run()
+    assert not result.failures
+    assert not result.violation, '\n'.join(result.lines)
+
+
 @pytest.mark.parametrize(
     ('kinds', 'bounds'),
     [
--- a/tests/test_workflow_properties.py
+++ b/tests/test_workflow_properties.py
@@ -5,12 +5,10 @@
 """
 
 import random
-from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
 
-from borageshelf.decisions import copies
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
 from borageshelf.workflows import effects
@@ -248,23 +246,9 @@
                 ), 'a refused workflow was started'
 
 
-def _assess_eagerly(
-    candidate: copies.Candidate, records: object
-) -> copies.Assessment:
-    """Find a copy worth it wherever the rules allow one."""
-    is_allowed = (
-        copies.may_have_copy(candidate.state)
-        and candidate.report_age_ms < copies.REPORT_AGE_LIMIT_MS
-    )
-    verdict = copies.Verdict.WORTH if is_allowed else copies.Verdict.FORBIDDEN
-    return copies.Assessment(candidate, verdict)
-
-
 def _play(seed: int, actions: list[str]) -> History:
     history = History(seed)
-    with mock.patch.multiple(
-        copies, assess=_assess_eagerly, REPORT_LAG_MS=0, COPY_SHARE=1.0
-    ):
+    with support.copy_eagerly():
         for action in actions:
             history.play(action)
     return history
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -4,13 +4,18 @@
 its targets run what they are ordered to run until the test ends a run.
 """
 
+from collections import abc
+import contextlib
 import dataclasses
 from typing import Any
+from unittest import mock
 
 from borageshelf import clock
+from borageshelf.decisions import copies as copy_decisions
 from borageshelf.model import resources
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
+from borageshelf.workflows import copies
 from borageshelf.workflows import effects
 from borageshelf.workflows import end_proofs
 from borageshelf.workflows import journal
@@ -50,6 +55,31 @@
     return workflows.Workflow(workflow_id, 'spec', steps or (make_step(),))
 
 
+@contextlib.contextmanager
+def copy_eagerly() -> abc.Iterator[None]:
+    """Let the owner copy tasks wherever the rules allow it."""
+
+    def assess(
+        candidate: copy_decisions.Candidate, records: object
+    ) -> copy_decisions.Assessment:
+        is_recent = (
+            candidate.report_age_ms < copy_decisions.REPORT_AGE_LIMIT_MS
+        )
+        is_allowed = copy_decisions.may_have_copy(candidate.state)
+        verdict = copy_decisions.Verdict.FORBIDDEN
+        if is_recent and is_allowed:
+            verdict = copy_decisions.Verdict.WORTH
+        return copy_decisions.Assessment(candidate, verdict)
+
+    with (
+        mock.patch.multiple(
+            copy_decisions, assess=assess, REPORT_LAG_MS=0, COPY_SHARE=1.0
+        ),
+        mock.patch.object(copies, 'PASS_INTERVAL_MS', 0),
+    ):
+        yield
+
+
 @dataclasses.dataclass
 class FakeTarget:
     """An executor with its agent, reduced to what the core sees of them."""
