Test that remote_factor reaches the owner

The setting passes through the policy and the runtime; losing it on the way would leave it without any effect. Result: tests/test_place_waiting.py and tests/test_agent_sessions.py pass.

--- a/tests/test_agent_sessions.py
+++ b/tests/test_agent_sessions.py
@@ -64,6 +64,7 @@
 async def make_runtime(
     handed_over: hand_over.HandOver | None = None,
     listing: inventory.Inventory | None = None,
+    owner_policy: policy.OwnerPolicy | None = None,
 ) -> runtime.OwnerRuntime:
     """Return the runtime of a new owner over an empty store."""
     store = memory_store.MemoryStore()
@@ -81,7 +82,7 @@
         store,
         writer,
         lease.lease_id,
-        policy.OwnerPolicy(GRANT_MS, 60_000),
+        owner_policy or policy.OwnerPolicy(GRANT_MS, 60_000),
         make_event_log(),
         lambda: (),
         confirmed_at_ms,
--- a/tests/test_place_waiting.py
+++ b/tests/test_place_waiting.py
@@ -4,6 +4,7 @@
 get is compared. Cases of the decision are in ``test-data/place-waiting.test``.
 """
 
+import asyncio
 import dataclasses
 from typing import Any, Final
 
@@ -13,9 +14,12 @@
 from borageshelf.decisions import workflow_placement
 from borageshelf.model import resources
 from borageshelf.model import workflows
+from borageshelf import node_settings
 from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
 from borageshelf.workflows import place_waiting
+from borageshelf.workflows import policy
+from tests import test_agent_sessions
 from tests import text_cases
 from tests import workflow_support as support
 
@@ -360,6 +364,22 @@
     assert len(far.running) == 1
 
 
+def test_setting_reaches_the_owner() -> None:
+    """Guards against a setting without effect."""
+    settings = node_settings.NodeSettings(
+        'entry-1', 'a', '10.0.0.1', '10.0.0.2:80', remote_factor=2.0
+    )
+
+    async def check() -> None:
+        owner_runtime = await test_agent_sessions.make_runtime(
+            owner_policy=policy.make_policy(settings)
+        )
+        waits = owner_runtime._core.scheduler._place_waits
+        assert waits._remote_factor == 2.0
+
+    asyncio.run(check())
+
+
 def test_waiting_step_looks_at_its_rack_only(
     waiting: Load, monkeypatch: pytest.MonkeyPatch
 ) -> None:
