--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -1,6 +1,9 @@
 """Tests of the evacuation of a data centre: the set and the three checks."""
 
 import asyncio
+import pathlib
+import tomllib
+from typing import Any
 
 import msgspec
 import pytest
@@ -26,6 +29,11 @@
 State = data_centres.ServiceState
 NORTH, SOUTH = 'tajo-norte', 'tajo-sur'
 KEY = documents.EVACUATION_PREFIX
+CASES: dict[str, Any] = tomllib.loads(
+    (
+        pathlib.Path(__file__).parents[1] / 'test-data' / 'evacuation.toml'
+    ).read_text()
+)
 
 
 class WatchedStore(memory_store.MemoryStore):
@@ -228,30 +236,18 @@
     assert len(north.running) == 3
 
 
-@pytest.mark.parametrize(
-    ('cold_left_ms', 'told_ms'), [(0, 0), (1_200, 1_500), (500, 500)]
-)
+@pytest.mark.parametrize('case', CASES['cold'])
 def test_agent_tells_how_long_its_executor_is_slow(
-    cold_left_ms: int, told_ms: int, monkeypatch: pytest.MonkeyPatch
+    case: dict[str, int], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a state that changes with each heartbeat."""
-    heartbeat = {
-        'Service': 'pigment',
-        'Address': '10.0.0.1:1',
-        'Zone': NORTH,
-        'Version': 'v1',
-        'Slots': 8,
-        'State': 'ready',
-        'ColdLeftMs': cold_left_ms,
-        'SeqNo': 1,
-        'Capacity': {'Cpu': 1, 'MemMb': 1},
-        'Labels': [],
-    }
+    heartbeat = {**CASES['heartbeat'], 'ColdLeftMs': case['left_ms']}
     monkeypatch.setattr(clock, 'read_elapsed_ms', lambda: 7_000)
     found = documents.decode_announcement(
         'i-1', msgspec.json.encode(heartbeat), 7_000
     )
-    assert target_state.make_state(found, True).cold_left_ms == told_ms
+    told = target_state.make_state(found, True)
+    assert told.cold_left_ms == case['told_ms']
     assert not target_state.make_state(found, False).cold_left_ms
 
 
@@ -337,41 +333,18 @@
     assert not step.take_stopped()
 
 
-@pytest.mark.parametrize(
-    ('statements', 'reason'),
-    [
-        ([], messages.NO_RECENT_ANSWER_REASON),
-        ([(State.IN_SERVICE, None)], messages.NO_RECENT_ANSWER_REASON),
-        ([(State.IN_SERVICE, 1_400)], ''),
-        ([(State.IN_SERVICE, 1_600)], messages.NO_RECENT_ANSWER_REASON),
-        ([(State.NOT_STATED, 100)], ''),
-        ([(State.UNKNOWN, 100)], messages.NO_RECENT_ANSWER_REASON),
-        ([(State.IN_SERVICE, 900), (State.UNKNOWN, 100)], ''),
-        (
-            [(State.IN_SERVICE, 100), (State.EVACUATED, None)],
-            messages.EVACUATED_REASON,
-        ),
-        (
-            [(State.EVACUATED, 200), (State.UNKNOWN, 100)],
-            messages.EVACUATED_REASON,
-        ),
-        ([(State.EVACUATED, 200), (State.IN_SERVICE, 100)], ''),
-    ],
-)
-def test_agent_needs_a_recent_statement(
-    statements: list[tuple[State, int | None]], reason: str
-) -> None:
-    """Guards against a start under an old, lost or revoked permission.
-
-    Each statement comes with the age of the report that it answers.
-    """
+@pytest.mark.parametrize('case', CASES['statements'])
+def test_agent_needs_a_recent_statement(case: dict[str, Any]) -> None:
+    """Guards against a start under an old, lost or revoked permission."""
     gate = evacuation_gate.EvacuationGate(
         True, test_agent_sessions.make_event_log()
     )
     now_ms = clock.read_elapsed_ms()
-    for state, age_ms in statements:
-        gate.note_statement(state, None if age_ms is None else now_ms - age_ms)
-    assert gate.find_refusal_reason() == reason
+    for name, age_ms in case['given']:
+        asked_at_ms = None if age_ms < 0 else now_ms - age_ms
+        state = data_centres.ServiceState[name]
+        gate.note_statement(state, asked_at_ms)
+    assert gate.find_refusal_reason() == case['reason']
 
 
 def test_agent_checks_before_each_try_of_a_start() -> None:
