--- a/tests/test_speculative_copies.py
+++ b/tests/test_speculative_copies.py
@@ -185,7 +185,7 @@
     assert not pair.copy_id
 
 
-@pytest.mark.parametrize('how', ['crash', 'drain'])
+@pytest.mark.parametrize('how', ['crash', 'drain', 'stall'])
 def test_loss_of_the_original_starts_nothing(how: str) -> None:
     """Guards against a third run when one of two has gone."""
     pair = Pair(is_checkpointing=True).straggle()
@@ -194,6 +194,11 @@
     fake = cluster.targets[pair.original_id]
     if how == 'crash':
         cluster.crash(fake)
+    elif how == 'stall':
+        for percent in (20, 40, 60):
+            cluster.now_ms += 900
+            cluster.report_progress(pair.copy_id, {TASK: percent})
+            cluster.report_progress(pair.original_id, {TASK: 16})
     else:
         fake.is_draining = True
         state = msgspec.structs.replace(fake.make_state(), leaves_in_ms=0)
@@ -201,6 +206,7 @@
             cluster.core.targets[pair.original_id], state, cluster.moment
         )
         cluster.apply_effects(cluster.core.take_immediate_effects())
+    if how != 'crash':
         assert TASK in fake.stop_orders
         pair.end(pair.original_id, STOPPED)
     cluster.run_until_idle()
