--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -241,10 +241,12 @@
     entries: int = 2,
     targets: int = 2,
     processor_shares: abc.Sequence[float] = (),
+    settings: abc.Mapping[str, Any] | None = None,
 ) -> abc.AsyncIterator[Deployment]:
     """Start a deployment and wait until all entries are ready.
 
     :param processor_shares: settings of the entries; the default without any
+    :param settings: further settings of all processes
     """
     store = memory_store.MemoryStore()
     handlers = platform_store.PlatformStoreHandlers(store)
@@ -279,6 +281,7 @@
             executor.start()
             stack.push_async_callback(executor.stop)
         for node in (*deployment.entries, *deployment.agents):
+            node.settings.update(settings or {})
             await node.start()
             stack.push_async_callback(node.end)
 
