Count unfinished requests against one budget a process

Callers that stop short of the end of a body held temporary files and descriptors without limit, and bodies in chunks of one byte stopped the event loop. All HTTP listeners of workflow entries and agents (callers, readiness, registration, metrics) now use borageshelf/http_server: bodies in memory, the limit of one body from the configuration, deadlines, limits of bytes and connections, and bounded work in one iteration of the event loop.

Five new settings of a node (unfinished_requests_limit_bytes, connections_limit, headers_limit_ms, body_stall_limit_ms, answer_stall_limit_ms), three metrics and the log line `requests cut`.

--- a/borageshelf/agent/workflows/process.py
+++ b/borageshelf/agent/workflows/process.py
@@ -11,6 +11,7 @@
 from borageshelf import clock
 from borageshelf.entry.workflows import process as entry_process
 from borageshelf import events
+from borageshelf.http_server import budget
 from borageshelf import loop
 from borageshelf.model import targets
 from borageshelf import node_settings
@@ -28,7 +29,7 @@
 class RegistrationSite(Protocol):
     """HTTP site where the executor announces itself."""
 
-    def make_site(self) -> Any:
+    def make_site(self, account: budget.RequestBudget) -> Any:
         """Return the site."""
 
 
@@ -63,6 +64,7 @@
             settings, reload, self._apply_settings, event_log
         )
         self._event_log = event_log
+        self._budget = budget.RequestBudget(settings, event_log)
         self._boot_id = uuid.uuid4().hex
         self._stop_requested = asyncio.Event()
         self._background = loop.TaskGroup()
@@ -94,8 +96,12 @@
         )
         reactor: Any = importlib.import_module('twisted.internet.reactor')
         host, _, port = self._settings.registration_address.rpartition(':')
-        reactor.listenTCP(int(port), self._site.make_site(), interface=host)
-        entry_process.listen_for_metrics(self._settings)
+        site = self._site.make_site(self._budget)
+        reactor.listenTCP(int(port), site, interface=host)
+        entry_process.listen_for_metrics(self._settings, self._budget)
+        self._background.start_with_restarts(
+            self._budget.run, self._event_log.record_failure
+        )
         self._background.start_with_restarts(
             self._owner_link.run, self._event_log.record_failure
         )
@@ -130,4 +136,5 @@
 
     def _apply_settings(self, settings: node_settings.NodeSettings) -> None:
         self._settings = settings
+        self._budget.apply_settings(settings)
         self._owner_link.set_seeds(settings.seeds)
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -15,6 +15,8 @@
 from borageshelf.entry.workflows import election
 from borageshelf.entry.workflows import request_service
 from borageshelf import events
+from borageshelf.http_server import budget
+from borageshelf.http_server import sites
 from borageshelf import loop
 from borageshelf import measurements
 from borageshelf.model import workflows
@@ -45,6 +47,8 @@
 # An entry that knows no owner for less than this stays in the rotation of the
 # load balancer.
 OWNER_LOSS_GRACE_MS: Final = 5_000
+# Requests for metrics have no body.
+METRICS_BODY_LIMIT_BYTES: Final = 16_384
 
 
 class CallerSite(Protocol):
@@ -59,10 +63,10 @@
     active_requests: int
     last_active_at_ms: int
 
-    def make_site(self) -> Any:
+    def make_site(self, account: budget.RequestBudget) -> Any:
         """Return the site for callers."""
 
-    def make_ready_site(self) -> Any:
+    def make_ready_site(self, account: budget.RequestBudget) -> Any:
         """Return the site for the readiness check."""
 
 
@@ -106,6 +110,7 @@
             settings, reload, self._apply_settings, event_log
         )
         self._event_log = event_log
+        self._budget = budget.RequestBudget(settings, event_log)
         self._boot_id = uuid.uuid4().hex
         self._stop_requested = asyncio.Event()
         self._abort_requested = asyncio.Event()
@@ -150,6 +155,9 @@
         self._background.start_with_restarts(
             self._settings_follower.run, self._event_log.record_failure
         )
+        self._background.start_with_restarts(
+            self._budget.run, self._event_log.record_failure
+        )
         self._background.start_with_restarts(
             self._configuration_follower.run, self._event_log.record_failure
         )
@@ -160,12 +168,14 @@
         await server.start(host, int(port))
         self._election.start()
         self._listen(
-            self._settings.caller_address, self._caller_site.make_site()
+            self._settings.caller_address,
+            self._caller_site.make_site(self._budget),
         )
         self._listen(
-            self._settings.ready_address, self._caller_site.make_ready_site()
+            self._settings.ready_address,
+            self._caller_site.make_ready_site(self._budget),
         )
-        listen_for_metrics(self._settings)
+        listen_for_metrics(self._settings, self._budget)
         self._event_log.record_state(
             'entry started',
             boot=self._boot_id,
@@ -210,6 +220,7 @@
 
     def _apply_settings(self, settings: node_settings.NodeSettings) -> None:
         self._settings = settings
+        self._budget.apply_settings(settings)
         self._election.owner_policy = policy.make_policy(settings)
 
     async def _drain(self) -> None:
@@ -267,11 +278,13 @@
         return quiet_ms < QUIET_MS
 
 
-def listen_for_metrics(settings: node_settings.NodeSettings) -> None:
+def listen_for_metrics(
+    settings: node_settings.NodeSettings, account: budget.RequestBudget
+) -> None:
     """Serve the metrics page over HTTP."""
-    from twisted.web import server
-
     reactor: Any = importlib.import_module('twisted.internet.reactor')
     make_page: Any = measurements.MetricsPage
-    site: Any = server.Site(make_page())
+    site = sites.BudgetSite(
+        make_page(), account, lambda: METRICS_BODY_LIMIT_BYTES, lambda _: b''
+    )
     reactor.listenTCP(settings.metrics_port, site, interface=settings.host)
--- /dev/null
+++ b/borageshelf/http_server/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server of the workflow processes, within one budget a process."""
--- /dev/null
+++ b/borageshelf/http_server/budget.py
@@ -0,0 +1,215 @@
+"""What the connections of a process may hold together.
+
+The account is in memory and starts empty with the process.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import resource
+from typing import Final, Protocol
+
+from borageshelf import clock
+from borageshelf.decisions import request_budget
+from borageshelf import events
+from borageshelf.http_server import turns
+from borageshelf import loop
+from borageshelf import measurements
+from borageshelf import node_settings
+
+# Connections beyond the limit that are answered with a refusal at a time.
+REFUSALS: Final = 4
+SWEEP_INTERVAL_MS: Final = 250
+LOG_INTERVAL_MS: Final = 1_000
+# Descriptors for files, for the streams to entries and agents, and for calls
+# to the store, executors and the list of VMs.
+RESERVED_DESCRIPTORS: Final = 700
+MIN_CONNECTIONS: Final = 16
+# Rounded up from about 9 KB that a connection with a request was measured to
+# add to a process.
+CONNECTION_BYTES: Final = 12_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Deadlines:
+    """Times that a caller gets.
+
+    :param headers_ms: from the first byte of a request to the end of its
+        headers
+    :param body_ms: for each progress of a body
+    :param answer_ms: for each progress in taking an answer
+    """
+
+    headers_ms: int
+    body_ms: int
+    answer_ms: int
+
+
+class Connection(Protocol):
+    """A connection that counts against the budget.
+
+    :ivar held_bytes: bytes last accounted
+    """
+
+    held_bytes: int
+
+    def describe(self, number: int, now_ms: int) -> request_budget.Connection:
+        """Return what the decision needs to know."""
+
+    def postpone(self, pause_ms: int) -> None:
+        """Move the deadline by a pause of this process."""
+
+    def shed(self, cause: request_budget.Cause) -> str:
+        """Close the connection.
+
+        :return: what was exceeded; '' for an idle connection at its end
+        """
+
+
+class RequestBudget:
+    """Account of all connections of a process.
+
+    :ivar deadlines: times that callers get
+    :ivar turns: the work on what they send
+    """
+
+    def __init__(
+        self, settings: node_settings.NodeSettings, event_log: events.EventLog
+    ) -> None:
+        self._event_log = event_log
+        self._connections: dict[Connection, None] = {}
+        self._closing: dict[Connection, None] = {}
+        self._held_bytes = 0
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._logged_at_ms = clock.read_elapsed_ms()
+        self.turns = turns.Turns()
+        self.apply_settings(settings)
+
+    def apply_settings(self, settings: node_settings.NodeSettings) -> None:
+        """Use other limits from now on."""
+        self.deadlines = Deadlines(
+            settings.headers_limit_ms,
+            settings.body_stall_limit_ms,
+            settings.answer_stall_limit_ms,
+        )
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        available = max(descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS)
+        self._limits = request_budget.Limits(
+            settings.unfinished_requests_limit_bytes,
+            min(settings.connections_limit, available),
+        )
+
+    def can_accept(self) -> bool:
+        """Tell whether a connection may be accepted, if only to refuse it.
+
+        Those that are being closed keep their descriptors until the next
+        iteration of the event loop, and many are accepted in one.
+        """
+        limit = self._limits.connections
+        limit += limit // request_budget.SPARE_DIVISOR + REFUSALS
+        if len(self._connections) + len(self._closing) < limit:
+            return True
+        self.count('full')
+        return False
+
+    def can_linger(self) -> bool:
+        """Tell whether a refused connection may be kept for a while.
+
+        Some places are left for those that are closed at once.
+        """
+        spare = self._limits.connections // request_budget.SPARE_DIVISOR
+        return len(self._closing) <= spare // 2 + REFUSALS // 2
+
+    def admit(self, connection: Connection) -> bool:
+        """Take in a connection, closing others for it if necessary.
+
+        :return: whether there is room
+        """
+        if len(self._connections) >= self._limits.connections:
+            self._enforce(arriving=1)
+        if self._is_full():
+            self._closing[connection] = None
+            return False
+        connection.held_bytes = CONNECTION_BYTES
+        self._connections[connection] = None
+        self._held_bytes += CONNECTION_BYTES
+        return True
+
+    def account(self, connection: Connection, held_bytes: int) -> None:
+        """Replace the bytes that a connection holds."""
+        if connection not in self._connections:
+            return
+        self._held_bytes += held_bytes - connection.held_bytes
+        connection.held_bytes = held_bytes
+        if self._held_bytes > self._limits.held_bytes:
+            self._enforce()
+
+    def release(self, connection: Connection) -> None:
+        """Stop to account a connection that is being closed."""
+        if connection in self._connections:
+            del self._connections[connection]
+            self._held_bytes -= connection.held_bytes
+            self._closing[connection] = None
+
+    def forget(self, connection: Connection) -> None:
+        """Remove a connection that has ended."""
+        self.release(connection)
+        self._closing.pop(connection, None)
+
+    def count(self, cause: str) -> None:
+        """Count a refusal or a closed connection by its cause."""
+        measurements.REQUESTS_CUT.labels(cause).inc()
+        self._counts[cause] += 1
+
+    async def run(self) -> None:
+        """Close connections at their deadlines until cancelled."""
+        while True:
+            slept_at_ms = clock.read_elapsed_ms()
+            await asyncio.sleep(SWEEP_INTERVAL_MS / 1000)
+            now_ms = clock.read_elapsed_ms()
+            pause_ms = now_ms - slept_at_ms - SWEEP_INTERVAL_MS
+            if pause_ms >= loop.MIN_PAUSE_MS:
+                # What arrived during the pause is still in the sockets.
+                for connection in self._connections:
+                    connection.postpone(pause_ms)
+            self._enforce()
+            measurements.REQUEST_MEMORY_BYTES.set(self._held_bytes)
+            measurements.CONNECTIONS.set(len(self._connections))
+            self._log(now_ms)
+
+    def _is_full(self) -> bool:
+        return (
+            len(self._connections) >= self._limits.connections
+            or self._held_bytes >= self._limits.held_bytes
+        )
+
+    def _enforce(self, arriving: int = 0) -> None:
+        limits = dataclasses.replace(
+            self._limits, connections=self._limits.connections - arriving
+        )
+        now_ms = clock.read_elapsed_ms()
+        connections = list(self._connections)
+        described = [
+            connection.describe(number, now_ms)
+            for number, connection in enumerate(connections)
+        ]
+        for closing in request_budget.choose_closings(
+            described, limits, now_ms
+        ):
+            connection = connections[closing.number]
+            self.release(connection)
+            cause = connection.shed(closing.cause)
+            if cause:
+                self.count(cause)
+
+    def _log(self, now_ms: int) -> None:
+        if self._counts and now_ms - self._logged_at_ms >= LOG_INTERVAL_MS:
+            self._event_log.record(
+                'requests cut',
+                causes=dict(self._counts),
+                held_bytes=self._held_bytes,
+                connections=len(self._connections),
+                since_ms=now_ms - self._logged_at_ms,
+            )
+            self._counts.clear()
+            self._logged_at_ms = now_ms
--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -106,6 +106,15 @@
 LOG_LINES_DROPPED = _gauge(
     'log_lines_dropped', 'Log lines that nobody read in time.'
 )
+REQUESTS_CUT = _counter(
+    'requests_cut',
+    'Requests refused and connections closed at a limit.',
+    ('cause',),
+)
+REQUEST_MEMORY_BYTES = _gauge(
+    'request_memory_bytes', 'Bytes that connections of callers hold.'
+)
+CONNECTIONS = _gauge('connections', 'Connections that this process accepted.')
 
 
 class MetricsPage(resource.Resource):
--- a/borageshelf/node_settings.py
+++ b/borageshelf/node_settings.py
@@ -52,6 +52,15 @@
     :param grace_s: time between the request to stop and the kill
     :param status_retention_s: how long the final state of a workflow can be
         queried after its end
+    :param unfinished_requests_limit_bytes: memory for what callers have sent
+        of requests and have not taken of answers
+    :param connections_limit: connections that the process accepts; less if
+        its limit of descriptors requires it
+    :param headers_limit_ms: time from the first byte of a request to the end
+        of its headers
+    :param body_stall_limit_ms: time that a body may be without progress
+    :param answer_stall_limit_ms: time in which a caller may take nothing of
+        its answer
     """
 
     node_id: str
@@ -73,6 +82,11 @@
     executor_lease_limit_ms: int = 6_000
     grace_s: float = 6.0
     status_retention_s: float = 120.0
+    unfinished_requests_limit_bytes: int = 41_943_040
+    connections_limit: int = 1_500
+    headers_limit_ms: int = 15_000
+    body_stall_limit_ms: int = 15_000
+    answer_stall_limit_ms: int = 15_000
 
     @property
     def processor_millicores(self) -> int:
@@ -88,6 +102,11 @@
     'executor_lease_limit_ms': (1_000, 3_600_000),
     'grace_s': (0.5, 600),
     'status_retention_s': (1, 86_400),
+    'unfinished_requests_limit_bytes': (1_000_000, 16_000_000_000),
+    'connections_limit': (16, 1_000_000),
+    'headers_limit_ms': (100, 600_000),
+    'body_stall_limit_ms': (100, 600_000),
+    'answer_stall_limit_ms': (100, 600_000),
 }
 _ADDRESS_FIELDS: Final = (
     'store_address',
--- a/borageshelf/platform/caller_site.py
+++ b/borageshelf/platform/caller_site.py
@@ -9,9 +9,10 @@
 
 from borageshelf import clock
 from borageshelf import decoding
-from borageshelf.entry import bounded_site
 from borageshelf.entry.workflows import request_service
 from borageshelf import events
+from borageshelf.http_server import budget
+from borageshelf.http_server import sites
 from borageshelf import measurements
 from borageshelf.model import workflows
 from borageshelf.platform import documents
@@ -19,9 +20,6 @@
 from borageshelf.workflows import messages
 
 READY_PATH: Final = b'/-/ready'
-# Longer than the idle timeout of the clients, so that the client closes an
-# idle connection and no request is sent on one that the server is closing.
-IDLE_TIMEOUT_S: Final = 60
 WORKFLOW_ID_DIGITS: Final = 16
 _HEX_DIGITS: Final = frozenset('0123456789abcdefABCDEF')
 _HTTP_STATUSES: Final = {
@@ -33,6 +31,7 @@
     # The caller may repeat the request with the same id at any entry.
     effects.Outcome.UNKNOWN: 504,
 }
+Serve = abc.Callable[[server.Request], abc.Coroutine[Any, Any, None]]
 
 
 class PlatformSite:
@@ -59,15 +58,21 @@
         self.active_requests = 0
         self.last_active_at_ms = 0
 
-    def make_site(self) -> Any:
+    def make_site(self, account: budget.RequestBudget) -> Any:
         """Return the site for callers."""
-        site: Any = bounded_site.BoundedSite
-        return site(_AsyncResource(self._serve), timeout=IDLE_TIMEOUT_S)
+        return self._make_site(self._serve, account)
 
-    def make_ready_site(self) -> Any:
+    def make_ready_site(self, account: budget.RequestBudget) -> Any:
         """Return the site for the readiness check."""
-        site: Any = bounded_site.BoundedSite
-        return site(_AsyncResource(self._serve_ready), timeout=IDLE_TIMEOUT_S)
+        return self._make_site(self._serve_ready, account)
+
+    def _make_site(self, serve: Serve, account: budget.RequestBudget) -> Any:
+        return sites.BudgetSite(
+            _AsyncResource(serve),
+            account,
+            lambda: self._find_configuration().limits.body_bytes,
+            documents.encode_refusal,
+        )
 
     async def _serve_ready(self, request: server.Request) -> None:
         status = 200 if self._is_ready() else 503
@@ -200,10 +205,7 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(
-        self,
-        serve: abc.Callable[[server.Request], abc.Coroutine[Any, Any, None]],
-    ) -> None:
+    def __init__(self, serve: Serve) -> None:
         resource.Resource.__init__(self)
         self._serve = serve
 
--- a/borageshelf/platform/registration.py
+++ b/borageshelf/platform/registration.py
@@ -7,8 +7,9 @@
 from twisted.web import server
 
 from borageshelf import clock
-from borageshelf.entry import bounded_site
 from borageshelf import events
+from borageshelf.http_server import budget
+from borageshelf.http_server import sites
 from borageshelf.model import targets
 from borageshelf.platform import documents
 
@@ -16,6 +17,8 @@
 _LEAVE_PATH: Final = b'/-/Instances.Leave/'
 # Bounds the lines that one writer can cause by changing its id.
 LOGGED_IDS_LIMIT: Final = 100
+# The default of the configuration, which agents do not read.
+BODY_LIMIT_BYTES: Final = 262_144
 
 
 class PlatformRegistration(resource.Resource):
@@ -40,10 +43,11 @@
         self._event_log = event_log
         self._unreadable_ids: set[str] = set()
 
-    def make_site(self) -> Any:
+    def make_site(self, account: budget.RequestBudget) -> Any:
         """Return the site that serves this resource."""
-        site: Any = bounded_site.BoundedSite
-        return site(self)
+        return sites.BudgetSite(
+            self, account, lambda: BODY_LIMIT_BYTES, documents.encode_refusal
+        )
 
     def render_POST(self, request: server.Request) -> bytes:  # noqa: N802
         """Process a heartbeat or the departure of an executor."""
