Count connections of the inner protocol against the request budget

A connection to inner_address without a stream stayed open for good, and a message of any announced size was read into memory.

--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -162,7 +162,8 @@
             self._configuration_follower.run, self._event_log.record_failure
         )
         server = channel.make_server(
-            channel.Service(self._election.serve, self._record_abort)
+            channel.Service(self._election.serve, self._record_abort),
+            self._budget,
         )
         host, _, port = self._settings.inner_address.rpartition(':')
         await server.start(host, int(port))
--- a/borageshelf/http_server/budget.py
+++ b/borageshelf/http_server/budget.py
@@ -25,8 +25,8 @@
 # to the store, executors and the list of VMs.
 RESERVED_DESCRIPTORS: Final = 700
 MIN_CONNECTIONS: Final = 16
-# Rounded up from about 9 KB that a connection with a request was measured to
-# add to a process.
+# An idle connection was measured to add 2 KB to a process, and one with 22
+# header lines less than 12 KB.
 CONNECTION_BYTES: Final = 12_000
 
 
@@ -82,6 +82,7 @@
         self._held_bytes = 0
         self._counts: collections.Counter[str] = collections.Counter()
         self._logged_at_ms = clock.read_elapsed_ms()
+        self._sweep_due_ms = clock.read_elapsed_ms() + SWEEP_INTERVAL_MS
         self.turns = turns.Turns()
         self.apply_settings(settings)
 
@@ -120,9 +121,12 @@
         spare = self._limits.connections // request_budget.SPARE_DIVISOR
         return len(self._closing) <= spare // 2 + REFUSALS // 2
 
-    def admit(self, connection: Connection) -> bool:
+    def admit(
+        self, connection: Connection, held_bytes: int = CONNECTION_BYTES
+    ) -> bool:
         """Take in a connection, closing others for it if necessary.
 
+        :param held_bytes: what it holds by itself
         :return: whether there is room
         """
         if len(self._connections) >= self._limits.connections:
@@ -130,9 +134,9 @@
         if self._is_full():
             self._closing[connection] = None
             return False
-        connection.held_bytes = CONNECTION_BYTES
+        connection.held_bytes = held_bytes
         self._connections[connection] = None
-        self._held_bytes += CONNECTION_BYTES
+        self._held_bytes += held_bytes
         return True
 
     def account(self, connection: Connection, held_bytes: int) -> None:
@@ -164,14 +168,10 @@
     async def run(self) -> None:
         """Close connections at their deadlines until cancelled."""
         while True:
-            slept_at_ms = clock.read_elapsed_ms()
+            now_ms = clock.read_elapsed_ms()
+            self._sweep_due_ms = now_ms + SWEEP_INTERVAL_MS
             await asyncio.sleep(SWEEP_INTERVAL_MS / 1000)
             now_ms = clock.read_elapsed_ms()
-            pause_ms = now_ms - slept_at_ms - SWEEP_INTERVAL_MS
-            if pause_ms >= loop.MIN_PAUSE_MS:
-                # What arrived during the pause is still in the sockets.
-                for connection in self._connections:
-                    connection.postpone(pause_ms)
             self._enforce()
             measurements.REQUEST_MEMORY_BYTES.set(self._held_bytes)
             measurements.CONNECTIONS.set(len(self._connections))
@@ -189,6 +189,12 @@
         )
         now_ms = clock.read_elapsed_ms()
         connections = list(self._connections)
+        pause_ms = now_ms - self._sweep_due_ms
+        if pause_ms >= loop.MIN_PAUSE_MS:
+            # What arrived during the pause is still in the sockets.
+            self._sweep_due_ms = now_ms
+            for connection in connections:
+                connection.postpone(pause_ms)
         described = [
             connection.describe(number, now_ms)
             for number, connection in enumerate(connections)
--- a/borageshelf/workflows/channel.py
+++ b/borageshelf/workflows/channel.py
@@ -17,6 +17,8 @@
 import msgspec
 
 from borageshelf import decoding
+from borageshelf.http_server import budget
+from borageshelf.workflows import guarded_server
 from borageshelf.workflows import messages
 from borageshelf.workflows import transmission
 
@@ -160,9 +162,21 @@
         }
 
 
-def make_server(service: Service) -> grpclib.server.Server:
-    """Return a gRPC server that serves the stream."""
-    return grpclib.server.Server([service], codec=Codec())
+def make_server(
+    service: Service, account: budget.RequestBudget | None = None
+) -> grpclib.server.Server:
+    """Return a gRPC server that serves the stream.
+
+    :param account: what its connections count against, if anything
+    """
+    if account is None:
+        return grpclib.server.Server([service], codec=Codec())
+    return guarded_server.GuardedServer(
+        [service],
+        account,
+        CONNECT_TIMEOUT_MS + FIRST_MESSAGE_LIMIT_MS,
+        codec=Codec(),
+    )
 
 
 async def connect(
--- a/tests/test_workflow_channel.py
+++ b/tests/test_workflow_channel.py
@@ -2,16 +2,24 @@
 
 import asyncio
 from collections import abc
+import contextlib
+import os
 import socket
 import struct
 
 import grpclib.client
 import pytest
 
+from bench import free_ports
+from borageshelf import events
+from borageshelf.http_server import budget
+from borageshelf import node_settings
 from borageshelf.workflows import channel
 from borageshelf.workflows import messages
 
 HOST = '127.0.0.1'
+# Begins HTTP/2, with an empty frame of settings.
+PREFACE = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n' + b'\0\0\0\4\0\0\0\0\0'
 
 
 async def ignore_messages(
@@ -63,3 +71,33 @@
         assert seen_resets
 
     asyncio.run(run_check())
+
+
+@pytest.mark.parametrize('sent', [b'', PREFACE, PREFACE + b'x' * 70_000])
+def test_connection_without_a_first_message_is_closed(sent: bytes) -> None:
+    """Guards against peers that hold connections of the inner protocol."""
+
+    async def run_check() -> None:
+        settings = node_settings.NodeSettings(
+            'entry-0', 'tajo-norte', HOST, f'{HOST}:1'
+        )
+        with open(os.devnull, 'wb') as null:
+            account = budget.RequestBudget(
+                settings, events.EventLog('entry', '0', null.fileno())
+            )
+            server = channel.make_server(
+                channel.Service(ignore_messages), account
+            )
+            port = free_ports.find_free_ports(1)[0]
+            await server.start(HOST, port)
+            sweep = asyncio.ensure_future(account.run())
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(sent)
+            async with asyncio.timeout(30):
+                with contextlib.suppress(ConnectionResetError):
+                    await reader.read()
+            writer.close()
+            sweep.cancel()
+            server.close()
+
+    asyncio.run(run_check())
