Draw crowds of callers in the soak; document the limits of callers

`make soak` draws such seeds. test_seeds_that_nobody_names_have_all_faults looks at these seeds instead of the earlier ones and asks for crowds as well.

The five limits can be changed while a process runs.

--- a/borageshelf/settings_follower.py
+++ b/borageshelf/settings_follower.py
@@ -22,6 +22,11 @@
         'executor_lease_limit_ms',
         'grace_s',
         'status_retention_s',
+        'unfinished_requests_limit_bytes',
+        'connections_limit',
+        'headers_limit_ms',
+        'body_stall_limit_ms',
+        'answer_stall_limit_ms',
     }
 )
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,9 +47,9 @@
     if first is not None:
         return list(range(first, first + count))
     small = random.randrange(
-        plans.FIRST_SEED_WITH_RECURRING + count, site_plans.FIRST_SEED
+        plans.FIRST_SEED_WITH_CROWDS + count, site_plans.FIRST_SEED
     )
-    site = random.randrange(site_plans.FIRST_SEED_WITH_RECURRING, SEED_LIMIT)
+    site = random.randrange(site_plans.FIRST_SEED_WITH_CROWDS, SEED_LIMIT)
     return [
         site + number if number % SITE_INTERVAL == 0 else small - number
         for number in range(count)
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -6,6 +6,7 @@
 
 from borageshelf.workflows import policy
 from standins import gangs
+from tests.soak import crowds
 from tests.soak import recurring
 
 # Submissions and faults start within this time; then all workflows must end.
@@ -72,6 +73,8 @@
 FAILING_GANG_SHARE: Final = 0.3
 FIRST_SEED_WITH_GANG_CHECKPOINTS: Final = 3_800_000
 FIRST_SEED_WITH_RECURRING: Final = 3_900_000
+FIRST_SEED_WITH_CROWDS: Final = 3_950_000
+CROWD_COUNT_RANGE: Final = (1, 3)
 LOST_ENTRY_COUNT_RANGE: Final = (1, 2)
 LOST_ENTRY_DURATIONS_MS: Final = (800, 5_000)
 # As the sites of the users' platform have them.
@@ -163,6 +166,11 @@
         """Tell whether workflows repeat."""
         return any(item.repeats > 1 for item in self.submissions)
 
+    @property
+    def has_crowds(self) -> bool:
+        """Tell whether callers leave requests unfinished."""
+        return any(fault.subject == 'crowd' for fault in self.faults)
+
     @property
     def has_lost_entries(self) -> bool:
         """Tell whether an entry loses its power."""
@@ -255,6 +263,8 @@
         ]
     if seed >= FIRST_SEED_WITH_RECURRING:
         submissions = make_some_recurring(rng, submissions)
+    if seed >= FIRST_SEED_WITH_CROWDS:
+        faults += draw_crowds(rng, LOAD_DURATION_MS)
     faults.sort(key=lambda fault: fault.at_ms)
     return Plan(
         seed,
@@ -278,6 +288,20 @@
     )
 
 
+def draw_crowds(rng: random.Random, load_ms: int) -> list[Fault]:
+    """Return crowds of callers that leave their requests unfinished."""
+    return [
+        Fault(
+            rng.randint(FIRST_FAULT_AT_MS, load_ms),
+            rng.choice((800, 3_000, 5_000)),
+            'crowd',
+            rng.choice(crowds.KINDS),
+            rng.randrange(100),
+        )
+        for _ in range(rng.randint(*CROWD_COUNT_RANGE))
+    ]
+
+
 def _draw_shrink(rng: random.Random) -> Fault:
     """Return a fault that shrinks the capacity of an executor."""
     return Fault(
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -30,6 +30,7 @@
 from tests import loopback
 from tests import platform_support
 from tests.soak import checks
+from tests.soak import crowds
 from tests.soak import lost_entries
 from tests.soak import nodes
 from tests.soak import odd_entries
@@ -303,6 +304,10 @@
         count = 1 if fault.kind == 'cut-store' else 2
         with proxies.hold(run.proxies[first : first + count]):
             await asyncio.sleep(duration_s)
+    elif fault.subject == 'crowd':
+        called = [*run.entries, *run.agents]
+        node = called[fault.index % len(called)]
+        await crowds.gather(node, fault.kind, duration_s)
     elif fault.subject == 'vm':
         vm = run.vms[fault.index % len(run.vms)]
         await vms.inject_fault(vm, fault.kind, duration_s)
@@ -705,6 +710,8 @@
         stack.push_async_callback(executor.stop)
     run.entries = [nodes.Node(node, safeguard) for node in deployment.entries]
     for node in (*run.entries, *run.agents):
+        if plan.has_crowds:
+            node.node.settings.update(crowds.SETTINGS)
         await node.start()
         stack.push_async_callback(node.end, signal.SIGKILL)
     deployment.http = http
--- a/tests/soak/site_plans.py
+++ b/tests/soak/site_plans.py
@@ -15,6 +15,7 @@
 FIRST_SEED: Final = 4_000_000
 FIRST_SEED_WITH_ALL_FAULTS: Final = 4_700_000
 FIRST_SEED_WITH_RECURRING: Final = 4_800_000
+FIRST_SEED_WITH_CROWDS: Final = 4_850_000
 LOAD_MS: Final = 30_000
 ENTRIES: Final = 3
 TARGETS: Final = 11
@@ -75,6 +76,9 @@
         submissions = plans.make_some_gangs(rng, submissions, True)
     if seed >= FIRST_SEED_WITH_RECURRING:
         submissions = plans.make_some_recurring(rng, submissions)
+    if seed >= FIRST_SEED_WITH_CROWDS:
+        faults += plans.draw_crowds(rng, load_ms)
+        faults.sort(key=lambda fault: fault.at_ms)
     submissions.sort(key=lambda item: item.at_ms)
     return plans.Plan(
         seed,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,19 +50,20 @@
     seeds = soak.draw_seeds(None, 50)
     site_count = sum(seed >= site_plans.FIRST_SEED for seed in seeds)
     assert 10 <= site_count <= 40
-    assert min(seeds) >= plans.FIRST_SEED_WITH_RECURRING
+    assert min(seeds) >= plans.FIRST_SEED_WITH_CROWDS
     drawn = {
         (fault.subject, fault.kind)
-        for seed in range(4_800_000, 4_800_100)
+        for seed in range(4_850_000, 4_850_100)
         for fault in site_plans.make_plan(seed).faults
     }
     small = {
         (fault.subject, fault.kind)
-        for seed in range(3_900_000, 3_900_500)
+        for seed in range(3_950_000, 3_950_500)
         for fault in plans.make_plan(seed).faults
     }
     assert drawn >= small
     assert ('vm', 'refuse-executor') in small
+    assert ('crowd', 'small-chunks') in small
     assert ('entry-link', 'lose-power') in small
     assert all(
         any(item.has_gangs for item in site_plans.make_plan(seed).submissions)
