Spend less on a small request than before the budget

The sites wrote an access log to twisted's log, which nothing observes, and each iteration of the event loop with a request had a callback to renew the units of work. Both are left out; the units are renewed once half are used.

--- a/borageshelf/http_server/sites.py
+++ b/borageshelf/http_server/sites.py
@@ -151,9 +151,11 @@
         """Account what is held, and read on if there is room."""
         if self._is_closing:
             return
-        self._account()
-        if self._is_closing:
-            return
+        # A request that was passed on is accounted already.
+        if self._received or not self._handlingRequest:
+            self._account()
+            if self._is_closing:
+                return
         is_reading = len(self._received) < READ_AHEAD_BYTES
         if is_reading != self._is_reading:
             self._is_reading = is_reading
@@ -433,3 +435,10 @@
         if not self.budget.can_accept():
             return None
         return server.Site.buildProtocol(self, addr)
+
+    def log(self, request: Any) -> None:
+        """Write no access log, which nobody reads.
+
+        Twisted would format a line for each request, and nothing observes
+        its log.
+        """
--- a/borageshelf/http_server/turns.py
+++ b/borageshelf/http_server/turns.py
@@ -47,7 +47,10 @@
             return
         if self._left_units <= 0 or self._run_share(worker):
             self._waiting[worker] = None
-        self._schedule()
+        # In calm, most iterations need no callback of their own: what they
+        # leave is enough for the next one.
+        if self._waiting or self._left_units < WAITING_UNITS:
+            self._schedule()
 
     def forget(self, worker: Worker) -> None:
         """Leave out a connection that has ended."""
