--- a/borageshelf/http_server/budget.py
+++ b/borageshelf/http_server/budget.py
@@ -20,6 +20,9 @@
 # Connections beyond the limit that are answered with a refusal at a time.
 REFUSALS: Final = 4
 SWEEP_INTERVAL_MS: Final = 250
+# Looking at all connections takes milliseconds, so it is not done for each
+# arrival while none of them can be closed.
+RETRY_INTERVAL_MS: Final = 50
 LOG_INTERVAL_MS: Final = 1_000
 # Descriptors for files, for the streams to entries and agents, and for calls
 # to the store, executors and the list of VMs.
@@ -29,6 +32,8 @@
 # header lines less than 12 KB.
 CONNECTION_BYTES: Final = 12_000
 
+State = request_budget.State
+
 
 @dataclasses.dataclass(frozen=True)
 class Deadlines:
@@ -83,6 +88,7 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._logged_at_ms = clock.read_elapsed_ms()
         self._sweep_due_ms = clock.read_elapsed_ms() + SWEEP_INTERVAL_MS
+        self._retry_at_ms = 0
         self.turns = turns.Turns()
         self.apply_settings(settings)
 
@@ -129,7 +135,8 @@
         :param held_bytes: what it holds by itself
         :return: whether there is room
         """
-        if len(self._connections) >= self._limits.connections:
+        is_over = len(self._connections) >= self._limits.connections
+        if is_over and clock.read_elapsed_ms() >= self._retry_at_ms:
             self._enforce(arriving=1)
         if self._is_full():
             self._closing[connection] = None
@@ -145,8 +152,13 @@
             return
         self._held_bytes += held_bytes - connection.held_bytes
         connection.held_bytes = held_bytes
-        if self._held_bytes > self._limits.held_bytes:
+        if self._held_bytes <= self._limits.held_bytes:
+            return
+        now_ms = clock.read_elapsed_ms()
+        if now_ms >= self._retry_at_ms:
             self._enforce()
+        elif connection.describe(0, now_ms).state is not State.COMPLETE:
+            self._close(connection, request_budget.Cause.MEMORY)
 
     def release(self, connection: Connection) -> None:
         """Stop to account a connection that is being closed."""
@@ -202,11 +214,19 @@
         for closing in request_budget.choose_closings(
             described, limits, now_ms
         ):
-            connection = connections[closing.number]
-            self.release(connection)
-            cause = connection.shed(closing.cause)
-            if cause:
-                self.count(cause)
+            self._close(connections[closing.number], closing.cause)
+        held_bytes, count = self._held_bytes, len(self._connections)
+        if held_bytes > limits.held_bytes or count > limits.connections:
+            # Only complete requests are left.
+            self._retry_at_ms = now_ms + RETRY_INTERVAL_MS
+
+    def _close(
+        self, connection: Connection, cause: request_budget.Cause
+    ) -> None:
+        self.release(connection)
+        counted = connection.shed(cause)
+        if counted:
+            self.count(counted)
 
     def _log(self, now_ms: int) -> None:
         if self._counts and now_ms - self._logged_at_ms >= LOG_INTERVAL_MS:
