--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -17,6 +17,8 @@
 from borageshelf.entry.workflows import evacuations
 from borageshelf.entry.workflows import request_service
 from borageshelf import events
+from borageshelf.http_server import budget
+from borageshelf.http_server import sites
 from borageshelf import loop
 from borageshelf import measurements
 from borageshelf.model import workflows
@@ -47,6 +49,8 @@
 # An entry that knows no owner for less than this stays in the rotation of the
 # load balancer.
 OWNER_LOSS_GRACE_MS: Final = 5_000
+# Requests for metrics have no body.
+METRICS_BODY_LIMIT_BYTES: Final = 16_384
 
 
 class CallerSite(Protocol):
@@ -61,10 +65,10 @@
     active_requests: int
     last_active_at_ms: int
 
-    def make_site(self) -> Any:
+    def make_site(self, account: budget.RequestBudget) -> Any:
         """Return the site for callers."""
 
-    def make_ready_site(self) -> Any:
+    def make_ready_site(self, account: budget.RequestBudget) -> Any:
         """Return the site for the readiness check."""
 
 
@@ -122,6 +126,7 @@
             settings, reload, self._apply_settings, event_log
         )
         self._event_log = event_log
+        self._budget = budget.RequestBudget(settings, event_log)
         self._boot_id = uuid.uuid4().hex
         self._stop_requested = asyncio.Event()
         self._abort_requested = asyncio.Event()
@@ -177,22 +182,28 @@
         self._background.start_with_restarts(
             self._settings_follower.run, self._event_log.record_failure
         )
+        self._background.start_with_restarts(
+            self._budget.run, self._event_log.record_failure
+        )
         self._background.start_with_restarts(
             self._configuration_follower.run, self._event_log.record_failure
         )
         server = channel.make_server(
-            channel.Service(self._election.serve, self._record_abort)
+            channel.Service(self._election.serve, self._record_abort),
+            self._budget,
         )
         host, _, port = self._settings.inner_address.rpartition(':')
         await server.start(host, int(port))
         self._election.start()
         self._listen(
-            self._settings.caller_address, self._caller_site.make_site()
+            self._settings.caller_address,
+            self._caller_site.make_site(self._budget),
         )
         self._listen(
-            self._settings.ready_address, self._caller_site.make_ready_site()
+            self._settings.ready_address,
+            self._caller_site.make_ready_site(self._budget),
         )
-        listen_for_metrics(self._settings)
+        listen_for_metrics(self._settings, self._budget)
         self._event_log.record_state(
             'entry started',
             boot=self._boot_id,
@@ -237,6 +248,7 @@
 
     def _apply_settings(self, settings: node_settings.NodeSettings) -> None:
         self._settings = settings
+        self._budget.apply_settings(settings)
         self._election.owner_policy = policy.make_policy(settings)
 
     async def _drain(self) -> None:
@@ -294,11 +306,13 @@
         return quiet_ms < QUIET_MS
 
 
-def listen_for_metrics(settings: node_settings.NodeSettings) -> None:
+def listen_for_metrics(
+    settings: node_settings.NodeSettings, account: budget.RequestBudget
+) -> None:
     """Serve the metrics page over HTTP."""
-    from twisted.web import server
-
     reactor: Any = importlib.import_module('twisted.internet.reactor')
     make_page: Any = measurements.MetricsPage
-    site: Any = server.Site(make_page())
+    site = sites.BudgetSite(
+        make_page(), account, lambda: METRICS_BODY_LIMIT_BYTES, lambda _: b''
+    )
     reactor.listenTCP(settings.metrics_port, site, interface=settings.host)
--- a/borageshelf/node_settings.py
+++ b/borageshelf/node_settings.py
@@ -57,6 +57,15 @@
         queried after its end
     :param remote_factor: how many times as long a task takes on another rack
         than that of its data or its group; nothing waits if it is 1
+    :param unfinished_requests_limit_bytes: memory for what callers have sent
+        of requests and have not taken of answers
+    :param connections_limit: connections that the process accepts; less if
+        its limit of descriptors requires it
+    :param headers_limit_ms: time from the first byte of a request to the end
+        of its headers
+    :param body_stall_limit_ms: time that a body may be without progress
+    :param answer_stall_limit_ms: time in which a caller may take nothing of
+        its answer
     """
 
     node_id: str
@@ -80,6 +89,11 @@
     grace_s: float = 6.0
     status_retention_s: float = 120.0
     remote_factor: float = 1.0
+    unfinished_requests_limit_bytes: int = 41_943_040
+    connections_limit: int = 1_500
+    headers_limit_ms: int = 15_000
+    body_stall_limit_ms: int = 15_000
+    answer_stall_limit_ms: int = 15_000
 
     @property
     def processor_millicores(self) -> int:
@@ -96,6 +110,11 @@
     'grace_s': (0.5, 600),
     'status_retention_s': (1, 86_400),
     'remote_factor': (1, 100),
+    'unfinished_requests_limit_bytes': (1_000_000, 16_000_000_000),
+    'connections_limit': (16, 1_000_000),
+    'headers_limit_ms': (100, 600_000),
+    'body_stall_limit_ms': (100, 600_000),
+    'answer_stall_limit_ms': (100, 600_000),
 }
 # Checked unless they are 0, which switches their part off.
 _OPTIONAL_RANGES: Final[dict[str, tuple[float, float]]] = {
