Log when placement pauses for an old reading of the evacuations

The owner places nothing without a recent reading; a line with its age tells when that begins and ends. The line of the end of an evacuation has its length.

Measured: tests/test_evacuation.py passes (29).

--- a/borageshelf/entry/workflows/evacuations.py
+++ b/borageshelf/entry/workflows/evacuations.py
@@ -32,6 +32,7 @@
         self.own_data_centre = own_data_centre
         self._event_log = event_log
         self._listeners: list[Listener] = []
+        self._learned_at_ms: dict[str, int] = {}
         self.known = evacuation.EvacuatedSet(is_followed=True)
 
     def add_listener(self, listener: Listener) -> None:
@@ -88,14 +89,23 @@
         former = self.known.data_centres
         self.known = evacuation.EvacuatedSet(True, names, read_at_ms)
         measurements.EVACUATED_DATA_CENTRES.set(len(names))
-        age_ms = clock.read_elapsed_ms() - read_at_ms
-        for event, changed in (
-            ('evacuation begun', names - former),
-            ('evacuation ended', former - names),
-        ):
-            for name in sorted(changed):
-                self._event_log.record_state(
-                    event, data_centre=name, source=source, age_ms=age_ms
-                )
+        now_ms = clock.read_elapsed_ms()
+        age_ms = now_ms - read_at_ms
+        for name in sorted(names - former):
+            self._learned_at_ms[name] = now_ms
+            self._event_log.record_state(
+                'evacuation begun',
+                data_centre=name,
+                source=source,
+                age_ms=age_ms,
+            )
+        for name in sorted(former - names):
+            self._event_log.record_state(
+                'evacuation ended',
+                data_centre=name,
+                source=source,
+                age_ms=age_ms,
+                lasted_ms=now_ms - self._learned_at_ms.pop(name),
+            )
         for listener in self._listeners:
             listener(self.known)
--- a/borageshelf/workflows/evacuation_control.py
+++ b/borageshelf/workflows/evacuation_control.py
@@ -52,6 +52,7 @@
         self._record = record
         self._discovery_deadline_ms = discovery_deadline_ms
         self._known = evacuation.NOT_FOLLOWED
+        self._could_place = True
         # Those of targets, also of silent ones, and of settings.
         self._known_names: set[str] = set()
         self._reported_names: set[str] = set()
@@ -99,8 +100,20 @@
         return not evacuation.allows_starts(self.judge(target, now_ms))
 
     def may_place(self, now_ms: int) -> bool:
-        """Tell whether the set is recent enough to place anything."""
-        return evacuation.is_recent(self._known, now_ms)
+        """Tell whether the set is recent enough to place anything.
+
+        A change of the answer is logged.
+        """
+        may_place = evacuation.is_recent(self._known, now_ms)
+        if may_place != self._could_place:
+            self._could_place = may_place
+            read_at_ms = self._known.read_at_ms
+            self._record(
+                'placement resumed' if may_place else 'placement paused',
+                cause='age of the reading of the evacuations',
+                age_ms=None if read_at_ms is None else now_ms - read_at_ms,
+            )
+        return may_place
 
     # Lasting tasks.
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -145,6 +145,8 @@
     cluster.core.evacuation.apply(make_set(age_ms=limit_ms), cluster.moment)
     cluster.run_until_idle()
     assert cluster.sent_starts
+    logged = [event for event, _ in cluster.log_lines if 'placement' in event]
+    assert logged == ['placement paused', 'placement resumed']
 
 
 def test_unknown_data_centre_is_named_once_and_kept() -> None:
