Log the end of a copy that was given up once

Its original may end before the stop has arrived, and then a second line told of the same copy. 14 copies of a played load of long tasks now end with 14 lines.

--- a/borageshelf/workflows/copies.py
+++ b/borageshelf/workflows/copies.py
@@ -100,6 +100,9 @@
         copy = max(task.runs.values(), key=lambda other: other.attempt)
         is_won = copy is run
         started = self._started.pop(copy, None)
+        if started is None and copy.is_stopping and not is_won:
+            # It was given up, and its end is logged.
+            return
         saved_ms = 0
         if started is not None:
             self._note_outcome(copy, started, is_won)
