--- a/tests/test_configuration_properties.py
+++ b/tests/test_configuration_properties.py
@@ -113,8 +113,7 @@
 def test_every_fault_code_is_tested() -> None:
     """Guards against a fault code that no mutation or case produces."""
     mutated = {item.code.name for item in configuration_mutations.MUTATIONS}
-    cases = text_cases.read_cases('configuration-checks.test')
-    cases += text_cases.read_cases('queue-checks.test')
+    cases = text_cases.read_cases('*-checks.test')
     expected_texts = ' '.join(case.expected for case in cases)
     tested_elsewhere = {'UNREADABLE_FILE', 'FILE_TOO_LARGE'}
     for code in faults.REGISTRY.values():
