Look for lasting runs to move every 200 ms only

Passes of the placement come up to 60 times a second, and while no target has room each lasting step of an evacuated data centre would look through the fleet in each of them.

--- a/borageshelf/workflows/evacuation_control.py
+++ b/borageshelf/workflows/evacuation_control.py
@@ -8,6 +8,7 @@
 
 from collections import abc
 import dataclasses
+from typing import Final
 
 from borageshelf import clock
 from borageshelf.decisions import evacuation
@@ -18,6 +19,11 @@
 from borageshelf.workflows import targets
 
 
+# Passes of the placement are more frequent, and a look for room that is not
+# there costs as much as one of the placement for each lasting step.
+MOVE_INTERVAL_MS: Final = 200
+
+
 @dataclasses.dataclass(frozen=True)
 class KeptRoom:
     """Room for a task whose run is being stopped."""
@@ -57,6 +63,7 @@
         self._known_names: set[str] = set()
         self._reported_names: set[str] = set()
         self._kept_rooms: list[KeptRoom] = []
+        self._next_moves_ms = 0
 
     def apply(
         self, known: evacuation.EvacuatedSet, moment: clock.Moment
@@ -135,8 +142,9 @@
 
         Gangs are left where they are.
         """
-        if not self._known.data_centres:
+        if not self._known.data_centres or now_ms < self._next_moves_ms:
             return []
+        self._next_moves_ms = now_ms + MOVE_INTERVAL_MS
         self._fleet.refresh(now_ms)
         groups = {
             id(run.task.group): run.task.group
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -18,6 +18,7 @@
 from borageshelf.platform import documents
 from borageshelf.ports import store as store_interface
 from borageshelf.ports import task_executor
+from borageshelf.workflows import evacuation_control
 from borageshelf.workflows import messages
 from standins import faults
 from standins import memory_store
@@ -284,6 +285,7 @@
                 ],
                 self.cluster.moment,
             )
+        self.cluster.now_ms += evacuation_control.MOVE_INTERVAL_MS
         self.cluster.run_until_idle()
 
     def take_stopped(self) -> list[str]:
@@ -292,6 +294,7 @@
         stopped, fake.stop_orders = sorted(fake.stop_orders), set()
         for task in stopped:
             self.cluster.end_run(task, task_executor.EndKind.STOPPED)
+        self.cluster.now_ms += evacuation_control.MOVE_INTERVAL_MS
         self.cluster.run_until_idle()
         return [task[-1] for task in stopped]
 
