Show what crowds of callers that stop short still cost

Callers: 1,200 of them that stop short of the end of a body take an entry of workflows beyond the memory of its machine at default limits, and the entry of calls and jobs has no limit at all. The landed tests pass, because their few callers are processed as fast as they send.

Change: one module of crowds for the tests and the soak, which replaces the two that there were.

--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -1,9 +1,10 @@
 """Crowds of callers that leave their requests or answers unfinished."""
 
 import asyncio
-import contextlib
 from typing import Any, Final
 
+from borageshelf.workflows import channel
+from tests import crowds
 from tests.soak import nodes
 
 CALLERS: Final = 40
@@ -15,33 +16,33 @@
     'body_stall_limit_ms': 2_000,
     'answer_stall_limit_ms': 2_000,
 }
-_CHUNKED: Final = (
-    b'POST /short/00000000000000aa HTTP/1.1\r\nHost: jobs.example\r\n'
-    b'Transfer-Encoding: chunked\r\n\r\n'
-)
-PAYLOADS: Final = {
-    'large-chunks': _CHUNKED + (b'1000\r\n' + b'x' * 4_096 + b'\r\n') * 60,
-    'small-chunks': _CHUNKED + b'1\r\nx\r\n' * 60_000,
-    'headers': b'GET / HTTP/1.1\r\nA: ' + b'x' * 12_000,
-    'answers': b'GET / HTTP/1.1\r\nHost: jobs.example\r\n\r\n' * 1_000,
+_HEAD: Final = crowds.make_head('/short/00000000000000aa')
+CROWDS: Final = {
+    'large-chunks': crowds.Crowd(CALLERS, _HEAD + crowds.make_chunks(4_096)),
+    'small-chunks': crowds.Crowd(CALLERS, _HEAD + crowds.make_chunks(1)),
+    'headers': crowds.Crowd(CALLERS, b'GET / HTTP/1.1\r\nA: ' + b'x' * 12_000),
+    'answers': crowds.Crowd(CALLERS, crowds.make_requests('/', 1_000)),
+    'length': crowds.Crowd(
+        CALLERS, crowds.make_body_without_last_byte('/short/00000000000000aa')
+    ),
+    'reconnecting': crowds.Crowd(
+        CALLERS, _HEAD + crowds.make_chunks(4_096), reconnects=True
+    ),
+    'peers': crowds.make_pings(
+        CALLERS, 20_000, channel.METHOD_PATH, b'\x90', 'msgpack'
+    ),
 }
-KINDS: Final = tuple(PAYLOADS)
+KINDS: Final = tuple(CROWDS)
+# Earlier seeds draw from these.
+FIRST_KINDS: Final = KINDS[:4]
 
 
 async def gather(node: nodes.Node, kind: str, duration_s: float) -> None:
     """Let a crowd call a process for a while."""
     settings: dict[str, Any] = node.node.settings
     address = settings.get('caller_address')
-    host, _, port = (address or settings['registration_address']).rpartition(
-        ':'
-    )
-
-    async def call() -> None:
-        with contextlib.suppress(OSError):
-            _, writer = await asyncio.open_connection(host, int(port), limit=1)
-            with contextlib.closing(writer):
-                writer.write(PAYLOADS[kind])
-                await asyncio.sleep(duration_s)
-                writer.transport.abort()
-
-    await asyncio.gather(*(call() for _ in range(CALLERS)))
+    address = address or settings['registration_address']
+    if kind == 'peers':
+        address = settings.get('inner_address', address)
+    async with crowds.gather(CROWDS[kind], address, 0):
+        await asyncio.sleep(duration_s)
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -1,5 +1,6 @@
 """Derives the faults and the workload of one run from its seed."""
 
+from collections import abc
 import dataclasses
 import random
 from typing import Any, Final
@@ -75,6 +76,8 @@
 FIRST_SEED_WITH_RECURRING: Final = 3_900_000
 FIRST_SEED_WITH_CROWDS: Final = 3_950_000
 CROWD_COUNT_RANGE: Final = (1, 3)
+FIRST_SEED_WITH_MANY_CROWDS: Final = 3_970_000
+MANY_CROWDS_COUNT_RANGE: Final = (4, 7)
 LOST_ENTRY_COUNT_RANGE: Final = (1, 2)
 LOST_ENTRY_DURATIONS_MS: Final = (800, 5_000)
 # As the sites of the users' platform have them.
@@ -268,7 +271,9 @@
         ]
     if seed >= FIRST_SEED_WITH_RECURRING:
         submissions = make_some_recurring(rng, submissions)
-    if seed >= FIRST_SEED_WITH_CROWDS:
+    if seed >= FIRST_SEED_WITH_MANY_CROWDS:
+        faults += draw_many_crowds(rng, LOAD_DURATION_MS)
+    elif seed >= FIRST_SEED_WITH_CROWDS:
         faults += draw_crowds(rng, LOAD_DURATION_MS)
     faults.sort(key=lambda fault: fault.at_ms)
     return Plan(
@@ -293,20 +298,30 @@
     )
 
 
-def draw_crowds(rng: random.Random, load_ms: int) -> list[Fault]:
+def draw_crowds(
+    rng: random.Random,
+    load_ms: int,
+    kinds: abc.Sequence[str] = crowds.FIRST_KINDS,
+    count_range: tuple[int, int] = CROWD_COUNT_RANGE,
+) -> list[Fault]:
     """Return crowds of callers that leave their requests unfinished."""
     return [
         Fault(
             rng.randint(FIRST_FAULT_AT_MS, load_ms),
             rng.choice((800, 3_000, 5_000)),
             'crowd',
-            rng.choice(crowds.KINDS),
+            rng.choice(kinds),
             rng.randrange(100),
         )
-        for _ in range(rng.randint(*CROWD_COUNT_RANGE))
+        for _ in range(rng.randint(*count_range))
     ]
 
 
+def draw_many_crowds(rng: random.Random, load_ms: int) -> list[Fault]:
+    """Return crowds of all kinds, several of which overlap."""
+    return draw_crowds(rng, load_ms, crowds.KINDS, MANY_CROWDS_COUNT_RANGE)
+
+
 def _draw_shrink(rng: random.Random) -> Fault:
     """Return a fault that shrinks the capacity of an executor."""
     return Fault(
