Account what a connection receives while it waits for its turn

Callers: beside many unfinished bodies, above all in small chunks, a process runs out of memory.

Cause: Turns.work returned before the account was updated if a connection waited for its turn already, or if the work of this iteration was used up. So nothing was counted and reading went on: each connection took all that its caller sent, up to the whole body on the wire (1.4 MB for 240,000 bytes in chunks of one byte).

Change: the account is updated there as well, which closes connections at the limit and stops reading at 16 KB that are not processed.

It works because no path is left on which a connection keeps bytes that the limit doesn't see.

--- a/borageshelf/http_server/sites.py
+++ b/borageshelf/http_server/sites.py
@@ -159,8 +159,8 @@
         self._take_back()
         return 1 + len(data) // BODY_UNIT_BYTES
 
-    def note_advanced(self) -> None:
-        """Account what is held, and read on if there is room."""
+    def update_account(self) -> None:
+        """Account what is held now, and stop or continue reading."""
         if self._is_closing:
             return
         # A request that was passed on is accounted already.
--- a/borageshelf/http_server/turns.py
+++ b/borageshelf/http_server/turns.py
@@ -23,8 +23,8 @@
     def advance(self, units: int) -> int:
         """Process bytes; return the units, or 0 if nothing can be done."""
 
-    def note_advanced(self) -> None:
-        """Take into account what was processed."""
+    def update_account(self) -> None:
+        """Account what is held now, and stop or continue reading."""
 
 
 class Turns:
@@ -44,8 +44,12 @@
     def work(self, worker: Worker) -> None:
         """Process what a connection has received, now or in its turn."""
         if worker in self._waiting:
+            worker.update_account()
             return
-        if self._left_units <= 0 or self._run_share(worker):
+        if self._left_units <= 0:
+            self._waiting[worker] = None
+            worker.update_account()
+        elif self._run_share(worker):
             self._waiting[worker] = None
         # In calm, most iterations need no callback of their own: what they
         # leave is enough for the next one.
@@ -65,7 +69,7 @@
             if not units:
                 break
         self._left_units -= used_units
-        worker.note_advanced()
+        worker.update_account()
         return used_units >= SHARE_UNITS
 
     def _schedule(self) -> None:
