Bound the kernel's buffers from the listener on

Callers: as before; a crowd that connects again and again makes a machine hold 206 MB of unread bytes beside what the process accounts.

Cause: SO_RCVBUF of 65,536 was set on accepted connections. Until then the kernel had offered its own window, connections in the backlog were not bounded at all, and 1,500 connections times 128 KB exceed any of the machines.

Change: the listener has the sizes (8,192 for receiving, 32,768 for sending) and connections inherit them, which saves two system calls a connection.

A body of 262,144 bytes takes about 22 round trips instead of 4 (calculated).

--- a/borageshelf/agent/workflows/process.py
+++ b/borageshelf/agent/workflows/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import abc
-import importlib
 from typing import Any, Final, Protocol
 import uuid
 
@@ -12,6 +11,7 @@
 from borageshelf.entry.workflows import process as entry_process
 from borageshelf import events
 from borageshelf.http_server import budget
+from borageshelf.http_server import listeners
 from borageshelf import loop
 from borageshelf.model import targets
 from borageshelf import node_settings
@@ -95,10 +95,9 @@
         self._background.start_with_restarts(
             self._settings_follower.run, self._event_log.record_failure
         )
-        reactor: Any = importlib.import_module('twisted.internet.reactor')
         host, _, port = self._settings.registration_address.rpartition(':')
         site = self._site.make_site(self._budget)
-        reactor.listenTCP(int(port), site, interface=host)
+        listeners.listen(host, int(port), site)
         entry_process.listen_for_metrics(self._settings, self._budget)
         self._background.start_with_restarts(
             self._budget.run, self._event_log.record_failure
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections import abc
 import dataclasses
-import importlib
 from typing import Any, Final, Protocol
 import uuid
 
@@ -18,6 +17,7 @@
 from borageshelf.entry.workflows import request_service
 from borageshelf import events
 from borageshelf.http_server import budget
+from borageshelf.http_server import listeners
 from borageshelf.http_server import sites
 from borageshelf import loop
 from borageshelf import measurements
@@ -223,12 +223,9 @@
         self._event_log.record_state('stream aborted', cause=cause)
 
     def _listen(self, address: str, site: Any) -> None:
-        reactor: Any = importlib.import_module('twisted.internet.reactor')
         host, _, port = address.rpartition(':')
         self._listeners.append(
-            reactor.listenTCP(
-                int(port), site, backlog=LISTEN_BACKLOG, interface=host
-            )
+            listeners.listen(host, int(port), site, LISTEN_BACKLOG)
         )
 
     def _is_ready(self) -> bool:
@@ -310,9 +307,8 @@
     settings: node_settings.NodeSettings, account: budget.RequestBudget
 ) -> None:
     """Serve the metrics page over HTTP."""
-    reactor: Any = importlib.import_module('twisted.internet.reactor')
     make_page: Any = measurements.MetricsPage
     site = sites.BudgetSite(
         make_page(), account, lambda: METRICS_BODY_LIMIT_BYTES, lambda _: b''
     )
-    reactor.listenTCP(settings.metrics_port, site, interface=settings.host)
+    listeners.listen(settings.host, settings.metrics_port, site)
--- a/borageshelf/http_server/sites.py
+++ b/borageshelf/http_server/sites.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections import abc
 import io
-import socket
 from typing import Any, Final
 
 from twisted.protocols import basic
@@ -35,11 +34,6 @@
 # Reading stops while so much is not processed yet.
 READ_AHEAD_BYTES: Final = 16_384
 RECEIVE_BYTES: Final = 32_768
-# Buffers of the kernel, which it doubles. By itself it lets them grow to
-# megabytes, which are memory of the machine as well. Callers get the window
-# that the kernel begins with by itself.
-SOCKET_RECEIVE_BYTES: Final = 65_536
-SOCKET_SEND_BYTES: Final = 32_768
 # A body makes progress with so many bytes, framing included, or else a byte
 # now and then would keep a request open.
 PROGRESS_BYTES: Final = 1_024
@@ -108,12 +102,6 @@
         """Take in the connection if there is room."""
         http.HTTPChannel.connectionMade(self)
         self.transport.bufferSize = RECEIVE_BYTES
-        handle = self.transport.getHandle()
-        for option, size_bytes in (
-            (socket.SO_RCVBUF, SOCKET_RECEIVE_BYTES),
-            (socket.SO_SNDBUF, SOCKET_SEND_BYTES),
-        ):
-            handle.setsockopt(socket.SOL_SOCKET, option, size_bytes)
         self._budget: budget.RequestBudget = self.site.budget
         self._progress_at_ms = clock.read_elapsed_ms()
         self._deadline_ms = self._progress_at_ms + IDLE_LIMIT_MS
