Close answers that their callers do not take for others

Callers: while as many others as there are connections take none of their answers, each new connection is refused until the deadline of those answers, and each byte that they take moves that deadline.

Cause: a connection counted as complete until its answer was taken, and a complete one is never closed for others. The kernel's buffers were not counted.

Change: an answer that has waited for its caller for 1 s may be closed if a limit is exceeded, after stalled requests and before requests that go on. The deadline moves only with each 1,024 bytes taken. The kernel's buffer for receiving counts while a connection is not read, the one for sending once an answer has stalled. Answers that are streamed, and connections that are being closed, have the deadline as well. Pauses of the process move the time since which an answer waits. An account that hasn't changed is not updated again.

Requests that are being worked on are still never closed, so that no refusal is untrue; who doesn't take an answer for 1 s can lose it only while a limit is exceeded.

--- a/borageshelf/decisions/request_budget.py
+++ b/borageshelf/decisions/request_budget.py
@@ -25,10 +25,12 @@
 
     UNFINISHED = 1
     """For the rest of a request, or for its first request."""
-    IDLE = 2
+    UNTAKEN = 2
+    """For the caller to take an answer; closed for others once it stalls."""
+    IDLE = 3
     """For the next request."""
-    COMPLETE = 3
-    """For an answer, or for the caller to take it; not closed for others."""
+    COMPLETE = 4
+    """For an answer; not closed for others."""
 
 
 class Cause(enum.StrEnum):
@@ -43,7 +45,8 @@
 class Connection:
     """A connection and what it holds.
 
-    :param progress_at_ms: elapsed time of the last progress of its request
+    :param progress_at_ms: elapsed time of the last progress of its request,
+        or at which its answer began to wait for the caller
     :param deadline_ms: elapsed time after which it is closed; 0 for none
     """
 
@@ -79,9 +82,10 @@
 ) -> list[Closing]:
     """Return the connections to close, in this order.
 
-    Those past their deadline come first. If a limit is exceeded, those that
-    stand still follow, longest first, and then the largest ones. Requests
-    without their end come before connections that are idle between requests.
+    Those past their deadline come first. If a limit is exceeded, requests
+    without progress follow, longest first, then answers that their callers do
+    not take, then the other unfinished requests, largest first, and then
+    connections that are idle between requests.
     """
     closings = []
     candidates = []
@@ -92,7 +96,7 @@
             continue
         held_bytes += connection.held_bytes
         count += 1
-        if connection.state is not State.COMPLETE:
+        if can_close(connection, now_ms):
             candidates.append(connection)
     is_memory_short = held_bytes > limits.held_bytes
     is_count_high = count > limits.connections
@@ -116,10 +120,27 @@
     return closings
 
 
+def can_close(connection: Connection, now_ms: int) -> bool:
+    """Tell whether a connection may be closed for others."""
+    if connection.state is State.UNTAKEN:
+        return is_stalled(connection.progress_at_ms, now_ms)
+    return connection.state is not State.COMPLETE
+
+
+def is_stalled(progress_at_ms: int, now_ms: int) -> bool:
+    """Tell whether a request or an answer counts as stalled.
+
+    :param progress_at_ms: elapsed time of its last progress
+    """
+    return now_ms - progress_at_ms >= STALLED_AFTER_MS
+
+
 def _rank(connection: Connection, now_ms: int) -> tuple[int, int, int]:
     still_ms = now_ms - connection.progress_at_ms
     if connection.state is State.IDLE:
-        return (2, -still_ms, 0)
-    if still_ms >= STALLED_AFTER_MS:
+        return (3, -still_ms, 0)
+    if connection.state is State.UNTAKEN:
+        return (1, -still_ms, -connection.held_bytes)
+    if is_stalled(connection.progress_at_ms, now_ms):
         return (0, -still_ms, -connection.held_bytes)
-    return (1, -connection.held_bytes, -still_ms)
+    return (2, -connection.held_bytes, -still_ms)
--- a/borageshelf/http_server/budget.py
+++ b/borageshelf/http_server/budget.py
@@ -32,8 +32,6 @@
 # header lines less than 12 KB.
 CONNECTION_BYTES: Final = 12_000
 
-State = request_budget.State
-
 
 @dataclasses.dataclass(frozen=True)
 class Deadlines:
@@ -59,10 +57,10 @@
     held_bytes: int
 
     def describe(self, number: int, now_ms: int) -> request_budget.Connection:
-        """Return what the decision needs to know."""
+        """Account what has changed with time, and describe the connection."""
 
     def postpone(self, pause_ms: int) -> None:
-        """Move the deadline by a pause of this process."""
+        """Move deadline and last progress by a pause of this process."""
 
     def shed(self, cause: request_budget.Cause) -> str:
         """Close the connection.
@@ -147,19 +145,24 @@
         return True
 
     def account(self, connection: Connection, held_bytes: int) -> None:
-        """Replace the bytes that a connection holds."""
-        if connection not in self._connections:
-            return
-        self._held_bytes += held_bytes - connection.held_bytes
-        connection.held_bytes = held_bytes
+        """Replace the bytes that a connection holds; enforce the limits."""
+        self.adjust(connection, held_bytes)
         if self._held_bytes <= self._limits.held_bytes:
             return
         now_ms = clock.read_elapsed_ms()
         if now_ms >= self._retry_at_ms:
             self._enforce()
-        elif connection.describe(0, now_ms).state is not State.COMPLETE:
+        elif connection in self._connections and request_budget.can_close(
+            connection.describe(0, now_ms), now_ms
+        ):
             self._close(connection, request_budget.Cause.MEMORY)
 
+    def adjust(self, connection: Connection, held_bytes: int) -> None:
+        """Replace the bytes that a connection holds, and enforce no limit."""
+        if connection in self._connections:
+            self._held_bytes += held_bytes - connection.held_bytes
+            connection.held_bytes = held_bytes
+
     def release(self, connection: Connection) -> None:
         """Stop to account a connection that is being closed."""
         if connection in self._connections:
--- a/borageshelf/http_server/sites.py
+++ b/borageshelf/http_server/sites.py
@@ -18,6 +18,7 @@
 from borageshelf.decisions import request_budget
 from borageshelf.http_server import budget
 from borageshelf.http_server import chunks
+from borageshelf.http_server import listeners
 
 State = request_budget.State
 
@@ -34,8 +35,8 @@
 # Reading stops while so much is not processed yet.
 READ_AHEAD_BYTES: Final = 16_384
 RECEIVE_BYTES: Final = 32_768
-# A body makes progress with so many bytes, framing included, or else a byte
-# now and then would keep a request open.
+# A body makes progress with so many bytes, framing included, and so does an
+# answer, or else a byte now and then would keep a request open.
 PROGRESS_BYTES: Final = 1_024
 # Objects that a header line is kept as, beside its text.
 HEADER_LINE_BYTES: Final = 300
@@ -96,6 +97,7 @@
         self._progress_at_ms = 0
         self._deadline_ms = 0
         self._unsent_bytes = 0
+        self._is_answer_stalled = False
         self._abort_timer: asyncio.TimerHandle | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -151,11 +153,6 @@
         """Account what is held now, and stop or continue reading."""
         if self._is_closing:
             return
-        # A request that was passed on is accounted already.
-        if self._received or not self._handlingRequest:
-            self._account()
-            if self._is_closing:
-                return
         is_reading = len(self._received) < READ_AHEAD_BYTES
         if is_reading != self._is_reading:
             self._is_reading = is_reading
@@ -163,14 +160,16 @@
                 self.transport.resumeProducing()
             else:
                 self.transport.pauseProducing()
+        # A request that was passed on is accounted already.
+        if self._received or not self._handlingRequest:
+            self._account()
 
     def describe(self, number: int, now_ms: int) -> request_budget.Connection:
-        """Return what the decision needs to know."""
+        """Account an answer that waits for its caller, and describe both."""
+        state = self._state
         if self._unsent_bytes:
-            unsent_bytes = self._count_unsent()
-            if unsent_bytes < self._unsent_bytes:
-                self._unsent_bytes = unsent_bytes
-                self._deadline_ms = now_ms + self._budget.deadlines.answer_ms
+            state = State.UNTAKEN
+            self._observe_answer(now_ms)
         deadline_ms = self._deadline_ms
         progress_at_ms = self._progress_at_ms
         if self._budget.turns.is_waiting(self):
@@ -179,14 +178,15 @@
             progress_at_ms = now_ms
         return request_budget.Connection(
             number,
-            self._state,
+            state,
             self.held_bytes,
             progress_at_ms,
             deadline_ms,
         )
 
     def postpone(self, pause_ms: int) -> None:
-        """Move the deadline by a pause of this process."""
+        """Move deadline and last progress by a pause of this process."""
+        self._progress_at_ms += pause_ms
         if self._deadline_ms:
             self._deadline_ms += pause_ms
 
@@ -195,7 +195,9 @@
         if self._unsent_bytes:
             self._is_closing = True
             self.transport.abortConnection()
-            return 'answer deadline'
+            if cause is request_budget.Cause.DEADLINE:
+                return 'answer deadline'
+            return 'answer stalled'
         if not self._has_begun():
             self._is_closing = True
             http.HTTPChannel.loseConnection(self)
@@ -282,27 +284,39 @@
         # Ends the parsing of lines, of which others may be received.
         self.paused = True
         http.HTTPChannel.requestDone(self, request)
-        now_ms = clock.read_elapsed_ms()
-        self._progress_at_ms = now_ms
-        self._unsent_bytes = self._count_unsent()
-        if self._unsent_bytes:
-            self._deadline_ms = now_ms + self._budget.deadlines.answer_ms
+        self._is_reading = True
+        if self._await_caller():
             # Makes the transport call ``resumeProducing`` once all is sent.
             self.transport.producerPaused = True
-            self._account()
         else:
-            self._become_idle(now_ms)
-        self._is_reading = True
+            self._become_idle(clock.read_elapsed_ms())
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection once the caller has taken the answer."""
+        http.HTTPChannel.loseConnection(self)
+        self._await_caller()
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Do nothing: no request is processed while an answer is unsent."""
+        """Pause an answer that is streamed until the caller has taken it.
+
+        Any other answer is in memory already, and no request is processed
+        before it has been sent.
+        """
+        if self._requestProducer is not None:
+            self._requestProducer.pauseProducing()
+            self._await_caller()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Go on with the next request once the answer is sent."""
+        """Go on with the answer or the next request once all is sent."""
         if self._is_closing or not self._unsent_bytes:
             return
         self._unsent_bytes = 0
+        self._is_answer_stalled = False
         if self._handlingRequest:
+            self._deadline_ms = 0
+            self._account()
+            if self._requestProducer is not None:
+                self._requestProducer.resumeProducing()
             return
         self._become_idle(clock.read_elapsed_ms())
         if self._received:
@@ -369,6 +383,30 @@
             self._progress_at_ms = now_ms
             self._deadline_ms = now_ms + self._budget.deadlines.body_ms
 
+    def _await_caller(self) -> bool:
+        """Set the deadline for taking what is unsent of an answer.
+
+        :return: whether anything is unsent
+        """
+        self._progress_at_ms = clock.read_elapsed_ms()
+        self._unsent_bytes = self._count_unsent()
+        if not self._unsent_bytes:
+            return False
+        answer_ms = self._budget.deadlines.answer_ms
+        self._deadline_ms = self._progress_at_ms + answer_ms
+        self._account()
+        return True
+
+    def _observe_answer(self, now_ms: int) -> None:
+        """Move the deadline of an answer if the caller takes it."""
+        unsent_bytes = self._count_unsent()
+        if unsent_bytes <= self._unsent_bytes - PROGRESS_BYTES:
+            self._unsent_bytes = max(unsent_bytes, 1)
+            self._deadline_ms = now_ms + self._budget.deadlines.answer_ms
+        if request_budget.is_stalled(self._progress_at_ms, now_ms):
+            self._is_answer_stalled = True
+        self._budget.adjust(self, self._count_held())
+
     def _take_back(self) -> None:
         """Take back what twisted keeps of the next request."""
         if self._dataBuffer:
@@ -391,6 +429,15 @@
         )
 
     def _account(self) -> None:
+        held_bytes = self._count_held()
+        if held_bytes != self.held_bytes:
+            self._budget.account(self, held_bytes)
+
+    def _count_held(self) -> int:
+        """Return the bytes that the connection holds.
+
+        The kernel's buffers count while they are likely to be full.
+        """
         held_bytes = (
             budget.CONNECTION_BYTES
             + self._request_bytes
@@ -401,7 +448,11 @@
         )
         if self.line_mode and self._receivedHeaderSize:
             held_bytes += self._count_header_bytes()
-        self._budget.account(self, held_bytes)
+        if not self._is_reading:
+            held_bytes += listeners.KERNEL_RECEIVE_BYTES
+        if self._is_answer_stalled:
+            held_bytes += listeners.KERNEL_SEND_BYTES
+        return held_bytes
 
 
 class BudgetSite(server.Site):
--- a/tests/test_request_budget.py
+++ b/tests/test_request_budget.py
@@ -70,3 +70,12 @@
         (21, Cause.CONNECTIONS),
         (20, Cause.CONNECTIONS),
     ]
+
+
+def test_untaken_answers_are_closed_once_they_stall() -> None:
+    """Guards against a crowd that takes no answers and keeps all places."""
+    stalled = make(0, State.UNTAKEN, 900, still_ms=1_500)
+    fresh = make(1, State.UNTAKEN, 700, still_ms=900)
+    unfinished = make(2, held_bytes=100)
+    assert choose(stalled, fresh, unfinished) == [(0, Cause.MEMORY)]
+    assert choose(fresh, make(3, State.UNTAKEN, 950)) == []
