Serve calls and jobs within the request budget

Callers: 240 of them with bodies of 900,000 bytes that stop short make an entry of calls and jobs hold 231 MB and 501 descriptors, mostly in temporary files; beside 240 with chunks of one byte, no ordinary call was answered.

Cause: the entry had a server of its own with a limit for one body and none for all. Its inner listener had no limit either.

Refusals are result codes: the new REQUEST_TIMEOUT (408) and NO_ROOM (503), both "not run". The limits are flags; the defaults are 40 MB, 1,500 connections and 15 s. Streamed answers keep their flow control. The administration listener keeps its own limits and gets the bounded buffers of the kernel.

It works because bodies are in memory and counted, and the work on chunks is bounded in each iteration of the event loop.

--- a/borageshelf/entry/admin.py
+++ b/borageshelf/entry/admin.py
@@ -27,6 +27,7 @@
 from borageshelf.entry import admin_documents
 from borageshelf.entry import documents
 from borageshelf import errors
+from borageshelf.http_server import listeners
 from borageshelf import options
 from borageshelf import telemetry as telemetry_module
 
@@ -177,12 +178,17 @@
     root = AdminResource(provider, settings.admin_token, telemetry)
     site = admin_channel.AdminSite(root, reactor)
     address = settings.admin_address
-    if not settings.admin_certificate_path:
-        return reactor.listenTCP(address.port, site, interface=address.host)
-    context = make_tls_context(settings)
-    return reactor.listenSSL(
-        address.port, site, context, interface=address.host
-    )
+    if settings.admin_certificate_path:
+        context = make_tls_context(settings)
+        listener = reactor.listenSSL(
+            address.port, site, context, interface=address.host
+        )
+    else:
+        listener = reactor.listenTCP(
+            address.port, site, interface=address.host
+        )
+    listeners.bound_buffers(listener)
+    return listener
 
 
 def make_tls_context(settings: options.EntryOptions) -> Any:
--- a/borageshelf/entry/callers.py
+++ b/borageshelf/entry/callers.py
@@ -18,12 +18,13 @@
 
 from borageshelf import clock
 from borageshelf import decoding
-from borageshelf.entry import bounded_site
 from borageshelf.entry import call_tries
 from borageshelf.entry import calls
 from borageshelf.entry import documents
 from borageshelf.entry import jobs
 from borageshelf import errors
+from borageshelf.http_server import budget
+from borageshelf.http_server import sites
 from borageshelf.model import objects
 from borageshelf import settings
 
@@ -31,7 +32,17 @@
 # int() raises an error for texts of thousands of digits.
 TIMEOUT_DIGITS_LIMIT: Final = 18
 JOB_POLL_INTERVAL_MS: Final = 200
-IDLE_TIMEOUT_S: Final = 120
+IDLE_LIMIT_MS: Final = 120_000
+BODY_LIMIT_BYTES: Final = 1_000_000
+_REFUSAL_CODES: Final = {
+    code.http_status: code
+    for code in (
+        errors.BAD_REQUEST,
+        errors.REQUEST_TIMEOUT,
+        errors.BODY_TOO_LARGE,
+        errors.NO_ROOM,
+    )
+}
 
 Handler = abc.Callable[[server.Request], abc.Coroutine[Any, Any, None]]
 
@@ -92,12 +103,18 @@
         self._job_service = job_service
         self._find_configuration = find_configuration
 
-    def make_site(self) -> server.Site:
-        """Return the site that serves the resources."""
-        root = Router(self._find_endpoint)
-        site: Any = bounded_site.BoundedSite
-        caller_site: server.Site = site(root, timeout=IDLE_TIMEOUT_S)
-        return caller_site
+    def make_site(self, account: budget.RequestBudget) -> sites.BudgetSite:
+        """Return the site that serves the resources.
+
+        :param account: what its connections count against
+        """
+        return sites.BudgetSite(
+            Router(self._find_endpoint),
+            account,
+            lambda: BODY_LIMIT_BYTES,
+            _encode_refusal,
+            IDLE_LIMIT_MS,
+        )
 
     def _find_endpoint(self, path: tuple[str, ...]) -> Endpoint | None:
         """Return the endpoint of a path, or None if there is none."""
@@ -288,6 +305,11 @@
             )
 
 
+def _encode_refusal(status: int, reason: str) -> bytes:
+    error = errors.BorageshelfError(_REFUSAL_CODES[status], reason)
+    return msgspec.json.encode(documents.describe_error(error))
+
+
 def _check_content(request: server.Request) -> None:
     if request.content is None:
         raise errors.BorageshelfError(
--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -7,8 +7,6 @@
 from typing import Any, Final
 import uuid
 
-import grpclib.server
-
 from borageshelf import clock
 from borageshelf.configuration import propagation
 from borageshelf.decisions import admission
@@ -24,6 +22,9 @@
 from borageshelf.entry import status
 from borageshelf.entry import watchdog
 from borageshelf import errors
+from borageshelf.http_server import budget
+from borageshelf.http_server import grpc_server
+from borageshelf.http_server import listeners
 from borageshelf import loop as loop_module
 from borageshelf.model import objects
 from borageshelf import options as options_module
@@ -38,6 +39,10 @@
 # With twisted's default of 50, connections of a burst are dropped, which a
 # caller notices only after a second.
 CONNECTION_BACKLOG: Final = 1024
+# Entries and agents send their first message as soon as they are connected.
+FIRST_MESSAGE_LIMIT_MS: Final = 3_600
+# Requests of another entry that are open at a time, one for each claim or job.
+PEER_STREAMS_LIMIT: Final = 1_000
 # Time for load balancers to notice that the entry is no longer ready, before
 # it closes its listeners.
 LOAD_BALANCER_DELAY_MS: Final = 500
@@ -57,6 +62,7 @@
         self._stopping = asyncio.Event()
         self._aborting = asyncio.Event()
         self._background = loop_module.TaskGroup()
+        self._budget = budget.RequestBudget(options, telemetry)
         self._store = http_store.HttpStore(options.store_url)
         regional_store = scoped_store.ScopedStore(
             self._store, f'regions/{options.region}/'
@@ -126,10 +132,21 @@
             self._stopping.set,
             self._aborting.set,
         )
-        server = grpclib.server.Server([self._service])
+        server = grpc_server.GuardedServer(
+            [self._service],
+            self._budget,
+            FIRST_MESSAGE_LIMIT_MS,
+            PEER_STREAMS_LIMIT,
+        )
         await server.start(
             self._options.inner_address.host, self._options.inner_address.port
         )
+        self._background.start_with_restarts(
+            self._budget.run,
+            lambda error: self._telemetry.log_state(
+                'request budget failed', error=repr(error)
+            ),
+        )
         self._holder.add_observer(self._apply_configuration)
         watcher = propagation.ConfigurationWatcher(
             self._store,
@@ -158,14 +175,11 @@
         reactor: Any = importlib.import_module('twisted.internet.reactor')
         site = callers.CallerSite(
             self._calls, self._jobs, self._find_configuration
-        ).make_site()
+        ).make_site(self._budget)
         address = self._options.caller_address
         self._listeners.append(
-            reactor.listenTCP(
-                address.port,
-                site,
-                backlog=CONNECTION_BACKLOG,
-                interface=address.host,
+            listeners.listen(
+                address.host, address.port, site, CONNECTION_BACKLOG
             )
         )
         admin.listen(reactor, self._options, self._status, self._telemetry)
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -309,6 +309,6 @@
     """Serve the metrics page over HTTP."""
     make_page: Any = measurements.MetricsPage
     site = sites.BudgetSite(
-        make_page(), account, lambda: METRICS_BODY_LIMIT_BYTES, lambda _: b''
+        make_page(), account, lambda: METRICS_BODY_LIMIT_BYTES, lambda *_: b''
     )
     listeners.listen(settings.host, settings.metrics_port, site)
--- a/borageshelf/errors.py
+++ b/borageshelf/errors.py
@@ -113,6 +113,13 @@
 NOT_FOUND = register(
     107, 'NOT_FOUND', Category.NOT_RUN, 404, 'No such resource.'
 )
+REQUEST_TIMEOUT = register(
+    108,
+    'REQUEST_TIMEOUT',
+    Category.NOT_RUN,
+    408,
+    'The request did not arrive in time.',
+)
 
 # Requests that are refused because of the state of the system.
 OVERLOADED = register(
@@ -187,6 +194,13 @@
     503,
     'The process cannot confirm its configuration version.',
 )
+NO_ROOM = register(
+    212,
+    'NO_ROOM',
+    Category.NOT_RUN,
+    503,
+    'The process holds too many unfinished requests.',
+)
 
 # Work that ran or may have run.
 OUTCOME_UNKNOWN = register(
--- a/borageshelf/http_server/__init__.py
+++ b/borageshelf/http_server/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP server of the workflow processes, within one budget a process."""
+"""HTTP and gRPC servers whose connections share one budget a process."""
--- a/borageshelf/http_server/budget.py
+++ b/borageshelf/http_server/budget.py
@@ -11,11 +11,9 @@
 
 from borageshelf import clock
 from borageshelf.decisions import request_budget
-from borageshelf import events
+from borageshelf.http_server import reporting
 from borageshelf.http_server import turns
 from borageshelf import loop
-from borageshelf import measurements
-from borageshelf import node_settings
 
 # Connections beyond the limit that are answered with a refusal at a time.
 REFUSALS: Final = 4
@@ -33,6 +31,28 @@
 CONNECTION_BYTES: Final = 12_000
 
 
+class Settings(Protocol):
+    """Settings of a process that the budget follows.
+
+    They are described in ``node_settings.NodeSettings``.
+    """
+
+    @property
+    def unfinished_requests_limit_bytes(self) -> int: ...
+
+    @property
+    def connections_limit(self) -> int: ...
+
+    @property
+    def headers_limit_ms(self) -> int: ...
+
+    @property
+    def body_stall_limit_ms(self) -> int: ...
+
+    @property
+    def answer_stall_limit_ms(self) -> int: ...
+
+
 @dataclasses.dataclass(frozen=True)
 class Deadlines:
     """Times that a caller gets.
@@ -72,14 +92,13 @@
 class RequestBudget:
     """Account of all connections of a process.
 
+    :param sink: what ``reporting`` reports to
     :ivar deadlines: times that callers get
     :ivar turns: the work on what they send
     """
 
-    def __init__(
-        self, settings: node_settings.NodeSettings, event_log: events.EventLog
-    ) -> None:
-        self._event_log = event_log
+    def __init__(self, settings: Settings, sink: object) -> None:
+        self._sink = sink
         self._connections: dict[Connection, None] = {}
         self._closing: dict[Connection, None] = {}
         self._held_bytes = 0
@@ -90,7 +109,7 @@
         self.turns = turns.Turns()
         self.apply_settings(settings)
 
-    def apply_settings(self, settings: node_settings.NodeSettings) -> None:
+    def apply_settings(self, settings: Settings) -> None:
         """Use other limits from now on."""
         self.deadlines = Deadlines(
             settings.headers_limit_ms,
@@ -177,7 +196,7 @@
 
     def count(self, cause: str) -> None:
         """Count a refusal or a closed connection by its cause."""
-        measurements.REQUESTS_CUT.labels(cause).inc()
+        reporting.count(self._sink, cause)
         self._counts[cause] += 1
 
     async def run(self) -> None:
@@ -188,8 +207,9 @@
             await asyncio.sleep(SWEEP_INTERVAL_MS / 1000)
             now_ms = clock.read_elapsed_ms()
             self._enforce()
-            measurements.REQUEST_MEMORY_BYTES.set(self._held_bytes)
-            measurements.CONNECTIONS.set(len(self._connections))
+            reporting.gauge(
+                self._sink, self._held_bytes, len(self._connections)
+            )
             self._log(now_ms)
 
     def _is_full(self) -> bool:
@@ -233,12 +253,12 @@
 
     def _log(self, now_ms: int) -> None:
         if self._counts and now_ms - self._logged_at_ms >= LOG_INTERVAL_MS:
-            self._event_log.record(
-                'requests cut',
-                causes=dict(self._counts),
-                held_bytes=self._held_bytes,
-                connections=len(self._connections),
-                since_ms=now_ms - self._logged_at_ms,
+            cut = reporting.Cut(
+                dict(self._counts),
+                self._held_bytes,
+                len(self._connections),
+                now_ms - self._logged_at_ms,
             )
+            reporting.log(self._sink, cut)
             self._counts.clear()
             self._logged_at_ms = now_ms
--- a/borageshelf/workflows/guarded_server.py
+++ b/borageshelf/http_server/grpc_server.py
@@ -28,6 +28,8 @@
     """A connection of a peer.
 
     :param first_message_limit_ms: time until the first message
+    :param streams_limit: open streams of a connection, each of which has
+        buffers of its own
     """
 
     def __init__(
@@ -35,12 +37,14 @@
         unguarded: Any,
         account: budget.RequestBudget,
         first_message_limit_ms: int,
+        streams_limit: int,
     ) -> None:
         super().__init__(
             unguarded.handler, unguarded.config, unguarded.h2_config
         )
         self._account = account
         self._first_message_limit_ms = first_message_limit_ms
+        self._streams_limit = streams_limit
         self._transport: asyncio.Transport | None = None
         self._messages = 0
         self._unread_bytes = 0
@@ -72,8 +76,10 @@
         limit_bytes = decoding.SIZE_LIMIT_BYTES + FRAMING_BYTES
         if not self._messages:
             limit_bytes = FIRST_MESSAGE_LIMIT_BYTES
-        # Each stream has buffers of its own.
-        if self._unread_bytes > limit_bytes or len(self.processor.streams) > 1:
+        if (
+            self._unread_bytes > limit_bytes
+            or len(self.processor.streams) > self._streams_limit
+        ):
             self._account.count('inner')
             self._transport.abort()
             return
@@ -121,15 +127,18 @@
         handlers: Any,
         account: budget.RequestBudget,
         first_message_limit_ms: int,
+        streams_limit: int = 1,
         **options: Any,
     ) -> None:
         super().__init__(handlers, **options)
         self._account = account
         self._first_message_limit_ms = first_message_limit_ms
+        self._streams_limit = streams_limit
 
     def _protocol_factory(self) -> GuardedProtocol:
         return GuardedProtocol(
             super()._protocol_factory(),
             self._account,
             self._first_message_limit_ms,
+            self._streams_limit,
         )
--- a/borageshelf/http_server/listeners.py
+++ b/borageshelf/http_server/listeners.py
@@ -33,9 +33,17 @@
     """
     reactor: Any = importlib.import_module('twisted.internet.reactor')
     listener = reactor.listenTCP(port, site, backlog=backlog, interface=host)
+    bound_buffers(listener)
+    return listener
+
+
+def bound_buffers(listener: Any) -> None:
+    """Set the buffers of the connections that a listener will accept.
+
+    :param listener: listener of twisted
+    """
     for option, size_bytes in (
         (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
         (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
     ):
         listener.socket.setsockopt(socket.SOL_SOCKET, option, size_bytes)
-    return listener
--- a/borageshelf/http_server/sites.py
+++ b/borageshelf/http_server/sites.py
@@ -106,7 +106,7 @@
         self.transport.bufferSize = RECEIVE_BYTES
         self._budget: budget.RequestBudget = self.site.budget
         self._progress_at_ms = clock.read_elapsed_ms()
-        self._deadline_ms = self._progress_at_ms + IDLE_LIMIT_MS
+        self._deadline_ms = self._progress_at_ms + self.site.idle_limit_ms
         if not self._budget.admit(self):
             self.refuse(503, 'too many requests', 'full')
 
@@ -227,7 +227,7 @@
         self._budget.release(self)
         if cause:
             self._budget.count(cause)
-        body = self.site.encode_refusal(reason)
+        body = self.site.encode_refusal(status, reason)
         retry = b'Retry-After: 1\r\n' if status == 503 else b''
         self.transport.write(
             b'HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n'
@@ -348,7 +348,7 @@
     def _become_idle(self, now_ms: int) -> None:
         self._state = State.IDLE
         self._new_bytes = 0
-        self._deadline_ms = now_ms + IDLE_LIMIT_MS
+        self._deadline_ms = now_ms + self.site.idle_limit_ms
         if self._received:
             self._begin_request()
         self._account()
@@ -465,7 +465,9 @@
 
     :param account: what the connections count against
     :param find_body_limit: returns the largest size of a body in bytes
-    :param encode_refusal: returns the body of a refusal
+    :param encode_refusal: returns the body of a refusal, from its status and
+        its reason
+    :param idle_limit_ms: time until a connection without a request is closed
     """
 
     requestFactory = BudgetRequest  # noqa: N815
@@ -476,7 +478,8 @@
         root: Any,
         account: budget.RequestBudget,
         find_body_limit: abc.Callable[[], int],
-        encode_refusal: abc.Callable[[str], bytes],
+        encode_refusal: abc.Callable[[int, str], bytes],
+        idle_limit_ms: int = IDLE_LIMIT_MS,
     ) -> None:
         # The budget holds the deadlines, and forms have no use here.
         server.Site.__init__(
@@ -485,6 +488,7 @@
         self.budget = account
         self.find_body_limit = find_body_limit
         self.encode_refusal = encode_refusal
+        self.idle_limit_ms = idle_limit_ms
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Return the protocol of a connection; None closes it at once."""
--- a/borageshelf/options.py
+++ b/borageshelf/options.py
@@ -18,6 +18,9 @@
 DEFAULT_TICK_MS: Final = 100
 DEFAULT_GRANT_MS: Final = 30_000
 DEFAULT_SHARDS: Final = 16
+DEFAULT_UNFINISHED_REQUESTS_LIMIT_BYTES: Final = 41_943_040
+DEFAULT_CONNECTIONS_LIMIT: Final = 1_500
+DEFAULT_STALL_LIMIT_MS: Final = 15_000
 # The owner renews its grants in each exchange. A grant of fewer ticks would
 # expire if an exchange were lost.
 MINIMUM_TICKS_PER_GRANT: Final = 10
@@ -185,6 +188,33 @@
         'length of a grant to a running attempt, in ms',
         DEFAULT_GRANT_MS,
     )
+    unfinished_requests_limit_bytes: int = define_setting(
+        settings.parse_integer(4_000_000, 16_000_000_000),
+        'memory for what callers have sent of requests and have not taken of '
+        'answers, in bytes',
+        DEFAULT_UNFINISHED_REQUESTS_LIMIT_BYTES,
+    )
+    connections_limit: int = define_setting(
+        settings.parse_integer(16, 1_000_000),
+        'connections of callers, agents and entries that the process accepts',
+        DEFAULT_CONNECTIONS_LIMIT,
+    )
+    headers_limit_ms: int = define_setting(
+        settings.parse_integer(100, 600_000),
+        'time from the first byte of a request to the end of its headers, in '
+        'ms',
+        DEFAULT_STALL_LIMIT_MS,
+    )
+    body_stall_limit_ms: int = define_setting(
+        settings.parse_integer(100, 600_000),
+        'time that a body may be without progress, in ms',
+        DEFAULT_STALL_LIMIT_MS,
+    )
+    answer_stall_limit_ms: int = define_setting(
+        settings.parse_integer(100, 600_000),
+        'time in which a caller may take nothing of its answer, in ms',
+        DEFAULT_STALL_LIMIT_MS,
+    )
 
     @classmethod
     def find_contradictions(
--- a/borageshelf/platform/caller_site.py
+++ b/borageshelf/platform/caller_site.py
@@ -71,7 +71,7 @@
             _AsyncResource(serve),
             account,
             lambda: self._find_configuration().limits.body_bytes,
-            documents.encode_refusal,
+            lambda _, reason: documents.encode_refusal(reason),
         )
 
     async def _serve_ready(self, request: server.Request) -> None:
--- a/borageshelf/platform/registration.py
+++ b/borageshelf/platform/registration.py
@@ -46,7 +46,10 @@
     def make_site(self, account: budget.RequestBudget) -> Any:
         """Return the site that serves this resource."""
         return sites.BudgetSite(
-            self, account, lambda: BODY_LIMIT_BYTES, documents.encode_refusal
+            self,
+            account,
+            lambda: BODY_LIMIT_BYTES,
+            lambda _, reason: documents.encode_refusal(reason),
         )
 
     def render_POST(self, request: server.Request) -> bytes:  # noqa: N802
--- a/borageshelf/telemetry.py
+++ b/borageshelf/telemetry.py
@@ -137,6 +137,22 @@
     'Requests to the administration API.',
     'HTTP status',
 )
+REQUESTS_CUT = register(
+    'requests.cut',
+    Kind.COUNTER,
+    'requests',
+    'Requests refused and connections closed at a limit.',
+    'cause',
+)
+REQUEST_MEMORY = register(
+    'requests.memory',
+    Kind.GAUGE,
+    'bytes',
+    'Memory that connections hold.',
+)
+CONNECTIONS = register(
+    'connections', Kind.GAUGE, 'connections', 'Connections accepted.'
+)
 
 
 class Telemetry:
--- a/borageshelf/workflows/channel.py
+++ b/borageshelf/workflows/channel.py
@@ -18,7 +18,7 @@
 
 from borageshelf import decoding
 from borageshelf.http_server import budget
-from borageshelf.workflows import guarded_server
+from borageshelf.http_server import grpc_server
 from borageshelf.workflows import messages
 from borageshelf.workflows import transmission
 
@@ -171,7 +171,7 @@
     """
     if account is None:
         return grpclib.server.Server([service], codec=Codec())
-    return guarded_server.GuardedServer(
+    return grpc_server.GuardedServer(
         [service],
         account,
         CONNECT_TIMEOUT_MS + FIRST_MESSAGE_LIMIT_MS,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -11,6 +11,7 @@
 from twisted.web import resource
 from twisted.web import server
 
+from borageshelf.entry import callers
 from borageshelf import events
 from borageshelf.http_server import budget
 from borageshelf.http_server import sites
@@ -23,19 +24,34 @@
 )
 
 
+STREAM_PARTS: Final = 400
+STREAM_PART_BYTES: Final = 65_536
+
+
 class Echo(resource.Resource):
-    """Answers with the size of the body, later or at once."""
+    """Answers with the size of the body, later or at once.
+
+    Below /stream the answer is longer than the buffers and is written as the
+    caller takes it.
+    """
 
     isLeaf = True  # noqa: N815
 
     def __init__(self) -> None:
         resource.Resource.__init__(self)
         self.bodies: list[bytes] = []
+        self.streamed_parts = 0
+        self.is_cut_off = False
 
     def render(self, request: server.Request) -> Any:
         """Answer a request; those below /later in a later turn."""
         assert request.content is not None
         self.bodies.append(request.content.read())
+        if request.path == b'/stream':
+            sending = asyncio.ensure_future(self._stream(request))
+            finished = request.notifyFinish()
+            finished.addErrback(lambda _: self._note_cut_off(sending))
+            return server.NOT_DONE_YET
         answer = b'%s %d' % (request.path, len(self.bodies[-1]))
         if not request.path.startswith(b'/later'):
             return answer
@@ -43,6 +59,22 @@
         loop.call_later(0.01, self._answer, request, answer)
         return server.NOT_DONE_YET
 
+    async def _stream(self, request: server.Request) -> None:
+        flow_control = callers.AnswerFlowControl()
+        request.registerProducer(flow_control, True)
+        length = STREAM_PARTS * STREAM_PART_BYTES
+        request.setHeader(b'content-length', str(length).encode())
+        for _ in range(STREAM_PARTS):
+            request.write(b'x' * STREAM_PART_BYTES)
+            self.streamed_parts += 1
+            await flow_control.wait()
+        request.unregisterProducer()
+        request.finish()
+
+    def _note_cut_off(self, sending: asyncio.Future[None]) -> None:
+        sending.cancel()
+        self.is_cut_off = True
+
     def _answer(self, request: server.Request, answer: bytes) -> None:
         request.setHeader(b'content-length', str(len(answer)).encode())
         request.write(answer)
@@ -83,7 +115,7 @@
             )
             echo = Echo()
             site = sites.BudgetSite(
-                echo, account, lambda: BODY_LIMIT, lambda reason: b'{}'
+                echo, account, lambda: BODY_LIMIT, lambda status, reason: b'{}'
             )
             sweep = asyncio.ensure_future(account.run())
             async with loopback.serve(site) as url:
@@ -202,3 +234,30 @@
         if status == 413
         else 80_000,
     )
+
+
+def test_streamed_answer_follows_the_caller() -> None:
+    """Guards against a streamed answer that is buffered or never resumed."""
+
+    async def scenario(caller: Caller) -> None:
+        await caller.send(b'GET /stream HTTP/1.1\r\n\r\n')
+        await asyncio.sleep(0.1)
+        assert caller.echo.streamed_parts < STREAM_PARTS
+        status, body = await caller.read_answer()
+        assert status == 200
+        assert len(body) == STREAM_PARTS * STREAM_PART_BYTES
+        await caller.send(b'GET / HTTP/1.1\r\n\r\n')
+        assert await caller.read_answer() == (200, b'/ 0')
+
+    run(scenario)
+
+
+def test_streamed_answer_that_is_not_taken_ends() -> None:
+    """Guards against a call that goes on for a caller that takes nothing."""
+
+    async def scenario(caller: Caller) -> None:
+        await caller.send(b'GET /stream HTTP/1.1\r\n\r\n')
+        await loopback.wait_for(lambda: caller.echo.is_cut_off)
+        assert caller.echo.streamed_parts < STREAM_PARTS
+
+    run(scenario, answer_stall_limit_ms=300)
