Bound frames of the inner protocol that carry no message

Callers: 120 peers that send pings beside an open request and read nothing stop an entry: no ordinary request is served in 25 s, and its answers to the pings take memory until it ends (179 and 184 MB when the test gave up).

Cause: only bytes without a whole message were limited, at 17 MB. Each ping takes about 20 us, 256 KB of them were processed at a time, and the answers wait in the transport without a limit.

Change: received bytes are processed in parts of 8 KB; more than 1,000 frames a second without a part of a message, or more than 256 KB of answers that the peer doesn't take, end the connection. Requests and ends of streams don't count, as peers of an entry of calls and jobs send one for each request.

A peer's frames cost at most some 30 ms before its connection ends.

--- a/borageshelf/http_server/grpc_server.py
+++ b/borageshelf/http_server/grpc_server.py
@@ -10,6 +10,7 @@
 
 import grpclib.protocol
 import grpclib.server
+import h2.events
 
 from borageshelf import clock
 from borageshelf.decisions import request_budget
@@ -20,8 +21,56 @@
 CONNECTION_BYTES: Final = 24_000
 # The first message has a few hundred bytes.
 FIRST_MESSAGE_LIMIT_BYTES: Final = 65_536
+# Answers to frames, such as pings, that the peer does not take. Messages are
+# not written while a peer takes nothing.
+UNTAKEN_ANSWERS_LIMIT_BYTES: Final = 262_144
+# Frames without a part of a message, such as pings, changes of settings and
+# resets, that a peer may send in an interval. Each costs about 20 us, and some
+# want an answer.
+CONTROL_FRAMES_LIMIT: Final = 1_000
+CONTROL_INTERVAL_MS: Final = 1_000
+# Received bytes are processed in parts of this size, between which the limits
+# are checked.
+PART_BYTES: Final = 8_192
 # Framing of the largest message, and what follows it.
 FRAMING_BYTES: Final = 1_000_000
+_CONTROL_EVENTS: Final = (
+    h2.events.PingReceived,
+    h2.events.PriorityUpdated,
+    h2.events.RemoteSettingsChanged,
+    h2.events.SettingsAcknowledged,
+    h2.events.StreamReset,
+    h2.events.WindowUpdated,
+)
+
+
+class ControlFrameCounter(grpclib.protocol.EventsProcessor):
+    """Counts the frames of a connection that carry no part of a message.
+
+    :ivar count: such frames in the present interval
+    """
+
+    def __init__(self, handler: Any, connection: Any) -> None:
+        super().__init__(handler, connection)
+        self.count = 0
+        self._interval_end_ms = 0
+
+    def process(self, event: Any) -> None:
+        """Process an event of the connection."""
+        if _is_control(event):
+            now_ms = clock.read_elapsed_ms()
+            if now_ms >= self._interval_end_ms:
+                self._interval_end_ms = now_ms + CONTROL_INTERVAL_MS
+                self.count = 0
+            self.count += 1
+        super().process(event)
+
+
+def _is_control(event: Any) -> bool:
+    """Tell whether an event is a frame without a part of a message."""
+    if isinstance(event, h2.events.DataReceived):
+        return not event.data and event.stream_ended is None
+    return isinstance(event, _CONTROL_EVENTS)
 
 
 class GuardedProtocol(grpclib.protocol.H2Protocol):
@@ -55,6 +104,10 @@
     def connection_made(self, transport: Any) -> None:
         """Take in the connection if there is room."""
         super().connection_made(transport)
+        self._control_frames = ControlFrameCounter(
+            self.handler, self.connection
+        )
+        self.processor = self._control_frames
         self._transport = transport
         self._progress_at_ms = clock.read_elapsed_ms()
         self._deadline_ms = self._progress_at_ms + self._first_message_limit_ms
@@ -65,10 +118,17 @@
             transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        """Process received bytes within the limits."""
+        for start in range(0, len(data), PART_BYTES):
+            if not self._is_closing():
+                self._receive(data[start : start + PART_BYTES])
+
+    def _is_closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
+    def _receive(self, data: bytes) -> None:
         """Count bytes that belong to no whole message yet."""
         assert self._transport is not None
-        if self._transport.is_closing():
-            return
         if self.connection.messages_received > self._messages:
             self._messages = self.connection.messages_received
             self._unread_bytes = self._deadline_ms = 0
@@ -78,13 +138,16 @@
             limit_bytes = FIRST_MESSAGE_LIMIT_BYTES
         if (
             self._unread_bytes > limit_bytes
+            or self._control_frames.count > CONTROL_FRAMES_LIMIT
+            or self._transport.get_write_buffer_size()
+            > UNTAKEN_ANSWERS_LIMIT_BYTES
             or len(self.processor.streams) > self._streams_limit
         ):
             self._account.count('inner')
             self._transport.abort()
             return
         self._account.account(self, CONNECTION_BYTES + self._unread_bytes)
-        if not self._transport.is_closing():
+        if not self._is_closing():
             super().data_received(data)
 
     def connection_lost(self, error: BaseException | None) -> None:
