--- a/borageshelf/http_server/budget.py
+++ b/borageshelf/http_server/budget.py
@@ -253,12 +253,12 @@
 
     def _log(self, now_ms: int) -> None:
         if self._counts and now_ms - self._logged_at_ms >= LOG_INTERVAL_MS:
-            cut = reporting.Cut(
+            summary = reporting.Summary(
                 dict(self._counts),
                 self._held_bytes,
                 len(self._connections),
                 now_ms - self._logged_at_ms,
             )
-            reporting.log(self._sink, cut)
+            reporting.log(self._sink, summary)
             self._counts.clear()
             self._logged_at_ms = now_ms
--- a/borageshelf/http_server/grpc_server.py
+++ b/borageshelf/http_server/grpc_server.py
@@ -25,8 +25,7 @@
 # not written while a peer takes nothing.
 UNTAKEN_ANSWERS_LIMIT_BYTES: Final = 262_144
 # Frames without a part of a message, such as pings, changes of settings and
-# resets, that a peer may send in an interval. Each costs about 20 us, and some
-# want an answer.
+# resets, that a peer may send in an interval. They cost processor time.
 CONTROL_FRAMES_LIMIT: Final = 1_000
 CONTROL_INTERVAL_MS: Final = 1_000
 # Received bytes are processed in parts of this size, between which the limits
--- a/borageshelf/http_server/reporting.py
+++ b/borageshelf/http_server/reporting.py
@@ -1,6 +1,6 @@
-"""Reports what the request budget decides, in the way of each program.
+"""Reports the decisions of the request budget to the log and the metrics.
 
-The processes of the workflow scheduler have a log of events and serve their
+The processes of the workflow scheduler have an event log and serve their
 metrics; an entry of calls and jobs has both behind its telemetry.
 """
 
@@ -13,13 +13,13 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Cut:
-    """Requests refused and connections closed in a while.
+class Summary:
+    """Requests refused and connections closed since the last log line.
 
     :param causes: number by cause
     :param held_bytes: what the connections of the process hold now
     :param connections: number of connections now
-    :param since_ms: length of the while
+    :param since_ms: time since the last line
     """
 
     causes: dict[str, int]
@@ -69,7 +69,7 @@
 
 
 @functools.singledispatch
-def log(sink: object, cut: Cut) -> None:
+def log(sink: object, summary: Summary) -> None:
     """Write a log line.
 
     :raises TypeError: if the sink is of no known kind
@@ -78,10 +78,10 @@
 
 
 @log.register
-def _(sink: events.EventLog, cut: Cut) -> None:
-    sink.record('requests cut', **dataclasses.asdict(cut))
+def _(sink: events.EventLog, summary: Summary) -> None:
+    sink.record('requests cut', **dataclasses.asdict(summary))
 
 
 @log.register
-def _(sink: telemetry.Telemetry, cut: Cut) -> None:
-    sink.log_state('requests cut', **dataclasses.asdict(cut))
+def _(sink: telemetry.Telemetry, summary: Summary) -> None:
+    sink.log_state('requests cut', **dataclasses.asdict(summary))
