Count control frames without a cost for messages

Cause: each message of the inner protocol paid for the count of frames that carry none: a check of each event, a look at the unsent answers and a copy of the bytes.

Change: only the handlers of such frames count, and small reads are processed without a part of their own.

--- a/borageshelf/http_server/grpc_server.py
+++ b/borageshelf/http_server/grpc_server.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+from collections import abc
+import functools
 from typing import Any, Final
 
 import grpclib.protocol
@@ -43,35 +45,6 @@
 )
 
 
-class ControlFrameCounter(grpclib.protocol.EventsProcessor):
-    """Counts the frames of a connection that carry no part of a message.
-
-    :ivar count: such frames in the present interval
-    """
-
-    def __init__(self, handler: Any, connection: Any) -> None:
-        super().__init__(handler, connection)
-        self.count = 0
-        self._interval_end_ms = 0
-
-    def process(self, event: Any) -> None:
-        """Process an event of the connection."""
-        if _is_control(event):
-            now_ms = clock.read_elapsed_ms()
-            if now_ms >= self._interval_end_ms:
-                self._interval_end_ms = now_ms + CONTROL_INTERVAL_MS
-                self.count = 0
-            self.count += 1
-        super().process(event)
-
-
-def _is_control(event: Any) -> bool:
-    """Tell whether an event is a frame without a part of a message."""
-    if isinstance(event, h2.events.DataReceived):
-        return not event.data and event.stream_ended is None
-    return isinstance(event, _CONTROL_EVENTS)
-
-
 class GuardedProtocol(grpclib.protocol.H2Protocol):
     """A connection of a peer.
 
@@ -96,6 +69,8 @@
         self._transport: asyncio.Transport | None = None
         self._messages = 0
         self._unread_bytes = 0
+        self._control_frames = 0
+        self._control_interval_end_ms = 0
         self._progress_at_ms = 0
         self._deadline_ms = 0
         self.held_bytes = 0
@@ -103,10 +78,12 @@
     def connection_made(self, transport: Any) -> None:
         """Take in the connection if there is room."""
         super().connection_made(transport)
-        self._control_frames = ControlFrameCounter(
-            self.handler, self.connection
-        )
-        self.processor = self._control_frames
+        processors: Any = self.processor.processors
+        for kind in _CONTROL_EVENTS:
+            processors[kind] = functools.partial(
+                self._process_control, processors[kind]
+            )
+        processors[h2.events.DataReceived] = self._process_data
         self._transport = transport
         self._progress_at_ms = clock.read_elapsed_ms()
         self._deadline_ms = self._progress_at_ms + self._first_message_limit_ms
@@ -118,16 +95,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes within the limits."""
+        if len(data) <= PART_BYTES:
+            self._receive(data)
+            return
         for start in range(0, len(data), PART_BYTES):
-            if not self._is_closing():
-                self._receive(data[start : start + PART_BYTES])
-
-    def _is_closing(self) -> bool:
-        return self._transport is None or self._transport.is_closing()
+            self._receive(data[start : start + PART_BYTES])
 
     def _receive(self, data: bytes) -> None:
         """Count bytes that belong to no whole message yet."""
         assert self._transport is not None
+        if self._transport.is_closing():
+            return
         if self.connection.messages_received > self._messages:
             self._messages = self.connection.messages_received
             self._unread_bytes = self._deadline_ms = 0
@@ -137,18 +115,42 @@
             limit_bytes = FIRST_MESSAGE_LIMIT_BYTES
         if (
             self._unread_bytes > limit_bytes
-            or self._control_frames.count > CONTROL_FRAMES_LIMIT
-            or self._transport.get_write_buffer_size()
-            > UNTAKEN_ANSWERS_LIMIT_BYTES
+            or self._control_frames > CONTROL_FRAMES_LIMIT
             or len(self.processor.streams) > self._streams_limit
         ):
-            self._account.count('inner')
-            self._transport.abort()
+            self._abort()
             return
         self._account.account(self, CONNECTION_BYTES + self._unread_bytes)
-        if not self._is_closing():
+        if not self._transport.is_closing():
             super().data_received(data)
 
+    def _process_control(
+        self, process: abc.Callable[[Any], None], event: Any
+    ) -> None:
+        """Count a frame that carries no part of a message."""
+        assert self._transport is not None
+        now_ms = clock.read_elapsed_ms()
+        if now_ms >= self._control_interval_end_ms:
+            self._control_interval_end_ms = now_ms + CONTROL_INTERVAL_MS
+            self._control_frames = 0
+        self._control_frames += 1
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes > UNTAKEN_ANSWERS_LIMIT_BYTES:
+            self._abort()
+        process(event)
+
+    def _process_data(self, event: Any) -> None:
+        if event.data or event.stream_ended:
+            self.processor.process_data_received(event)
+        else:
+            self._process_control(self.processor.process_data_received, event)
+
+    def _abort(self) -> None:
+        assert self._transport is not None
+        if not self._transport.is_closing():
+            self._account.count('inner')
+            self._transport.abort()
+
     def connection_lost(self, error: BaseException | None) -> None:
         """Release what the connection held."""
         self._account.forget(self)
