Load the client of statsd only where it is used

Cause: reporting.py imported the telemetry of the entry of calls and jobs, so each workflow process loaded statsd and the options of the commands at its start.

Change: the reports of that entry are in a module of its own, which registers them.

Result: neither is loaded by the workflow processes any more.

--- a/borageshelf/entry/process.py
+++ b/borageshelf/entry/process.py
@@ -12,6 +12,7 @@
 from borageshelf.decisions import admission
 from borageshelf.entry import admin
 from borageshelf.entry import batch
+from borageshelf.entry import budget_reports
 from borageshelf.entry import callers
 from borageshelf.entry import calls as calls_module
 from borageshelf.entry import jobs
@@ -22,7 +23,6 @@
 from borageshelf.entry import status
 from borageshelf.entry import watchdog
 from borageshelf import errors
-from borageshelf.http_server import budget
 from borageshelf.http_server import grpc_server
 from borageshelf.http_server import listeners
 from borageshelf import loop as loop_module
@@ -62,7 +62,7 @@
         self._stopping = asyncio.Event()
         self._aborting = asyncio.Event()
         self._background = loop_module.TaskGroup()
-        self._budget = budget.RequestBudget(options, telemetry)
+        self._budget = budget_reports.make_budget(options, telemetry)
         self._store = http_store.HttpStore(options.store_url)
         regional_store = scoped_store.ScopedStore(
             self._store, f'regions/{options.region}/'
--- a/borageshelf/http_server/reporting.py
+++ b/borageshelf/http_server/reporting.py
@@ -1,7 +1,7 @@
 """Reports the decisions of the request budget to the log and the metrics.
 
 The processes of the workflow scheduler have an event log and serve their
-metrics; an entry of calls and jobs has both behind its telemetry.
+metrics. ``entry.budget_reports`` reports for an entry of calls and jobs.
 """
 
 import dataclasses
@@ -9,7 +9,6 @@
 
 from borageshelf import events
 from borageshelf import measurements
-from borageshelf import telemetry
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,11 +41,6 @@
     measurements.REQUESTS_CUT.labels(cause).inc()
 
 
-@count.register
-def _(sink: telemetry.Telemetry, cause: str) -> None:
-    sink.count(telemetry.REQUESTS_CUT, cause)
-
-
 @functools.singledispatch
 def gauge(sink: object, held_bytes: int, connections: int) -> None:
     """Report what the connections of the process hold.
@@ -62,12 +56,6 @@
     measurements.CONNECTIONS.set(connections)
 
 
-@gauge.register
-def _(sink: telemetry.Telemetry, held_bytes: int, connections: int) -> None:
-    sink.gauge(telemetry.REQUEST_MEMORY, held_bytes)
-    sink.gauge(telemetry.CONNECTIONS, connections)
-
-
 @functools.singledispatch
 def log(sink: object, summary: Summary) -> None:
     """Write a log line.
@@ -80,8 +68,3 @@
 @log.register
 def _(sink: events.EventLog, summary: Summary) -> None:
     sink.record('requests cut', **dataclasses.asdict(summary))
-
-
-@log.register
-def _(sink: telemetry.Telemetry, summary: Summary) -> None:
-    sink.log_state('requests cut', **dataclasses.asdict(summary))
