--- a/review/world3.py
+++ b/review/world3.py
@@ -359,6 +359,7 @@
         self.running = {}
         self.ended = []
         self.history = []
+        self.ends = {}
         self._born = time.time_ns() // 1_000_000
         self._begun_s = now_s()
         self._stood_still_s = 0.0
@@ -458,6 +459,7 @@
     def _end(self, key, how):
         del self.running[key]
         self._end_number += 1
+        self.ends[how] = self.ends.get(how, 0) + 1
         self.ended.append([self._end_number, *key, how, ''])
         self._note('end', *key, how=how)
         self._changed.set()
@@ -711,6 +713,23 @@
             await asyncio.sleep(0.2)
         return False
 
+    def find_longest_gap(self, task, from_s, until_s):
+        """Return the longest time for which a task has no run."""
+        marks = sorted(
+            (at_s, 1 if what == 'start' else -1)
+            for executor in self.executors
+            for at_s, what, name, _ in executor.history
+            if name == task and what in ('start', 'end')
+        )
+        runs, free_since_s, longest_s = 0, from_s, 0.0
+        for at_s, change in [*marks, (until_s, 1)]:
+            if runs == 0 and change == 1:
+                longest_s = max(longest_s, at_s - max(free_since_s, from_s))
+            runs += change
+            if runs == 0:
+                free_since_s = at_s
+        return longest_s
+
     def find_owner(self):
         """Return the number of the entry that owns the workflows."""
         value = base64.b64decode(
