--- a/review/world3.py
+++ b/review/world3.py
@@ -64,10 +64,15 @@
 # HTTP, as far as the stand-ins need it.
 
 
-async def serve_http(handle, port):
-    """Serve HTTP/1.1 with a coroutine (method, path, query, headers, body)."""
+async def serve_http(handle, port, writers=None):
+    """Serve HTTP/1.1 with a coroutine (method, path, query, headers, body).
+
+    :param writers: set in which the open connections are kept
+    """
 
     async def serve(reader, writer):
+        if writers is not None:
+            writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -99,6 +104,8 @@
             # The client has gone, or the case ends.
             pass
         finally:
+            if writers is not None:
+                writers.discard(writer)
             writer.close()
 
     return await asyncio.start_server(serve, HOST, port, limit=2**22)
@@ -360,22 +367,49 @@
         self.ended = []
         self.history = []
         self.ends = {}
-        self._born = time.time_ns() // 1_000_000
-        self._begun_s = now_s()
-        self._stood_still_s = 0.0
+        self.is_up = True
         self._suspended_at_s = None
         self._awake = asyncio.Event()
         self._awake.set()
+        self._speed = 1.0
+        self._writers = set()
+        self._begin_life()
+
+    def _begin_life(self):
+        """Know and run nothing."""
+        self._born = time.time_ns() // 1_000_000
+        self._begun_s = now_s()
+        self._stood_still_s = 0.0
+        self.running = {}
+        self.ended = []
         self._token = 0
         self._lease_ms = 0
         self._highest = {}
-        self._speed = 1.0
         self._worked_ms = 0.0
         self._worked_until_ms = 0
         self._end_number = 0
         self._sequence = 0
         self._changed = asyncio.Event()
 
+    def crash(self):
+        """End, and lose all that runs; connections are reset."""
+        self.world.record('crash', executor=self.name, runs=len(self.running))
+        for task, attempt in self.running:
+            self._note('end', task, attempt, how='crashed')
+            self.world.note_end(task, attempt, 'crashed')
+        self.is_up = False
+        self.running = {}
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def restart(self):
+        """Start again under the same id."""
+        self._begin_life()
+        self._server = await serve_http(self._handle, self.port, self._writers)
+        self.is_up = True
+        self.world.record('up again', executor=self.name)
+
     def clock_ms(self):
         """Return the executor's steady clock."""
         end_s = self._suspended_at_s or now_s()
@@ -407,7 +441,7 @@
 
     async def start(self):
         """Listen, run tasks and send heartbeats."""
-        self._server = await serve_http(self._handle, self.port)
+        self._server = await serve_http(self._handle, self.port, self._writers)
         self._tasks = [
             asyncio.ensure_future(self._work()),
             asyncio.ensure_future(self._beat()),
@@ -422,6 +456,9 @@
     async def _beat(self):
         while True:
             await self._awake.wait()
+            if not self.is_up:
+                await asyncio.sleep(0.02)
+                continue
             self._sequence += 1
             document = {
                 'Service': SERVICE,
@@ -453,15 +490,33 @@
                     self._end(key, 'lapsed')
                 elif run['stop_ms'] and clock_ms >= run['stop_ms']:
                     self._end(key, 'stopped')
+                elif run['gang']:
+                    self._work_in_gang(key, run, work_ms)
                 elif run['end_ms'] and work_ms >= run['end_ms']:
                     self._end(key, 'done')
 
+    def _work_in_gang(self, key, run, work_ms):
+        """Work only together with the other members."""
+        gang = self.world.find_gang(*key)
+        if gang['outcome']:
+            self._end(key, gang['outcome'])
+        elif len(gang['members']) < run['gang']:
+            if work_ms - run['begun_ms'] > self.world.gang_wait_ms:
+                self._end(key, 'alone')
+        elif not run['end_ms']:
+            run['begun_ms'] = work_ms
+            run['end_ms'] = work_ms + run['needed_ms']
+        elif work_ms >= run['end_ms']:
+            gang['outcome'] = 'done'
+            self._end(key, 'done')
+
     def _end(self, key, how):
         del self.running[key]
         self._end_number += 1
         self.ends[how] = self.ends.get(how, 0) + 1
         self.ended.append([self._end_number, *key, how, ''])
         self._note('end', *key, how=how)
+        self.world.note_end(*key, how)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -497,11 +552,17 @@
         if attempt <= self._highest.get(task, 0):
             return 409, {'ClockMs': clock_ms, 'Reason': 'old'}
         self._highest[task] = attempt
-        needed_ms = int(document['Spec'])
+        needed_ms = self.world.find_work_ms(task, document['Spec'])
         work_ms = self._read_work_ms()
+        gang_size = self.world.find_gang_size(task)
+        if gang_size:
+            self.world.find_gang(task, attempt)['members'].add(task)
+        ends = needed_ms and not gang_size
         self.running[(task, attempt)] = {
             'begun_ms': work_ms,
-            'end_ms': work_ms + needed_ms if needed_ms else 0,
+            'end_ms': work_ms + needed_ms if ends else 0,
+            'needed_ms': needed_ms,
+            'gang': gang_size,
             'stop_ms': 0,
         }
         self._note('start', task, attempt)
@@ -550,8 +611,11 @@
     """The deployment and what runs in it."""
 
     max_hold_ms = 6000
+    gang_wait_ms = 3000
 
     def __init__(self, folder, entries, executors):
+        self._gang_sizes = {}
+        self._gangs = {}
         self.folder = pathlib.Path(folder)
         self.record = Record(pathlib.Path(os.environ['CASE']) / 'record.txt')
         self.store = Store()
@@ -617,7 +681,7 @@
                 {
                     'Machine': executor.name,
                     'Pool': SERVICE,
-                    'State': 'up',
+                    'State': 'up' if executor.is_up else 'down',
                     'Zone': 'zone-a',
                     'Labels': executor.labels,
                     'Capacity': executor.capacity,
@@ -713,6 +777,27 @@
             await asyncio.sleep(0.2)
         return False
 
+    def find_work_ms(self, task, spec):
+        """Return how long a task works; 0 if it lasts."""
+        return int(spec)
+
+    def find_gang_size(self, task):
+        """Return how many members the gang of a task has; 0 for no gang."""
+        job_id, _, step, _ = task.split('.')
+        return self._gang_sizes.get((job_id, int(step)), 0)
+
+    def find_gang(self, task, attempt):
+        """Return the members that run in one attempt of a gang."""
+        key = (task.rpartition('.')[0], attempt)
+        return self._gangs.setdefault(key, {'members': set(), 'outcome': ''})
+
+    def note_end(self, task, attempt, how):
+        """Let the other members of a gang end with one that ends."""
+        if self.find_gang_size(task):
+            gang = self.find_gang(task, attempt)
+            gang['outcome'] = gang['outcome'] or 'broken'
+            gang['members'].discard(task)
+
     def find_longest_gap(self, task, from_s, until_s):
         """Return the longest time for which a task has no run."""
         marks = sorted(
@@ -775,6 +860,9 @@
 
     async def submit(self, job_id, document, tries=5):
         """Hand a job in as a client does, with retries at other entries."""
+        for step, phase in enumerate(document['Phases']):
+            if phase.get('Gang'):
+                self._gang_sizes[(job_id, step)] = phase['Count']
         for number in range(tries):
             status, _ = await self.call(
                 number % len(self.entries), 'POST', job_id, document
