--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Large jobs come at once and nothing works any more (see claim.txt)."""
+"""A job runs whose cancelling was acknowledged (see claim.txt)."""
 
 import asyncio
 import pathlib
@@ -8,96 +8,77 @@
 
 import world3
 
-EXECUTORS = 3
-LARGE_JOBS = 5
-LARGE_TASKS = 1000
-LASTING_TASKS = 6
-LASTING_ID = 'f' * 16
-# The rule asks for a run of each lasting task within 6 s after its last one
-# and 3 s more, while these and the 4 s before are calm.
-LASTING_GAP_S = 9.0
-CALM_S = 4.0
-# After the last submission; the rule asks for jobs after ``finish_s``, 14 s.
-PLAY_S = 45.0
+JOB_ID = '00000000000000c1'
+CUT_S = 2.0
+# The client leaves this long after it has begun to send.
+LEAVES_S = 0.9
+CANCEL_S = 3.0
+PLAY_S = 14.0
 
 
-def make_large():
-    """1,000 tasks of 8 s; all five jobs need 150 of 192 cores."""
-    return {
-        'Spec': '8000',
-        'Phases': [
-            {
-                'Count': LARGE_TASKS,
-                'Cpu': 30,
-                'MemMb': 10,
-                'EstimateMs': 8000,
-            }
-        ],
-    }
-
-
-def make_lasting():
-    """Six tasks that last, like a pit watch."""
-    return {
-        'Spec': '0',
-        'Phases': [
-            {
-                'Count': LASTING_TASKS,
-                'Cpu': 1000,
-                'MemMb': 400,
-                'EstimateMs': 400,
-                'LongRunning': True,
-            }
-        ],
-    }
+def make_job():
+    """Two steps, each of four tasks of 3 s."""
+    step = {'Count': 4, 'Cpu': 960, 'MemMb': 900, 'EstimateMs': 3000}
+    return {'Spec': '3000', 'Phases': [step, {**step, 'After': [0]}]}
 
 
 async def main(folder, is_troubled):
     """Play the case; return what was broken, or None."""
-    async with world3.World(folder, 2, EXECUTORS) as world:
+    async with world3.World(folder, 2, 3) as world:
         if not await world.wait_until_ready():
             return None
-        if not await world.submit(LASTING_ID, make_lasting()):
-            return None
-        await asyncio.sleep(3)
-        if sum(len(each.running) for each in world.executors) != LASTING_TASKS:
-            return None
-        accepted = []
-
-        async def hand_in(job_id):
-            if await world.submit(job_id, make_large()):
-                accepted.append(job_id)
-
+        owner = world.find_owner()
+        other = 1 - owner
+        world.record('owner', entry=owner)
         if is_troubled:
-            await asyncio.gather(
-                *(hand_in(f'{0xE0 + n:016x}') for n in range(LARGE_JOBS))
-            )
+            world.record('cut begins', between=f'front-{other},front-{owner}')
+            world.links[owner].hold(f'front-{other}')
+        await asyncio.sleep(0.05)
         begun_s = world3.now_s()
-        looks = []
-        while world3.now_s() - begun_s < PLAY_S:
-            looks.append([len(each.running) for each in world.executors])
-            world.record('runs', executors=looks[-1])
-            await asyncio.sleep(1)
-        gaps = [
-            world.find_longest_gap(
-                f'{LASTING_ID}.0.0.{index}', begun_s + CALM_S, world3.now_s()
-            )
-            for index in range(LASTING_TASKS)
-        ]
-        done = sum(
-            executor.ends.get('done', 0) for executor in world.executors
+        # The client would wait for 3 s, but leaves before.
+        status, _ = await world.call(
+            other,
+            'POST',
+            JOB_ID,
+            make_job(),
+            timeout_s=LEAVES_S,
+            deadline_ms=3000,
         )
-        lapsed = sum(
-            executor.ends.get('lapsed', 0) for executor in world.executors
+        print('answer to the submission:', status or 'none, the client left')
+        was_accepted = 200 <= status < 300
+        await asyncio.sleep(0.1)
+        status, _ = await world.call(owner, 'DELETE', JOB_ID)
+        acknowledged_s = world3.now_s()
+        print('answer to the cancelling:', status)
+        if not (status == 410 or 200 <= status < 300):
+            return None
+        await asyncio.sleep(max(begun_s + CUT_S - world3.now_s(), 0))
+        world.links[owner].release()
+        if is_troubled:
+            world.record('cut ends')
+        await asyncio.sleep(PLAY_S)
+        late = [
+            (round(at_s - acknowledged_s, 1), executor.name, task)
+            for executor in world.executors
+            for at_s, what, task, _ in executor.history
+            if what == 'start' and at_s > acknowledged_s + CANCEL_S
+        ]
+        begun = sum(
+            what == 'start'
+            for executor in world.executors
+            for _, what, _, _ in executor.history
         )
-        words = ', '.join(f'{gap:.1f}' for gap in gaps)
+        status, answer = await world.call(owner, 'GET', JOB_ID)
         print(
-            f'{len(accepted)} large jobs accepted, {done} runs'
-            f' done, {lapsed} lapsed; longest times without a run of the'
-            f' lasting tasks: {words} s'
+            f'accepted before the cancelling: {was_accepted}; {begun} starts,'
+            f' {len(late)} of them more than {CANCEL_S} s after the'
+            f' acknowledgement; state in the end: {status} {answer}'
         )
-        if max(gaps) >= LASTING_GAP_S:
-            return [f'LOST: a lasting task has no run for {max(gaps):.1f} s']
+        if late:
+            return [
+                f'UNASKED: {len(late)} tasks of the job were started later'
+                f' than cancel_ms after its cancelling was acknowledged: {late}'
+            ]
         return []
 
 
