--- a/review/world3.py
+++ b/review/world3.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -34,14 +35,21 @@
 
 
 def free_port():
-    """Return a free loopback port that was not returned before."""
+    """Return a free loopback port that was not returned before.
+
+    It is below those from which the kernel takes ports for connections.
+    """
     while True:
+        port = random.randint(12_000, 30_000)
+        if port in _taken:
+            continue
+        _taken.add(port)
         with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _taken:
-            _taken.add(port)
-            return port
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 class Record:
