Log for whom and how late an owner takes a submission

Change: a submission and a cancellation carry the entry that received them and its wall clock, for the log only; 'workflow taken' shows both, and a cancellation that meets no active workflow is logged. The owner's core would have grown, so the description of the load moves to workflows/admission.py, and the replies that requests wait for move to entry/workflows/pending_replies.py, both unchanged in behaviour.

No further line is written for an accepted submission.

--- a/borageshelf/entry/workflows/owner_stream.py
+++ b/borageshelf/entry/workflows/owner_stream.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 
+import msgspec
+
 from borageshelf import clock
 from borageshelf.workflows import channel
 from borageshelf.workflows import effects
@@ -53,7 +55,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._answer_futures[number] = future
-        self.outbox.send(_renumber(request, number))
+        self.outbox.send(msgspec.structs.replace(request, number=number))
         left_ms = max(deadline_ms - clock.read_elapsed_ms(), 0)
         try:
             async with asyncio.timeout(left_ms / 1000):
@@ -76,10 +78,3 @@
             if not future.done():
                 future.set_exception(OwnerStreamEnded(was_sent=True))
 
-
-def _renumber(request: messages.Request, number: int) -> messages.Request:
-    if isinstance(request, messages.SubmitRequest):
-        return messages.SubmitRequest(number, request.workflow, request.queue)
-    if isinstance(request, messages.CountRequest):
-        return messages.CountRequest(number, request.queue)
-    return type(request)(number, request.workflow_id)
--- a/borageshelf/entry/workflows/process.py
+++ b/borageshelf/entry/workflows/process.py
@@ -160,7 +160,7 @@
             evacuated,
         )
         self._request_service = request_service.RequestService(
-            self._election, store
+            self._election, store, settings.node_id
         )
         self._caller_site = make_site(
             self._request_service,
--- a/borageshelf/entry/workflows/request_service.py
+++ b/borageshelf/entry/workflows/request_service.py
@@ -36,15 +36,20 @@
 
 
 class RequestService:
-    """Carries out callers' requests through the current owner."""
+    """Carries out callers' requests through the current owner.
+
+    :param entry_id: id of this entry, for the owner's log
+    """
 
     def __init__(
         self,
         owner_election: election.Election,
         store: store_interface.Store,
+        entry_id: str = '',
     ) -> None:
         self._election = owner_election
         self._store = store
+        self._entry_id = entry_id
         self._closing_deadline_ms: int | None = None
 
     def begin_closing(self, deadline_ms: int) -> None:
@@ -62,7 +67,8 @@
     ) -> messages.RequestAnswer:
         """Submit a workflow to the owner."""
         return await self._request_from_owner(
-            messages.SubmitRequest(0, workflow, queue), deadline_ms
+            messages.SubmitRequest(0, workflow, queue, self._make_origin()),
+            deadline_ms,
         )
 
     async def cancel(
@@ -70,7 +76,8 @@
     ) -> messages.RequestAnswer:
         """Cancel a workflow."""
         return await self._request_from_owner(
-            messages.CancelRequest(0, workflow_id), deadline_ms
+            messages.CancelRequest(0, workflow_id, self._make_origin()),
+            deadline_ms,
         )
 
     async def find_state(
@@ -137,6 +144,9 @@
             )
             await asyncio.sleep(0.005)
 
+    def _make_origin(self) -> messages.Origin:
+        return messages.Origin(self._entry_id, clock.read_wall_clock_ms())
+
     def _find_owner_epoch(self) -> int:
         """Return the epoch of the owner that is asked next; 0 for none."""
         local_owner = self._election.local_owner
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -17,6 +17,7 @@
 from borageshelf.entry.workflows import agent_session
 from borageshelf.entry.workflows import evacuation_sender
 from borageshelf.entry.workflows import evacuations
+from borageshelf.entry.workflows import pending_replies
 from borageshelf.entry.workflows import presence
 from borageshelf import errors
 from borageshelf import events
@@ -132,8 +133,7 @@
         )
         self._session_numbers = itertools.count(1)
         self._sessions: dict[str, agent_session.AgentSession] = {}
-        self._reply_tokens = itertools.count(1)
-        self._reply_futures: dict[int, asyncio.Future[effects.Reply]] = {}
+        self._replies = pending_replies.PendingReplies()
         self._changed = asyncio.Event()
         self._commit_pending_since_ms = 0
         # Numbers of commits: the last one that has begun, the last one that
@@ -247,11 +247,7 @@
             self._ended.set()
             for session in self._sessions.values():
                 session.outbox.close()
-            for future in self._reply_futures.values():
-                if not future.done():
-                    future.set_result(
-                        effects.Reply((), effects.Outcome.UNKNOWN)
-                    )
+            self._replies.fail_all()
             self._event_log.record_state('ownership ended', epoch=self.epoch)
 
     def stop(self) -> None:
@@ -345,27 +341,21 @@
                 return messages.RequestAnswer(
                     number, effects.Outcome.REFUSED, STORE_RETRY_AFTER_S
                 )
-        reply_token = next(self._reply_tokens)
-        future: asyncio.Future[effects.Reply] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._reply_futures[reply_token] = future
+        reply_token = self._replies.expect()
         if isinstance(request, messages.SubmitRequest):
             self._core.submit(
-                request.workflow, request.queue, reply_token, moment
+                request.workflow,
+                request.queue,
+                reply_token,
+                moment,
+                request.origin,
             )
         else:
-            self._core.cancel(request.workflow_id, reply_token, moment)
+            self._core.cancel(
+                request.workflow_id, reply_token, moment, request.origin
+            )
         self._process_change()
-        try:
-            async with asyncio.timeout(
-                max(deadline_ms - moment.elapsed_ms, 0) / 1000
-            ):
-                reply = await future
-        except TimeoutError:
-            return messages.RequestAnswer(number, effects.Outcome.UNKNOWN)
-        finally:
-            self._reply_futures.pop(reply_token, None)
+        reply = await self._replies.wait(reply_token, deadline_ms)
         return messages.RequestAnswer(
             number, reply.outcome, reply.retry_after_s
         )
@@ -776,10 +766,7 @@
 
     @_execute_effect.register
     def _(self, effect: effects.Reply) -> None:
-        for reply_token in effect.tokens:
-            future = self._reply_futures.get(reply_token)
-            if future is not None and not future.done():
-                future.set_result(effect)
+        self._replies.deliver(effect)
 
     def _find_session(
         self, target_id: str
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -115,6 +115,24 @@
     latency_share: float
 
 
+class Origin(Part, frozen=True, array_like=True):
+    """Where a request of a caller comes from; for the log only.
+
+    :param entry_id: entry that received it
+    :param received_at_wall_ms: wall clock of that entry at the time
+    """
+
+    entry_id: str = ''
+    received_at_wall_ms: int = 0
+
+    def describe(self, now_wall_ms: int) -> dict[str, str | int]:
+        """Return the fields of a log line; the clocks may differ."""
+        return {
+            'entry': self.entry_id,
+            'age_ms': now_wall_ms - self.received_at_wall_ms,
+        }
+
+
 class EntryAddress(Part, frozen=True, array_like=True):
     """Address at which an entry serves the inner protocol."""
 
@@ -385,6 +403,7 @@
     number: int
     workflow: workflows.Workflow
     queue: workflows.Queue
+    origin: Origin = Origin()
 
 
 class CancelRequest(Message, frozen=True, array_like=True, tag=True):
@@ -392,6 +411,7 @@
 
     number: int
     workflow_id: str
+    origin: Origin = Origin()
 
 
 class FindRequest(Message, frozen=True, array_like=True, tag=True):
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -19,12 +19,12 @@
 from borageshelf import measurements
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
+from borageshelf.workflows import admission
 from borageshelf.workflows import checkpoints
 from borageshelf.workflows import copies
 from borageshelf.workflows import crashes
 from borageshelf.workflows import effects
 from borageshelf.workflows import end_proofs
-from borageshelf.workflows import estimates
 from borageshelf.workflows import evacuation_control
 from borageshelf.workflows import fleet
 from borageshelf.workflows import fleet_totals
@@ -63,7 +63,7 @@
 # Memory becomes free when workflows end, which takes seconds to minutes.
 MEMORY_RETRY_MS: Final = 6_000
 
-
+UNKNOWN_ORIGIN: Final = messages.Origin()
 RecordEvent = abc.Callable[..., None]
 
 
@@ -221,6 +221,7 @@
         queue: workflows.Queue,
         token: int,
         moment: clock.Moment,
+        origin: messages.Origin = UNKNOWN_ORIGIN,
     ) -> None:
         """Accept or refuse a workflow; the answer is a ``Reply`` effect.
 
@@ -282,15 +283,26 @@
             objective_ms=job.objective_ms,
             expected_ms=decision.expected_ms,
             is_prompt=decision.is_prompt,
+            **origin.describe(moment.wall_ms),
         )
 
     def cancel(
-        self, workflow_id: str, token: int, moment: clock.Moment
+        self,
+        workflow_id: str,
+        token: int,
+        moment: clock.Moment,
+        origin: messages.Origin = UNKNOWN_ORIGIN,
     ) -> None:
         """Cancel a workflow; the answer is a ``Reply`` effect."""
         job = self.jobs.get(workflow_id)
         if job is None:
             is_known = workflow_id in self.archive
+            self._record(
+                'cancelled workflow is not active',
+                workflow=workflow_id,
+                is_known=is_known,
+                **origin.describe(moment.wall_ms),
+            )
             self._reply(
                 token,
                 effects.Outcome.FOUND if is_known else effects.Outcome.ABSENT,
@@ -1158,57 +1170,16 @@
         terms: records.Terms,
         moment: clock.Moment,
     ) -> workflow_admission.Admitted | workflow_admission.Refused:
-        """Decide whether a workflow can be completed in time.
-
-        Lasting and timed workflows have no expected end to compare with an
-        objective.
-        """
-        now_ms = moment.elapsed_ms
-        is_lasting = any(step.is_lasting for step in workflow.steps)
-        if is_lasting or workflow.has_due_times:
-            return workflow_admission.Admitted(0, True)
-        if now_ms < self._discovery_deadline_ms:
+        if moment.elapsed_ms < self._discovery_deadline_ms:
             # The targets of the fleet are not known yet.
             return workflow_admission.Admitted(0, True)
-        has_filler = any(step.is_filler for step in workflow.steps)
-        room_millicores = sum(
-            self._compute_room_millicores(target, has_filler)
-            for target in self.targets.values()
-            if target.service == terms.service and target.is_healthy(now_ms)
-        )
-        accepted = [
-            workflow_admission.Accepted(
-                job.estimate_remaining_work(moment.wall_ms),
-                job.objective_deadline_ms,
-                job.terms.is_prompt,
-            )
-            for job in self._active_jobs.values()
-            if job.terms.service == terms.service
-            and job.terms.priority <= terms.priority
-        ]
-        return workflow_admission.decide_admission(
-            workflow_admission.Request(
-                workflow.workflow_id,
-                estimates.compute_work(workflow.steps),
-                workflows.compute_critical_path_ms(workflow),
-                estimates.compute_objective_ms(workflow, terms),
-            ),
-            workflow_admission.Load(accepted, room_millicores),
-            now_ms,
-        )
-
-    def _compute_room_millicores(
-        self, target: targets.Target, has_filler: bool
-    ) -> int:
-        """Return the millicores that a workflow could use on a target."""
-        room_millicores = (
-            target.capacity.processor_millicores - target.busy_millicores
+        return admission.decide(
+            workflow,
+            terms,
+            self.targets.values(),
+            self._active_jobs.values(),
+            moment,
         )
-        if not has_filler:
-            # Admission control counts the remaining work of the short tasks
-            # that run now, so their processors count as free.
-            room_millicores += target.short_millicores
-        return max(room_millicores, 0)
 
     def _move_slow_run(
         self,
