Refuse submissions that arrive after their cancellation

Cause: the owner answered 410 because it knew no such workflow, and kept nothing of the cancellation. A submission that was still on its way - held back by a cut between two entries, or repeated by its entry after a change of owner - was accepted afterwards like a new one.

The ids are stored in pages of 32 with the commit that a 410 waits for anyway, so there is no further call of the store, and the next owner reads them with the workflows.

The random histories cancel before they submit, and the model checking has three new safeguards; without each of them it finds a counterexample.

--- a/borageshelf/entry/workflows/owner_stream.py
+++ b/borageshelf/entry/workflows/owner_stream.py
@@ -77,4 +77,3 @@
         for future in self._answer_futures.values():
             if not future.done():
                 future.set_exception(OwnerStreamEnded(was_sent=True))
-
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -178,6 +178,7 @@
             renewal.cancel()
             await asyncio.gather(renewal, return_exceptions=True)
         moment = clock.read_moment()
+        self._core.cancellations.restore(loaded.cancellations, moment)
         if loaded.foreign_keys:
             self._event_log.record_state(
                 'foreign keys ignored',
--- a/borageshelf/measurements.py
+++ b/borageshelf/measurements.py
@@ -106,6 +106,14 @@
 COPIES_WON = _counter(
     'copies_won', 'Speculative copies that were done before the first run.'
 )
+CANCELLATIONS_KEPT = _gauge(
+    'cancellations_kept',
+    'Cancellations of unknown workflows that this owner keeps.',
+)
+CANCELLATIONS_REFUSED = _counter(
+    'cancellations_refused',
+    'Cancellations of unknown workflows refused at a limit.',
+)
 INVENTORY_FAILURES = _counter(
     'inventory_failures', 'Readings of the list of VMs that failed.'
 )
--- a/borageshelf/workflows/journal.py
+++ b/borageshelf/workflows/journal.py
@@ -41,13 +41,17 @@
     :param specs: specifications by workflow id
     :param states: states by workflow id
     :param unreadable: what is wrong with the other records, by key
-    :param foreign_keys: keys that are not those of a workflow
+    :param foreign_keys: keys of other writers
+    :param cancellations: pages of cancellations, by key
     """
 
     specs: dict[str, records.SpecRecord]
     states: dict[str, records.StateRecord]
     unreadable: dict[str, str] = dataclasses.field(default_factory=dict)
     foreign_keys: tuple[str, ...] = ()
+    cancellations: dict[str, records.CancellationPage] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Journal:
@@ -114,8 +118,18 @@
         states: dict[str, records.StateRecord] = {}
         unreadable: dict[str, str] = {}
         foreign_keys: list[str] = []
-        listing = await self._store.scan(records.JOBS_PREFIX)
+        pages: dict[str, records.CancellationPage] = {}
+        # One listing, because a takeover waits for it.
+        listing = await self._store.scan(records.PREFIX)
         for entry in listing.entries:
+            if entry.key.startswith(records.CANCELLATIONS_PREFIX):
+                page = _decode_page(entry.value)
+                if page is None:
+                    foreign_keys.append(entry.key)
+                else:
+                    pages[entry.key] = page
+            if not entry.key.startswith(records.JOBS_PREFIX):
+                continue
             workflow_id = records.find_workflow_id(entry.key)
             try:
                 if not workflow_id:
@@ -130,7 +144,9 @@
                     foreign_keys.append(entry.key)
             except errors.BorageshelfError as error:
                 unreadable[entry.key] = error.detail
-        return StoredWorkflows(specs, states, unreadable, tuple(foreign_keys))
+        return StoredWorkflows(
+            specs, states, unreadable, tuple(foreign_keys), pages
+        )
 
     async def commit(
         self,
@@ -279,6 +295,17 @@
     return bool(found.commit_id == head.commit_id)
 
 
+def _decode_page(value: bytes) -> records.CancellationPage | None:
+    """Return a page of cancellations; None for one of another writer."""
+    try:
+        page: records.CancellationPage = decode(
+            value, records.CancellationPage
+        )
+    except errors.BorageshelfError:
+        return None
+    return page
+
+
 def _decode_spec(workflow_id: str, value: bytes) -> records.SpecRecord:
     """Return the specification of a workflow.
 
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -15,11 +15,11 @@
 
 from borageshelf import clock
 from borageshelf.decisions import target_health
-from borageshelf.decisions import workflow_admission
 from borageshelf import measurements
 from borageshelf.model import workflows
 from borageshelf.ports import task_executor
 from borageshelf.workflows import admission
+from borageshelf.workflows import cancellations
 from borageshelf.workflows import checkpoints
 from borageshelf.workflows import copies
 from borageshelf.workflows import crashes
@@ -31,7 +31,6 @@
 from borageshelf.workflows import hand_over
 from borageshelf.workflows import idle
 from borageshelf.workflows import jobs
-from borageshelf.workflows import memory_budget
 from borageshelf.workflows import messages
 from borageshelf.workflows import place_waiting
 from borageshelf.workflows import records
@@ -60,8 +59,8 @@
 # Agents find a new owner within about a second. Until then the capacity of
 # the fleet is unknown.
 FLEET_DISCOVERY_MS: Final = 2_000
-# Memory becomes free when workflows end, which takes seconds to minutes.
-MEMORY_RETRY_MS: Final = 6_000
+# The next commit makes room for cancellations, unless the store is away.
+CANCEL_RETRY_AFTER_S: Final = 1
 
 UNKNOWN_ORIGIN: Final = messages.Origin()
 RecordEvent = abc.Callable[..., None]
@@ -77,6 +76,7 @@
     :param removed: keys to remove
     :param expired_ids: ended workflows whose states are removed
     :param effects: effects of each workflow that the commit releases
+    :param cancelled: changed pages of cancellations, also among the above
     """
 
     jobs: tuple[jobs.Job, ...]
@@ -85,6 +85,7 @@
     removed: tuple[str, ...]
     expired_ids: tuple[str, ...]
     effects: tuple[tuple[effects.Effect, ...], ...]
+    cancelled: cancellations.Changes = cancellations.Changes()
 
     @property
     def is_empty(self) -> bool:
@@ -135,9 +136,10 @@
         self._handed_over.watch(self.targets)
         self.archive: dict[str, ArchivedWorkflow] = {}
         self.set_aside_ids: set[str] = set()
+        self.cancellations = cancellations.Cancellations(epoch, encode)
         self._silence_limits = silence_limits
         self._retention_ms = retention_ms
-        self._discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
+        discovery_deadline_ms = now_ms + FLEET_DISCOVERY_MS
         self._encode = encode
         self._record = record
         self._dirty_jobs: dict[str, jobs.Job] = {}
@@ -157,7 +159,14 @@
             self._fleet,
             self.scheduler.predict_latency_share,
             record,
-            self._discovery_deadline_ms,
+            discovery_deadline_ms,
+        )
+        self._admission = admission.Admission(
+            self.jobs,
+            self._active_jobs,
+            self.targets,
+            self.cancellations,
+            discovery_deadline_ms,
         )
         self._copier = copies.Copier(self._fleet, self.scheduler, record)
 
@@ -245,27 +254,15 @@
             queue.latency_target_ms,
             moment.wall_ms,
         )
-        if not memory_budget.has_room(workflow, self.jobs.values()):
-            retry_after_s = workflow_admission.compute_retry_after_s(
-                workflow_id, MEMORY_RETRY_MS
-            )
-            self._record(
-                'workflow refused',
-                workflow=workflow_id,
-                queue=queue.name,
-                cause='the accepted workflows fill the memory',
-                retry_after_s=retry_after_s,
-            )
-            self._reply(token, effects.Outcome.REFUSED, retry_after_s)
-            return
-        decision = self._admit(workflow, terms, moment)
-        if isinstance(decision, workflow_admission.Refused):
+        decision = self._admission.decide(workflow, terms, moment)
+        if isinstance(decision, admission.Refusal):
             self._record(
                 'workflow refused',
                 workflow=workflow_id,
                 queue=queue.name,
-                expected_ms=decision.expected_ms,
                 retry_after_s=decision.retry_after_s,
+                **decision.details,
+                **origin.describe(moment.wall_ms),
             )
             self._reply(token, effects.Outcome.REFUSED, decision.retry_after_s)
             return
@@ -293,20 +290,29 @@
         moment: clock.Moment,
         origin: messages.Origin = UNKNOWN_ORIGIN,
     ) -> None:
-        """Cancel a workflow; the answer is a ``Reply`` effect."""
+        """Cancel a workflow; the answer is a ``Reply`` effect.
+
+        ``ABSENT`` may be answered to the caller only after the next commit,
+        which stores that the id is cancelled.
+        """
         job = self.jobs.get(workflow_id)
         if job is None:
-            is_known = workflow_id in self.archive
+            if workflow_id in self.archive:
+                self._reply(token, effects.Outcome.FOUND)
+                return
+            is_kept = self.cancellations.add(workflow_id, moment)
             self._record(
-                'cancelled workflow is not active',
+                'unknown workflow cancelled',
                 workflow=workflow_id,
-                is_known=is_known,
+                is_kept=is_kept,
                 **origin.describe(moment.wall_ms),
             )
-            self._reply(
-                token,
-                effects.Outcome.FOUND if is_known else effects.Outcome.ABSENT,
-            )
+            if is_kept:
+                self._reply(token, effects.Outcome.ABSENT)
+            else:
+                self._reply(
+                    token, effects.Outcome.REFUSED, CANCEL_RETRY_AFTER_S
+                )
             return
         if job.is_active:
             self._end_workflow(
@@ -861,6 +867,7 @@
                 )
         if now_ms >= self._next_expiry_ms:
             self._next_expiry_ms = now_ms + 1_000
+            self.cancellations.expire(now_ms)
             for workflow_id, archived in list(self.archive.items()):
                 age_ms = moment.wall_ms - archived.ended_at_ms
                 if age_ms > self._retention_ms:
@@ -960,8 +967,9 @@
     def take_batch(self) -> Batch:
         """Return the next changes to commit."""
         chosen: list[jobs.Job] = []
-        writes: list[tuple[str, bytes]] = []
-        removed: list[str] = []
+        cancelled = self.cancellations.take_changes()
+        writes = list(cancelled.writes)
+        removed = list(cancelled.removed)
         released = []
         for job in list(self._dirty_jobs.values()):
             is_finished = not job.is_active and not job.live_runs
@@ -995,6 +1003,7 @@
             tuple(removed),
             tuple(expired_ids),
             tuple(released),
+            cancelled,
         )
 
     def _encode_job(
@@ -1050,6 +1059,7 @@
         into the next batch.
         """
         self._expired_workflow_ids += batch.expired_ids
+        self.cancellations.handle_failed_commit(batch.cancelled)
         for job, released in zip(batch.jobs, batch.effects, strict=True):
             if job.is_committed:
                 job.effects = [*released, *job.effects]
@@ -1128,7 +1138,11 @@
     @property
     def has_changes(self) -> bool:
         """Tell whether there are changes to commit."""
-        return bool(self._dirty_jobs or self._expired_workflow_ids)
+        return bool(
+            self._dirty_jobs
+            or self._expired_workflow_ids
+            or self.cancellations.has_changes
+        )
 
     # Helpers.
 
@@ -1164,23 +1178,6 @@
             effects.Reply((token,), outcome, retry_after_s)
         )
 
-    def _admit(
-        self,
-        workflow: workflows.Workflow,
-        terms: records.Terms,
-        moment: clock.Moment,
-    ) -> workflow_admission.Admitted | workflow_admission.Refused:
-        if moment.elapsed_ms < self._discovery_deadline_ms:
-            # The targets of the fleet are not known yet.
-            return workflow_admission.Admitted(0, True)
-        return admission.decide(
-            workflow,
-            terms,
-            self.targets.values(),
-            self._active_jobs.values(),
-            moment,
-        )
-
     def _move_slow_run(
         self,
         target: targets.Target,
--- a/borageshelf/workflows/records.py
+++ b/borageshelf/workflows/records.py
@@ -18,6 +18,7 @@
 HEAD_KEY: Final = PREFIX + 'head'
 OWNER_KEY: Final = PREFIX + 'owner'
 JOBS_PREFIX: Final = PREFIX + 'job/'
+CANCELLATIONS_PREFIX: Final = PREFIX + 'cancelled/'
 _SPEC_SUFFIX: Final = '/spec'
 _STATE_SUFFIX: Final = '/state'
 # Fencing tokens are a million times larger and must stay exact numbers.
@@ -25,6 +26,8 @@
 Epoch = Annotated[int, msgspec.Meta(ge=0, le=EPOCH_LIMIT)]
 # Longer than any wait for a silent target.
 LEFT_LIMIT_MS: Final = 60_000
+# A page is written again with each commit that adds a row to it.
+CANCELLATION_PAGE_ROWS: Final = 32
 # 2020-01-01. The seconds since then exceed the number of takeovers.
 EPOCH_ESTIMATE_START_MS: Final = 1_577_836_800_000
 LeftTime = Annotated[int, msgspec.Meta(ge=0, le=LEFT_LIMIT_MS)]
@@ -124,6 +127,25 @@
     ] = ()
 
 
+class CancellationRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A cancellation of a workflow that the owner did not know.
+
+    :param expires_deadline_ms: Unix time until which the id is refused
+    """
+
+    workflow_id: Annotated[str, msgspec.Meta(max_length=64)]
+    expires_deadline_ms: numbers.WholeNumber
+
+
+class CancellationPage(msgspec.Struct, frozen=True, array_like=True):
+    """Cancellations that are stored together; see ``cancellations``."""
+
+    rows: Annotated[
+        tuple[CancellationRecord, ...],
+        msgspec.Meta(max_length=CANCELLATION_PAGE_ROWS),
+    ] = ()
+
+
 class SilentTarget(msgspec.Struct, frozen=True, array_like=True):
     """A target that gets no grant before the next commit.
 
@@ -181,6 +203,14 @@
     return f'{JOBS_PREFIX}{workflow_id}{_STATE_SUFFIX}'
 
 
+def make_cancellations_key(epoch: int, number: int) -> str:
+    """Return the key of a page of cancellations.
+
+    :param epoch: epoch of the owner that writes it
+    """
+    return f'{CANCELLATIONS_PREFIX}{epoch}-{number}'
+
+
 def find_workflow_id(key: str) -> str:
     """Return the workflow id in a key below the prefix of workflows.
 
--- a/tests/model/choices.py
+++ b/tests/model/choices.py
@@ -263,6 +263,14 @@
     owner.take_over()
 
 
+def _deliver_submission(world: model_world.World, subject: str) -> None:
+    workflow_id, name = subject.split()
+    owner = _find_process(world, name)
+    assert isinstance(owner, processes.OwnerProcess)
+    world.late_ids.remove(workflow_id)
+    owner.submit(workflow_id)
+
+
 def _find_process(world: model_world.World, name: str) -> processes.Process:
     if name in world.agents:
         return world.agents[name]
@@ -300,6 +308,7 @@
     'carry out the late commit': _release_call,
     'end done': _end_run,
     'deliver what waits on stream': _deliver_waiting,
+    'deliver the late submission': _deliver_submission,
 }
 
 
@@ -317,6 +326,12 @@
         ]
         if not world.list_waiting(item.stream):
             found = []
+    found += [
+        Choice('deliver the late submission', f'{workflow_id} {owner.name}')
+        for workflow_id in world.late_ids
+        for owner in world.owners
+        if owner.is_running and owner.runtime is not None
+    ]
     return [
         choice
         for choice in found
@@ -363,6 +378,9 @@
         or (is_first and not world.is_agent_cut_off(agent))
     ):
         found.append(Choice('suspend', executor.name))
+    if world.scenario.has_late_submission:
+        # Hardly anything else is in transit after the cancellation.
+        found += _list_hand_overs(world)
     return found
 
 
--- a/tests/model/fingerprints.py
+++ b/tests/model/fingerprints.py
@@ -167,6 +167,8 @@
         world.owner_name,
         walker.freeze(world.promise.running),
         walker.freeze(world.promise.ends),
+        walker.freeze(world.promise.cancelled_ids),
+        walker.freeze(world.late_ids),
         tuple(
             tuple(walker.freeze_attributes(executor))
             for executor in world.executors.values()
--- a/tests/model/monitor.py
+++ b/tests/model/monitor.py
@@ -2,7 +2,8 @@
 
 The monitor sees what happens on the executors, which neither the owner nor the
 agents see. It follows rule TWICE of the users' platform for tasks that are not
-speculative.
+speculative, and rule UNASKED for workflows that are cancelled before their
+submissions arrive.
 """
 
 import dataclasses
@@ -39,9 +40,19 @@
         self.violation = ''
         self.running: dict[tuple[str, str, int], None] = {}
         self.ends: list[DoneEnd] = []
+        self.cancelled_ids: set[str] = set()
+
+    def note_cancelled(self, workflow_id: str) -> None:
+        """Note that a cancellation is acknowledged."""
+        self.cancelled_ids.add(workflow_id)
 
     def note_start(self, executor: str, task: str, attempt: int) -> None:
         """Check the start of a run."""
+        if task.partition('.')[0] in self.cancelled_ids:
+            self._report(
+                f'{task} started on {executor} after its cancellation was'
+                f' acknowledged'
+            )
         others = [run for run in self.running if run[1] == task]
         if len(others) >= self.runs_limit:
             other_executor, _, other_attempt = others[0]
--- a/tests/model/processes.py
+++ b/tests/model/processes.py
@@ -17,6 +17,7 @@
 from borageshelf.ports import inventory
 from borageshelf.ports import store as store_interface
 from borageshelf.ports import task_executor
+from borageshelf.workflows import effects
 from borageshelf.workflows import hand_over
 from borageshelf.workflows import journal
 from borageshelf.workflows import messages
@@ -68,6 +69,9 @@
     def note_owner(self, process: 'OwnerProcess') -> None:
         """Note that a process has become the owner."""
 
+    def note_cancelled(self, workflow_id: str) -> None:
+        """Note that a cancellation is acknowledged."""
+
 
 class ModelLog:
     """Stands in for ``EventLog``; the lines belong to the history."""
@@ -204,6 +208,21 @@
             )
         )
 
+    def cancel(self, workflow_id: str) -> None:
+        """Cancel a workflow that no owner knows yet."""
+        assert self.runtime is not None
+        owner_runtime = self.runtime
+
+        async def cancel() -> None:
+            answer = await owner_runtime.answer(
+                messages.CancelRequest(1, workflow_id),
+                self.world.clock.now_ms + 60_000,
+            )
+            if answer.outcome is effects.Outcome.ABSENT:
+                self.world.note_cancelled(workflow_id)
+
+        self.loop.create_task(cancel())
+
     def serve(self, side: streams.Side) -> asyncio.Task[Any]:
         """Serve the stream of an agent, which begins with a hello."""
 
--- a/tests/model/safeguards.py
+++ b/tests/model/safeguards.py
@@ -1,7 +1,8 @@
 """Safeguards of the program that a search can take out.
 
 Each one is a rule of the program's own code without which a task can be
-started twice. The search has to find that out, or it would prove nothing.
+started twice, or after its workflow was cancelled. The search has to find that
+out, or it would prove nothing.
 """
 
 from collections import abc
@@ -18,6 +19,7 @@
 from borageshelf.entry.workflows import runtime
 from borageshelf.ports import store as store_interface
 from borageshelf.ports import task_executor
+from borageshelf.workflows import cancellations
 from borageshelf.workflows import end_proofs
 from borageshelf.workflows import journal
 from borageshelf.workflows import owner
@@ -42,6 +44,8 @@
     :param suspension_ms: how long a VM is suspended
     :param has_suspensions_beside_cuts: whether it may be suspended while its
         agent is cut off
+    :param has_late_submission: whether a workflow is cancelled before its
+        submission arrives
     """
 
     name: str
@@ -52,6 +56,7 @@
     duration_ms: int = 5_000
     suspension_ms: int = world.SUSPENSION_MS
     has_suspensions_beside_cuts: bool = False
+    has_late_submission: bool = False
 
     def make_search(self) -> search.Search:
         """Return the search for a counterexample."""
@@ -62,6 +67,7 @@
             is_placed_later=self.is_placed_later,
             suspension_ms=self.suspension_ms,
             has_suspensions_beside_cuts=self.has_suspensions_beside_cuts,
+            has_late_submission=self.has_late_submission,
         )
         return search.Search(scenario, self.bounds)
 
@@ -276,6 +282,39 @@
         yield
 
 
+@contextlib.contextmanager
+def _accept_cancelled_ids() -> abc.Iterator[None]:
+    """Accept a submission whose workflow was cancelled before."""
+    with mock.patch.object(
+        cancellations.Cancellations,
+        'compute_left_ms',
+        autospec=True,
+        return_value=0,
+    ):
+        yield
+
+
+@contextlib.contextmanager
+def _store_no_cancellations() -> abc.Iterator[None]:
+    """Keep cancellations in the memory of one owner only."""
+    with mock.patch.object(
+        cancellations.Cancellations,
+        'take_changes',
+        autospec=True,
+        return_value=cancellations.Changes(),
+    ):
+        yield
+
+
+@contextlib.contextmanager
+def _drop_cancellations_of_failed_commits() -> abc.Iterator[None]:
+    """Do not repeat cancellations whose commit the store has refused."""
+    with mock.patch.object(
+        cancellations.Cancellations, 'handle_failed_commit', autospec=True
+    ):
+        yield
+
+
 LATE_ORDERS: Final = ('keep for later', 'carry out the late order')
 SAFEGUARDS: Final = (
     Safeguard(
@@ -365,6 +404,31 @@
         search.Bounds(8, 1, 0),
         ('connections refused at',),
     ),
+    Safeguard(
+        'a workflow that was cancelled before it arrived is refused',
+        _accept_cancelled_ids,
+        search.Bounds(6, 0, 1),
+        ('deliver the late submission',),
+        has_late_submission=True,
+    ),
+    Safeguard(
+        'a cancellation is stored before it is acknowledged',
+        _store_no_cancellations,
+        search.Bounds(8, 1, 1),
+        ('deliver the late submission', 'hand over to'),
+        has_late_submission=True,
+    ),
+    Safeguard(
+        'a cancellation is stored again after a refused commit',
+        _drop_cancellations_of_failed_commits,
+        search.Bounds(8, 2, 1),
+        (
+            'deliver the late submission',
+            'hand over to',
+            'refuse the commit',
+        ),
+        has_late_submission=True,
+    ),
     Safeguard(
         'messages of a replaced session are ignored',
         _receive_from_former_streams,
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -48,6 +48,8 @@
     :param has_listing: whether the owner can read which executors are up
     :param has_long_silences: whether it may also be suspended again, so that
         its owner can't wait for it
+    :param has_late_submission: whether another workflow is cancelled while
+        its submission is still on its way
     :param has_copies: whether each task gets a copy as soon as it may, and
         there is a third target for a third run; the search is run beside
         ``workflow_support.copy_eagerly``
@@ -62,6 +64,7 @@
     has_suspensions_beside_cuts: bool = False
     has_long_silences: bool = False
     has_listing: bool = False
+    has_late_submission: bool = False
     has_copies: bool = False
 
 
@@ -70,6 +73,7 @@
 
     :ivar kept_orders: orders without an answer that may be carried out later
     :ivar kept_calls: calls of the store that may be carried out later
+    :ivar late_ids: workflows whose submissions are on their way
     :ivar steps: number of branch points so far
     """
 
@@ -81,6 +85,7 @@
         self.promise = monitor.Monitor(1 + scenario.has_copies)
         self.kept_orders: list[items.OrderItem] = []
         self.kept_calls: list[items.CallItem] = []
+        self.late_ids: list[str] = []
         self.parked: list[items.OrderItem] = []
         self.steps = 0
         self.unhealthy_until_ms: dict[str, int] = {}
@@ -126,6 +131,12 @@
     def _submit(self) -> None:
         for number in range(self.scenario.tasks):
             self.owners[0].submit(f'{number:016x}')
+        if self.scenario.has_late_submission:
+            late_id = f'{self.scenario.tasks:016x}'
+            self.late_ids.append(late_id)
+            # The others are stored whatever becomes of the next commit.
+            self._pass_time(COMMIT_MS)
+            self.owners[0].cancel(late_id)
         if self.scenario.is_placed_later:
             self._pass_time(COMMIT_MS)
 
@@ -156,6 +167,11 @@
         self.owner_name = process.name
         self._extend_owner_lease()
 
+    def note_cancelled(self, workflow_id: str) -> None:
+        """Note that a cancellation is acknowledged."""
+        self.note(f'the cancellation of {workflow_id} is acknowledged')
+        self.promise.note_cancelled(workflow_id)
+
     def _extend_owner_lease(self) -> None:
         self.owner_lease_deadline_ms = self.clock.now_ms + store.OWNER_LEASE_MS
         self.schedule(store.OWNER_LEASE_MS, self._check_owner_lease)
--- a/tests/test_workflow_properties.py
+++ b/tests/test_workflow_properties.py
@@ -17,6 +17,7 @@
 ACTIONS = (
     'submit',
     'cancel',
+    'cancel early',
     'end',
     'fail',
     'stop',
@@ -43,6 +44,10 @@
         self.rng = random.Random(seed)
         self.cluster = support.Cluster()
         self.submitted_ids: list[str] = []
+        # Workflows that were cancelled before their submissions arrived, and
+        # those of them whose cancellation is stored and so acknowledged.
+        self.early_ids: set[str] = set()
+        self.acknowledged_ids: set[str] = set()
         self.done_tasks: set[str] = set()
         self.failures: dict[str, int] = {}
         self.checked_starts = 0
@@ -72,6 +77,10 @@
             )
         elif action == 'cancel' and self.submitted_ids:
             cluster.cancel(self.rng.choice(self.submitted_ids), token=10_000)
+        elif action == 'cancel early':
+            early_id = f'{len(self.submitted_ids):016x}'
+            self.early_ids.add(early_id)
+            cluster.cancel(early_id, token=10_000)
         elif action in END_KINDS:
             self._end_random_run(END_KINDS[action])
         elif action == 'crash':
@@ -82,6 +91,7 @@
             )
         elif action == 'take over':
             cluster.take_over()
+            self.early_ids.clear()
             self._excuse_lost_successes()
         elif action == 'wait':
             # Shorter than a grant, in which nothing may be started twice.
@@ -95,6 +105,7 @@
             self._report_slow_progress()
         else:
             cluster.run_until_idle()
+            self.acknowledged_ids |= self.early_ids
             self._check_stops()
         self._check()
 
@@ -226,6 +237,9 @@
                 'a task was started after its last attempt'
             )
             workflow_id, _, step, _ = task.split('.')
+            assert workflow_id not in self.acknowledged_ids, (
+                'a workflow started whose cancellation was acknowledged'
+            )
             if step == '1':
                 done_in_first_step = [
                     other
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -321,6 +321,12 @@
         No target is attached to the new owner yet.
         """
         self.core = self._make_core(self.core.epoch + 1)
+        pages = {
+            key: journal.decode(value, records.CancellationPage)
+            for key, value in self.stored.items()
+            if key.startswith(records.CANCELLATIONS_PREFIX)
+        }
+        self.core.cancellations.restore(pages, self.moment)
         for key, value in self.stored.items():
             workflow_id = records.parse_workflow_id(key)
             if workflow_id is None:
