Void a forwarded submission at its caller's deadline

Callers saw: a workflow is accepted and runs although its caller was answered 504 at the deadline, or has left long before.

Cause: the owner gave a forwarded submission 10 s from its arrival. That does not see how long a cut or a suspended owner held the bytes back, so nothing bounded the age of what was accepted. The time for which cancellations are kept depends on such a bound.

Change: an entry sends the deadline as a reading of the owner's clock, which it knows from the owner's hello and its answers to pings (workflows/peer_clock.py). A reading is late by its time on the way, so the converted deadline is never late; no clocks have to agree. The owner drops what arrives later and logs its age. A submission lives for 10 s at most. Entries of the former version state no deadline and are served as before. Answering what other entries forward moves from election.py to forwarded_requests.py.

Result: test_submission_that_is_held_past_its_deadline_is_not_accepted failed before: the owner took the workflow when a cut of 0.6 s ended.

--- a/borageshelf/entry/workflows/election.py
+++ b/borageshelf/entry/workflows/election.py
@@ -20,6 +20,7 @@
 from borageshelf import clock
 from borageshelf.decisions import owner_preference
 from borageshelf.entry.workflows import evacuations
+from borageshelf.entry.workflows import forwarded_requests
 from borageshelf.entry.workflows import owner_stream
 from borageshelf.entry.workflows import peers
 from borageshelf.entry.workflows import runtime
@@ -204,16 +205,11 @@
         assert local_owner is not None
         peer = self._peers.add(hello, outbox)
         outbox.send(
-            messages.OwnerHello(local_owner.epoch, self.list_entries())
-        )
-        request_tasks = loop.TaskGroup()
-
-        async def answer_request(request: messages.Request) -> None:
-            deadline_ms = (
-                clock.read_elapsed_ms() + FORWARDED_REQUEST_TIMEOUT_MS
+            messages.OwnerHello(
+                local_owner.epoch, self.list_entries(), clock.read_elapsed_ms()
             )
-            outbox.send(await local_owner.answer(request, deadline_ms))
-
+        )
+        requests = forwarded_requests.ForwardedRequests(local_owner, outbox)
         try:
             async for message in incoming:
                 peer.last_received_at_ms = clock.read_elapsed_ms()
@@ -228,16 +224,17 @@
                             ),
                             store_silent_ms=local_owner.store_silent_ms,
                             head_revision=local_owner.head_revision,
+                            answered_at_elapsed_ms=clock.read_elapsed_ms(),
                         )
                     )
                     self._send_newer_configuration(message.version, outbox)
                 elif isinstance(message, messages.Configuration):
                     self._apply_configuration(message.document)
-                elif isinstance(message, _REQUEST_TYPES):
-                    request_tasks.start(answer_request(message))
+                elif isinstance(message, forwarded_requests.REQUEST_TYPES):
+                    requests.start(message)
         finally:
             self._peers.remove(peer)
-            await request_tasks.stop()
+            await requests.stop()
 
     def _send_newer_configuration(
         self, version: int, outbox: channel.Outbox
@@ -522,6 +519,7 @@
     ) -> None:
         if isinstance(message, messages.OwnerHello):
             link.epoch = max(link.epoch, message.epoch)
+            link.note_clock(message.elapsed_ms)
             self._known_addresses = tuple(
                 entry.address for entry in message.entries
             )
@@ -535,6 +533,7 @@
         elif isinstance(message, messages.Configuration):
             self._apply_configuration(message.document)
         elif isinstance(message, messages.Answer):
+            link.note_clock(message.answered_at_elapsed_ms)
             self._largest_millicores = message.largest_millicores
             self._note_head(message.head_revision)
             if message.store_silent_ms > STORE_SILENCE_LIMIT_MS:
@@ -813,14 +812,3 @@
                 return
             except channel.CONNECTION_ERRORS:
                 await asyncio.sleep(PING_INTERVAL_MS / 1000)
-
-
-# Upper bound on how long a caller waits; the entry that forwards the request
-# enforces the caller's own deadline.
-FORWARDED_REQUEST_TIMEOUT_MS: Final = 10_000
-_REQUEST_TYPES: Final = (
-    messages.SubmitRequest,
-    messages.CancelRequest,
-    messages.FindRequest,
-    messages.CountRequest,
-)
--- a/borageshelf/entry/workflows/owner_stream.py
+++ b/borageshelf/entry/workflows/owner_stream.py
@@ -1,6 +1,7 @@
 """The stream from an entry to the owner, shared by the requests of callers."""
 
 import asyncio
+import functools
 import itertools
 
 import msgspec
@@ -9,6 +10,7 @@
 from borageshelf.workflows import channel
 from borageshelf.workflows import effects
 from borageshelf.workflows import messages
+from borageshelf.workflows import peer_clock
 
 
 class OwnerStreamEnded(Exception):
@@ -37,11 +39,19 @@
         self.outbox = outbox
         self.last_received_at_ms = clock.read_elapsed_ms()
         self.is_owner_cut = False
+        self._owner_clock = peer_clock.PeerClock()
         self._request_numbers = itertools.count(1)
         self._answer_futures: dict[
             int, asyncio.Future[messages.RequestAnswer]
         ] = {}
 
+    def note_clock(self, owner_elapsed_ms: int) -> None:
+        """Note a reading of the owner's clock; 0 stands for none."""
+        if owner_elapsed_ms:
+            self._owner_clock.note_reading(
+                owner_elapsed_ms, clock.read_elapsed_ms()
+            )
+
     async def forward(
         self, request: messages.Request, deadline_ms: int
     ) -> messages.RequestAnswer:
@@ -55,7 +65,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._answer_futures[number] = future
-        self.outbox.send(msgspec.structs.replace(request, number=number))
+        self.outbox.send(self._address(request, number, deadline_ms))
         left_ms = max(deadline_ms - clock.read_elapsed_ms(), 0)
         try:
             async with asyncio.timeout(left_ms / 1000):
@@ -63,7 +73,26 @@
         except TimeoutError:
             return messages.RequestAnswer(number, effects.Outcome.UNKNOWN)
         finally:
-            self._answer_futures.pop(number, None)
+            del self._answer_futures[number]
+
+    @functools.singledispatchmethod
+    def _address(
+        self, request: messages.Request, number: int, deadline_ms: int
+    ) -> messages.Request:
+        """Return a request as it is sent to the owner."""
+        return msgspec.structs.replace(request, number=number)
+
+    @_address.register
+    def _(
+        self, request: messages.SubmitRequest, number: int, deadline_ms: int
+    ) -> messages.Request:
+        return msgspec.structs.replace(
+            request,
+            number=number,
+            deadline_elapsed_ms=self._owner_clock.convert_deadline(
+                deadline_ms
+            ),
+        )
 
     def deliver_answer(self, answer: messages.RequestAnswer) -> None:
         """Pass an answer to the request that waits for it."""
--- a/borageshelf/entry/workflows/request_service.py
+++ b/borageshelf/entry/workflows/request_service.py
@@ -17,6 +17,7 @@
 from borageshelf import loop
 from borageshelf.model import workflows
 from borageshelf.ports import store as store_interface
+from borageshelf.workflows import cancellations
 from borageshelf.workflows import effects
 from borageshelf.workflows import jobs
 from borageshelf.workflows import journal
@@ -66,6 +67,10 @@
         deadline_ms: int,
     ) -> messages.RequestAnswer:
         """Submit a workflow to the owner."""
+        deadline_ms = min(
+            deadline_ms,
+            clock.read_elapsed_ms() + cancellations.SUBMISSION_LIFETIME_MS,
+        )
         return await self._request_from_owner(
             messages.SubmitRequest(0, workflow, queue, self._make_origin()),
             deadline_ms,
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -332,6 +332,14 @@
                 number, effects.Outcome.FOUND, count=count
             )
         if isinstance(request, messages.SubmitRequest):
+            if moment.elapsed_ms >= deadline_ms:
+                self._event_log.record(
+                    'submission expired',
+                    workflow=request.workflow.workflow_id,
+                    late_ms=moment.elapsed_ms - deadline_ms,
+                    **request.origin.describe(moment.wall_ms),
+                )
+                return messages.RequestAnswer(number, effects.Outcome.UNKNOWN)
             is_known = request.workflow.workflow_id in self._core.jobs
             if not is_known and self._is_store_slow(moment.elapsed_ms):
                 self._event_log.record(
--- a/borageshelf/workflows/cancellations.py
+++ b/borageshelf/workflows/cancellations.py
@@ -20,9 +20,16 @@
 from borageshelf import measurements
 from borageshelf.workflows import records
 
-# A cut or suspension holds a submission back for 12 s at most, its entry gives
-# it up after another 10 s, and the clocks of two owners differ by up to 6 s.
-LIFETIME_MS: Final = 30_000
+# A submission is void so long after an entry has received it.
+SUBMISSION_LIFETIME_MS: Final = 10_000
+# The longest cut or suspension of the users' pages may hold a submission back
+# before an entry receives it.
+HOLD_LIMIT_MS: Final = 12_000
+# The clocks of two owners differ by up to 6 s (site files).
+CLOCK_DIFFERENCE_LIMIT_MS: Final = 8_000
+LIFETIME_MS: Final = (
+    HOLD_LIMIT_MS + SUBMISSION_LIFETIME_MS + CLOCK_DIFFERENCE_LIMIT_MS
+)
 # Bounds the memory of the owner and the records that the next one reads.
 ROWS_LIMIT: Final = 4_096
 # Bounds the size of a commit.
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -2,11 +2,12 @@
 
 Each message is encoded as a tagged array, so a field may be appended with a
 default. Times named ``elapsed`` are readings of the sender's monotonic clock;
-a receiver cannot interpret them and only returns them.
+a receiver cannot interpret them and only returns them. A deadline named
+``elapsed`` is a reading of the receiver's clock.
 """
 
 import enum
-from typing import Final, TypeAlias
+from typing import Any, Final, TypeAlias
 
 import msgspec
 
@@ -125,7 +126,7 @@
     entry_id: str = ''
     received_at_wall_ms: int = 0
 
-    def describe(self, now_wall_ms: int) -> dict[str, str | int]:
+    def describe(self, now_wall_ms: int) -> dict[str, Any]:
         """Return the fields of a log line; the clocks may differ."""
         return {
             'entry': self.entry_id,
@@ -324,6 +325,8 @@
     :param service_state: whether the agent's data centre is evacuated; in
         answers to reports, and in those that answer nothing
         (``sent_at_elapsed_ms`` is 0) and tell of a change
+    :param answered_at_elapsed_ms: elapsed time of the owner when it sent
+        this; in answers to pings only
     """
 
     sent_at_elapsed_ms: int
@@ -334,6 +337,7 @@
     service_state: data_centres.ServiceState = (
         data_centres.ServiceState.NOT_STATED
     )
+    answered_at_elapsed_ms: int = 0
 
 
 # Sent between entries.
@@ -356,10 +360,12 @@
     """Answer to an entry's hello; the sender owns the workflows.
 
     :param entries: the entries that are connected to it
+    :param elapsed_ms: elapsed time of the owner when it sent this
     """
 
     epoch: records.Epoch
     entries: tuple[EntryAddress, ...] = ()
+    elapsed_ms: int = 0
 
 
 class Redirect(Message, frozen=True, array_like=True, tag=True):
@@ -398,12 +404,18 @@
 
 
 class SubmitRequest(Message, frozen=True, array_like=True, tag=True):
-    """Requests the acceptance of a workflow."""
+    """Requests the acceptance of a workflow.
+
+    :param deadline_elapsed_ms: elapsed time of the owner after which nobody
+        waits for the answer, so that it must not be accepted; 0 if it is not
+        known
+    """
 
     number: int
     workflow: workflows.Workflow
     queue: workflows.Queue
     origin: Origin = Origin()
+    deadline_elapsed_ms: int = 0
 
 
 class CancelRequest(Message, frozen=True, array_like=True, tag=True):
--- a/tests/workflow_support.py
+++ b/tests/workflow_support.py
@@ -55,6 +55,11 @@
     return workflows.Workflow(workflow_id, 'spec', steps or (make_step(),))
 
 
+def make_submission(**fields: Any) -> messages.SubmitRequest:
+    """Return a request to accept such a workflow."""
+    return messages.SubmitRequest(1, make_workflow(), QUEUE, **fields)
+
+
 @contextlib.contextmanager
 def copy_eagerly() -> abc.Iterator[None]:
     """Let the owner copy tasks wherever the rules allow it."""
