Drop a request when its caller leaves

Callers saw: a submission whose caller had left went on to wait for the next owner, and was accepted after the caller had cancelled it elsewhere.

Cause: _AsyncResource.render ignored that a caller disconnects, so the entry repeated the request until its deadline, and sent it even if the link to the owner had not taken it yet.

Change: submissions and questions end with their caller and are taken back from the queue of the link unless they have left it; a cancellation is carried out all the same, as its caller wants it to take effect. The log says 'request abandoned'; the status in the metrics is 0.

--- a/borageshelf/entry/workflows/owner_stream.py
+++ b/borageshelf/entry/workflows/owner_stream.py
@@ -57,6 +57,9 @@
     ) -> messages.RequestAnswer:
         """Forward a request to the owner and return its answer.
 
+        A request that nobody waits for any more is taken back if it has not
+        been sent, unless it is a cancellation.
+
         :param deadline_ms: elapsed time; afterwards the outcome is unknown
         :raises OwnerStreamEnded: if the stream ends before the answer
         """
@@ -65,7 +68,8 @@
             asyncio.get_running_loop().create_future()
         )
         self._answer_futures[number] = future
-        self.outbox.send(self._address(request, number, deadline_ms))
+        message = self._address(request, number, deadline_ms)
+        self.outbox.send(message)
         left_ms = max(deadline_ms - clock.read_elapsed_ms(), 0)
         try:
             async with asyncio.timeout(left_ms / 1000):
@@ -74,6 +78,9 @@
             return messages.RequestAnswer(number, effects.Outcome.UNKNOWN)
         finally:
             del self._answer_futures[number]
+            is_cancellation = isinstance(request, messages.CancelRequest)
+            if future.cancelled() and not is_cancellation:
+                self.outbox.withdraw(message)
 
     @functools.singledispatchmethod
     def _address(
--- a/borageshelf/platform/caller_site.py
+++ b/borageshelf/platform/caller_site.py
@@ -21,6 +21,8 @@
 
 READY_PATH: Final = b'/-/ready'
 WORKFLOW_ID_DIGITS: Final = 16
+# A cancellation is carried out although its caller has left.
+_ABANDONED_METHODS: Final = frozenset({b'GET', b'POST'})
 _HEX_DIGITS: Final = frozenset('0123456789abcdefABCDEF')
 _HTTP_STATUSES: Final = {
     effects.Outcome.ACCEPTED: 200,
@@ -84,9 +86,13 @@
         self.active_requests += 1
         started_at_ms = clock.read_elapsed_ms()
         method = request.method.decode('latin-1')
+        event = 'request answered'
         status = 0
         try:
             status = await self._answer(request, method, started_at_ms)
+        except asyncio.CancelledError:
+            event = 'request abandoned'
+            raise
         finally:
             self.active_requests -= 1
             self.last_active_at_ms = clock.read_elapsed_ms()
@@ -94,7 +100,7 @@
             measurements.REQUESTS.labels(method, str(status)).inc()
             measurements.REQUEST_SECONDS.labels(method).observe(took_ms / 1000)
             self._event_log.record(
-                'request answered',
+                event,
                 method=method,
                 path=request.path.decode('latin-1'),
                 status=status,
@@ -210,11 +216,14 @@
         self._serve = serve
 
     def render(self, request: server.Request) -> int:
-        """Start the handler of a request."""
+        """Start the handler of a request; drop one whose caller leaves."""
         task = asyncio.ensure_future(self._run(request))
-        finished = request.notifyFinish()
-        # A request is carried out even if its caller disconnects.
-        finished.addErrback(lambda _: None)
+
+        def abandon(_: object) -> None:
+            if request.method in _ABANDONED_METHODS:
+                task.cancel()
+
+        request.notifyFinish().addErrback(abandon)
         _running_tasks.add(task)
         task.add_done_callback(_running_tasks.discard)
         return server.NOT_DONE_YET
--- a/borageshelf/workflows/channel.py
+++ b/borageshelf/workflows/channel.py
@@ -87,6 +87,12 @@
             self._queued.append(message)
             self._changed.set()
 
+    def withdraw(self, message: messages.AnyMessage) -> None:
+        """Take a message back unless it has been sent."""
+        self._queued = [
+            queued for queued in self._queued if queued is not message
+        ]
+
     def close(self) -> None:
         """End the stream once the queued messages have been sent.
 
