Repeat a cancellation whose workflow could not be stored

Callers saw (by reading, not with processes): a cancelling is answered 410, and another copy of the submission is accepted later.

Cause: if the store refuses the commit of a new workflow that was cancelled meanwhile, the owner drops both and answered the cancelling "absent" without keeping it.

Change: the outcome of the cancelling is unknown then, so its entry repeats it at once, and the owner keeps it like that of any unknown workflow.

--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -1083,6 +1083,9 @@
     ) -> None:
         """Refuse a workflow of which nothing is stored.
 
+        Its cancellations have to be repeated, because another copy of the
+        submission may still arrive.
+
         :param unreleased: its effects, none of which is carried out
         """
         self._dirty_jobs.pop(job.workflow_id, None)
@@ -1095,7 +1098,7 @@
         for effect in unreleased:
             if isinstance(effect, effects.Reply):
                 for token in effect.tokens:
-                    self._reply(token, effects.Outcome.ABSENT)
+                    self._reply(token, effects.Outcome.UNKNOWN)
         self._record('workflow refused', workflow=job.workflow_id, cause=cause)
 
     def describe_fleet(self, moment: clock.Moment) -> dict[str, int]:
--- a/tests/test_odd_workflow_records.py
+++ b/tests/test_odd_workflow_records.py
@@ -99,6 +99,7 @@
     f'{records.JOBS_PREFIX}{SOUND_ID}/odd',
     f'{records.JOBS_PREFIX}{SOUND_ID}/odd/state',
     f'{records.JOBS_PREFIX}{SOUND_ID}/odd/spec',
+    records.CANCELLATIONS_PREFIX + 'odd',
 )
 
 
