Keep cancellations of jobs that are still being submitted

Callers saw (by reading, not with processes): DELETE of a job whose submission is under way at another entry answers UNKNOWN_JOB, "not run", and the job runs once its submission arrives. A caller learns the id from the answer OUTCOME_UNKNOWN to its submission.

Change: a claim with an id of its own stands for the cancellation. It is committed before the answer, restored by the next owner of the shard, expires after 30 s, and refuses the submission with CANCELLED, "not run". At most 1,000 are kept in a shard; ids that no entry makes are not stored.

Not covered: the age of a submission between two entries is bounded by the callers' tries only, not by a proof.

--- a/borageshelf/shards/requests.py
+++ b/borageshelf/shards/requests.py
@@ -2,8 +2,11 @@
 
 Base class of ``shard_owner.ShardOwner``. The reply to a request waits for the
 commit of the next batch, also if the request changes nothing, so that it
-reports no state that could still be lost. Only ``OVERLOADED`` and
-``UNKNOWN_JOB`` are replied at once.
+reports no state that could still be lost. Only refusals are replied at once.
+
+A job may be cancelled while its submission is still on its way. A claim with
+an id of its own stands for the cancellation, and refuses the submission for
+longer than it can be on its way.
 """
 
 import dataclasses
@@ -20,6 +23,14 @@
 # Bounds the snapshot when tasks are submitted. A store value holds 1 MB; the
 # difference is left for the results of the tasks.
 SHARD_LIMIT_BYTES: Final = 700_000
+# An entry gives up a submission after 13 s, and the network may hold it back
+# for 12 s.
+CANCELLATION_LIFETIME_MS: Final = 30_000
+# Bounds what callers can store by cancelling jobs that do not exist: 120 bytes
+# each in a snapshot.
+CANCELLATIONS_LIMIT: Final = 1_000
+JOB_ID_LIMIT: Final = 64
+_CANCELLATION_PREFIX: Final = 'cancelled-'
 
 
 class RequestHandler:
@@ -40,13 +51,21 @@
     ) -> None:
         """Accept the tasks of a job; a repeated submission changes nothing.
 
-        The reply is ``OVERLOADED`` if the snapshot would become too large.
+        The reply is ``OVERLOADED`` if the snapshot would become too large, and
+        ``CANCELLED`` if the job was cancelled before.
         """
         added = [
             task
             for task in tasks
             if self._records.find_task(task.task_id) is None
         ]
+        if added and self._is_cancelled(added[0].job_id):
+            self._immediate_effects.append(
+                effects.Reply(
+                    token, errors.CANCELLED, 'cancelled before it arrived'
+                )
+            )
+            return
         size_bytes = sum(map(pending.estimate_bytes, added))
         if added and self._records.size_bytes + size_bytes > SHARD_LIMIT_BYTES:
             self._immediate_effects.append(
@@ -65,12 +84,12 @@
 
         The reply says that the request is stored. Whether an assigned task
         has run is known, and the task ends, only after its attempt.
+        ``UNKNOWN_JOB`` says that a submission of the job which is still on its
+        way will not be accepted.
         """
         tasks = self.find_job(job_id)
         if not tasks:
-            self._immediate_effects.append(
-                effects.Reply(token, errors.UNKNOWN_JOB, job_id)
-            )
+            self._cancel_unknown(job_id, token, now_ms)
             return
         for task in tasks:
             event = transitions.CancelRequested()
@@ -86,6 +105,36 @@
             tasks=frozenset(task.task_id for task in tasks),
         )
 
+    def _cancel_unknown(self, job_id: str, token: int, now_ms: int) -> None:
+        reply = effects.Reply(token, errors.UNKNOWN_JOB, job_id)
+        if len(job_id) > JOB_ID_LIMIT:
+            # No entry makes such an id.
+            self._immediate_effects.append(reply)
+            return
+        cancelled_count = sum(
+            claim_id.startswith(_CANCELLATION_PREFIX)
+            for claim_id in self._records.claims
+        )
+        if cancelled_count >= CANCELLATIONS_LIMIT:
+            self._immediate_effects.append(
+                effects.Reply(
+                    token, errors.OVERLOADED, 'too many jobs are cancelled'
+                )
+            )
+            return
+        claim = records.ClaimRecord(
+            _make_cancellation_id(job_id),
+            '',
+            records.ClaimOutcome.NOT_RUN,
+            now_ms + CANCELLATION_LIFETIME_MS,
+        )
+        self._records.change_claim(claim)
+        self._waiting.add_reply(reply, claims=frozenset([claim.claim_id]))
+
+    def _is_cancelled(self, job_id: str) -> bool:
+        claim_id = _make_cancellation_id(job_id)
+        return self._records.find_claim(claim_id) is not None
+
     def claim(self, claim: records.ClaimRecord, token: int) -> None:
         """Claim the key of a non-idempotent request for a call.
 
@@ -159,3 +208,7 @@
             self._grants.make_attempt_id(task),
             only_unstarted=only_unstarted,
         )
+
+
+def _make_cancellation_id(job_id: str) -> str:
+    return _CANCELLATION_PREFIX + job_id
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -9,6 +9,7 @@
 from borageshelf.shards import effects
 from borageshelf.shards import grants
 from borageshelf.shards import records
+from borageshelf.shards import requests
 from borageshelf.shards import shard_log
 from borageshelf.shards import shard_owner
 from borageshelf.shards import transitions
@@ -145,6 +146,49 @@
     assert owner.find_job('job') == ()
 
 
+def test_job_that_was_cancelled_before_it_arrived_never_runs() -> None:
+    """Guards against a job that runs after its cancelling said "not run".
+
+    An entry that was cut off submits it late, also to the next owner.
+    """
+    owner = make_owner()
+    owner.cancel('job', 1, 0)
+    assert not owner.take_immediate_effects()
+    batch = owner.take_batch(0)
+    assert batch is not None
+    codes = [
+        effect.code
+        for effect in owner.confirm_batch(batch, 0)
+        if isinstance(effect, effects.Reply)
+    ]
+    assert codes == [errors.UNKNOWN_JOB]
+    (claim,) = batch.changes.claims
+    for later in (owner, make_owner(claims=(claim,))):
+        later.submit((TASK,), 2)
+        assert later.take_immediate_effects() == (
+            effects.Reply(2, errors.CANCELLED, 'cancelled before it arrived'),
+        )
+        later.tick(claim.expires_deadline_ms + 1)
+        later.submit((TASK,), 3)
+        assert not later.take_immediate_effects()
+
+
+def test_cancellations_of_unknown_jobs_are_bounded() -> None:
+    """Guards against a shard that callers fill with ids that do not exist."""
+    owner = make_owner()
+    for number in range(requests.CANCELLATIONS_LIMIT):
+        owner.cancel(f'{number}', number, 0)
+    commit(owner, 0)
+    for job_id, code in (
+        ('other', errors.OVERLOADED),
+        ('x' * 1_000, errors.UNKNOWN_JOB),
+    ):
+        owner.cancel(job_id, 1, 0)
+        (reply,) = owner.take_immediate_effects()
+        assert isinstance(reply, effects.Reply)
+        assert reply.code is code
+
+
 def test_aborted_batch_keeps_a_completion() -> None:
     """Guards against the loss of a result in a store outage.
 
