--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -108,17 +108,31 @@
         return self.at_ms + self.duration_ms
 
 
+@dataclasses.dataclass(frozen=True)
+class Leaving:
+    """A caller who leaves before the answer, and cancels at any entry.
+
+    :param entry_index: number of the entry that the caller leaves
+    :param after_ms: time from the submission
+    """
+
+    entry_index: int
+    after_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Submission:
     """A workflow that a caller submits.
 
     :param cancel_after_ms: time from acceptance to cancellation, 0 for none
+    :param leaving: whether the caller leaves before the acceptance
     """
 
     at_ms: int
     workflow_id: str
     document: dict[str, Any]
     cancel_after_ms: int
+    leaving: Leaving | None = None
 
     @property
     def is_long_running(self) -> bool:
--- a/tests/soak/site_plans.py
+++ b/tests/soak/site_plans.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 from tests.soak import evacuations
+from tests.soak import leavers
 from tests.soak import plans
 
 FIRST_SEED: Final = 4_000_000
@@ -57,6 +58,9 @@
     is_small = evacuations.FIRST_SMALL_SEED <= seed < FIRST_SEED
     if is_small or seed >= evacuations.FIRST_SITE_SEED:
         plan = evacuations.add_to_plan(plan)
+    is_small = leavers.FIRST_SMALL_SEED <= seed < FIRST_SEED
+    if is_small or seed >= leavers.FIRST_SITE_SEED:
+        plan = leavers.add_to_plan(plan)
     return plan
 
 
