--- a/tests/soak/leavers.py
+++ b/tests/soak/leavers.py
@@ -1,4 +1,4 @@
-"""Callers that leave an entry before its answer, and cancel at any other.
+"""Callers who leave an entry before its answer, and cancel at another one.
 
 Meanwhile another entry, which may be the owner, is cut off from all processes
 but its callers and the store.
@@ -19,10 +19,10 @@
 SUBMISSION_DELAY_RANGE_MS: Final = (-20, 300)
 LEAVES_AFTER_RANGE_MS: Final = (50, 900)
 _STEP: Final = {'Count': 1, 'Cpu': 500, 'MemMb': 100, 'EstimateMs': 4_000}
-# The second step starts long after the cut.
+# The last step starts long after the cut.
 DOCUMENT: Final[dict[str, Any]] = {
     'Spec': '4000',
-    'Phases': [_STEP, {**_STEP, 'After': [0]}],
+    'Phases': [_STEP, {**_STEP, 'After': [0]}, {**_STEP, 'After': [1]}],
 }
 
 
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -110,7 +110,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Leaving:
-    """A caller who leaves before the answer, and cancels at any entry.
+    """A caller who leaves before the answer, and cancels at another entry.
 
     :param entry_index: number of the entry that the caller leaves
     :param after_ms: time from the submission
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -226,9 +226,12 @@
 async def cancel(
     run: SoakRun, submission: plans.Submission, rng: random.Random
 ) -> None:
-    """Cancel a workflow at any entry until one acknowledges it."""
+    """Cancel a workflow until an entry that its caller has not left agrees."""
+    numbers = list(range(len(run.entries)))
+    if submission.leaving is not None:
+        numbers.remove(submission.leaving.entry_index)
     for _ in range(TRIES_LIMIT):
-        number = rng.randrange(len(run.entries))
+        number = rng.choice(numbers)
         status = await run.call_workflow(
             number, 'DELETE', submission.workflow_id
         )
@@ -243,7 +246,7 @@
     leaving: plans.Leaving,
     rng: random.Random,
 ) -> None:
-    """Leave an entry before its answer, and cancel at any entry."""
+    """Leave an entry before its answer, and cancel at another one."""
     await run.call_workflow(
         leaving.entry_index,
         'POST',
