Log where the time of a workflow's critical path went, and the learned effects

On-call engineers could not tell whether late large workflows had waited, were slowed or were repeated, nor whether the effects that slowed them were right. workflow ended now has the waiting, running and slowed time of the critical path, the fleet line the learned effects, and fillers paced its inputs.

--- a/borageshelf/agent/workflows/pacer.py
+++ b/borageshelf/agent/workflows/pacer.py
@@ -168,6 +168,11 @@
                 changed=len(calls),
                 fillers=len(fillers),
                 worst_share=worst_share,
+                latency_shares={
+                    sample.serving_image: sample.latency_share
+                    for sample in samples
+                },
+                used_shares=self.compute_peak_filler_shares(),
                 gain=round(self._pace_gain, 2),
                 paces={run.terms.image: paces[run.key] for run in fillers},
             )
--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -27,6 +27,8 @@
 _QUARTERS_PER_VM: Final = 4.0
 PRIOR_EFFECT: Final = 0.3
 MAX_EFFECT: Final = 8.0
+# A filler with this effect that uses a quarter of the VM doubles the latency.
+SEVERE_EFFECT: Final = 0.7
 # Log of the ratio of the highest to the lowest baseline; that of the users'
 # serving tasks varies between 0.28 and 0.7 of their target.
 _BASELINE_LOG_RANGE: Final = 0.95
@@ -158,6 +160,19 @@
             for (serving, filler), known in self._pairs.items()
         )
 
+    def describe(self) -> dict[str, float]:
+        """Return totals over the known pairs and images, for the log."""
+        effects = [pair.effect for pair in self._pairs.values()]
+        lowest = self._lowest_log_latencies.values()
+        return {
+            'known_pairs': len(effects),
+            'severe_pairs': sum(effect >= SEVERE_EFFECT for effect in effects),
+            'highest_effect': round(max(effects, default=0.0), 2),
+            'lowest_latency_share': round(
+                math.exp(min(lowest, default=0.0)), 3
+            ),
+        }
+
     def predict_latency_share(
         self,
         baseline_shares: abc.Mapping[str, float],
--- a/borageshelf/workflows/fleet_totals.py
+++ b/borageshelf/workflows/fleet_totals.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from borageshelf import clock
+from borageshelf.decisions import filler_effects
 from borageshelf.workflows import jobs
 from borageshelf.workflows import targets
 
@@ -10,8 +11,9 @@
 def describe(
     all_targets: abc.Collection[targets.Target],
     active_jobs: abc.Collection[jobs.Job],
+    learned_effects: filler_effects.FillerEffects,
     moment: clock.Moment,
-) -> dict[str, int]:
+) -> dict[str, float]:
     """Return the fields of the log line of the fleet."""
     healthy = [
         target
@@ -26,6 +28,7 @@
         if task.is_waiting
     ]
     return {
+        **learned_effects.describe(),
         'targets': len(all_targets),
         'sound': len(healthy),
         'evacuated': sum(target.is_evacuated for target in all_targets),
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -32,6 +32,7 @@
 from borageshelf.workflows import idle
 from borageshelf.workflows import jobs
 from borageshelf.workflows import messages
+from borageshelf.workflows import path_times
 from borageshelf.workflows import place_waiting
 from borageshelf.workflows import records
 from borageshelf.workflows import run_progress
@@ -51,7 +52,6 @@
 # Agents report every 400 ms. After a longer gap the agent, the network or
 # this process was paused.
 REPORT_GAP_LIMIT_MS: Final = 900
-FULL_PACE_PERCENT: Final = 100
 # A filler that stays below this pace for longer than the limit is moved. The
 # stop with a checkpoint and the new start cost about one report interval.
 SLOW_PACE_PERCENT: Final = 50
@@ -169,6 +169,7 @@
             discovery_deadline_ms,
         )
         self._copier = copies.Copier(self._fleet, self.scheduler, record)
+        self._paths = path_times.PathTimes()
 
     # Stored state.
 
@@ -669,6 +670,7 @@
         job.effects.append(acknowledge)
         self._mark_dirty(job)
         self._copier.note_end(run, end.kind, moment.elapsed_ms)
+        self._paths.note_end(run, end.kind, moment.elapsed_ms)
         self._drop_run(run, target.find_earliest_end_ms(run))
         task = run.task
         if run_progress.is_leading(run):
@@ -799,7 +801,8 @@
                 run.task.group.job.note_run_seen()
             else:
                 run.note_confirmed()
-            is_paced = row.pace_percent < FULL_PACE_PERCENT
+            self._paths.note_pace(run, row.pace_percent, moment.elapsed_ms)
+            is_paced = row.pace_percent < path_times.FULL_PACE_PERCENT
             if row.progress_percent != run.progress_percent or is_paced:
                 run.task.group.job.record_progress(
                     run, row.progress_percent, moment.elapsed_ms
@@ -1101,10 +1104,13 @@
                     self._reply(token, effects.Outcome.UNKNOWN)
         self._record('workflow refused', workflow=job.workflow_id, cause=cause)
 
-    def describe_fleet(self, moment: clock.Moment) -> dict[str, int]:
+    def describe_fleet(self, moment: clock.Moment) -> dict[str, float]:
         """Return totals over the fleet, for the log."""
         return fleet_totals.describe(
-            self.targets.values(), self._active_jobs.values(), moment
+            self.targets.values(),
+            self._active_jobs.values(),
+            self.scheduler.filler_effects,
+            moment,
         )
 
     def describe_idle_workflows(
@@ -1361,6 +1367,7 @@
             phase=phase.name,
             cause=cause,
             after_ms=moment.elapsed_ms - job.accepted_at_ms,
+            **self._paths.take_description(job),
         )
         for run in job.list_runs():
             self._stop_after_commit(run)
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -782,3 +782,31 @@
     cluster.core.handle_failed_commit(cluster.core.take_batch(), 1)
     cluster.run_until_idle()
     assert records.make_state_key(ID) not in cluster.stored
+
+
+def test_end_of_a_workflow_says_where_its_time_went() -> None:
+    """Guards against late workflows whose delay nobody can explain."""
+    cluster = make_cluster(0)
+    cluster.submit(support.make_workflow(support.make_step(2)))
+    cluster.run_until_idle()
+    cluster.now_ms += 300
+    cluster.add_target('vm-0')
+    cluster.run_until_idle()
+    target = cluster.core.targets['vm-0']
+    slow, quick = (f'{ID}.0.0.0', f'{ID}.0.0.1')
+    for pace_percent in (50, 0, 100):
+        cluster.now_ms += 400
+        rows = [messages.Row(slow, 1, '', 10, pace_percent)]
+        cluster.core.update_progress(target, rows, cluster.moment)
+    cluster.end_run(quick)
+    cluster.now_ms += 100
+    cluster.end_run(slow)
+    (ended,) = (
+        fields
+        for event, fields in cluster.log_lines
+        if event == 'workflow ended'
+    )
+    assert ended['path_waited_ms'] == 300
+    assert ended['path_ran_ms'] == 1_300
+    assert ended['path_slowed_ms'] == 600
+    assert ended['path_runs'] == 1
