Do not take a serving task without a latency for an idle one

Cause: a serving task that has just begun to work reports a latency of 0. It became the lowest latency of its image, from which the range of the load is counted, so that every later latency proved fillers beside that image harmful. Which images are hit depends on the moment of the first inspections.

Agents leave such tasks out, and owners ignore the reports of older agents. The new test fails before (an effect above the prior after harmless reports).

--- a/borageshelf/agent/workflows/pacer.py
+++ b/borageshelf/agent/workflows/pacer.py
@@ -64,11 +64,14 @@
         ]
 
     def make_latency_samples(self) -> tuple[messages.LatencySample, ...]:
-        """Return the highest tail latency of each serving image."""
+        """Return the highest tail latency of each serving image.
+
+        A task that has just begun to work has no latency yet.
+        """
         samples: dict[str, messages.LatencySample] = {}
         for run in self._list_runs():
             target_ms = run.terms.latency_target_ms
-            if run.row is None or not target_ms:
+            if run.row is None or not target_ms or run.row.measured <= 0:
                 continue
             if run.row.progress_percent < WORKING_PROGRESS_PERCENT:
                 continue
--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -55,7 +55,8 @@
 class Sample:
     """One report of a serving task.
 
-    :param latency_share: tail latency as a share of its target
+    :param latency_share: tail latency as a share of its target; 0 if it has
+        not been measured yet
     :param used_shares: processors in use by each filler image, as a share of
         the VM, in the time window of the latency
     """
@@ -92,9 +93,14 @@
         return other
 
     def observe(self, sample: Sample) -> None:
-        """Update the effects of the pairs in one report."""
+        """Update the effects of the pairs in one report.
+
+        A task that has just begun has no latency yet, which tells nothing.
+        """
+        if sample.latency_share <= 0:
+            return
         image = sample.serving_image
-        log_latency = math.log(max(sample.latency_share, 0.01))
+        log_latency = math.log(sample.latency_share)
         lowest_log_latency = min(
             self._lowest_log_latencies.get(image, log_latency)
             + _LOWEST_RISE_PER_REPORT,
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -71,6 +71,9 @@
             * target.capacity.processor_millicores
         )
         for sample in report.samples:
+            if sample.latency_share <= 0:
+                # Agents of earlier versions report tasks without a latency.
+                continue
             image = sample.serving_image
             baseline_share = filler_effects.compute_baseline_share(
                 sample.latency_share,
--- a/tests/test_workflow_decisions.py
+++ b/tests/test_workflow_decisions.py
@@ -220,6 +220,15 @@
     assert effects.get_effect('monitor', 'f1') > 1.5
 
 
+def test_task_without_a_latency_does_not_make_fillers_seem_harmful() -> None:
+    """Guards against a missing latency that counts as the lowest one."""
+    effects = filler_effects.FillerEffects()
+    effects.observe(filler_effects.Sample('monitor', 0.0, {}))
+    for _ in range(20):
+        effects.observe(filler_effects.Sample('monitor', 0.5, {'f0': 0.11}))
+    assert effects.get_effect('monitor', 'f0') <= filler_effects.PRIOR_EFFECT
+
+
 def test_most_harmful_filler_is_slowed_first() -> None:
     """Guards against nearly harmless fillers slowed because of a harmful one.
 
