Learn effects of fillers from the tasks that share a load

Callers of large workflows were late on a fleet with unused processors, also where no latency was missing: the load of a serving task is not reported, so a latency bounded the rise that fillers cause only within the range of the load, a factor of 2.6, which hides a filler that nearly doubles a latency. Severe pairs were taken for mild ones, fillers were placed beside them, and each high latency slowed all fillers of the target.

Agents now report latencies by workflow, and the owner compares each with those of the other targets of the workflow. The effects are corrected together by a Kalman filter; usage older than the measured half second does not count any more.

--- a/bench/filler_fleet.py
+++ b/bench/filler_fleet.py
@@ -440,7 +440,7 @@
         known = self.core.targets[target.target_id]
         self.core.extend_grant(known, self.moment)
         self.core.update_progress(known, report.rows, self.moment)
-        self.core.apply_latency_samples(known, report)
+        self.core.scheduler.observe_latencies(known, report, self.moment)
 
     def _send_effects(self) -> None:
         pairs = self.core.scheduler.filler_effects.list_effects()
--- a/borageshelf/agent/workflows/pacer.py
+++ b/borageshelf/agent/workflows/pacer.py
@@ -17,9 +17,9 @@
 from borageshelf.ports import task_executor
 from borageshelf.workflows import messages
 
-# Reported latencies lag behind the processor usage of fillers by this time, so
-# usage up to this old still counts.
-USAGE_WINDOW_MS: Final = 1_300
+# A latency is that of the last half second before an inspection, so the usage
+# of the inspection before it still counts.
+USAGE_WINDOW_MS: Final = 700
 # Smaller changes of the pace are not worth a call to the executor.
 MIN_PACE_CHANGE_PERCENT: Final = 4
 # Progress that a lasting task reports once it is working.
@@ -64,22 +64,25 @@
         ]
 
     def make_latency_samples(self) -> tuple[messages.LatencySample, ...]:
-        """Return the highest tail latency of each serving image.
+        """Return the highest tail latency of each serving workflow's images.
 
         A task that has just begun to work has no latency yet.
         """
-        samples: dict[str, messages.LatencySample] = {}
+        samples: dict[tuple[str, str], messages.LatencySample] = {}
         for run in self._list_runs():
             target_ms = run.terms.latency_target_ms
             if run.row is None or not target_ms or run.row.measured <= 0:
                 continue
             if run.row.progress_percent < WORKING_PROGRESS_PERCENT:
                 continue
-            image = run.terms.image
+            key = (run.terms.image, run.terms.workflow_id)
             share = run.row.measured / target_ms
-            if image not in samples or samples[image].latency_share < share:
-                samples[image] = messages.LatencySample(
-                    image, run.row.measured, round(share, 3)
+            if key not in samples or samples[key].latency_share < share:
+                samples[key] = messages.LatencySample(
+                    run.terms.image,
+                    run.row.measured,
+                    round(share, 3),
+                    run.terms.workflow_id,
                 )
         return tuple(samples.values())
 
--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -5,13 +5,17 @@
 at all and a few affect it severely, depending on both images, so effects are
 learned by pair of images.
 
-The load of a serving task is not reported. It moves the baseline (the latency
-without fillers) within a known range for seconds at a time. A measured
-latency therefore only bounds the rise that the fillers cause: the rise is at
-least the excess over the top of the range and at most the excess over its
-bottom. An estimate outside these bounds is corrected towards the nearer one.
-So the estimate of a harmless pair falls whenever the load is low, on any
-target.
+The load of a serving task is not reported. What it does to the latency follows
+from the other tasks of the same workflow, which share the load
+(``replica_latencies``); the rest of a latency is due to the fillers. The
+effects of all fillers beside a task are corrected together, by a Kalman filter
+that neglects the covariances of the effects.
+
+Where a workflow has no other target, the load moves the baseline (the latency
+without fillers) within a known range, and a latency only bounds the rise that
+the fillers cause: it is at least the excess over the top of the range and at
+most the excess over its bottom. An estimate outside these bounds is corrected
+towards the nearer one.
 
 ``interference`` solves the same problem where the load is measured.
 """
@@ -21,6 +25,8 @@
 import math
 from typing import Final
 
+from borageshelf.decisions import replica_latencies
+
 # An effect is the rise of the log latency caused by a filler that uses a
 # quarter of the VM. With the prior, a filler that uses 16 of 64 cores raises
 # the latency by a third.
@@ -35,14 +41,16 @@
 # Rise of the lowest log latency with each report, so that an old minimum is
 # forgotten as the load changes.
 _LOWEST_RISE_PER_REPORT: Final = 0.002
-_INITIAL_UNCERTAINTY: Final = 1.0
-_MIN_UNCERTAINTY: Final = 0.05
-# A report multiplies the uncertainty of its pairs by this factor unless it
-# proves that their effects are larger than estimated.
-_UNCERTAINTY_FACTOR: Final = 0.97
-# A report corrects only this part of the error, because the measured latency
-# is noisy.
-_CORRECTION_SHARE: Final = 0.6
+# Variance of the effects of unknown pairs around the prior: about a third of
+# them are severe.
+_PRIOR_VARIANCE: Final = 0.4
+# Added with each report, because effects change.
+_DRIFT_VARIANCE: Final = 0.001
+# Variance of a log latency whose baseline and effects are known.
+_NOISE_VARIANCE: Final = 0.02
+# A larger error, in standard deviations, counts as this one, so that a single
+# latency that is far off changes little.
+_ERROR_LIMIT: Final = 2.5
 # Latency as a share of its target while none has been reported.
 DEFAULT_LATENCY_SHARE: Final = 0.5
 # No filler is placed where the expected latency share exceeds this.
@@ -59,23 +67,24 @@
         not been measured yet
     :param used_shares: processors in use by each filler image, as a share of
         the VM, in the time window of the latency
+    :param workflow_id: workflow of the task; '' if it is not known
+    :param at_ms: elapsed time of the report
     """
 
     serving_image: str
     latency_share: float
     used_shares: abc.Mapping[str, float]
+    workflow_id: str = ''
+    target_id: str = ''
+    at_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class _Pair:
-    """Estimated effect of one pair.
-
-    :param uncertainty: weight of the pair when an error is divided among the
-        pairs of a report
-    """
+    """Estimated effect of one pair, with the variance of its error."""
 
     effect: float = PRIOR_EFFECT
-    uncertainty: float = _INITIAL_UNCERTAINTY
+    variance: float = _PRIOR_VARIANCE
 
 
 class FillerEffects:
@@ -84,6 +93,7 @@
     def __init__(self) -> None:
         self._pairs: dict[tuple[str, str], _Pair] = {}
         self._lowest_log_latencies: dict[str, float] = {}
+        self._replicas = replica_latencies.ReplicaLatencies()
 
     def copy(self) -> 'FillerEffects':
         """Return an independent copy of the effects that are known now."""
@@ -101,12 +111,7 @@
             return
         image = sample.serving_image
         log_latency = math.log(sample.latency_share)
-        lowest_log_latency = min(
-            self._lowest_log_latencies.get(image, log_latency)
-            + _LOWEST_RISE_PER_REPORT,
-            log_latency,
-        )
-        self._lowest_log_latencies[image] = lowest_log_latency
+        self._note_lowest(image, log_latency)
         used_quarters = {
             filler: share * _QUARTERS_PER_VM
             for filler, share in sample.used_shares.items()
@@ -120,29 +125,55 @@
             pairs[filler].effect * quarters
             for filler, quarters in used_quarters.items()
         )
-        min_rise = max(
-            log_latency - lowest_log_latency - _BASELINE_LOG_RANGE, 0.0
-        )
-        max_rise = max(log_latency - lowest_log_latency, 0.0)
-        error = min(max(predicted_rise, min_rise), max_rise) - predicted_rise
-        weight = sum(
-            pairs[filler].uncertainty * quarters * quarters
+        predicted_variance = sum(
+            pairs[filler].variance * quarters * quarters
             for filler, quarters in used_quarters.items()
         )
+        baseline = None
+        if sample.workflow_id:
+            baseline = self._replicas.estimate_baseline(
+                sample.workflow_id, sample.target_id, sample.at_ms
+            )
+            self._replicas.record(
+                sample.workflow_id,
+                sample.target_id,
+                log_latency - predicted_rise,
+                predicted_variance,
+                sample.at_ms,
+            )
+        variance = _NOISE_VARIANCE + predicted_variance
+        if baseline is not None:
+            variance += baseline.variance
+            error = log_latency - baseline.log_latency - predicted_rise
+        else:
+            error = self._compute_error_by_range(
+                image, log_latency, predicted_rise
+            )
+        limit = _ERROR_LIMIT * math.sqrt(variance)
+        error = min(max(error, -limit), limit)
         for filler, quarters in used_quarters.items():
             pair = pairs[filler]
-            effect = pair.effect
-            if weight:
-                error_share = pair.uncertainty * quarters / weight
-                effect += _CORRECTION_SHARE * error * error_share
-            uncertainty = pair.uncertainty
-            if error <= 0:
-                uncertainty *= _UNCERTAINTY_FACTOR
+            gain = pair.variance * quarters / variance
             self._pairs[(image, filler)] = _Pair(
-                min(max(effect, 0.0), MAX_EFFECT),
-                max(uncertainty, _MIN_UNCERTAINTY),
+                min(max(pair.effect + gain * error, 0.0), MAX_EFFECT),
+                pair.variance * (1 - gain * quarters) + _DRIFT_VARIANCE,
             )
 
+    def _note_lowest(self, image: str, log_latency: float) -> None:
+        lowest_log_latency = self._lowest_log_latencies.get(image, log_latency)
+        self._lowest_log_latencies[image] = min(
+            lowest_log_latency + _LOWEST_RISE_PER_REPORT, log_latency
+        )
+
+    def _compute_error_by_range(
+        self, image: str, log_latency: float, predicted_rise: float
+    ) -> float:
+        """Return how far a rise is from what the range of the load allows."""
+        max_rise = log_latency - self._lowest_log_latencies[image]
+        max_rise = max(max_rise, 0.0)
+        min_rise = max(max_rise - _BASELINE_LOG_RANGE, 0.0)
+        return min(max(predicted_rise, min_rise), max_rise) - predicted_rise
+
     def get_effect(self, serving_image: str, filler_image: str) -> float:
         """Return the rise of the log latency per quarter of a VM."""
         pair = self._pairs.get((serving_image, filler_image))
--- a/borageshelf/entry/workflows/runtime.py
+++ b/borageshelf/entry/workflows/runtime.py
@@ -469,7 +469,7 @@
             if message.state is not None:
                 self._core.update_target_state(target, message.state, moment)
             self._core.update_progress(target, message.rows, moment)
-            self._core.apply_latency_samples(target, message)
+            self._core.scheduler.observe_latencies(target, message, moment)
         is_confirmed = self._is_ownership_confirmed(moment.elapsed_ms)
         is_granted = False
         if message.requests_grant:
--- a/borageshelf/workflows/messages.py
+++ b/borageshelf/workflows/messages.py
@@ -104,16 +104,24 @@
     image: str = ''
     size_millicores: int = 0
 
+    @property
+    def workflow_id(self) -> str:
+        """Id of the workflow, with which the name of each task begins."""
+        return self.task.partition('.')[0]
+
 
 class LatencySample(Part, frozen=True, array_like=True):
-    """Highest tail latency of a serving image's tasks on the target.
+    """Highest tail latency of a serving workflow's tasks on the target.
 
+    :param serving_image: image of these tasks
     :param latency_share: the latency as a share of the latency target
+    :param workflow_id: '' from agents of earlier versions
     """
 
     serving_image: str
     latency_ms: int
     latency_share: float
+    workflow_id: str = ''
 
 
 class Origin(Part, frozen=True, array_like=True):
--- a/borageshelf/workflows/owner.py
+++ b/borageshelf/workflows/owner.py
@@ -830,12 +830,6 @@
             if run.slow_since_ms:
                 run.slow_since_ms = min(run.slow_since_ms + silent_ms, now_ms)
 
-    def apply_latency_samples(
-        self, target: targets.Target, report: messages.Report
-    ) -> None:
-        """Learn how fillers affect the serving tasks of a target."""
-        self.scheduler.observe_latencies(target, report)
-
     # Time.
 
     def advance(self, moment: clock.Moment) -> None:
@@ -1366,8 +1360,7 @@
             workflow=job.workflow_id,
             phase=phase.name,
             cause=cause,
-            after_ms=moment.elapsed_ms - job.accepted_at_ms,
-            **self._paths.take_description(job),
+            **self._paths.take_description(job, moment.elapsed_ms),
         )
         for run in job.list_runs():
             self._stop_after_commit(run)
--- a/borageshelf/workflows/path_times.py
+++ b/borageshelf/workflows/path_times.py
@@ -86,7 +86,7 @@
             ),
         )
 
-    def take_description(self, job: jobs.Job) -> dict[str, Any]:
+    def take_description(self, job: jobs.Job, now_ms: int) -> dict[str, Any]:
         """Return the fields of a log line about an ended workflow.
 
         Its times are forgotten.
@@ -109,6 +109,7 @@
             path.append((group, times))
             groups = group.predecessors
         return {
+            'after_ms': now_ms - job.accepted_at_ms,
             'objective_ms': job.objective_ms,
             'path_steps': len(path),
             'path_estimate_ms': sum(
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -63,13 +63,17 @@
         self._next_latency_refresh_ms = 0
 
     def observe_latencies(
-        self, target: targets.Target, report: messages.Report
+        self,
+        target: targets.Target,
+        report: messages.Report,
+        moment: clock.Moment,
     ) -> None:
         """Learn how fillers affect the serving tasks of a target."""
         target.filler_used_millicores = round(
             sum(report.filler_shares.values())
             * target.capacity.processor_millicores
         )
+        baseline_shares: dict[str, float] = {}
         for sample in report.samples:
             if sample.latency_share <= 0:
                 # Agents of earlier versions report tasks without a latency.
@@ -83,13 +87,20 @@
                 },
                 report.filler_shares,
             )
+            baseline_shares[image] = max(
+                baseline_share, baseline_shares.get(image, 0.0)
+            )
             self.filler_effects.observe(
                 filler_effects.Sample(
                     sample.serving_image,
                     sample.latency_share,
                     report.filler_shares,
+                    sample.workflow_id,
+                    target.target_id,
+                    moment.elapsed_ms,
                 )
             )
+        for image, baseline_share in baseline_shares.items():
             # Latency follows the fillers with a delay, so just after a filler
             # has slowed down, its effect seems to be caused by the load.
             previous_share = target.baseline_latency_shares.get(
--- a/tests/test_workflow_decisions.py
+++ b/tests/test_workflow_decisions.py
@@ -1,5 +1,6 @@
 """Decisions on workflows: admission, order, fillers and target health."""
 
+import math
 import random
 
 from borageshelf.decisions import filler_effects
@@ -229,6 +230,32 @@
     assert effects.get_effect('monitor', 'f0') <= filler_effects.PRIOR_EFFECT
 
 
+def test_load_of_a_workflow_is_not_taken_for_an_effect_of_fillers() -> None:
+    """Guards against effects that differ from the true ones with the load.
+
+    The load triples the latency of all tasks of a workflow; the effects of
+    1.25 and 0 are learned from a few reports of its targets.
+    """
+    rng = random.Random(7)
+    effects = filler_effects.FillerEffects()
+    for number in range(60):
+        baseline_share = 0.25 * 3 ** ((number // 12) % 2)
+        image = ('', 'loud', 'quiet')[number % 3]
+        rise = 1.25 * 0.44 if image == 'loud' else 0.0
+        effects.observe(
+            filler_effects.Sample(
+                'monitor',
+                baseline_share * math.exp(rise + rng.gauss(0, 0.05)),
+                {image: 0.11} if image else {},
+                'feedfeedfeedfeed',
+                f'vm-{number % 6}',
+                number * 70,
+            )
+        )
+    assert 1.0 < effects.get_effect('monitor', 'loud') < 1.5
+    assert effects.get_effect('monitor', 'quiet') < 0.25
+
+
 def test_most_harmful_filler_is_slowed_first() -> None:
     """Guards against nearly harmless fillers slowed because of a harmful one.
 
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -718,7 +718,9 @@
         report = messages.Report(
             0, 0, samples=(messages.LatencySample('monitor', 9, share),)
         )
-        cluster.core.apply_latency_samples(target, report)
+        cluster.core.scheduler.observe_latencies(
+            target, report, cluster.moment
+        )
     assert target.baseline_latency_shares['monitor'] < 1.0
 
 
