Place serving tasks beside as few other images as possible

They go to a target with their own image now, then to the one with the fewest images. The new test fails before.

--- a/borageshelf/decisions/target_index.py
+++ b/borageshelf/decisions/target_index.py
@@ -20,7 +20,7 @@
 _PREFERRED: Final = workflow_placement.PREFERRED
 
 _UnusedKey = tuple[int, int, str]
-_ServingKey = tuple[bool, bool, int, int, str]
+_ServingKey = tuple[bool, int, int, int, str]
 
 
 class TargetIndex:
@@ -64,7 +64,7 @@
         )
         serving_key = (
             target.filler_millicores > 0,
-            not target.serving_images,
+            len(target.serving_images),
             target.capacity.processor_millicores
             - target.reserved.processor_millicores,
             position,
@@ -162,14 +162,15 @@
     ) -> workflow_placement.Target | None:
         """Choose for a serving task.
 
-        Its score prefers targets without fillers, then with other serving
-        tasks, then with its own image, and last the least free processors.
+        Its score prefers targets without fillers, then with its own image,
+        then with the fewest images, and last the least free processors.
         """
         candidates: list[tuple[tuple[float, ...], int, str]] = []
         for target_id in self._ids_by_image.get(request.step.image, ()):
             self._append_candidate(candidates, request, target_id)
         needed_millicores = request.step.demand.processor_millicores
-        for flags in itertools.product((False, True), repeat=2):
+        counts = range(1 + max(map(len, self._images.values()), default=0))
+        for flags in itertools.product((False, True), counts):
             first = (*flags, needed_millicores, -1, '')
             end = (*flags, float('inf'), -1, '')
             for key in self._by_serving.irange(first, end):
--- a/borageshelf/decisions/workflow_placement.py
+++ b/borageshelf/decisions/workflow_placement.py
@@ -4,9 +4,10 @@
 fillers, which use the processor time that others leave unused; some fillers
 raise the latency of some serving tasks. A filler is placed where it is
 expected to keep all latencies within their targets and most processor time is
-unused. Serving tasks of one image are packed together, so that every filler
-finds targets where it does no harm: a filler that is harmless beside one
-serving image is rarely harmless beside three. All other tasks are placed where
+unused. Serving tasks of one image are packed together, and as few images as
+possible share a target, so that every filler finds targets where it does no
+harm: a filler that is harmless beside one serving image is rarely harmless
+beside three. All other tasks are placed where
 most processor time is unused. Targets that fail every task get none; the
 caller leaves them out.
 """
@@ -202,8 +203,8 @@
         free = target.capacity.minus(target.reserved)
         return (
             float(target.filler_millicores > 0),
-            float(not target.serving_images),
             float(step.image not in target.serving_images),
+            float(len(target.serving_images)),
             float(free.processor_millicores),
         )
     if step.is_filler:
--- a/tests/test_workflow_owner.py
+++ b/tests/test_workflow_owner.py
@@ -701,6 +701,27 @@
     assert images == [{}, {'one': 2}, {'two': 2}]
 
 
+def test_serving_images_share_no_target_without_need() -> None:
+    """Guards against fillers that find no target where they disturb no task.
+
+    Tasks went to the fullest target, although others had no other image.
+    """
+    cluster = make_cluster(3)
+    for number, image in enumerate(('one', 'two', 'three', 'one')):
+        serving = support.make_step(
+            1, is_lasting=True, latency_target_ms=18, image=image
+        )
+        cluster.submit(
+            support.make_workflow(serving, workflow_id=f'{number:016x}'),
+            token=10 + number,
+        )
+        cluster.run_until_idle()
+    images = [
+        dict(target.serving_images) for target in cluster.core.targets.values()
+    ]
+    assert sorted(images, key=str) == [{'one': 2}, {'three': 1}, {'two': 1}]
+
+
 def test_baseline_latency_is_bounded_by_what_load_explains() -> None:
     """Guards against targets that accept no fillers for a minute.
 
