Keep the effects of a former owner until the new one knows the pair

A new owner has learned nothing, and its first effects replaced all that the agents knew, so harmless fillers were slowed by the prior for some seconds after each takeover. Agents keep up to 4,000 pairs. The new test fails before.

--- a/borageshelf/agent/workflows/pacer.py
+++ b/borageshelf/agent/workflows/pacer.py
@@ -20,6 +20,8 @@
 # A latency is that of the last half second before an inspection, so the usage
 # of the inspection before it still counts.
 USAGE_WINDOW_MS: Final = 700
+# About 1 MB; the pairs that were sent least recently are forgotten.
+EFFECTS_LIMIT: Final = 4_000
 # Smaller changes of the pace are not worth a call to the executor.
 MIN_PACE_CHANGE_PERCENT: Final = 4
 # Progress that a lasting task reports once it is working.
@@ -120,11 +122,15 @@
             self._recent_filler_shares.popleft()
 
     def set_effects(self, effects: messages.Effects) -> None:
-        """Set how strongly fillers disturb serving tasks."""
-        self._effects = {
-            (serving, filler): effect
-            for serving, filler, effect in effects.pairs
-        }
+        """Set how strongly fillers disturb serving tasks.
+
+        A new owner does not know all pairs yet; the others stay in use.
+        """
+        for serving, filler, effect in effects.pairs:
+            self._effects.pop((serving, filler), None)
+            self._effects[(serving, filler)] = effect
+        while len(self._effects) > EFFECTS_LIMIT:
+            del self._effects[next(iter(self._effects))]
 
     async def pace(
         self, capacity: resources.Resources, instance_id: str, token: int
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -1146,6 +1146,19 @@
     run_scenario(scenario)
 
 
+def test_effects_of_a_former_owner_stay_in_use() -> None:
+    """Guards against harmless fillers that are slowed after a takeover."""
+    filler_pacer = pacer.FillerPacer(
+        FakeExecutor(),
+        events.EventLog('agent', 'test', descriptor=1),
+        lambda: [],
+    )
+    known = (('m', 'loud', 3.0), ('m', 'quiet', 0.0))
+    filler_pacer.set_effects(messages.Effects(known))
+    filler_pacer.set_effects(messages.Effects((('m', 'loud', 2.0),)))
+    assert filler_pacer._effects == {('m', 'quiet'): 0.0, ('m', 'loud'): 2.0}
+
+
 def test_starts_after_one_inspection_slow_fillers_once() -> None:
     """Guards against fillers that are paused after a burst of starts.
 
