Place fillers only where they will not be slowed

Callers of large workflows lost most of the critical path to slowed and moved runs, also with good estimates: placement accepted an expected latency of 1.0 of its target, beside which the pacer slows fillers from 0.82 on, and forgot the last peak of the load within half of its period. Fillers were placed in a trough, slowed at the next peak, and moved after 1.2 s.

Placement and pacer have one limit now, and the baseline falls from a peak about as slowly as the load comes back. After a high latency that the model does not explain, all fillers recover within 3 s instead of 6 s.

--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -53,8 +53,10 @@
 _ERROR_LIMIT: Final = 2.5
 # Latency as a share of its target while none has been reported.
 DEFAULT_LATENCY_SHARE: Final = 0.5
-# No filler is placed where the expected latency share exceeds this.
-MAX_LATENCY_SHARE: Final = 1.0
+# No filler is placed where the expected latency share exceeds this, and up to
+# it fillers are not slowed. The rest is a reserve for changes of load, which
+# move the latency by a third.
+MAX_LATENCY_SHARE: Final = 0.82
 # Targets with an expected latency share below this are equally good.
 UNPENALIZED_LATENCY_SHARE: Final = 0.8
 
--- a/borageshelf/decisions/pacing.py
+++ b/borageshelf/decisions/pacing.py
@@ -18,16 +18,13 @@
 from borageshelf.decisions import filler_effects
 
 FULL_PACE_PERCENT: Final = 100
-# Expected latency, as a share of its target, up to which fillers may run.
-# The rest is a reserve for changes of load, which move the latency by a third.
-_AIM_SHARE: Final = 0.82
 # Above these shares of the target the model is assumed to underestimate the
 # effects, and the gain is reduced, above the second one more strongly.
 _SLOWED_SHARE: Final = 0.93
 _EXCEEDED_SHARE: Final = 1.15
 # Below this share of the target the gain recovers.
 _RECOVERY_SHARE: Final = 0.8
-_GAIN_RECOVERY_STEP: Final = 0.06
+_GAIN_RECOVERY_STEP: Final = 0.12
 # Fillers of one image that together raise the log latency at full pace by no
 # more than this count as having no effect.
 _MIN_LOG_RISE: Final = 0.04
@@ -113,7 +110,10 @@
             used_shares,
         )
         tolerated_rise = max(
-            math.log(_AIM_SHARE / max(baseline_share, 0.01)), 0.0
+            math.log(
+                filler_effects.MAX_LATENCY_SHARE / max(baseline_share, 0.01)
+            ),
+            0.0,
         )
         harmful_rises = {
             image: rise
--- a/borageshelf/workflows/scheduler.py
+++ b/borageshelf/workflows/scheduler.py
@@ -30,8 +30,8 @@
 # disturbs serving tasks.
 IDLE_WORKFLOW_LIMIT_MS: Final = 1_200
 # Decay of the baseline latency per report. The load of a serving task swings
-# within ten seconds, so the baseline falls from a peak about as slowly.
-BASELINE_DECAY_RATIO: Final = 0.97
+# within ten seconds, so its last peak still counts when the next one is due.
+BASELINE_DECAY_RATIO: Final = 0.985
 # Agents report latencies every 400 ms.
 LATENCY_REFRESH_MS: Final = 200
 
