Bound what an owner remembers of effects and latencies

The pairs of images grew with each image that callers ever named, in owners and in the messages to agents.

--- a/borageshelf/agent/workflows/pacer.py
+++ b/borageshelf/agent/workflows/pacer.py
@@ -11,6 +11,7 @@
 
 from borageshelf.agent.workflows import runs
 from borageshelf import clock
+from borageshelf.decisions import filler_effects
 from borageshelf.decisions import pacing
 from borageshelf import events
 from borageshelf.model import resources
@@ -20,8 +21,6 @@
 # A latency is that of the last half second before an inspection, so the usage
 # of the inspection before it still counts.
 USAGE_WINDOW_MS: Final = 700
-# About 1 MB; the pairs that were sent least recently are forgotten.
-EFFECTS_LIMIT: Final = 4_000
 # Smaller changes of the pace are not worth a call to the executor.
 MIN_PACE_CHANGE_PERCENT: Final = 4
 # Progress that a lasting task reports once it is working.
@@ -129,7 +128,7 @@
         for serving, filler, effect in effects.pairs:
             self._effects.pop((serving, filler), None)
             self._effects[(serving, filler)] = effect
-        while len(self._effects) > EFFECTS_LIMIT:
+        while len(self._effects) > filler_effects.PAIRS_LIMIT:
             del self._effects[next(iter(self._effects))]
 
     async def pace(
--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -51,6 +51,8 @@
 # A larger error, in standard deviations, counts as this one, so that a single
 # latency that is far off changes little.
 _ERROR_LIMIT: Final = 2.5
+# The pairs that were updated least recently are forgotten; bounds memory.
+PAIRS_LIMIT: Final = 4_000
 # Latency as a share of its target while none has been reported.
 DEFAULT_LATENCY_SHARE: Final = 0.5
 # No filler is placed where the expected latency share exceeds this, and up to
@@ -156,10 +158,13 @@
         for filler, quarters in used_quarters.items():
             pair = pairs[filler]
             gain = pair.variance * quarters / variance
+            self._pairs.pop((image, filler), None)
             self._pairs[(image, filler)] = _Pair(
                 min(max(pair.effect + gain * error, 0.0), MAX_EFFECT),
                 pair.variance * (1 - gain * quarters) + _DRIFT_VARIANCE,
             )
+        while len(self._pairs) > PAIRS_LIMIT:
+            del self._pairs[next(iter(self._pairs))]
 
     def _note_lowest(self, image: str, log_latency: float) -> None:
         lowest_log_latency = self._lowest_log_latencies.get(image, log_latency)
--- a/borageshelf/decisions/replica_latencies.py
+++ b/borageshelf/decisions/replica_latencies.py
@@ -15,6 +15,8 @@
 READING_VARIANCE: Final = 0.01
 # More targets hardly improve a baseline; bounds memory and time.
 TARGETS_LIMIT: Final = 32
+# Further workflows have no baseline; bounds memory.
+WORKFLOWS_LIMIT: Final = 200
 _CLEANUP_INTERVAL_MS: Final = 1_000
 
 
@@ -64,7 +66,11 @@
         :param variance: uncertainty of the effects that were removed
         """
         self._forget_expired(now_ms)
-        readings = self._readings.setdefault(workflow_id, {})
+        readings = self._readings.get(workflow_id)
+        if readings is None:
+            if len(self._readings) >= WORKFLOWS_LIMIT:
+                return
+            readings = self._readings[workflow_id] = {}
         if target_id in readings or len(readings) < TARGETS_LIMIT:
             readings[target_id] = Reading(
                 log_baseline,
--- a/borageshelf/workflows/path_times.py
+++ b/borageshelf/workflows/path_times.py
@@ -11,8 +11,8 @@
 from borageshelf.ports import task_executor
 from borageshelf.workflows import jobs
 
-# About 4 MB; further tasks are left out.
-TASKS_LIMIT: Final = 16_000
+# Further tasks are left out; bounds memory.
+TASKS_LIMIT: Final = 8_000
 FULL_PACE_PERCENT: Final = 100
 
 
