Slow only the fillers that disturb the task whose latency is high

Callers of large workflows lost more than half of the critical path to slowed runs, also with good effects and on a quiet target. One high latency lowered the gain of the whole target, mostly twice because the latency lags behind the pace, and with it every filler that any serving task there feels at all.

Each serving image has its own gain now, which falls less per report. The new test fails before, as there was one gain.

--- a/borageshelf/agent/workflows/pacer.py
+++ b/borageshelf/agent/workflows/pacer.py
@@ -43,7 +43,8 @@
         self._event_log = event_log
         self._list_runs = list_runs
         self._effects: dict[tuple[str, str], float] = {}
-        self._pace_gain = 1.0
+        # By serving image.
+        self._pace_gains: dict[str, float] = {}
         self._has_new_latencies = False
         self._recent_filler_shares: collections.deque[
             tuple[int, dict[str, float]]
@@ -140,16 +141,22 @@
             return
         samples = self.make_latency_samples()
         capacity_millicores = max(capacity.processor_millicores, 1)
-        worst_share = max(
-            (sample.latency_share for sample in samples), default=0.0
-        )
+        latency_shares: dict[str, float] = {}
+        for sample in samples:
+            image = sample.serving_image
+            latency_shares[image] = max(
+                latency_shares.get(image, 0.0), sample.latency_share
+            )
         if self._has_new_latencies:
             # Several starts after one inspection use the same latencies,
             # which must change the gain only once.
             self._has_new_latencies = False
-            self._pace_gain = pacing.compute_next_gain(
-                self._pace_gain, worst_share
-            )
+            self._pace_gains = {
+                image: pacing.compute_next_gain(
+                    self._pace_gains.get(image, 1.0), share
+                )
+                for image, share in latency_shares.items()
+            }
         paces = pacing.compute_paces(
             [
                 pacing.Filler(
@@ -165,7 +172,7 @@
             ],
             self.compute_peak_filler_shares(),
             self._effects,
-            self._pace_gain,
+            self._pace_gains,
         )
         calls = [
             self._set_pace(run, paces[run.key], instance_id, token)
@@ -178,13 +185,14 @@
                 'fillers paced',
                 changed=len(calls),
                 fillers=len(fillers),
-                worst_share=worst_share,
-                latency_shares={
-                    sample.serving_image: sample.latency_share
-                    for sample in samples
-                },
+                worst_share=max(latency_shares.values(), default=0.0),
+                latency_shares=latency_shares,
                 used_shares=self.compute_peak_filler_shares(),
-                gain=round(self._pace_gain, 2),
+                gains={
+                    image: round(gain, 2)
+                    for image, gain in self._pace_gains.items()
+                    if gain < 1
+                },
                 paces={run.terms.image: paces[run.key] for run in fillers},
             )
             await asyncio.gather(*calls)
--- a/borageshelf/decisions/pacing.py
+++ b/borageshelf/decisions/pacing.py
@@ -5,7 +5,8 @@
 images and changes within seconds. The learned effects determine how much of
 each filler a serving task tolerates; fillers without an effect run at full
 pace. If the model is wrong and a latency still comes near its target, a gain
-below 1 slows down all fillers with an effect, and recovers slowly. At pace 0
+below 1 slows down all fillers with an effect on this serving image, and
+recovers slowly. At pace 0
 a filler has no effect, so a serving task that still exceeds its target does so
 for other reasons.
 """
@@ -60,13 +61,15 @@
 
 
 def compute_next_gain(gain: float, worst_share: float) -> float:
-    """Return the next gain, at most 1, which trusts the model.
+    """Return the next gain of a serving image, at most 1.
 
-    :param worst_share: highest latency of a serving task on the target, as a
-        share of its latency target
+    A gain of 1 trusts the model.
+
+    :param worst_share: highest latency of the image's tasks on the target, as
+        a share of their latency target
     """
     if worst_share > _EXCEEDED_SHARE:
-        return gain * 0.3
+        return gain * 0.45
     if worst_share > _SLOWED_SHARE:
         return gain * 0.6
     if worst_share < _RECOVERY_SHARE:
@@ -79,7 +82,7 @@
     serving_images: abc.Sequence[ServingImage],
     used_shares: abc.Mapping[str, float],
     effects: Effects,
-    gain: float,
+    gains: abc.Mapping[str, float],
 ) -> dict[tuple[str, int], int]:
     """Return the pace of each filler in percent, by its key.
 
@@ -87,7 +90,8 @@
         the VM, in the time window of the latencies
     :param effects: rise of the log latency per quarter of a VM, by serving
         image and filler image
-    :param gain: factor on the pace of fillers with an effect
+    :param gains: factor on the pace of fillers with an effect on a serving
+        image, by serving image; 1 for those that are missing
     """
     size_shares: dict[str, float] = {}
     for filler in fillers:
@@ -120,6 +124,7 @@
             for image, rise in log_rises.items()
             if rise > _MIN_LOG_RISE
         }
+        gain = gains.get(serving.image, 1.0)
         # The image with the largest effect per processor is slowed first.
         excess_rise = sum(harmful_rises.values()) - tolerated_rise
         for image in sorted(
--- a/tests/model/fingerprints.py
+++ b/tests/model/fingerprints.py
@@ -33,7 +33,7 @@
         '_event_log',
         '_latency_version',
         '_next_latency_refresh_ms',
-        '_pace_gain',
+        '_pace_gains',
         '_recent_filler_shares',
         '_store',
         'filler_effects',
--- a/tests/test_workflow_decisions.py
+++ b/tests/test_workflow_decisions.py
@@ -268,7 +268,7 @@
     ]
     effects = {('monitor', 'loud'): 3.0, ('monitor', 'mild'): 0.2}
     paces = pacing.compute_paces(
-        fillers, [pacing.ServingImage('monitor', 0.7)], {}, effects, 1.0
+        fillers, [pacing.ServingImage('monitor', 0.7)], {}, effects, {}
     )
     assert paces[('b', 1)] == 100
     assert paces[('a', 1)] < 20
@@ -285,16 +285,36 @@
     ]
     effects = {('monitor', 'loud'): 3.0, ('monitor', 'quiet'): 0.0}
     paces = pacing.compute_paces(
-        fillers, [pacing.ServingImage('monitor', 0.6)], {}, effects, 1.0
+        fillers, [pacing.ServingImage('monitor', 0.6)], {}, effects, {}
     )
     assert paces[('b', 1)] == 100
     assert 0 < paces[('a', 1)] < 30
     over = pacing.compute_paces(
-        fillers, [pacing.ServingImage('monitor', 0.95)], {}, effects, 1.0
+        fillers, [pacing.ServingImage('monitor', 0.95)], {}, effects, {}
     )
     assert over[('a', 1)] == 0
 
 
+def test_latency_of_one_image_does_not_slow_what_only_others_feel() -> None:
+    """Guards against fillers that are slowed without any effect on a task."""
+    fillers = [
+        pacing.Filler(('a', 1), 'loud', 0.1),
+        pacing.Filler(('b', 1), 'other', 0.1),
+    ]
+    serving = [
+        pacing.ServingImage('one', 0.6),
+        pacing.ServingImage('two', 0.3),
+    ]
+    effects = {
+        ('one', 'loud'): 0.5,
+        ('one', 'other'): 0.0,
+        ('two', 'loud'): 0.0,
+        ('two', 'other'): 0.5,
+    }
+    paces = pacing.compute_paces(fillers, serving, {}, effects, {'one': 0.4})
+    assert paces == {('a', 1): 40, ('b', 1): 100}
+
+
 def test_pace_gain_falls_quickly_and_recovers_slowly() -> None:
     """Guards against a wrong model that keeps a task above its target."""
     gain = pacing.compute_next_gain(1.0, 1.5)
--- a/tests/test_workflow_driver.py
+++ b/tests/test_workflow_driver.py
@@ -1193,10 +1193,10 @@
         filler_pacer.record_filler_usage(capacity)
         for _ in range(4):
             await filler_pacer.pace(capacity, 'i-1', TOKEN)
-        gain_after_starts = filler_pacer._pace_gain
+        gain_after_starts = filler_pacer._pace_gains['m']
         filler_pacer.record_filler_usage(capacity)
         await filler_pacer.pace(capacity, 'i-1', TOKEN)
-        assert gain_after_starts > 0.5 > filler_pacer._pace_gain
+        assert gain_after_starts > 0.5 > filler_pacer._pace_gains['m']
 
     asyncio.run(check())
 
