Bound the variance of a learned effect by that of an unknown one

Each report adds some variance, and a filler at a low pace shows hardly anything that would lower it, so after minutes a single latency could move its effect across the whole range. Found by reading; the new test fails before.

--- a/borageshelf/decisions/filler_effects.py
+++ b/borageshelf/decisions/filler_effects.py
@@ -161,7 +161,10 @@
             self._pairs.pop((image, filler), None)
             self._pairs[(image, filler)] = _Pair(
                 min(max(pair.effect + gain * error, 0.0), MAX_EFFECT),
-                pair.variance * (1 - gain * quarters) + _DRIFT_VARIANCE,
+                min(
+                    pair.variance * (1 - gain * quarters) + _DRIFT_VARIANCE,
+                    _PRIOR_VARIANCE,
+                ),
             )
         while len(self._pairs) > PAIRS_LIMIT:
             del self._pairs[next(iter(self._pairs))]
--- a/tests/test_workflow_decisions.py
+++ b/tests/test_workflow_decisions.py
@@ -295,6 +295,18 @@
     assert over[('a', 1)] == 0
 
 
+def test_filler_that_hardly_works_does_not_become_less_than_unknown() -> None:
+    """Guards against effects that jump after a long time at a low pace."""
+    unknown = filler_effects.FillerEffects()
+    paced = filler_effects.FillerEffects()
+    for effects, count in ((unknown, 0), (paced, 3_000)):
+        for _ in range(count):
+            effects.observe(filler_effects.Sample('m', 0.5, {'f0': 0.001}))
+        effects.observe(filler_effects.Sample('m', 0.5, {}))
+        effects.observe(filler_effects.Sample('m', 4.0, {'f0': 0.11}))
+    assert paced.get_effect('m', 'f0') <= unknown.get_effect('m', 'f0')
+
+
 def test_latency_of_one_image_does_not_slow_what_only_others_feel() -> None:
     """Guards against fillers that are slowed without any effect on a task."""
     fillers = [
